--- /dev/null
+++ b/src/main.cc
@@ -0,0 +1,5 @@
+#include "skylarkcroft/cli/skylarkcroft_cli.h"
+
+int main(int argc, const char** argv) {
+  return skylarkcroft::RunCli(argc, argv);
+}
--- /dev/null
+++ b/src/skylarkcroft/http/skylarkcroft_http_client.cc
@@ -0,0 +1,378 @@
+#include "skylarkcroft/http/skylarkcroft_http_client.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <map>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "skylarkcroft/internal/skylarkcroft_event_loop.h"
+
+namespace skylarkcroft {
+namespace {
+
+constexpr size_t kMaxIdlePerPeer = 64;
+constexpr milliseconds kMaxIdleAge{15000};
+constexpr milliseconds kIdleSweepPeriod{5000};
+constexpr size_t kMaxResponseHeaderBytes = 64 * 1024;
+
+struct method_command {
+  const char* name;
+  evhttp_cmd_type command;
+};
+
+constexpr std::array<method_command, 7> kMethods = {{
+    {"GET", EVHTTP_REQ_GET},
+    {"POST", EVHTTP_REQ_POST},
+    {"HEAD", EVHTTP_REQ_HEAD},
+    {"PUT", EVHTTP_REQ_PUT},
+    {"DELETE", EVHTTP_REQ_DELETE},
+    {"OPTIONS", EVHTTP_REQ_OPTIONS},
+    {"PATCH", EVHTTP_REQ_PATCH},
+}};
+
+evhttp_cmd_type CommandOf(const std::string& method) {
+  for (const method_command& known : kMethods) {
+    if (method == known.name) {
+      return known.command;
+    }
+  }
+  return EVHTTP_REQ_GET;
+}
+
+timeval ToTimeval(milliseconds span) {
+  constexpr int kMillisPerSecond = 1000;
+  return {span.count() / kMillisPerSecond,
+          (span.count() % kMillisPerSecond) * kMillisPerSecond};
+}
+
+http_headers ReadHeaders(evhttp_request* raw) {
+  http_headers headers;
+  const evkeyvalq* input = evhttp_request_get_input_headers(raw);
+  for (const evkeyval* field = input->tqh_first; field != nullptr;
+       field = field->next.tqe_next) {
+    headers.Add(field->key, field->value);
+  }
+  return headers;
+}
+
+http_outcome OutcomeOf(evhttp_request_error failure) {
+  switch (failure) {
+    case EVREQ_HTTP_TIMEOUT:
+      return http_outcome::kTimedOut;
+    case EVREQ_HTTP_INVALID_HEADER:
+    case EVREQ_HTTP_DATA_TOO_LONG:
+      return http_outcome::kMalformed;
+    default:
+      return http_outcome::kBroken;
+  }
+}
+
+}  // namespace
+
+std::string_view ToString(http_outcome outcome) {
+  switch (outcome) {
+    case http_outcome::kComplete:
+      return "complete";
+    case http_outcome::kConnectFailed:
+      return "connect_failed";
+    case http_outcome::kBroken:
+      return "broken";
+    case http_outcome::kTimedOut:
+      return "timed_out";
+    case http_outcome::kMalformed:
+      return "malformed";
+  }
+  return "unknown";
+}
+
+class http_client::impl : public std::enable_shared_from_this<impl> {
+ public:
+  // A connection with at most one call on it.
+  struct connection {
+    explicit connection(evhttp_connection* opened, endpoint address)
+        : raw(opened), peer(std::move(address)) {
+      bufferevent* stream = evhttp_connection_get_bufferevent(raw);
+      evbuffer_add_cb(bufferevent_get_output(stream), &connection::OnOutput,
+                      this);
+    }
+    ~connection() { evhttp_connection_free(raw); }
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
+
+    static void OnOutput(evbuffer* /*output*/, const evbuffer_cb_info* change,
+                         void* self) {
+      if (change->n_deleted > 0) {
+        static_cast<connection*>(self)->sent = true;
+      }
+    }
+
+    evhttp_connection* raw;
+    endpoint peer;
+    bool sent = false;
+    time_point idle_since{};
+  };
+  using connection_ptr = std::unique_ptr<connection>;
+
+  struct call_state {
+    impl* client = nullptr;
+    connection_ptr link;
+    http_call_events events;
+    bool reuse = true;
+    bool cancelled = false;
+    bool nagle_disabled = false;
+    http_outcome failure = http_outcome::kConnectFailed;
+  };
+
+  explicit impl(event_loop& loop)
+      : loop_(loop),
+        sweep_(loop.Every(kIdleSweepPeriod, [this] { DropOld(SteadyNow()); })) {
+  }
+
+  call_state* Send(const endpoint& peer, const http_request& request,
+                   const http_call_options& options, http_call_events events) {
+    auto owned = std::make_unique<call_state>();
+    call_state* state = owned.get();
+    state->client = this;
+    state->events = std::move(events);
+    state->reuse = options.reuse_connection;
+    state->link = options.reuse_connection ? TakeIdle(peer) : nullptr;
+    if (state->link == nullptr) {
+      state->link = Open(peer);
+    }
+    state->link->sent = false;
+    live_.emplace(state, std::move(owned));
+    Configure(*state, options);
+    evhttp_request* raw = MakeRequest(peer, request, state);
+    if (evhttp_make_request(state->link->raw, raw, CommandOf(request.method),
+                            request.target.c_str()) != 0) {
+      FailLater(state);
+    }
+    return state;
+  }
+
+  void Cancel(call_state* state) {
+    const auto found = live_.find(state);
+    if (found == live_.end()) {
+      return;
+    }
+    state->cancelled = true;
+    state->events = {};
+    // evhttp may be inside this call's callback, so its connection goes later.
+    loop_.Defer([weak = weak_from_this(), state] {
+      if (const auto client = weak.lock()) {
+        client->live_.erase(state);
+      }
+    });
+  }
+
+  void DropIdle(const endpoint& peer) { idle_.erase(peer); }
+
+ private:
+  connection_ptr TakeIdle(const endpoint& peer) {
+    const auto found = idle_.find(peer);
+    if (found == idle_.end() || found->second.empty()) {
+      return nullptr;
+    }
+    connection_ptr link = std::move(found->second.back());
+    found->second.pop_back();
+    return link;
+  }
+
+  connection_ptr Open(const endpoint& peer) {
+    evhttp_connection* raw = evhttp_connection_base_new(
+        loop_.base(), nullptr, peer.host.c_str(), peer.port);
+    return std::make_unique<connection>(raw, peer);
+  }
+
+  static void Configure(call_state& state, const http_call_options& options) {
+    const timeval timeout = ToTimeval(options.progress_timeout);
+    evhttp_connection* raw = state.link->raw;
+    evhttp_connection_set_timeout_tv(raw, &timeout);
+    evhttp_connection_set_retries(raw, 0);
+    evhttp_connection_set_max_body_size(
+        raw, static_cast<ssize_t>(options.max_body_bytes));
+    evhttp_connection_set_max_headers_size(raw, kMaxResponseHeaderBytes);
+  }
+
+  static evhttp_request* MakeRequest(const endpoint& peer,
+                                     const http_request& request,
+                                     call_state* state) {
+    evhttp_request* raw = evhttp_request_new(&impl::OnDone, state);
+    evkeyvalq* output = evhttp_request_get_output_headers(raw);
+    for (const http_header& field : request.headers.fields()) {
+      evhttp_add_header(output, field.name.c_str(), field.value.c_str());
+    }
+    if (!request.headers.Has("Host")) {
+      evhttp_add_header(output, "Host", ToString(peer).c_str());
+    }
+    evbuffer_add(evhttp_request_get_output_buffer(raw), request.body.data(),
+                 request.body.size());
+    evhttp_request_set_error_cb(raw, &impl::OnError);
+    evhttp_request_set_header_cb(raw, &impl::OnHeaders);
+    if (state->events.on_data) {
+      evhttp_request_set_chunked_cb(raw, &impl::OnData);
+    }
+    return raw;
+  }
+
+  void FailLater(call_state* state) {
+    loop_.Defer([weak = weak_from_this(), state] {
+      const auto client = weak.lock();
+      if (client == nullptr || client->live_.count(state) == 0) {
+        return;
+      }
+      client->Finish(state, {http_outcome::kConnectFailed, false, {}});
+    });
+  }
+
+  static void OnError(evhttp_request_error failure, void* argument) {
+    static_cast<call_state*>(argument)->failure = OutcomeOf(failure);
+  }
+
+  static int OnHeaders(evhttp_request* raw, void* argument) {
+    auto* state = static_cast<call_state*>(argument);
+    if (state->cancelled) {
+      return 0;
+    }
+    if (!state->nagle_disabled) {
+      DisableNagle(*state);
+    }
+    if (state->events.on_headers) {
+      state->events.on_headers(evhttp_request_get_response_code(raw),
+                               ReadHeaders(raw));
+    }
+    return 0;
+  }
+
+  static void DisableNagle(call_state& state) {
+    bufferevent* stream = evhttp_connection_get_bufferevent(state.link->raw);
+    const int on = 1;
+    setsockopt(bufferevent_getfd(stream), IPPROTO_TCP, TCP_NODELAY, &on,
+               sizeof(on));
+    state.nagle_disabled = true;
+  }
+
+  static void OnData(evhttp_request* raw, void* argument) {
+    auto* state = static_cast<call_state*>(argument);
+    evbuffer* input = evhttp_request_get_input_buffer(raw);
+    std::string data(evbuffer_get_length(input), '\0');
+    evbuffer_remove(input, data.data(), data.size());
+    if (!state->cancelled && !data.empty()) {
+      state->events.on_data(data);
+    }
+  }
+
+  static void OnDone(evhttp_request* raw, void* argument) {
+    auto* state = static_cast<call_state*>(argument);
+    http_result result;
+    result.may_have_been_sent = state->link->sent;
+    if (raw == nullptr || evhttp_request_get_response_code(raw) == 0) {
+      result.outcome = state->failure;
+      if (state->failure == http_outcome::kConnectFailed && state->link->sent) {
+        result.outcome = http_outcome::kBroken;
+      }
+    } else {
+      result.outcome = http_outcome::kComplete;
+      result.response.status = evhttp_request_get_response_code(raw);
+      result.response.headers = ReadHeaders(raw);
+      evbuffer* input = evhttp_request_get_input_buffer(raw);
+      result.response.body.resize(evbuffer_get_length(input));
+      evbuffer_copyout(input, result.response.body.data(),
+                       result.response.body.size());
+    }
+    state->client->Finish(state, std::move(result));
+  }
+
+  void Finish(call_state* state, http_result result) {
+    const auto found = live_.find(state);
+    const std::unique_ptr<call_state> owned = std::move(found->second);
+    live_.erase(found);
+    if (result.outcome == http_outcome::kComplete && owned->reuse) {
+      KeepIdle(std::move(owned->link));
+    } else {
+      FreeLater(std::move(owned->link));
+    }
+    if (owned->events.on_done) {
+      owned->events.on_done(std::move(result));
+    }
+  }
+
+  void KeepIdle(connection_ptr link) {
+    std::vector<connection_ptr>& kept = idle_[link->peer];
+    if (kept.size() >= kMaxIdlePerPeer) {
+      FreeLater(std::move(link));
+      return;
+    }
+    link->idle_since = SteadyNow();
+    kept.push_back(std::move(link));
+  }
+
+  // evhttp still uses a connection while it runs the callbacks of its request.
+  void FreeLater(connection_ptr link) {
+    loop_.Defer([owned = std::shared_ptr<connection>(std::move(link))] {});
+  }
+
+  void DropOld(time_point now) {
+    for (auto& [peer, kept] : idle_) {
+      std::erase_if(kept, [&](const connection_ptr& link) {
+        return now - link->idle_since > kMaxIdleAge;
+      });
+    }
+    std::erase_if(idle_,
+                  [](const auto& entry) { return entry.second.empty(); });
+  }
+
+  event_loop& loop_;
+  std::map<endpoint, std::vector<connection_ptr>> idle_;
+  std::unordered_map<call_state*, std::unique_ptr<call_state>> live_;
+  event_loop::handle_ptr sweep_;
+};
+
+namespace {
+
+class cancelling_call final : public http_call {
+ public:
+  explicit cancelling_call(std::function<void()> cancel)
+      : cancel_(std::move(cancel)) {}
+  ~cancelling_call() override { cancel_(); }
+  cancelling_call(const cancelling_call&) = delete;
+  cancelling_call& operator=(const cancelling_call&) = delete;
+
+ private:
+  std::function<void()> cancel_;
+};
+
+}  // namespace
+
+http_client::http_client(event_loop& loop)
+    : impl_(std::make_shared<impl>(loop)) {}
+
+http_client::~http_client() = default;
+
+http_call_ptr http_client::Send(const endpoint& peer,
+                                const http_request& request,
+                                const http_call_options& options,
+                                http_call_events events) {
+  impl::call_state* state =
+      impl_->Send(peer, request, options, std::move(events));
+  const std::weak_ptr<impl> weak = impl_;
+  return std::make_unique<cancelling_call>([weak, state] {
+    if (const auto client = weak.lock()) {
+      client->Cancel(state);
+    }
+  });
+}
+
+void http_client::DropIdle(const endpoint& peer) { impl_->DropIdle(peer); }
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/src/skylarkcroft/internal/skylarkcroft_event_loop.cc
@@ -0,0 +1,109 @@
+#include "skylarkcroft/internal/skylarkcroft_event_loop.h"
+
+#include <event2/event.h>
+
+#include <csignal>
+#include <utility>
+
+#include "skylarkcroft/internal/skylarkcroft_error.h"
+
+namespace skylarkcroft {
+namespace {
+
+timeval ToTimeval(duration span) {
+  const auto micros =
+      std::chrono::duration_cast<std::chrono::microseconds>(span).count();
+  constexpr int64_t kMicrosPerSecond = 1000000;
+  return {static_cast<time_t>(micros / kMicrosPerSecond),
+          static_cast<suseconds_t>(micros % kMicrosPerSecond)};
+}
+
+class loop_event final : public event_loop::handle {
+ public:
+  loop_event(event_base* base, int fd, int16_t what, std::function<void()> call)
+      : call_(std::make_shared<std::function<void()>>(std::move(call))),
+        event_(event_new(base, fd, what, &loop_event::Fire, this)) {}
+  ~loop_event() override { event_free(event_); }
+  loop_event(const loop_event&) = delete;
+  loop_event& operator=(const loop_event&) = delete;
+
+  void Add(const timeval* delay) { event_add(event_, delay); }
+
+ private:
+  static void Fire(int /*fd*/, int16_t /*what*/, void* self) {
+    // The copy keeps the call alive when it destroys its own handle.
+    const auto call = static_cast<loop_event*>(self)->call_;
+    (*call)();
+  }
+
+  std::shared_ptr<std::function<void()>> call_;
+  event* event_;
+};
+
+event_loop::handle_ptr Start(event_base* base, int fd, int16_t what,
+                             const timeval* delay, std::function<void()> call) {
+  auto pending = std::make_unique<loop_event>(base, fd, what, std::move(call));
+  pending->Add(delay);
+  return pending;
+}
+
+}  // namespace
+
+event_loop::event_loop() : base_(event_base_new()) {
+  // A peer that closes its end is reported by the write, not by a signal.
+  std::signal(SIGPIPE, SIG_IGN);
+  if (base_ == nullptr) {
+    throw network_error("the event loop could not be created",
+                        "raise the limit of open files");
+  }
+}
+
+event_loop::~event_loop() { event_base_free(base_); }
+
+event_loop::handle_ptr event_loop::After(duration delay,
+                                         std::function<void()> call) {
+  const timeval span = ToTimeval(delay);
+  return Start(base_, -1, EV_TIMEOUT, &span, std::move(call));
+}
+
+event_loop::handle_ptr event_loop::Every(duration period,
+                                         std::function<void()> call) {
+  const timeval span = ToTimeval(period);
+  return Start(base_, -1, EV_PERSIST, &span, std::move(call));
+}
+
+event_loop::handle_ptr event_loop::OnReadable(int fd,
+                                              std::function<void()> call) {
+  return Start(base_, fd, EV_READ | EV_PERSIST, nullptr, std::move(call));
+}
+
+event_loop::handle_ptr event_loop::OnSignal(int signal_number,
+                                            std::function<void()> call) {
+  return Start(base_, signal_number, EV_SIGNAL | EV_PERSIST, nullptr,
+               std::move(call));
+}
+
+void event_loop::Defer(std::function<void()> call) {
+  auto* owned = new std::function<void()>(std::move(call));
+  const timeval now = {0, 0};
+  event_base_once(
+      base_, -1, EV_TIMEOUT,
+      [](int /*fd*/, int16_t /*what*/, void* argument) {
+        const std::unique_ptr<std::function<void()>> once(
+            static_cast<std::function<void()>*>(argument));
+        (*once)();
+      },
+      owned, &now);
+}
+
+void event_loop::Run() { event_base_dispatch(base_); }
+
+void event_loop::RunFor(duration limit) {
+  const timeval span = ToTimeval(limit);
+  event_base_loopexit(base_, &span);
+  event_base_dispatch(base_);
+}
+
+void event_loop::Stop() { event_base_loopbreak(base_); }
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/standins/plain_service/main/main.cc
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/tests/test_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
