--- a/src/skylarkcroft/metrics/skylarkcroft_metrics_registry.cc
+++ b/src/skylarkcroft/metrics/skylarkcroft_metrics_registry.cc
@@ -173,18 +173,20 @@
 
 std::string metrics_registry::RenderPrometheus() const {
   std::string text;
-  for (const auto& [name, owner] : families_) {
+  for (const auto& entry : families_) {
+    const std::string& name = entry.first;
+    const family& owner = entry.second;
     const std::string_view type =
         std::visit([](const auto& member) { return TypeName(member); },
                    owner.members.begin()->second);
     text += "# HELP " + name + " " + Escape(owner.help, false) + "\n";
     text += "# TYPE " + name + " " + std::string(type) + "\n";
-    for (const auto& [labels, member] : owner.members) {
+    for (const auto& member : owner.members) {
       text += std::visit(
           [&](const auto& present) {
-            return RenderMember(name, labels, present);
+            return RenderMember(name, member.first, present);
           },
-          member);
+          member.second);
     }
   }
   return text;
