Request path: completions form, attempts, answers kept by offset, front and operators' API

Cause: a caller's request needs a way from the front to an upstream and back. Change: server-sent events parsed and numbered, one attempt object a try, an answer that readers follow from any offset, resume from the delivered offset after a broken try, FIFO admission and least-loaded choice as first versions, operators' API over the tables, graceful shutdown.

--- /dev/null
+++ b/src/skylarkcroft/admission/skylarkcroft_fifo_admission.cc
@@ -0,0 +1,97 @@
+#include <deque>
+#include <map>
+#include <unordered_map>
+#include <utility>
+
+#include "skylarkcroft/admission/skylarkcroft_admission.h"
+
+namespace skylarkcroft {
+namespace {
+
+class fifo_admission final : public admission {
+ public:
+  fifo_admission(pool_capacity_fn capacity, size_t max_queued)
+      : capacity_(std::move(capacity)), max_queued_(max_queued) {}
+
+  std::optional<refusal> Submit(const work_item& item,
+                                time_point /*now*/) override {
+    pool_queue& queue = pools_[item.pool];
+    if (queue.waiting.size() >= max_queued_) {
+      constexpr std::chrono::seconds kRetryAfter{1};
+      return refusal{refusal_reason::kQueueFull, kRetryAfter};
+    }
+    queue.waiting.push_back(item);
+    return std::nullopt;
+  }
+
+  void Finish(const std::string& request_id, int64_t /*actual_tokens*/,
+              time_point /*now*/) override {
+    const auto found = running_.find(request_id);
+    if (found != running_.end()) {
+      --pools_[found->second].running;
+      running_.erase(found);
+      return;
+    }
+    for (auto& [name, queue] : pools_) {
+      std::erase_if(queue.waiting, [&](const work_item& item) {
+        return item.request_id == request_id;
+      });
+    }
+  }
+
+  dispatch_decision Dispatch(time_point now) override {
+    dispatch_decision decision;
+    for (auto& [name, queue] : pools_) {
+      const int64_t capacity = capacity_(name, now);
+      while (!queue.waiting.empty() && queue.running < capacity) {
+        Take(queue, decision, now);
+      }
+    }
+    return decision;
+  }
+
+  int64_t Running(const std::string& pool) const override {
+    const auto found = pools_.find(pool);
+    return found == pools_.end() ? 0 : found->second.running;
+  }
+
+  int64_t Queued(const std::string& pool) const override {
+    const auto found = pools_.find(pool);
+    return found == pools_.end()
+               ? 0
+               : static_cast<int64_t>(found->second.waiting.size());
+  }
+
+ private:
+  struct pool_queue {
+    std::deque<work_item> waiting;
+    int64_t running = 0;
+  };
+
+  void Take(pool_queue& queue, dispatch_decision& decision, time_point now) {
+    const work_item item = std::move(queue.waiting.front());
+    queue.waiting.pop_front();
+    if (item.deadline <= now) {
+      decision.refused.push_back(
+          {item.request_id, {refusal_reason::kDeadlineUnreachable, {}}});
+      return;
+    }
+    ++queue.running;
+    running_.emplace(item.request_id, item.pool);
+    decision.start.push_back(item.request_id);
+  }
+
+  pool_capacity_fn capacity_;
+  size_t max_queued_;
+  std::map<std::string, pool_queue> pools_;
+  std::unordered_map<std::string, std::string> running_;
+};
+
+}  // namespace
+
+std::unique_ptr<admission> MakeFifoAdmission(pool_capacity_fn capacity,
+                                             size_t max_queued) {
+  return std::make_unique<fifo_admission>(std::move(capacity), max_queued);
+}
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/src/skylarkcroft/attempt/skylarkcroft_answer.cc
@@ -0,0 +1,77 @@
+#include "skylarkcroft/attempt/skylarkcroft_answer.h"
+
+#include <utility>
+
+namespace skylarkcroft {
+
+void answer::BeginStreaming() {
+  if (state_ != state::kWaiting) {
+    return;
+  }
+  state_ = state::kStreaming;
+  Notify();
+}
+
+void answer::AppendToken(std::string data) {
+  if (ended()) {
+    return;
+  }
+  tokens_.push_back(std::move(data));
+  Notify();
+}
+
+void answer::SetUsage(std::string data) {
+  if (!ended()) {
+    usage_ = std::move(data);
+  }
+}
+
+void answer::Complete() {
+  if (ended()) {
+    return;
+  }
+  state_ = state::kComplete;
+  Notify();
+}
+
+void answer::CompleteWith(http_response response) {
+  if (ended()) {
+    return;
+  }
+  response_ = std::move(response);
+  Complete();
+}
+
+void answer::Fail(problem why) {
+  if (ended()) {
+    return;
+  }
+  failure_ = std::move(why);
+  state_ = state::kFailed;
+  Notify();
+}
+
+answer::reader_id answer::AddReader(std::function<void()> on_change) {
+  readers_.emplace(next_reader_, std::move(on_change));
+  return next_reader_++;
+}
+
+void answer::RemoveReader(reader_id reader) { readers_.erase(reader); }
+
+void answer::Notify() {
+  // A reader may remove itself or others while it is told.
+  std::vector<reader_id> told;
+  for (const auto& [reader, call] : readers_) {
+    told.push_back(reader);
+  }
+  for (const reader_id reader : told) {
+    const auto found = readers_.find(reader);
+    if (found == readers_.end()) {
+      continue;
+    }
+    const std::function<void()> call = found->second;
+    call();
+  }
+}
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/src/skylarkcroft/attempt/skylarkcroft_attempt.cc
@@ -0,0 +1,224 @@
+#include "skylarkcroft/attempt/skylarkcroft_attempt.h"
+
+#include <charconv>
+#include <optional>
+#include <utility>
+
+#include "skylarkcroft/attempt/skylarkcroft_sse_parser.h"
+#include "skylarkcroft/http/skylarkcroft_http_client.h"
+
+namespace skylarkcroft {
+namespace {
+
+constexpr size_t kMaxEventBytes = 1024 * 1024;
+constexpr size_t kMaxStreamBytes = 256 * 1024 * 1024;
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kTooManyRequests = 429;
+constexpr int kInternalError = 500;
+constexpr int kUnavailable = 503;
+constexpr const char* kNotRunHeader = "X-Not-Run";
+
+attempt_result FromTransport(const http_result& result) {
+  attempt_result ended;
+  ended.may_have_run = result.may_have_been_sent;
+  switch (result.outcome) {
+    case http_outcome::kConnectFailed:
+      ended.outcome = attempt_outcome::kConnectFailed;
+      break;
+    case http_outcome::kTimedOut:
+      ended.outcome = attempt_outcome::kTimedOut;
+      break;
+    case http_outcome::kMalformed:
+      ended.outcome = attempt_outcome::kMalformed;
+      break;
+    default:
+      ended.outcome = attempt_outcome::kBroken;
+      break;
+  }
+  return ended;
+}
+
+bool StatesNotRun(const http_response& response) {
+  return EqualsIgnoringCase(response.headers.Get(kNotRunHeader), "true");
+}
+
+std::optional<int64_t> ParseOffset(const std::string& id) {
+  int64_t offset = 0;
+  const auto [end, status] =
+      std::from_chars(id.data(), id.data() + id.size(), offset);
+  if (id.empty() || status != std::errc() || end != id.data() + id.size()) {
+    return std::nullopt;
+  }
+  return offset;
+}
+
+class engine_attempt final : public attempt {
+ public:
+  engine_attempt(engine_attempt_start start, engine_attempt_events events)
+      : start_(std::move(start)),
+        delivered_(start_.delivered_tokens),
+        events_(std::move(events)),
+        parser_(kMaxEventBytes,
+                [this](const sse_event& event) { OnEvent(event); }) {}
+
+  void Send(http_client& client, const http_request& request) {
+    http_call_options options;
+    options.progress_timeout = start_.progress_timeout;
+    options.max_body_bytes = kMaxStreamBytes;
+    http_call_events events;
+    events.on_headers = [this](int status, const http_headers&) {
+      status_ = status;
+    };
+    events.on_data = [this](std::string_view data) { OnData(data); };
+    events.on_done = [this](const http_result& result) { OnDone(result); };
+    call_ = client.Send(start_.address, request, options, std::move(events));
+  }
+
+ private:
+  void OnData(std::string_view data) {
+    if (ended_) {
+      return;
+    }
+    if (status_ != kOk) {
+      error_body_.append(data.substr(0, kMaxEventBytes - error_body_.size()));
+      return;
+    }
+    if (!parser_.Feed(data) && !ended_) {
+      End({attempt_outcome::kMalformed, true, {}});
+    }
+  }
+
+  void OnEvent(const sse_event& event) {
+    if (ended_) {
+      return;
+    }
+    if (event.data == "[DONE]") {
+      saw_done_ = true;
+      return;
+    }
+    if (event.data.find(start_.request_id) == std::string::npos) {
+      End({attempt_outcome::kMalformed, true, {}});
+      return;
+    }
+    if (event.id.empty()) {
+      events_.on_usage(event.data);
+      return;
+    }
+    TakeToken(event);
+  }
+
+  void TakeToken(const sse_event& event) {
+    const std::optional<int64_t> offset = ParseOffset(event.id);
+    if (!offset || *offset > delivered_ + 1) {
+      End({attempt_outcome::kMalformed, true, {}});
+      return;
+    }
+    if (*offset <= delivered_) {
+      return;
+    }
+    delivered_ = *offset;
+    events_.on_token(*offset, event.data);
+  }
+
+  void OnDone(const http_result& result) {
+    if (ended_) {
+      return;
+    }
+    if (result.outcome != http_outcome::kComplete) {
+      End(FromTransport(result));
+      return;
+    }
+    http_response response = result.response;
+    response.body = error_body_;
+    const int status = response.status;
+    if (status == kOk) {
+      End({saw_done_ ? attempt_outcome::kComplete : attempt_outcome::kBroken,
+           true,
+           {}});
+      return;
+    }
+    if (status == kTooManyRequests || status == kUnavailable) {
+      End({attempt_outcome::kRefused, false, std::move(response)});
+      return;
+    }
+    const bool definitive = status >= kBadRequest && status < kInternalError;
+    End({definitive ? attempt_outcome::kRejected : attempt_outcome::kFailed,
+         !definitive, std::move(response)});
+  }
+
+  void End(const attempt_result& result) {
+    ended_ = true;
+    events_.on_end(result);
+  }
+
+  const engine_attempt_start start_;
+  int64_t delivered_;
+  engine_attempt_events events_;
+  sse_parser parser_;
+  int status_ = 0;
+  bool saw_done_ = false;
+  bool ended_ = false;
+  std::string error_body_;
+  http_call_ptr call_;
+};
+
+class service_attempt final : public attempt {
+ public:
+  explicit service_attempt(std::function<void(const attempt_result&)> on_end)
+      : on_end_(std::move(on_end)) {}
+
+  void Send(http_client& client, const service_attempt_start& start,
+            const http_request& request) {
+    http_call_options options;
+    options.progress_timeout = start.progress_timeout;
+    options.max_body_bytes = start.max_body_bytes;
+    options.reuse_connection = start.reuse_connection;
+    http_call_events events;
+    events.on_done = [this](const http_result& result) { OnDone(result); };
+    call_ = client.Send(start.address, request, options, std::move(events));
+  }
+
+ private:
+  void OnDone(const http_result& result) {
+    if (result.outcome != http_outcome::kComplete) {
+      on_end_(FromTransport(result));
+      return;
+    }
+    const int status = result.response.status;
+    if (StatesNotRun(result.response) || status == kTooManyRequests) {
+      on_end_({attempt_outcome::kRefused, false, result.response});
+      return;
+    }
+    if (status >= kInternalError) {
+      on_end_({attempt_outcome::kFailed, true, result.response});
+      return;
+    }
+    on_end_({attempt_outcome::kComplete, true, result.response});
+  }
+
+  std::function<void(const attempt_result&)> on_end_;
+  http_call_ptr call_;
+};
+
+}  // namespace
+
+attempt_ptr StartEngineAttempt(http_client& client,
+                               const engine_attempt_start& start,
+                               const http_request& request,
+                               engine_attempt_events events) {
+  auto started = std::make_unique<engine_attempt>(start, std::move(events));
+  started->Send(client, request);
+  return started;
+}
+
+attempt_ptr StartServiceAttempt(
+    http_client& client, const service_attempt_start& start,
+    const http_request& request,
+    std::function<void(const attempt_result&)> on_end) {
+  auto started = std::make_unique<service_attempt>(std::move(on_end));
+  started->Send(client, start, request);
+  return started;
+}
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/src/skylarkcroft/node/skylarkcroft_front.cc
@@ -0,0 +1,334 @@
+#include "skylarkcroft/node/skylarkcroft_front.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "skylarkcroft/internal/skylarkcroft_digest.h"
+#include "skylarkcroft/internal/skylarkcroft_error.h"
+#include "skylarkcroft/log/skylarkcroft_logger.h"
+#include "skylarkcroft/node/skylarkcroft_node_metrics.h"
+#include "skylarkcroft/tables/skylarkcroft_tables_in_force.h"
+
+namespace skylarkcroft {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+constexpr milliseconds kSweepPeriod{1000};
+constexpr std::chrono::seconds kRetrySoon{1};
+constexpr std::string_view kRequestsPrefix = "/v1/requests/";
+constexpr std::string_view kStreamSuffix = "/stream";
+constexpr std::string_view kBearer = "Bearer ";
+
+int64_t ParseLastEventId(const std::string& text) {
+  int64_t offset = 0;
+  std::from_chars(text.data(), text.data() + text.size(), offset);
+  return std::max<int64_t>(0, offset);
+}
+
+problem NotRun(refusal_reason reason, const std::string& detail) {
+  return MakeProblem(reason, run_state::kNotRun, detail, "");
+}
+
+problem NotRunRetrySoon(refusal_reason reason, const std::string& detail) {
+  problem why = NotRun(reason, detail);
+  why.retry_after = kRetrySoon;
+  return why;
+}
+
+answer_form FormOf(const accepted_request& request) {
+  answer_form form;
+  form.request_id = request.id;
+  if (!request.completion) {
+    return form;
+  }
+  form.what = request.completion->stream ? answer_form::kind::kEventStream
+                                         : answer_form::kind::kCompletion;
+  form.chat = request.completion->chat();
+  form.model = request.completion->model;
+  return form;
+}
+
+work_item ItemOf(const accepted_request& request) {
+  work_item item;
+  item.request_id = request.id;
+  item.caller_name = request.from.name;
+  item.caller_weight = request.from.weight;
+  item.pool = request.target.name;
+  item.work_rank = request.via.work_rank;
+  item.estimated_tokens = request.EstimatedTokens();
+  item.deadline = request.deadline;
+  return item;
+}
+
+// Fills in what depends on the route. Throws config_error for a body that the
+// pool's engines could not read.
+accepted_request Build(const http_request& original, const caller& from,
+                       const route& via, const table_set_ptr& tables,
+                       time_point now) {
+  accepted_request request;
+  request.tables = tables;
+  request.from = from;
+  request.via = via;
+  request.target = *tables->pools.Find(via.pool);
+  request.arrived = now;
+  request.deadline = now + via.deadline.value_or(
+                               tables->routes.PolicyOf(via.work_rank).deadline);
+  request.original = original;
+  request.idempotency_key = original.headers.Get("Idempotency-Key");
+  const bool is_completion = request.target.kind == pool_kind::kEngine;
+  if (is_completion) {
+    request.completion =
+        ParseCompletionRequest(original.path(), original.body, via.work_rank);
+  }
+  request.idempotent = IsIdempotent(via, original.method, is_completion);
+  return request;
+}
+
+}  // namespace
+
+front::front(front_environment environment)
+    : environment_(std::move(environment)),
+      dispatch_timer_(
+          environment_.loop.Every(kDispatchPeriod, [this] { DispatchNow(); })),
+      sweep_timer_(environment_.loop.Every(kSweepPeriod, [this] { Sweep(); })) {
+}
+
+front::~front() = default;
+
+bool front::Ready(time_point now) const {
+  return ready_ && !refusing_ &&
+         environment_.tables.MayServe(
+             now, environment_.config.tables.staleness_bound);
+}
+
+void front::RefuseNew() { refusing_ = true; }
+
+std::string front::NextId() {
+  return environment_.config.name + "." + environment_.incarnation + "." +
+         std::to_string(next_number_++);
+}
+
+void front::OnRequest(const http_exchange_ptr& exchange) {
+  const time_point now = environment_.clock();
+  const std::string path = exchange->request().path();
+  if (path == "/healthz") {
+    exchange->Reply({kOk, {{"Content-Type", "text/plain"}}, "ok\n"});
+    return;
+  }
+  if (path == "/readyz") {
+    const bool ready = Ready(now);
+    exchange->Reply({ready ? kOk : kUnavailable,
+                     {{"Content-Type", "text/plain"}},
+                     ready ? "ready\n" : "not ready\n"});
+    return;
+  }
+  if (path.starts_with(kRequestsPrefix)) {
+    OnRead(exchange, now);
+    return;
+  }
+  OnNew(exchange, now);
+}
+
+const caller* front::Authenticate(const http_request& request,
+                                  const table_set& tables) const {
+  const std::string field = request.headers.Get("Authorization");
+  if (!field.starts_with(kBearer)) {
+    return nullptr;
+  }
+  return tables.routes.FindByKeyDigest(
+      Sha256Hex(std::string_view(field).substr(kBearer.size())));
+}
+
+void front::OnNew(const http_exchange_ptr& exchange, time_point now) {
+  if (refusing_) {
+    Refuse(exchange, NotRunRetrySoon(refusal_reason::kShuttingDown,
+                                     "this node is leaving; send it again"));
+    return;
+  }
+  if (!environment_.tables.MayServe(
+          now, environment_.config.tables.staleness_bound)) {
+    Refuse(exchange,
+           NotRunRetrySoon(refusal_reason::kNotReady,
+                           "this node cannot confirm that its tables are "
+                           "current; send it again"));
+    return;
+  }
+  const table_set_ptr tables = environment_.tables.current();
+  const http_request& request = exchange->request();
+  const caller* from = Authenticate(request, *tables);
+  if (from == nullptr) {
+    Refuse(exchange, NotRun(refusal_reason::kUnauthenticated,
+                            "send Authorization: Bearer with a known key"));
+    return;
+  }
+  const std::string path = request.path();
+  const bool completion = IsCompletionPath(path);
+  const std::string model = completion ? PeekModel(request.body) : "";
+  const route_match match =
+      tables->routes.Match({from->name, request.method, path, model});
+  if (match.found == nullptr) {
+    const bool wrong_method = match.failure == match_failure::kMethodNotAllowed;
+    Refuse(exchange, NotRun(wrong_method ? refusal_reason::kMethodNotAllowed
+                                         : refusal_reason::kNoRoute,
+                            "no route of this caller fits the request"));
+    return;
+  }
+  const pool* target = tables->pools.Find(match.found->pool);
+  if (target->kind == pool_kind::kEngine && !completion) {
+    Refuse(exchange, NotRun(refusal_reason::kNoRoute,
+                            "engines answer only the completions form"));
+    return;
+  }
+  try {
+    Accept(exchange, Build(request, *from, *match.found, tables, now), now);
+  } catch (const config_error& invalid) {
+    Refuse(exchange, NotRun(refusal_reason::kBadRequest, invalid.what()));
+  }
+}
+
+void front::Accept(const http_exchange_ptr& exchange, accepted_request request,
+                   time_point now) {
+  if (request.via.key_required && !request.idempotent &&
+      request.idempotency_key.empty()) {
+    Refuse(exchange, NotRun(refusal_reason::kBadRequest,
+                            "send an Idempotency-Key on this route"));
+    return;
+  }
+  request.id = NextId();
+  const std::optional<refusal> refused =
+      environment_.admit.Submit(ItemOf(request), now);
+  if (refused) {
+    problem why = NotRun(refused->reason, "the node is over its capacity");
+    why.retry_after = refused->retry_after;
+    why.request_id = request.id;
+    Refuse(exchange, why);
+    return;
+  }
+  environment_.metrics.CountRequest(request.via.work_rank);
+  request_entry entry;
+  entry.id = request.id;
+  entry.caller_name = request.from.name;
+  entry.route_name = request.via.name;
+  entry.pool_name = request.target.name;
+  entry.work_rank = request.via.work_rank;
+  entry.idempotent = request.idempotent;
+  entry.form = FormOf(request);
+  entry.arrived = now;
+  entry.unread_since = now;
+  const std::string id = request.id;
+  entry.run = std::make_unique<request_run>(
+      environment_.runs, std::move(request),
+      [this, id](int64_t actual_tokens) { OnRunEnd(id, actual_tokens); });
+  entry.result = entry.run->result();
+  Attach(exchange, environment_.registry.Add(std::move(entry)), 0);
+  DispatchNow();
+}
+
+void front::Attach(const http_exchange_ptr& exchange, request_entry& entry,
+                   int64_t after_offset) {
+  answer_form form = entry.form;
+  form.after_offset = after_offset;
+  writers_.emplace_back();
+  const auto place = std::prev(writers_.end());
+  const std::string id = entry.id;
+  *place = std::make_unique<answer_writer>(
+      entry.result, exchange, form, [this, id, place](bool delivered) {
+        OnWriterEnd(id, delivered);
+        // The writer is still inside its own call.
+        environment_.loop.Defer([this, place] { writers_.erase(place); });
+      });
+  (*place)->Start();
+}
+
+void front::OnWriterEnd(const std::string& id, bool /*delivered*/) {
+  request_entry* entry = environment_.registry.Find(id);
+  if (entry != nullptr) {
+    entry->unread_since = environment_.clock();
+  }
+}
+
+void front::OnRunEnd(const std::string& id, int64_t actual_tokens) {
+  const time_point now = environment_.clock();
+  environment_.admit.Finish(id, actual_tokens, now);
+  request_entry* entry = environment_.registry.Find(id);
+  if (entry == nullptr) {
+    return;
+  }
+  environment_.metrics.RecordAnswer(entry->work_rank, now - entry->arrived);
+  if (entry->result->failure()) {
+    environment_.metrics.CountRefusal(entry->result->failure()->reason);
+  }
+  entry->unread_since = now;
+  // The run is still inside its own call.
+  environment_.loop.Defer(
+      [run = std::shared_ptr<request_run>(std::move(entry->run))] {});
+  environment_.loop.Defer([this] { DispatchNow(); });
+}
+
+void front::DispatchNow() {
+  const time_point now = environment_.clock();
+  const dispatch_decision decision = environment_.admit.Dispatch(now);
+  for (const std::string& id : decision.preempt) {
+    request_entry* entry = environment_.registry.Find(id);
+    if (entry != nullptr && entry->run != nullptr) {
+      entry->run->Pause(now);
+    }
+  }
+  for (const late_refusal& refused : decision.refused) {
+    request_entry* entry = environment_.registry.Find(refused.request_id);
+    if (entry != nullptr && entry->run != nullptr) {
+      entry->run->Fail(refused.why.reason, "it could not be started in time",
+                       refused.why.retry_after);
+    }
+  }
+  for (const std::string& id : decision.start) {
+    request_entry* entry = environment_.registry.Find(id);
+    if (entry != nullptr && entry->run != nullptr) {
+      entry->run->Begin(now);
+    }
+  }
+}
+
+void front::OnRead(const http_exchange_ptr& exchange, time_point now) {
+  const table_set_ptr tables = environment_.tables.current();
+  const caller* from = Authenticate(exchange->request(), *tables);
+  if (from == nullptr) {
+    Refuse(exchange, NotRun(refusal_reason::kUnauthenticated,
+                            "send Authorization: Bearer with a known key"));
+    return;
+  }
+  std::string id = exchange->request().path().substr(kRequestsPrefix.size());
+  if (id.ends_with(kStreamSuffix)) {
+    id.resize(id.size() - kStreamSuffix.size());
+  }
+  request_entry* entry = environment_.registry.Find(id);
+  if (entry == nullptr || entry->caller_name != from->name) {
+    Refuse(exchange,
+           MakeProblem(refusal_reason::kNotFound, run_state::kUnknown,
+                       "no request of this caller has this id here", id));
+    return;
+  }
+  entry->unread_since = now;
+  Attach(exchange, *entry,
+         ParseLastEventId(exchange->request().headers.Get("Last-Event-ID")));
+}
+
+void front::Refuse(const http_exchange_ptr& exchange, problem why) {
+  environment_.metrics.CountRefusal(why.reason);
+  exchange->Reply(ToResponse(why));
+}
+
+void front::Sweep() {
+  const time_point now = environment_.clock();
+  const answer_settings& bounds = environment_.config.answers;
+  for (const std::string& id :
+       environment_.registry.Abandoned(now, bounds.detached_limit)) {
+    environment_.registry.Find(id)->run->Fail(
+        refusal_reason::kNotFound, "nobody read the answer", std::nullopt);
+  }
+  environment_.registry.DropExpired(now, bounds.retention);
+}
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/src/skylarkcroft/node/skylarkcroft_front.h
@@ -0,0 +1,88 @@
+#ifndef SKYLARKCROFT_NODE_SKYLARKCROFT_FRONT_H_
+#define SKYLARKCROFT_NODE_SKYLARKCROFT_FRONT_H_
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "skylarkcroft/admission/skylarkcroft_admission.h"
+#include "skylarkcroft/http/skylarkcroft_http_server.h"
+#include "skylarkcroft/http/skylarkcroft_problem.h"
+#include "skylarkcroft/internal/skylarkcroft_event_loop.h"
+#include "skylarkcroft/node/skylarkcroft_answer_writer.h"
+#include "skylarkcroft/node/skylarkcroft_request_registry.h"
+#include "skylarkcroft/node/skylarkcroft_request_run.h"
+#include "skylarkcroft/node/skylarkcroft_settings.h"
+
+namespace skylarkcroft {
+
+class logger;
+class node_metrics;
+class tables_in_force;
+
+/// What the front of a node works with; all outlive it.
+struct front_environment {
+  event_loop& loop;
+  const settings& config;
+  tables_in_force& tables;
+  admission& admit;
+  request_registry& registry;
+  run_environment& runs;
+  node_metrics& metrics;
+  logger& log;
+  clock_fn clock;
+  /// Text that differs for each start of the process.
+  std::string incarnation;
+};
+
+/// Takes callers' requests: names them, checks the caller and the route, passes
+/// them through admission, and writes their answers.
+class front {
+ public:
+  explicit front(front_environment environment);
+  ~front();
+  front(const front&) = delete;
+  front& operator=(const front&) = delete;
+
+  void OnRequest(const http_exchange_ptr& exchange);
+
+  /// Refuses new requests from now on; those accepted go on.
+  void RefuseNew();
+  /// True while the node takes requests and its tables are current.
+  [[nodiscard]] bool Ready(time_point now) const;
+  void SetReady(bool ready) { ready_ = ready; }
+  /// Answers still being written.
+  [[nodiscard]] size_t open_writers() const { return writers_.size(); }
+
+ private:
+  void OnNew(const http_exchange_ptr& exchange, time_point now);
+  void OnRead(const http_exchange_ptr& exchange, time_point now);
+  void Accept(const http_exchange_ptr& exchange, accepted_request request,
+              time_point now);
+  void Attach(const http_exchange_ptr& exchange, request_entry& entry,
+              int64_t after_offset);
+  void OnWriterEnd(const std::string& id, bool delivered);
+  void OnRunEnd(const std::string& id, int64_t actual_tokens);
+  void DispatchNow();
+  void Sweep();
+  void Refuse(const http_exchange_ptr& exchange, problem why);
+  [[nodiscard]] const caller* Authenticate(const http_request& request,
+                                           const table_set& tables) const;
+  std::string NextId();
+
+  front_environment environment_;
+  std::list<std::unique_ptr<answer_writer>> writers_;
+  event_loop::handle_ptr dispatch_timer_;
+  event_loop::handle_ptr sweep_timer_;
+  uint64_t next_number_ = 1;
+  bool ready_ = true;
+  bool refusing_ = false;
+};
+
+}  // namespace skylarkcroft
+
+#endif  // SKYLARKCROFT_NODE_SKYLARKCROFT_FRONT_H_
--- /dev/null
+++ b/src/skylarkcroft/node/skylarkcroft_node.cc
@@ -0,0 +1,211 @@
+#include "skylarkcroft/node/skylarkcroft_node.h"
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+#include <utility>
+
+#include "skylarkcroft/admission/skylarkcroft_admission.h"
+#include "skylarkcroft/attempt/skylarkcroft_retry_budget.h"
+#include "skylarkcroft/http/skylarkcroft_http_client.h"
+#include "skylarkcroft/internal/skylarkcroft_digest.h"
+#include "skylarkcroft/internal/skylarkcroft_event_loop.h"
+#include "skylarkcroft/log/skylarkcroft_logger.h"
+#include "skylarkcroft/metrics/skylarkcroft_metrics_registry.h"
+#include "skylarkcroft/node/skylarkcroft_front.h"
+#include "skylarkcroft/node/skylarkcroft_node_metrics.h"
+#include "skylarkcroft/node/skylarkcroft_operators_api.h"
+#include "skylarkcroft/node/skylarkcroft_request_registry.h"
+#include "skylarkcroft/node/skylarkcroft_status_report.h"
+#include "skylarkcroft/platform/skylarkcroft_table_service.h"
+#include "skylarkcroft/routing/skylarkcroft_load_poller.h"
+#include "skylarkcroft/routing/skylarkcroft_upstream_directory.h"
+#include "skylarkcroft/tables/skylarkcroft_table_editor.h"
+#include "skylarkcroft/tables/skylarkcroft_table_loader.h"
+#include "skylarkcroft/tables/skylarkcroft_tables_in_force.h"
+
+namespace skylarkcroft {
+namespace {
+
+constexpr milliseconds kLoadPollPeriod{250};
+constexpr milliseconds kDrainPollPeriod{50};
+constexpr size_t kMaxQueuedPerPool = 10000;
+constexpr size_t kIncarnationBytes = 4;
+
+uint64_t RandomSeed() {
+  std::random_device device;
+  constexpr unsigned kHighShift = 32;
+  return (static_cast<uint64_t>(device()) << kHighShift) | device();
+}
+
+}  // namespace
+
+class node::impl {
+ public:
+  impl(event_loop& loop, const settings& config, logger& log)
+      : loop_(loop),
+        config_(config),
+        log_(log),
+        random_(RandomSeed()),
+        client_(loop),
+        store_(MakeTableServiceClient(client_, config_.platform.tables,
+                                      config_.platform.timeout)),
+        loader_(*store_, tables_, SteadyNow,
+                [this](const std::string& message) {
+                  log_.Log({log_level::kError, message, "", "", "", "", {}});
+                }),
+        editor_(loop, *store_, tables_, config_.name, SteadyNow, WallNowMs),
+        node_metrics_(metrics_),
+        admission_(MakeFifoAdmission(
+            [this](const std::string& pool, time_point now) {
+              return directory_.OpenSlots(pool, now);
+            },
+            kMaxQueuedPerPool)),
+        runs_(MakeRunEnvironment()),
+        front_({loop, config_, tables_, *admission_, registry_, runs_,
+                node_metrics_, log_, SteadyNow, RandomHex(kIncarnationBytes)}),
+        operators_(MakeOperatorsEnvironment()),
+        poller_(loop, client_, directory_, kLoadPollPeriod, SteadyNow),
+        callers_server_(loop, config_.callers_address, config_.http,
+                        [this](const http_exchange_ptr& exchange) {
+                          front_.OnRequest(exchange);
+                        }),
+        operators_server_(loop, config_.operators_address, config_.http,
+                          [this](const http_exchange_ptr& exchange) {
+                            operators_.OnRequest(exchange);
+                          }),
+        poll_timer_(loop.Every(config_.tables.poll_period,
+                               [this] { loader_.Poll(); })) {
+    tables_.OnChange([this](const table_set_ptr& tables) {
+      directory_.SetPools(tables->pools, SteadyNow());
+      log_.Log({log_level::kInfo,
+                "tables in force",
+                "",
+                "",
+                "",
+                "",
+                {{"revision", std::to_string(tables->revision)}}});
+    });
+    loader_.Poll();
+  }
+
+  void Shutdown() {
+    if (shutdown_requested_) {
+      loop_.Stop();
+      return;
+    }
+    shutdown_requested_ = true;
+    log_.Log({log_level::kInfo, "shutting down", "", "", "", "", {}});
+    front_.SetReady(false);
+    settle_timer_ = loop_.After(config_.shutdown.settle, [this] { Drain(); });
+    limit_timer_ = loop_.After(config_.shutdown.settle + config_.shutdown.limit,
+                               [this] { loop_.Stop(); });
+  }
+
+  const endpoint& callers_address() const { return callers_server_.address(); }
+  const endpoint& operators_address() const {
+    return operators_server_.address();
+  }
+
+ private:
+  run_environment MakeRunEnvironment() {
+    return {
+        loop_,
+        client_,
+        directory_,
+        MakeChoice(config_.policy.routing, random_()),
+        [this](const std::string& pool) { return TakeRetry(pool); },
+        [this](std::string_view reason) { node_metrics_.CountRetry(reason); },
+        [this](rank work_rank, duration elapsed) {
+          node_metrics_.RecordFirstToken(work_rank, elapsed);
+        },
+        [this] {
+          return std::uniform_real_distribution<double>(0, 1)(random_);
+        },
+        SteadyNow};
+  }
+
+  operators_environment MakeOperatorsEnvironment() {
+    return {tables_,
+            editor_,
+            *store_,
+            metrics_,
+            log_,
+            config_.operator_key_digest,
+            [this] { return Status(); },
+            [this] { return DescribeRequests(registry_, SteadyNow()); },
+            [this](int64_t /*revision*/,
+                   const std::function<void(edit_spread)>& done) {
+              done({{config_.name}, {}});
+            }};
+  }
+
+  nlohmann::json Status() const {
+    return DescribeNode({config_, tables_, directory_, *admission_, registry_,
+                         loader_.store_reachable(), front_.Ready(SteadyNow())},
+                        SteadyNow());
+  }
+
+  bool TakeRetry(const std::string& pool_name) {
+    const pool* target = tables_.current()->pools.Find(pool_name);
+    const double share = target == nullptr ? 0 : target->retry.budget_share;
+    return budgets_.try_emplace(pool_name, share).first->second.TryRetry();
+  }
+
+  void Drain() {
+    front_.RefuseNew();
+    callers_server_.StopAccepting();
+    drain_timer_ = loop_.Every(kDrainPollPeriod, [this] {
+      if (registry_.active() == 0 && front_.open_writers() == 0 &&
+          callers_server_.open_exchanges() == 0) {
+        log_.Log({log_level::kInfo, "drained", "", "", "", "", {}});
+        loop_.Stop();
+      }
+    });
+  }
+
+  event_loop& loop_;
+  const settings config_;
+  logger& log_;
+  std::mt19937_64 random_;
+  http_client client_;
+  std::unique_ptr<table_service> store_;
+  tables_in_force tables_;
+  table_loader loader_;
+  table_editor editor_;
+  metrics_registry metrics_;
+  node_metrics node_metrics_;
+  upstream_directory directory_;
+  std::map<std::string, retry_budget> budgets_;
+  std::unique_ptr<admission> admission_;
+  request_registry registry_;
+  run_environment runs_;
+  front front_;
+  operators_api operators_;
+  load_poller poller_;
+  http_server callers_server_;
+  http_server operators_server_;
+  event_loop::handle_ptr poll_timer_;
+  event_loop::handle_ptr settle_timer_;
+  event_loop::handle_ptr drain_timer_;
+  event_loop::handle_ptr limit_timer_;
+  bool shutdown_requested_ = false;
+};
+
+node::node(event_loop& loop, const settings& config, logger& log)
+    : impl_(std::make_unique<impl>(loop, config, log)) {}
+
+node::~node() = default;
+
+void node::Shutdown() { impl_->Shutdown(); }
+
+const endpoint& node::callers_address() const {
+  return impl_->callers_address();
+}
+
+const endpoint& node::operators_address() const {
+  return impl_->operators_address();
+}
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/src/skylarkcroft/node/skylarkcroft_node_metrics.cc
@@ -0,0 +1,55 @@
+#include "skylarkcroft/node/skylarkcroft_node_metrics.h"
+
+#include <string>
+
+namespace skylarkcroft {
+
+node_metrics::node_metrics(metrics_registry& registry) : registry_(registry) {
+  for (const rank value : kAllRanks) {
+    const metric_label label{"rank", std::string(ToString(value))};
+    const size_t index = IndexOf(value);
+    requests_[index] = &registry.Counter({"skylarkcroft_requests_total",
+                                          "Requests accepted from callers.",
+                                          {label}});
+    first_token_[index] = &registry.LatencyHistogram(
+        {"skylarkcroft_first_token_seconds",
+         "Time from a request's arrival to its first token.",
+         {label}});
+    whole_answer_[index] = &registry.LatencyHistogram(
+        {"skylarkcroft_answer_seconds",
+         "Time from a request's arrival to the end of its answer.",
+         {label}});
+  }
+  for (const refusal_reason reason : kRefusalReasons) {
+    refusals_[static_cast<size_t>(reason)] =
+        &registry.Counter({"skylarkcroft_refusals_total",
+                           "Requests not answered as asked, by reason.",
+                           {{"reason", std::string(ToString(reason))}}});
+  }
+}
+
+void node_metrics::CountRequest(rank work_rank) {
+  requests_[IndexOf(work_rank)]->Increment();
+}
+
+void node_metrics::CountRefusal(refusal_reason reason) {
+  refusals_[static_cast<size_t>(reason)]->Increment();
+}
+
+void node_metrics::CountRetry(std::string_view reason) {
+  registry_
+      .Counter({"skylarkcroft_retries_total",
+                "Tries repeated, by the outcome of the try before.",
+                {{"reason", std::string(reason)}}})
+      .Increment();
+}
+
+void node_metrics::RecordFirstToken(rank work_rank, duration elapsed) {
+  first_token_[IndexOf(work_rank)]->Record(elapsed);
+}
+
+void node_metrics::RecordAnswer(rank work_rank, duration elapsed) {
+  whole_answer_[IndexOf(work_rank)]->Record(elapsed);
+}
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.h
@@ -0,0 +1,107 @@
+#ifndef SKYLARKCROFT_NODE_SKYLARKCROFT_REQUEST_RUN_H_
+#define SKYLARKCROFT_NODE_SKYLARKCROFT_REQUEST_RUN_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "skylarkcroft/admission/skylarkcroft_admission.h"
+#include "skylarkcroft/attempt/skylarkcroft_accepted_request.h"
+#include "skylarkcroft/attempt/skylarkcroft_answer.h"
+#include "skylarkcroft/attempt/skylarkcroft_attempt.h"
+#include "skylarkcroft/internal/skylarkcroft_event_loop.h"
+#include "skylarkcroft/internal/skylarkcroft_time.h"
+#include "skylarkcroft/routing/skylarkcroft_upstream_choice.h"
+
+namespace skylarkcroft {
+
+class http_client;
+class upstream_directory;
+
+/// What the runs of a node share.
+struct run_environment {
+  event_loop& loop;
+  http_client& client;
+  upstream_directory& directory;
+  choose_fn choose;
+  /// Takes one retry from the pool's budget; false when it is used up.
+  std::function<bool(const std::string& pool)> take_retry;
+  /// Counts a retry by the outcome of the try before it.
+  std::function<void(std::string_view reason)> count_retry;
+  std::function<void(rank work_rank, duration elapsed)> note_first_token;
+  /// Uniform in [0, 1), for backoff.
+  std::function<double()> random;
+  clock_fn clock;
+};
+
+/// Carries one accepted request to its end: tries upstreams, resumes a broken
+/// stream from the offset that was delivered, and ends the answer in every
+/// case.
+class request_run {
+ public:
+  /// `on_end(tokens)` runs once, after the answer has ended.
+  request_run(run_environment& environment, accepted_request request,
+              std::function<void(int64_t actual_tokens)> on_end);
+  ~request_run();
+  request_run(const request_run&) = delete;
+  request_run& operator=(const request_run&) = delete;
+
+  [[nodiscard]] const accepted_request& request() const { return request_; }
+  [[nodiscard]] const std::shared_ptr<answer>& result() const {
+    return answer_;
+  }
+  [[nodiscard]] bool started() const { return started_; }
+  /// Upstream of the current try; empty when there is none.
+  [[nodiscard]] const std::string& upstream_name() const {
+    return upstream_name_;
+  }
+
+  /// Starts the first try, or goes on after Pause().
+  void Begin(time_point now);
+  /// Stops the current try so that another request can have its place. The
+  /// answer stays as it is.
+  void Pause(time_point now);
+  /// Ends the answer as failed and stops the current try.
+  void Fail(refusal_reason reason, const std::string& detail,
+            std::optional<std::chrono::seconds> retry_after);
+
+ private:
+  void StartTry(time_point now);
+  void SendToEngine(const upstream& target, time_point now);
+  void SendToService(const upstream& target, time_point now);
+  void OnToken(const std::string& data);
+  void OnTryEnded(const attempt_result& result);
+  void Conclude(const attempt_result& result);
+  void RetryOrFail(const attempt_result& result, time_point now);
+  [[nodiscard]] bool MayRetry(const attempt_result& result,
+                              time_point now) const;
+  void ScheduleRetry(time_point now);
+  void FailAfter(const attempt_result& result);
+  void DropTry(attempt_outcome outcome, time_point now);
+  void End();
+  [[nodiscard]] choice_query MakeQuery() const;
+  [[nodiscard]] run_state RunState() const;
+
+  run_environment& environment_;
+  accepted_request request_;
+  std::function<void(int64_t)> on_end_;
+  std::shared_ptr<answer> answer_ = std::make_shared<answer>();
+  attempt_ptr try_;
+  event_loop::handle_ptr timer_;
+  event_loop::handle_ptr deadline_timer_;
+  std::string upstream_name_;
+  std::string last_zone_;
+  std::vector<std::string> tried_;
+  int64_t tries_ = 0;
+  bool started_ = false;
+  bool may_have_run_ = false;
+  bool ended_ = false;
+};
+
+}  // namespace skylarkcroft
+
+#endif  // SKYLARKCROFT_NODE_SKYLARKCROFT_REQUEST_RUN_H_
--- /dev/null
+++ b/src/skylarkcroft/node/skylarkcroft_run_node.cc
@@ -0,0 +1,49 @@
+#include "skylarkcroft/node/skylarkcroft_run_node.h"
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "skylarkcroft/internal/skylarkcroft_error.h"
+#include "skylarkcroft/internal/skylarkcroft_event_loop.h"
+#include "skylarkcroft/internal/skylarkcroft_json_reader.h"
+#include "skylarkcroft/log/skylarkcroft_logger.h"
+#include "skylarkcroft/node/skylarkcroft_node.h"
+#include "skylarkcroft/node/skylarkcroft_settings.h"
+
+namespace skylarkcroft {
+namespace {
+
+std::string ReadFile(const std::string& path) {
+  const std::ifstream file(path);
+  if (!file) {
+    throw error("cannot read " + path, "check the path and its permissions");
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+}  // namespace
+
+int RunNode(const std::string& settings_path) {
+  const settings config = ParseSettings(ParseJson(ReadFile(settings_path)));
+  event_loop loop;
+  log_options options;
+  options.level = ParseLogLevel(config.log_level).value_or(log_level::kInfo);
+  logger log(loop, options);
+  node serving(loop, config, log);
+  const auto term = loop.OnSignal(SIGTERM, [&serving] { serving.Shutdown(); });
+  const auto interrupt =
+      loop.OnSignal(SIGINT, [&serving] { serving.Shutdown(); });
+  const nlohmann::json listening = {
+      {"callers", ToString(serving.callers_address())},
+      {"operators", ToString(serving.operators_address())}};
+  std::cout << listening.dump() << std::endl;
+  loop.Run();
+  return 0;
+}
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/src/skylarkcroft/node/skylarkcroft_status_report.cc
@@ -0,0 +1,82 @@
+#include "skylarkcroft/node/skylarkcroft_status_report.h"
+
+#include <nlohmann/json.hpp>
+
+#include "skylarkcroft/admission/skylarkcroft_admission.h"
+#include "skylarkcroft/node/skylarkcroft_request_registry.h"
+#include "skylarkcroft/node/skylarkcroft_settings.h"
+#include "skylarkcroft/routing/skylarkcroft_upstream_directory.h"
+#include "skylarkcroft/tables/skylarkcroft_tables_in_force.h"
+
+namespace skylarkcroft {
+namespace {
+
+const char* StateOf(const upstream_state& state, time_point now) {
+  if (state.leaving) {
+    return "leaving";
+  }
+  return TakesRequests(state, now) ? "open" : "ejected";
+}
+
+nlohmann::json DescribeUpstream(const upstream_state& state, time_point now) {
+  nlohmann::json document = {
+      {"name", state.spec.name},
+      {"address", ToString(state.spec.address)},
+      {"availability_zone", state.spec.availability_zone},
+      {"state", StateOf(state, now)},
+      {"in_flight", state.in_flight},
+      {"slots", state.spec.slots}};
+  if (state.report) {
+    document["running"] = state.report->running;
+    document["waiting"] = state.report->waiting;
+    document["report_age_ms"] = ElapsedMs(state.reported_at, now);
+  }
+  return document;
+}
+
+}  // namespace
+
+nlohmann::json DescribeNode(const status_source& source, time_point now) {
+  nlohmann::json pools = nlohmann::json::array();
+  for (const std::string& name : source.directory.PoolNames()) {
+    nlohmann::json upstreams = nlohmann::json::array();
+    for (const upstream_state& state : source.directory.InPool(name)) {
+      upstreams.push_back(DescribeUpstream(state, now));
+    }
+    pools.push_back({{"name", name},
+                     {"running", source.admit.Running(name)},
+                     {"queued", source.admit.Queued(name)},
+                     {"upstreams", upstreams}});
+  }
+  return {{"name", source.config.name},
+          {"availability_zone", source.config.availability_zone},
+          {"region", source.config.region},
+          {"ready", source.ready},
+          {"revision", source.tables.current()->revision},
+          {"store_reachable", source.store_reachable},
+          {"active_requests", source.registry.active()},
+          {"pools", pools}};
+}
+
+nlohmann::json DescribeRequests(const request_registry& registry,
+                                time_point now) {
+  nlohmann::json requests = nlohmann::json::array();
+  for (const auto& [id, entry] : registry.entries()) {
+    if (entry.result->ended()) {
+      continue;
+    }
+    requests.push_back(
+        {{"id", id},
+         {"caller", entry.caller_name},
+         {"route", entry.route_name},
+         {"pool", entry.pool_name},
+         {"rank", ToString(entry.work_rank)},
+         {"upstream", entry.run ? entry.run->upstream_name() : ""},
+         {"state", entry.run && entry.run->started() ? "running" : "queued"},
+         {"tokens", entry.result->tokens().size()},
+         {"age_ms", ElapsedMs(entry.arrived, now)}});
+  }
+  return {{"requests", requests}};
+}
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/src/skylarkcroft/routing/skylarkcroft_load_poller.cc
@@ -0,0 +1,75 @@
+#include "skylarkcroft/routing/skylarkcroft_load_poller.h"
+
+#include <nlohmann/json.hpp>
+
+namespace skylarkcroft {
+
+std::optional<load_report> ParseLoadReport(std::string_view body) {
+  const nlohmann::json document = nlohmann::json::parse(body, nullptr, false);
+  if (!document.is_object()) {
+    return std::nullopt;
+  }
+  try {
+    load_report report;
+    report.running = document.value("running", int64_t{0});
+    report.waiting = document.value("waiting", int64_t{0});
+    report.slots = document.value("slots", int64_t{0});
+    report.kv_used_tokens = document.value("kv_used_tokens", int64_t{0});
+    report.kv_capacity_tokens =
+        document.value("kv_capacity_tokens", int64_t{0});
+    report.decode_tokens_per_s = document.value("decode_tokens_per_s", 0.0);
+    report.prefill_tokens_per_s = document.value("prefill_tokens_per_s", 0.0);
+    report.leaving = document.value("leaving", false);
+    return report;
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;
+  }
+}
+
+load_poller::load_poller(event_loop& loop, http_client& client,
+                         upstream_directory& directory, milliseconds period,
+                         clock_fn clock)
+    : client_(client),
+      directory_(directory),
+      period_(period),
+      clock_(std::move(clock)),
+      loop_(loop),
+      timer_(loop.Every(period, [this] { PollAll(); })) {}
+
+void load_poller::PollAll() {
+  for (const std::string& pool : directory_.PoolNames()) {
+    for (const upstream_state& state : directory_.InPool(pool)) {
+      const poll_key key{pool, state.spec.name};
+      if (calls_.count(key) == 0) {
+        Poll(key, state.spec.address);
+      }
+    }
+  }
+}
+
+void load_poller::Poll(const poll_key& key, const endpoint& address) {
+  http_request request;
+  request.target = "/load";
+  http_call_options options;
+  options.progress_timeout = 4 * period_;
+  http_call_events events;
+  events.on_done = [this, key](const http_result& result) {
+    OnReport(key, result);
+  };
+  calls_[key] = client_.Send(address, request, options, std::move(events));
+}
+
+void load_poller::OnReport(const poll_key& key, const http_result& result) {
+  const auto found = calls_.find(key);
+  // The call is still inside its own callback.
+  loop_.Defer(
+      [ended = std::shared_ptr<http_call>(std::move(found->second))] {});
+  calls_.erase(found);
+  const std::optional<load_report> report =
+      result.Ok() ? ParseLoadReport(result.response.body) : std::nullopt;
+  if (report) {
+    directory_.NoteLoad(key.pool, key.upstream, *report, clock_());
+  }
+}
+
+}  // namespace skylarkcroft
