HTTP client: name calls by id, keep callbacks until they return

A call's handle held the address of its state. Replacing the handle of an ended call by that of a new one (call_ = client.Send(...)) cancelled the new call when the allocator gave it the old address. Cancelling from within a callback also destroyed the callback while it ran. Calls now have ids that are never used again, and a cancelled call keeps its callbacks until the loop's next turn.

--- a/src/skylarkcroft/http/skylarkcroft_http_client.cc
+++ b/src/skylarkcroft/http/skylarkcroft_http_client.cc
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <cstdint>
 #include <map>
 #include <unordered_map>
 #include <utility>
@@ -124,6 +125,7 @@
   using connection_ptr = std::unique_ptr<connection>;
 
   struct call_state {
+    uint64_t id = 0;
     impl* client = nullptr;
     connection_ptr link;
     http_call_events events;
@@ -138,10 +140,12 @@
         sweep_(loop.Every(kIdleSweepPeriod, [this] { DropOld(SteadyNow()); })) {
   }
 
-  call_state* Send(const endpoint& peer, const http_request& request,
-                   const http_call_options& options, http_call_events events) {
+  // Returns the id of the call; unlike its address, an id is never used again.
+  uint64_t Send(const endpoint& peer, const http_request& request,
+                const http_call_options& options, http_call_events events) {
     auto owned = std::make_unique<call_state>();
     call_state* state = owned.get();
+    state->id = next_id_++;
     state->client = this;
     state->events = std::move(events);
     state->reuse = options.reuse_connection;
@@ -150,27 +154,28 @@
       state->link = Open(peer);
     }
     state->link->sent = false;
-    live_.emplace(state, std::move(owned));
+    live_.emplace(state->id, std::move(owned));
     Configure(*state, options);
     evhttp_request* raw = MakeRequest(peer, request, state);
+    const uint64_t id = state->id;
     if (evhttp_make_request(state->link->raw, raw, CommandOf(request.method),
                             request.target.c_str()) != 0) {
-      FailLater(state);
+      FailLater(id);
     }
-    return state;
+    return id;
   }
 
-  void Cancel(call_state* state) {
-    const auto found = live_.find(state);
+  void Cancel(uint64_t id) {
+    const auto found = live_.find(id);
     if (found == live_.end()) {
       return;
     }
-    state->cancelled = true;
-    state->events = {};
-    // evhttp may be inside this call's callback, so its connection goes later.
-    loop_.Defer([weak = weak_from_this(), state] {
+    found->second->cancelled = true;
+    // This may run inside one of the call's callbacks, so they and its
+    // connection go later.
+    loop_.Defer([weak = weak_from_this(), id] {
       if (const auto client = weak.lock()) {
-        client->live_.erase(state);
+        client->live_.erase(id);
       }
     });
   }
@@ -225,13 +230,13 @@
     return raw;
   }
 
-  void FailLater(call_state* state) {
-    loop_.Defer([weak = weak_from_this(), state] {
+  void FailLater(uint64_t id) {
+    loop_.Defer([weak = weak_from_this(), id] {
       const auto client = weak.lock();
-      if (client == nullptr || client->live_.count(state) == 0) {
+      if (client == nullptr || client->live_.count(id) == 0) {
         return;
       }
-      client->Finish(state, {http_outcome::kConnectFailed, false, {}});
+      client->Finish(id, {http_outcome::kConnectFailed, false, {}});
     });
   }
 
@@ -290,11 +295,11 @@
       evbuffer_copyout(input, result.response.body.data(),
                        result.response.body.size());
     }
-    state->client->Finish(state, std::move(result));
+    state->client->Finish(state->id, std::move(result));
   }
 
-  void Finish(call_state* state, http_result result) {
-    const auto found = live_.find(state);
+  void Finish(uint64_t id, http_result result) {
+    const auto found = live_.find(id);
     const std::unique_ptr<call_state> owned = std::move(found->second);
     live_.erase(found);
     if (result.outcome == http_outcome::kComplete && owned->reuse) {
@@ -302,7 +307,7 @@
     } else {
       FreeLater(std::move(owned->link));
     }
-    if (owned->events.on_done) {
+    if (!owned->cancelled && owned->events.on_done) {
       owned->events.on_done(std::move(result));
     }
   }
@@ -334,7 +339,8 @@
 
   event_loop& loop_;
   std::map<endpoint, std::vector<connection_ptr>> idle_;
-  std::unordered_map<call_state*, std::unique_ptr<call_state>> live_;
+  std::unordered_map<uint64_t, std::unique_ptr<call_state>> live_;
+  uint64_t next_id_ = 1;
   event_loop::handle_ptr sweep_;
 };
 
@@ -363,12 +369,11 @@
                                 const http_request& request,
                                 const http_call_options& options,
                                 http_call_events events) {
-  impl::call_state* state =
-      impl_->Send(peer, request, options, std::move(events));
+  const uint64_t id = impl_->Send(peer, request, options, std::move(events));
   const std::weak_ptr<impl> weak = impl_;
-  return std::make_unique<cancelling_call>([weak, state] {
+  return std::make_unique<cancelling_call>([weak, id] {
     if (const auto client = weak.lock()) {
-      client->Cancel(state);
+      client->Cancel(id);
     }
   });
 }
--- a/tests/http/http_round_trip_test.cc
+++ b/tests/http/http_round_trip_test.cc
@@ -91,6 +91,51 @@
   }
 }
 
+TEST_CASE("replacing the handle of an ended call leaves the new call alone",
+          "[http]") {
+  constexpr int kCalls = 20;
+  event_loop loop;
+  http_server server(loop, kAnyPort, {}, [](const http_exchange_ptr& exchange) {
+    exchange->Reply({200, {}, ""});
+  });
+  http_client client(loop);
+  http_call_ptr call;
+  int done = 0;
+  for (int number = 0; number < kCalls; ++number) {
+    // The old handle is destroyed after the new call has been made.
+    call = client.Send(server.address(), {}, {},
+                       {{}, {}, [&](const http_result& result) {
+                          done += result.Ok() ? 1 : 0;
+                          loop.Stop();
+                        }});
+    loop.RunFor(kTestLimit / kCalls);
+  }
+  CHECK(done == kCalls);
+}
+
+TEST_CASE("a callback that cancels its own call may go on using what it holds",
+          "[http]") {
+  event_loop loop;
+  http_server server(loop, kAnyPort, {}, [](const http_exchange_ptr& exchange) {
+    exchange->Reply({200, {}, "x"});
+  });
+  http_client client(loop);
+  http_call_ptr call;
+  bool done = false;
+  std::string seen;
+  call = client.Send(server.address(), {}, {},
+                     {{},
+                      [&, held = std::string(100, 'h')](std::string_view data) {
+                        call.reset();
+                        seen = held + std::string(data);
+                        loop.Stop();
+                      },
+                      [&](const http_result&) { done = true; }});
+  loop.RunFor(kTestLimit);
+  CHECK(seen == std::string(100, 'h') + "x");
+  CHECK_FALSE(done);
+}
+
 TEST_CASE("the server learns that a peer has gone while it answers", "[http]") {
   bool gone = false;
   http_exchange_ptr kept;
