--- /dev/null
+++ b/src/skylarkcroft/platform/skylarkcroft_service_caller.h
@@ -0,0 +1,35 @@
+#ifndef SKYLARKCROFT_PLATFORM_SKYLARKCROFT_SERVICE_CALLER_H_
+#define SKYLARKCROFT_PLATFORM_SKYLARKCROFT_SERVICE_CALLER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "skylarkcroft/http/skylarkcroft_http_client.h"
+
+namespace skylarkcroft {
+
+/// Sends requests to one platform service and keeps them until they end.
+/// Destroying it cancels the requests under way; their `done` never runs.
+class service_caller {
+ public:
+  using done_fn = std::function<void(const http_result&)>;
+
+  /// `timeout` is the longest silence of the service within one request.
+  service_caller(http_client& client, endpoint address, milliseconds timeout);
+
+  /// Never runs `done` from inside itself. `done` may destroy the caller.
+  void Send(const http_request& request, done_fn done);
+
+ private:
+  http_client& client_;
+  endpoint address_;
+  milliseconds timeout_;
+  uint64_t next_id_ = 0;
+  std::unordered_map<uint64_t, http_call_ptr> calls_;
+};
+
+}  // namespace skylarkcroft
+
+#endif  // SKYLARKCROFT_PLATFORM_SKYLARKCROFT_SERVICE_CALLER_H_
