Number accepted connections in the HTTP server

Cause: a fault that silences the connections open at one moment needs to tell them from later ones. Change: http_exchange::connection_number() and http_server::connections_accepted(). Conclusion: tests/http shows the number kept on a reused connection and raised on a new one.

--- a/src/skylarkcroft/http/skylarkcroft_http_server.cc
+++ b/src/skylarkcroft/http/skylarkcroft_http_server.cc
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <unordered_map>
 #include <utility>
 
 #include "skylarkcroft/internal/skylarkcroft_error.h"
@@ -75,8 +76,9 @@
 class exchange final : public http_exchange {
  public:
   exchange(evhttp_request* raw, timeval io_timeout,
-           std::shared_ptr<size_t> open_count)
+           std::shared_ptr<size_t> open_count, uint64_t connection_number)
       : raw_(raw),
+        connection_number_(connection_number),
         connection_(evhttp_request_get_connection(raw)),
         io_timeout_(io_timeout),
         open_count_(std::move(open_count)),
@@ -163,6 +165,8 @@
     return evbuffer_get_length(bufferevent_get_output(stream));
   }
 
+  uint64_t connection_number() const override { return connection_number_; }
+
   void OnPeerGone(std::function<void()> call) override {
     peer_gone_ = std::move(call);
   }
@@ -218,6 +222,7 @@
   }
 
   evhttp_request* raw_;
+  uint64_t connection_number_;
   evhttp_connection* connection_;
   timeval io_timeout_;
   std::shared_ptr<size_t> open_count_;
@@ -256,6 +261,7 @@
     evhttp_set_timeout_tv(http_, &io_timeout_);
     evhttp_set_default_content_type(http_, nullptr);
     evhttp_set_gencb(http_, &impl::OnRequest, this);
+    evhttp_set_bevcb(http_, &impl::OnAccept, this);
     bound_ =
         evhttp_bind_socket_with_handle(http_, listen.host.c_str(), listen.port);
     if (bound_ == nullptr) {
@@ -279,12 +285,24 @@
 
   const endpoint& address() const { return address_; }
   size_t open_exchanges() const { return *open_count_; }
+  uint64_t connections_accepted() const { return accepted_; }
 
  private:
+  static bufferevent* OnAccept(event_base* base, void* self) {
+    auto* server = static_cast<impl*>(self);
+    bufferevent* stream = bufferevent_socket_new(base, -1, 0);
+    // A freed connection's address may return; its entry is then replaced.
+    server->numbers_[stream] = ++server->accepted_;
+    return stream;
+  }
+
   static void OnRequest(evhttp_request* raw, void* self) {
     auto* server = static_cast<impl*>(self);
+    const bufferevent* stream =
+        evhttp_connection_get_bufferevent(evhttp_request_get_connection(raw));
     server->handler_(std::make_shared<exchange>(raw, server->io_timeout_,
-                                                server->open_count_));
+                                                server->open_count_,
+                                                server->numbers_[stream]));
   }
 
   http_handler_fn handler_;
@@ -293,6 +311,8 @@
   evhttp* http_;
   evhttp_bound_socket* bound_ = nullptr;
   endpoint address_;
+  uint64_t accepted_ = 0;
+  std::unordered_map<const bufferevent*, uint64_t> numbers_;
 };
 
 http_server::http_server(event_loop& loop, const endpoint& listen,
@@ -308,4 +328,8 @@
 
 size_t http_server::open_exchanges() const { return impl_->open_exchanges(); }
 
+uint64_t http_server::connections_accepted() const {
+  return impl_->connections_accepted();
+}
+
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/http/skylarkcroft_http_server.h
+++ b/src/skylarkcroft/http/skylarkcroft_http_server.h
@@ -2,6 +2,7 @@
 #define SKYLARKCROFT_HTTP_SKYLARKCROFT_HTTP_SERVER_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -42,6 +43,9 @@
   [[nodiscard]] virtual bool closed() const = 0;
   /// Bytes written and not yet taken by the peer's socket.
   [[nodiscard]] virtual size_t pending_bytes() const = 0;
+  /// Position of the connection among those the server has accepted, from 1; 0
+  /// where there is none.
+  [[nodiscard]] virtual uint64_t connection_number() const { return 0; }
   /// Called once if the peer goes before the answer has ended.
   virtual void OnPeerGone(std::function<void()> call) = 0;
 };
@@ -65,6 +69,8 @@
   void StopAccepting();
   /// Requests whose answers have not ended.
   [[nodiscard]] size_t open_exchanges() const;
+  /// Connections accepted so far.
+  [[nodiscard]] uint64_t connections_accepted() const;
 
  private:
   class impl;
--- a/tests/http/http_round_trip_test.cc
+++ b/tests/http/http_round_trip_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "skylarkcroft/http/skylarkcroft_http_client.h"
 #include "skylarkcroft/http/skylarkcroft_http_server.h"
@@ -161,5 +162,19 @@
   kept->End();
 }
 
+TEST_CASE("connections are numbered in the order of acceptance", "[http]") {
+  std::vector<uint64_t> numbers;
+  http_pair pair([&](const http_exchange_ptr& exchange) {
+    numbers.push_back(exchange->connection_number());
+    exchange->Reply({200, {}, "ok"});
+  });
+  CHECK(pair.Call({}).Ok());
+  CHECK(pair.Call({}).Ok());
+  pair.client.DropIdle(pair.server.address());
+  CHECK(pair.Call({}).Ok());
+  CHECK(numbers == std::vector<uint64_t>{1, 1, 2});
+  CHECK(pair.server.connections_accepted() == 2);
+}
+
 }  // namespace
 }  // namespace skylarkcroft
