--- a/src/skylarkcroft/node/skylarkcroft_front.cc
+++ b/src/skylarkcroft/node/skylarkcroft_front.cc
@@ -138,7 +138,7 @@
     return nullptr;
   }
   return tables.routes.FindByKeyDigest(
-      Sha256Hex(std::string_view(field).substr(kBearer.size())));
+      Sha256Hex(std::string_view{field}.substr(kBearer.size())));
 }
 
 void front::OnNew(const http_exchange_ptr& exchange, time_point now) {
@@ -315,7 +315,7 @@
          ParseLastEventId(exchange->request().headers.Get("Last-Event-ID")));
 }
 
-void front::Refuse(const http_exchange_ptr& exchange, problem why) {
+void front::Refuse(const http_exchange_ptr& exchange, const problem& why) {
   environment_.metrics.CountRefusal(why.reason);
   exchange->Reply(ToResponse(why));
 }
--- a/src/skylarkcroft/node/skylarkcroft_front.h
+++ b/src/skylarkcroft/node/skylarkcroft_front.h
@@ -69,7 +69,7 @@
   void OnRunEnd(const std::string& id, int64_t actual_tokens);
   void DispatchNow();
   void Sweep();
-  void Refuse(const http_exchange_ptr& exchange, problem why);
+  void Refuse(const http_exchange_ptr& exchange, const problem& why);
   [[nodiscard]] const caller* Authenticate(const http_request& request,
                                            const table_set& tables) const;
   std::string NextId();
--- a/src/skylarkcroft/node/skylarkcroft_operators_api.cc
+++ b/src/skylarkcroft/node/skylarkcroft_operators_api.cc
@@ -106,7 +106,7 @@
   constexpr std::string_view kBearer = "Bearer ";
   const std::string field = request.headers.Get("Authorization");
   return field.starts_with(kBearer) &&
-         Sha256Hex(std::string_view(field).substr(kBearer.size())) ==
+         Sha256Hex(std::string_view{field}.substr(kBearer.size())) ==
              environment_.key_digest;
 }
 
--- a/src/skylarkcroft/tables/skylarkcroft_table_editor.cc
+++ b/src/skylarkcroft/tables/skylarkcroft_table_editor.cc
@@ -95,7 +95,7 @@
     edit_result rejected;
     rejected.outcome = edit_outcome::kRejected;
     rejected.detail = "the table service cannot be read; try again later";
-    Finish(std::move(rejected));
+    Finish(rejected);
     return;
   }
   job& current = *jobs_.front();
@@ -116,7 +116,7 @@
     refused.path = invalid.path();
     refused.reason = invalid.reason();
     refused.remedy = invalid.remedy();
-    Finish(std::move(refused));
+    Finish(refused);
     return;
   }
   current.resolve_until = clock_() + kResolveLimit;
@@ -139,7 +139,7 @@
       edit_result accepted;
       accepted.outcome = edit_outcome::kAccepted;
       accepted.revision = current.edit.revision;
-      Finish(std::move(accepted));
+      Finish(accepted);
       return;
     }
     case write_outcome::kConflict:
@@ -193,10 +193,10 @@
     result.outcome = edit_outcome::kRejected;
     result.detail = "the table service refused the write; try again later";
   }
-  Finish(std::move(result));
+  Finish(result);
 }
 
-void table_editor::Finish(edit_result result) {
+void table_editor::Finish(const edit_result& result) {
   const std::unique_ptr<job> ended = std::move(jobs_.front());
   jobs_.pop_front();
   ended->done(result);
--- a/src/skylarkcroft/tables/skylarkcroft_table_editor.h
+++ b/src/skylarkcroft/tables/skylarkcroft_table_editor.h
@@ -74,7 +74,7 @@
   void ReadBack();
   void OnReadBack(const read_result& result);
   void RetryOrGiveUp();
-  void Finish(edit_result result);
+  void Finish(const edit_result& result);
   template <typename result_type>
   std::function<void(const result_type&)> Guard(
       void (table_editor::*step)(const result_type&));
--- a/tests/attempt/sse_parser_test.cc
+++ b/tests/attempt/sse_parser_test.cc
@@ -14,7 +14,7 @@
   sse_parser parser(kBound,
                     [&](const sse_event& event) { events.push_back(event); });
   for (size_t at = 0; at < text.size(); at += piece) {
-    parser.Feed(std::string_view(text).substr(at, piece));
+    parser.Feed(std::string_view{text}.substr(at, piece));
   }
   return events;
 }
