Let the HTTP server notice a peer that goes before its answer

Cause: evhttp stops reading at the end of a request's body, so the end of the connection of a POST was found only by a failing write. A queued request of a caller that had gone was still run. An exchange that outlived its server also ended a request that evhttp had freed. Change: keep reading, bounded to 64 KiB, while an answer is under way; forget the request when evhttp frees it with the server. Conclusion: a caller that goes is noticed at once, also while nothing is written; a client that half-closes its connection counts as gone. Pipelined requests are still answered in order, shown by a test.

--- a/src/skylarkcroft/http/skylarkcroft_http_server.cc
+++ b/src/skylarkcroft/http/skylarkcroft_http_server.cc
@@ -67,6 +67,26 @@
              sizeof(on));
 }
 
+// evhttp stops reading at the end of a request's body, and then does not learn
+// that the peer has closed. Reading on finds that out; what arrives early stays
+// buffered, up to a bound, until the answer has ended.
+void WatchForClose(evhttp_connection* connection) {
+  constexpr size_t kMaxEarlyBytes = 64 * 1024;
+  bufferevent* stream = evhttp_connection_get_bufferevent(connection);
+  bufferevent_data_cb on_write = nullptr;
+  bufferevent_event_cb on_event = nullptr;
+  void* argument = nullptr;
+  bufferevent_getcb(stream, nullptr, &on_write, &on_event, &argument);
+  bufferevent_setcb(stream, nullptr, on_write, on_event, argument);
+  bufferevent_setwatermark(stream, EV_READ, 0, kMaxEarlyBytes);
+  bufferevent_enable(stream, EV_READ);
+}
+
+void StopWatchingForClose(evhttp_connection* connection) {
+  bufferevent* stream = evhttp_connection_get_bufferevent(connection);
+  bufferevent_setwatermark(stream, EV_READ, 0, 0);
+}
+
 timeval ToTimeval(milliseconds span) {
   constexpr int kMillisPerSecond = 1000;
   return {span.count() / kMillisPerSecond,
@@ -89,6 +109,7 @@
     bufferevent_set_timeouts(evhttp_connection_get_bufferevent(connection_),
                              nullptr, &io_timeout_);
     evhttp_connection_set_closecb(connection_, &exchange::OnClose, this);
+    WatchForClose(connection_);
   }
   ~exchange() override { EndIfOpen(); }
   exchange(const exchange&) = delete;
@@ -175,6 +196,11 @@
   static void OnClose(evhttp_connection* /*connection*/, void* self) {
     auto* closing = static_cast<exchange*>(self);
     closing->connection_ = nullptr;
+    if (evhttp_request_get_connection(closing->raw_) != nullptr) {
+      // The server is going: evhttp frees the request with its connection.
+      closing->raw_ = nullptr;
+      --*closing->open_count_;
+    }
     const std::function<void()> call = std::move(closing->peer_gone_);
     closing->peer_gone_ = nullptr;
     if (call) {
@@ -195,6 +221,7 @@
     --*open_count_;
     peer_gone_ = nullptr;
     if (connection_ != nullptr) {
+      StopWatchingForClose(connection_);
       evhttp_connection_set_closecb(connection_, nullptr, nullptr);
       bufferevent_set_timeouts(evhttp_connection_get_bufferevent(connection_),
                                &io_timeout_, &io_timeout_);
--- a/tests/http/http_round_trip_test.cc
+++ b/tests/http/http_round_trip_test.cc
@@ -1,3 +1,9 @@
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 #include <optional>
 #include <string>
@@ -176,5 +182,95 @@
   CHECK(pair.server.connections_accepted() == 2);
 }
 
+TEST_CASE("the server learns that a peer has gone before it answers",
+          "[http]") {
+  bool gone = false;
+  http_exchange_ptr kept;
+  event_loop loop;
+  http_server server(loop, kAnyPort, {},
+                     [&](const http_exchange_ptr& exchange) {
+                       kept = exchange;
+                       exchange->OnPeerGone([&] {
+                         gone = true;
+                         loop.Stop();
+                       });
+                     });
+  http_client client(loop);
+  const std::string method = GENERATE("GET", "POST");
+  http_call_ptr call =
+      client.Send(server.address(), {method, "/", {}, "body"}, {}, {});
+  const auto wait = loop.Every(milliseconds(1), [&] {
+    if (kept != nullptr) {
+      call.reset();
+    }
+  });
+  loop.RunFor(kTestLimit);
+  CHECK(gone);
+  CHECK(kept->closed());
+}
+
+TEST_CASE("a request sent before the answer to the one before is answered next",
+          "[http]") {
+  event_loop loop;
+  std::vector<std::string> seen;
+  event_loop::handle_ptr later;
+  http_server server(loop, kAnyPort, {},
+                     [&](const http_exchange_ptr& exchange) {
+                       seen.push_back(exchange->request().body);
+                       later = loop.After(milliseconds(20), [exchange] {
+                         exchange->Reply({200, {}, "ok"});
+                       });
+                     });
+  const int raw = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(server.address().port);
+  REQUIRE(connect(raw, reinterpret_cast<sockaddr*>(&address),
+                  sizeof(address)) == 0);
+  const std::string two =
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n1"
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n2";
+  REQUIRE(send(raw, two.data(), two.size(), 0) ==
+          static_cast<ssize_t>(two.size()));
+  std::string answers;
+  const auto readable = loop.OnReadable(raw, [&] {
+    std::array<char, 4096> chunk{};
+    const ssize_t size = recv(raw, chunk.data(), chunk.size(), 0);
+    answers.append(chunk.data(),
+                   static_cast<size_t>(std::max<ssize_t>(size, 0)));
+    const size_t first = answers.find("HTTP/1.1 200");
+    if (size <= 0 ||
+        answers.find("HTTP/1.1 200", first + 1) != std::string::npos) {
+      loop.Stop();
+    }
+  });
+  loop.RunFor(kTestLimit);
+  close(raw);
+  CHECK(seen == std::vector<std::string>{"1", "2"});
+  CHECK(answers.ends_with("ok"));
+}
+
+TEST_CASE("an exchange may outlive its server", "[http]") {
+  http_exchange_ptr kept;
+  event_loop loop;
+  {
+    http_server server(loop, kAnyPort, {},
+                       [&](const http_exchange_ptr& exchange) {
+                         kept = exchange;
+                         loop.Stop();
+                       });
+    http_client client(loop);
+    const http_call_ptr call =
+        client.Send(server.address(), {"POST", "/", {}, "body"}, {}, {});
+    loop.RunFor(kTestLimit);
+    REQUIRE(kept != nullptr);
+    CHECK_FALSE(kept->closed());
+  }
+  CHECK(kept->closed());
+  kept->Reply({200, {}, "ignored"});
+  CHECK(kept->request().body == "body");
+}
+
 }  // namespace
 }  // namespace skylarkcroft
