--- a/standins/common/standin_main.h
+++ b/standins/common/standin_main.h
@@ -2,6 +2,7 @@
 #define SKYLARKCROFT_STANDINS_COMMON_STANDIN_MAIN_H_
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -33,9 +34,18 @@
   [[nodiscard]] uint64_t Seed(int index) const;
 };
 
-/// Reads the command line into the variables that `options` points to. Returns
-/// false after printing what is wrong.
-bool ReadOptions(int argc, const char** argv, const poptOption* options);
+/// A long option for RunStandin(); `type` is a POPT_ARG_ value.
+poptOption MakeOption(const char* name, int type, void* target,
+                      const char* help, const char* value);
+
+/// Throws config_error when option `name` is below `min` or above `max`.
+void CheckRange(const char* name, double value, double min, double max);
+void CheckListen(const standin_listen& listen);
+
+/// Reads the command line into the variables that `options` points to and
+/// returns what `serve` returns, or an exit status after printing an error.
+int RunStandin(int argc, const char** argv, const poptOption* options,
+               const std::function<int()>& serve);
 
 /// Prints `{"listening":["IP:PORT",...]}` on standard output and runs the loop
 /// until SIGTERM or SIGINT.
--- a/standins/common/standin_server.cc
+++ b/standins/common/standin_server.cc
@@ -54,6 +54,9 @@
 standin_server::~standin_server() { EndAll(); }
 
 void standin_server::Hang(const http_exchange_ptr& exchange) {
+  if (exchange->closed()) {
+    return;
+  }
   hung_.push_back(exchange);
   exchange->OnPeerGone([this, raw = exchange.get()] {
     std::erase_if(hung_, [raw](const http_exchange_ptr& held) {
--- a/standins/engine/engine_standin.h
+++ b/standins/engine/engine_standin.h
@@ -9,13 +9,13 @@
 #include <vector>
 
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
+#include "standins/common/lagged_value.h"
 #include "standins/common/standin_server.h"
 #include "standins/engine/batch_scheduler.h"
 #include "standins/engine/cache_event_log.h"
 #include "standins/engine/engine_options.h"
 #include "standins/engine/engine_report.h"
 #include "standins/engine/kv_store.h"
-#include "standins/engine/lagged_value.h"
 #include "standins/engine/order_state.h"
 #include "standins/engine/prefix_cache.h"
 
--- a/standins/engine/main/main.cc
+++ b/standins/engine/main/main.cc
@@ -1,7 +1,6 @@
 #include <popt.h>
 
 #include <array>
-#include <iostream>
 #include <memory>
 #include <string>
 #include <vector>
@@ -32,46 +31,43 @@
   const char* availability_zone = "";
 };
 
-poptOption Option(const char* name, int type, void* target, const char* help,
-                  const char* value) {
-  return {name, '\0', type | POPT_ARGFLAG_SHOW_DEFAULT, target, 0, help, value};
-}
-
 using option_table = std::array<poptOption, 20>;
 
 option_table MakeTable(engine_arguments& read) {
   return {
-      Option("listen", POPT_ARG_STRING, &read.listen.ip, "address", "IP"),
-      Option("first-port", POPT_ARG_INT, &read.listen.first_port,
-             "port of the first engine; 0 takes free ports", "PORT"),
-      Option("count", POPT_ARG_INT, &read.listen.count, "engines", "N"),
-      Option("seed", POPT_ARG_LONGLONG, &read.listen.seed,
-             "seed of the first engine's random choices", "N"),
-      Option("slots", POPT_ARG_INT, &read.slots, "requests run at once", "N"),
-      Option("max-waiting", POPT_ARG_INT, &read.max_waiting,
-             "requests that may wait for a slot", "N"),
-      Option("first-token-ms", POPT_ARG_INT, &read.first_token_ms,
-             "time to the first token beside the prefill", "MS"),
-      Option("token-ms", POPT_ARG_INT, &read.token_ms,
-             "time between tokens with all slots taken", "MS"),
-      Option("prefill-tokens-per-s", POPT_ARG_DOUBLE,
-             &read.prefill_tokens_per_s, "speed of the prefill", "RATE"),
-      Option("prefix-cache-tokens", POPT_ARG_LONGLONG,
-             &read.prefix_cache_tokens, "size of the prefix cache", "N"),
-      Option("load-lag-ms", POPT_ARG_INT, &read.load_lag_ms,
-             "age of load reports", "MS"),
-      Option("event-lag-ms", POPT_ARG_INT, &read.event_lag_ms,
-             "delay of cache events", "MS"),
-      Option("event-loss", POPT_ARG_DOUBLE, &read.event_loss,
-             "share of cache events lost", "0..1"),
-      Option("model-load-ms", POPT_ARG_INT, &read.model_load_ms,
-             "time to load a model", "MS"),
-      Option("fencing", POPT_ARG_STRING, &read.fencing,
-             "whether orders with an old fence are refused", "checked|ignored"),
-      Option("model", POPT_ARG_STRING, &read.model,
-             "model loaded at first; empty serves any name", "NAME"),
-      Option("availability-zone", POPT_ARG_STRING, &read.availability_zone,
-             "zone that reports name", "ZONE"),
+      MakeOption("listen", POPT_ARG_STRING, &read.listen.ip, "address", "IP"),
+      MakeOption("first-port", POPT_ARG_INT, &read.listen.first_port,
+                 "port of the first engine; 0 takes free ports", "PORT"),
+      MakeOption("count", POPT_ARG_INT, &read.listen.count, "engines", "N"),
+      MakeOption("seed", POPT_ARG_LONGLONG, &read.listen.seed,
+                 "seed of the first engine's random choices", "N"),
+      MakeOption("slots", POPT_ARG_INT, &read.slots, "requests run at once",
+                 "N"),
+      MakeOption("max-waiting", POPT_ARG_INT, &read.max_waiting,
+                 "requests that may wait for a slot", "N"),
+      MakeOption("first-token-ms", POPT_ARG_INT, &read.first_token_ms,
+                 "time to the first token beside the prefill", "MS"),
+      MakeOption("token-ms", POPT_ARG_INT, &read.token_ms,
+                 "time between tokens with all slots taken", "MS"),
+      MakeOption("prefill-tokens-per-s", POPT_ARG_DOUBLE,
+                 &read.prefill_tokens_per_s, "speed of the prefill", "RATE"),
+      MakeOption("prefix-cache-tokens", POPT_ARG_LONGLONG,
+                 &read.prefix_cache_tokens, "size of the prefix cache", "N"),
+      MakeOption("load-lag-ms", POPT_ARG_INT, &read.load_lag_ms,
+                 "age of load reports", "MS"),
+      MakeOption("event-lag-ms", POPT_ARG_INT, &read.event_lag_ms,
+                 "delay of cache events", "MS"),
+      MakeOption("event-loss", POPT_ARG_DOUBLE, &read.event_loss,
+                 "share of cache events lost", "0..1"),
+      MakeOption("model-load-ms", POPT_ARG_INT, &read.model_load_ms,
+                 "time to load a model", "MS"),
+      MakeOption("fencing", POPT_ARG_STRING, &read.fencing,
+                 "whether orders with an old fence are refused",
+                 "checked|ignored"),
+      MakeOption("model", POPT_ARG_STRING, &read.model,
+                 "model loaded at first; empty serves any name", "NAME"),
+      MakeOption("availability-zone", POPT_ARG_STRING, &read.availability_zone,
+                 "zone that reports name", "ZONE"),
       {nullptr, '\0', POPT_ARG_INCLUDE_TABLE, poptHelpOptions, 0,
        "Help options:", nullptr},
       POPT_TABLEEND,
@@ -79,20 +75,9 @@
   };
 }
 
-void CheckRange(const char* name, double value, double min, double max) {
-  if (value < min || value > max) {
-    throw config_error(std::string("--") + name, "is out of range",
-                       "use a value from " + std::to_string(min) + " to " +
-                           std::to_string(max));
-  }
-}
-
 void Check(const engine_arguments& read) {
   constexpr double kMaxCount = 1000000;
-  constexpr double kMaxPort = 65535;
-  CheckRange("count", read.listen.count, 1, kMaxPort);
-  CheckRange("first-port", read.listen.first_port, 0,
-             kMaxPort - read.listen.count);
+  CheckListen(read.listen);
   CheckRange("slots", read.slots, 1, kMaxCount);
   CheckRange("max-waiting", read.max_waiting, 0, kMaxCount);
   CheckRange("first-token-ms", read.first_token_ms, 0, kMaxCount);
@@ -148,19 +133,10 @@
 int Run(int argc, const char** argv) {
   engine_arguments read;
   const option_table table = MakeTable(read);
-  if (!ReadOptions(argc, argv, table.data())) {
-    return kExitUsage;
-  }
-  try {
+  return RunStandin(argc, argv, table.data(), [&read] {
     Check(read);
     return Serve(read);
-  } catch (const config_error& failure) {
-    std::cerr << failure.what() << "\n";
-    return kExitUsage;
-  } catch (const error& failure) {
-    std::cerr << failure.what() << "\n";
-    return kExitNetwork;
-  }
+  });
 }
 
 }  // namespace
