Command line: node, check, tables, status, requests, log level, completion

Cause: operators had no way in. Change: one small class a subcommand over popt, a client of the operators' API, exit codes by kind of error, and an offline check over the parsers of settings and tables.

--- a/src/skylarkcroft/cli/skylarkcroft_cli.h
+++ b/src/skylarkcroft/cli/skylarkcroft_cli.h
@@ -1,9 +1,30 @@
 #ifndef SKYLARKCROFT_CLI_SKYLARKCROFT_CLI_H_
 #define SKYLARKCROFT_CLI_SKYLARKCROFT_CLI_H_
 
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+#include "skylarkcroft/cli/skylarkcroft_document_check.h"
+#include "skylarkcroft/cli/skylarkcroft_node_command.h"
+
 namespace skylarkcroft {
 
-/// Runs the subcommand named by argv[1]; returns the exit code of the process.
+/// What the subcommands reach beyond their arguments.
+struct cli_environment {
+  std::ostream& out;
+  std::ostream& err;
+  document_check_fn check;
+  run_node_fn run_node;
+};
+
+/// Runs the subcommand named by the first of `arguments`, which exclude the
+/// program's own name. Returns the exit code of the process.
+int RunCommandLine(const std::vector<std::string>& arguments,
+                   const cli_environment& environment);
+
+/// Runs the subcommand named by argv[1] with the process's own streams; returns
+/// the exit code of the process.
 int RunCli(int argc, const char** argv);
 
 }  // namespace skylarkcroft
