--- a/src/skylarkcroft/cli/skylarkcroft_check_command.cc
+++ b/src/skylarkcroft/cli/skylarkcroft_check_command.cc
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "skylarkcroft/cli/skylarkcroft_cli_errors.h"
-#include "skylarkcroft/cli/skylarkcroft_read_file.h"
+#include "skylarkcroft/internal/skylarkcroft_read_file.h"
 
 namespace skylarkcroft {
 namespace {
--- a/src/skylarkcroft/cli/skylarkcroft_cli_errors.h
+++ b/src/skylarkcroft/cli/skylarkcroft_cli_errors.h
@@ -23,12 +23,6 @@
   using error::error;
 };
 
-/// A file could not be read.
-class file_error : public error {
- public:
-  using error::error;
-};
-
 }  // namespace skylarkcroft
 
 #endif  // SKYLARKCROFT_CLI_SKYLARKCROFT_CLI_ERRORS_H_
--- a/src/skylarkcroft/cli/skylarkcroft_document_check.cc
+++ b/src/skylarkcroft/cli/skylarkcroft_document_check.cc
@@ -105,6 +105,7 @@
     const std::vector<document_file>& files) {
   parsed_tables tables;
   std::vector<document_report> reports;
+  reports.reserve(files.size());
   for (const document_file& file : files) {
     reports.push_back(CheckAlone(file, reports.size(), tables));
   }
--- a/src/skylarkcroft/cli/skylarkcroft_node_options.cc
+++ b/src/skylarkcroft/cli/skylarkcroft_node_options.cc
@@ -2,7 +2,7 @@
 
 #include "skylarkcroft/cli/skylarkcroft_cli_errors.h"
 #include "skylarkcroft/cli/skylarkcroft_option_parser.h"
-#include "skylarkcroft/cli/skylarkcroft_read_file.h"
+#include "skylarkcroft/internal/skylarkcroft_read_file.h"
 
 namespace skylarkcroft {
 namespace {
--- a/src/skylarkcroft/cli/skylarkcroft_operators_client.cc
+++ b/src/skylarkcroft/cli/skylarkcroft_operators_client.cc
@@ -21,6 +21,18 @@
           "check that it runs, and that --node names its operators' address"};
 }
 
+// The detail or title of a problem document, or the body as it is.
+std::string DetailOf(const http_response& response) {
+  const nlohmann::json body = ParseBody(response);
+  for (const char* key : {"detail", "title"}) {
+    const auto found = body.find(key);
+    if (found != body.end() && found->is_string()) {
+      return found->get<std::string>();
+    }
+  }
+  return response.body;
+}
+
 }  // namespace
 
 operators_client::operators_client(endpoint node, std::string key)
@@ -74,12 +86,7 @@
 }
 
 void ThrowRefused(const http_response& response) {
-  const nlohmann::json body = ParseBody(response);
-  std::string detail = response.body;
-  if (body.is_object()) {
-    const std::string title = body.value("title", "");
-    detail = body.value("detail", title);
-  }
+  const std::string detail = DetailOf(response);
   const std::string what =
       "the node answered " + std::to_string(response.status);
   throw refused_error(detail.empty() ? what : what + ": " + detail,
--- a/src/skylarkcroft/cli/skylarkcroft_table_command.cc
+++ b/src/skylarkcroft/cli/skylarkcroft_table_command.cc
@@ -1,24 +1,23 @@
 #include "skylarkcroft/cli/skylarkcroft_table_command.h"
 
-#include <array>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <ostream>
-#include <random>
-#include <string_view>
 #include <utility>
 
 #include "skylarkcroft/cli/skylarkcroft_cli_errors.h"
 #include "skylarkcroft/cli/skylarkcroft_edit_report.h"
 #include "skylarkcroft/cli/skylarkcroft_option_parser.h"
-#include "skylarkcroft/cli/skylarkcroft_read_file.h"
 #include "skylarkcroft/cli/skylarkcroft_readable_text.h"
+#include "skylarkcroft/internal/skylarkcroft_digest.h"
 #include "skylarkcroft/internal/skylarkcroft_json_reader.h"
+#include "skylarkcroft/internal/skylarkcroft_read_file.h"
 
 namespace skylarkcroft {
 namespace {
 
 constexpr int kIndent = 2;
+constexpr size_t kEditIdBytes = 16;
 
 int64_t ParseRevision(const std::string& text) {
   int64_t revision = 0;
@@ -31,18 +30,6 @@
   return revision;
 }
 
-std::string NewEditId() {
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  constexpr size_t kLength = 32;
-  std::random_device entropy;
-  std::uniform_int_distribution<size_t> pick(0, kDigits.size() - 1);
-  std::string id;
-  while (id.size() < kLength) {
-    id += kDigits[pick(entropy)];
-  }
-  return id;
-}
-
 void ExpectArguments(const command_call& call, size_t count,
                      const std::string& form) {
   if (call.arguments.size() != count + 1) {
@@ -202,7 +189,8 @@
                                 const operators_client& node,
                                 const nlohmann::json& document,
                                 std::optional<int64_t> base_revision) const {
-  const std::string edit_id = edit_id_.empty() ? NewEditId() : edit_id_;
+  const std::string edit_id =
+      edit_id_.empty() ? RandomHex(kEditIdBytes) : edit_id_;
   http_request request{
       "PUT",
       Target(),
--- a/src/skylarkcroft/cli/skylarkcroft_read_file.cc
+++ b/src/skylarkcroft/internal/skylarkcroft_read_file.cc
@@ -1,11 +1,9 @@
-#include "skylarkcroft/cli/skylarkcroft_read_file.h"
+#include "skylarkcroft/internal/skylarkcroft_read_file.h"
 
 #include <filesystem>
 #include <fstream>
 #include <iterator>
 
-#include "skylarkcroft/cli/skylarkcroft_cli_errors.h"
-
 namespace skylarkcroft {
 
 std::string ReadFile(const std::string& path) {
--- a/src/skylarkcroft/node/skylarkcroft_run_node.cc
+++ b/src/skylarkcroft/node/skylarkcroft_run_node.cc
@@ -1,32 +1,17 @@
 #include "skylarkcroft/node/skylarkcroft_run_node.h"
 
 #include <csignal>
-#include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
-#include <sstream>
 
-#include "skylarkcroft/internal/skylarkcroft_error.h"
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
 #include "skylarkcroft/internal/skylarkcroft_json_reader.h"
+#include "skylarkcroft/internal/skylarkcroft_read_file.h"
 #include "skylarkcroft/log/skylarkcroft_logger.h"
 #include "skylarkcroft/node/skylarkcroft_node.h"
 #include "skylarkcroft/node/skylarkcroft_settings.h"
 
 namespace skylarkcroft {
-namespace {
-
-std::string ReadFile(const std::string& path) {
-  const std::ifstream file(path);
-  if (!file) {
-    throw error("cannot read " + path, "check the path and its permissions");
-  }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
-}  // namespace
 
 int RunNode(const std::string& settings_path) {
   const settings config = ParseSettings(ParseJson(ReadFile(settings_path)));
