--- a/load/skylarkcroft_event_stream_parser.cc
+++ b/load/skylarkcroft_event_stream_parser.cc
@@ -15,8 +15,8 @@
     bytes.remove_prefix(end + 1);
     const std::string line = std::exchange(partial_line_, {});
     TakeLine(line.ends_with('\r')
-                 ? std::string_view(line).substr(0, line.size() - 1)
-                 : std::string_view(line));
+                 ? std::string_view{line}.substr(0, line.size() - 1)
+                 : std::string_view{line});
   }
 }
 
--- a/load/skylarkcroft_experiment_definition.cc
+++ b/load/skylarkcroft_experiment_definition.cc
@@ -195,7 +195,7 @@
   const json_reader reader(
       document, "$",
       {"name", "seed", "duration_s", "drain_ms", "progress_timeout_ms",
-       "max_requests", "max_in_flight", "resume_streams", "nodes", "groups"});
+       "max_requests", "max_in_flight", "resume_broken", "nodes", "groups"});
   experiment_definition definition;
   definition.name = reader.Name("name");
   definition.seed = static_cast<uint64_t>(
@@ -210,7 +210,7 @@
       reader.IntOr("max_requests", {1, kMaxRequests}, kDefaultMaxRequests);
   definition.max_in_flight =
       reader.IntOr("max_in_flight", {1, kMaxInFlight}, kDefaultMaxInFlight);
-  definition.resume_streams = reader.BoolOr("resume_streams", true);
+  definition.resume_broken = reader.BoolOr("resume_broken", true);
   size_t index = 0;
   for (const std::string& node : reader.StringsOr("nodes", {})) {
     const std::string path =
--- a/load/skylarkcroft_experiment_definition.h
+++ b/load/skylarkcroft_experiment_definition.h
@@ -85,8 +85,9 @@
   milliseconds progress_timeout{10000};
   int64_t max_requests = 0;
   int64_t max_in_flight = 0;
-  /// Continue a broken stream at another node.
-  bool resume_streams = true;
+  /// Continue a broken stream, or submit a broken keyed call again, at another
+  /// node.
+  bool resume_broken = true;
   std::vector<endpoint> nodes;
   std::vector<caller_group> groups;
 
--- a/tests/load/answer_check_test.cc
+++ b/tests/load/answer_check_test.cc
@@ -69,7 +69,7 @@
   event_stream_parser parser(
       [&](const stream_event& event) { seen.push_back(event); });
   for (size_t at = 0; at < body.size(); at += piece) {
-    parser.Feed(std::string_view(body).substr(at, piece));
+    parser.Feed(std::string_view{body}.substr(at, piece));
   }
   CHECK(seen == expected);
 }
