--- a/load/skylarkcroft_completion_reader.cc
+++ b/load/skylarkcroft_completion_reader.cc
@@ -4,13 +4,14 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "load/skylarkcroft_problem.h"
+#include "load/skylarkcroft_told_problem.h"
 
 namespace skylarkcroft::load {
 namespace {
 
 using nlohmann::json;
 
+constexpr size_t kMaxEventBytes = 1024 * 1024;
 constexpr std::string_view kEndMarker = "[DONE]";
 
 int64_t ParseId(const std::string& text) {
@@ -53,25 +54,29 @@
 completion_reader::completion_reader(answer_check check, time_point intended)
     : check_(std::move(check)),
       intended_(intended),
-      parser_([this](const stream_event& event) { TakeEvent(event, now_); }) {}
+      parser_(kMaxEventBytes,
+              [this](const sse_event& event) { TakeEvent(event, now_); }) {}
 
 void completion_reader::StartStream() {
   error_reason_.clear();
-  parser_ = event_stream_parser(
-      [this](const stream_event& event) { TakeEvent(event, now_); });
+  parser_ = sse_parser(kMaxEventBytes, [this](const sse_event& event) {
+    TakeEvent(event, now_);
+  });
 }
 
 void completion_reader::FeedStream(std::string_view bytes, time_point now) {
   now_ = now;
-  parser_.Feed(bytes);
+  if (!parser_.Feed(bytes)) {
+    check_.TakeMalformed();
+  }
 }
 
-void completion_reader::TakeEvent(const stream_event& event, time_point now) {
+void completion_reader::TakeEvent(const sse_event& event, time_point now) {
   if (event.data == kEndMarker) {
     check_.TakeEnd();
     return;
   }
-  if (event.name == "error") {
+  if (event.event == "error") {
     error_reason_ = ParseProblem(event.data).reason;
     return;
   }
--- a/load/skylarkcroft_completion_reader.h
+++ b/load/skylarkcroft_completion_reader.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "load/skylarkcroft_answer_check.h"
-#include "load/skylarkcroft_event_stream_parser.h"
+#include "skylarkcroft/attempt/skylarkcroft_sse_parser.h"
 #include "skylarkcroft/internal/skylarkcroft_time.h"
 
 namespace skylarkcroft::load {
@@ -40,7 +40,7 @@
   }
 
  private:
-  void TakeEvent(const stream_event& event, time_point now);
+  void TakeEvent(const sse_event& event, time_point now);
   void TakeChoice(const std::string& id, const nlohmann::json& choice,
                   time_point now);
   void NoteToken(time_point now);
@@ -48,7 +48,7 @@
   answer_check check_;
   time_point intended_;
   time_point now_;
-  event_stream_parser parser_;
+  sse_parser parser_;
   std::string error_reason_;
   std::optional<duration> first_token_;
   time_point last_token_at_;
--- a/load/skylarkcroft_load_request.cc
+++ b/load/skylarkcroft_load_request.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "load/skylarkcroft_problem.h"
+#include "load/skylarkcroft_told_problem.h"
 
 namespace skylarkcroft::load {
 namespace {
@@ -98,7 +98,7 @@
 }
 
 void load_request::TakeRefusal() {
-  const problem told = ParseProblem(body_);
+  const told_problem told = ParseProblem(body_);
   const bool started = resumes_ > 0 || !result_target_.empty();
   // After the first answer began, a refused follow-up may succeed elsewhere.
   if (started && CanContinue()) {
--- a/load/skylarkcroft_problem.cc
+++ b/load/skylarkcroft_told_problem.cc
@@ -1,4 +1,4 @@
-#include "load/skylarkcroft_problem.h"
+#include "load/skylarkcroft_told_problem.h"
 
 #include <nlohmann/json.hpp>
 
@@ -17,7 +17,7 @@
 
 }  // namespace
 
-problem ParseProblem(std::string_view body) {
+told_problem ParseProblem(std::string_view body) {
   const nlohmann::json document = nlohmann::json::parse(body, nullptr, false);
   if (!document.is_object()) {
     return {kUntold, kUntold};
--- a/load/skylarkcroft_problem.h
+++ b/load/skylarkcroft_told_problem.h
@@ -1,5 +1,5 @@
-#ifndef SKYLARKCROFT_LOAD_SKYLARKCROFT_PROBLEM_H_
-#define SKYLARKCROFT_LOAD_SKYLARKCROFT_PROBLEM_H_
+#ifndef SKYLARKCROFT_LOAD_SKYLARKCROFT_TOLD_PROBLEM_H_
+#define SKYLARKCROFT_LOAD_SKYLARKCROFT_TOLD_PROBLEM_H_
 
 #include <string>
 #include <string_view>
@@ -7,18 +7,18 @@
 namespace skylarkcroft::load {
 
 /// What an RFC 9457 problem document told the caller.
-struct problem {
+struct told_problem {
   /// Machine-readable reason; `untold` when the document has none.
   std::string reason;
   /// `not_run`, `ran` or `unknown`; `untold` when the document has none.
   std::string run_state;
 
-  bool operator==(const problem&) const = default;
+  bool operator==(const told_problem&) const = default;
 };
 
 /// Reads `body`; anything that is no problem document gives `untold` twice.
-problem ParseProblem(std::string_view body);
+told_problem ParseProblem(std::string_view body);
 
 }  // namespace skylarkcroft::load
 
-#endif  // SKYLARKCROFT_LOAD_SKYLARKCROFT_PROBLEM_H_
+#endif  // SKYLARKCROFT_LOAD_SKYLARKCROFT_TOLD_PROBLEM_H_
--- a/tests/load/answer_check_test.cc
+++ b/tests/load/answer_check_test.cc
@@ -1,8 +1,6 @@
 #include <catch2/catch.hpp>
 
 #include "load/skylarkcroft_answer_check.h"
-#include "load/skylarkcroft_event_stream_parser.h"
-
 namespace skylarkcroft::load {
 namespace {
 
@@ -58,21 +56,5 @@
   }
 }
 
-TEST_CASE("events are found however the bytes are cut", "[load]") {
-  const std::string body =
-      ": heartbeat\n\nid: 1\r\ndata: a\r\n\r\nid:2\nevent: x\ndata: b\ndata: "
-      "c\n\ndata: open";
-  const std::vector<stream_event> expected = {{"1", "", "a"},
-                                              {"2", "x", "b\nc"}};
-  const size_t piece = GENERATE(1, 2, 3, 7, 1000);
-  std::vector<stream_event> seen;
-  event_stream_parser parser(
-      [&](const stream_event& event) { seen.push_back(event); });
-  for (size_t at = 0; at < body.size(); at += piece) {
-    parser.Feed(std::string_view{body}.substr(at, piece));
-  }
-  CHECK(seen == expected);
-}
-
 }  // namespace
 }  // namespace skylarkcroft::load
