Load tool: upstream counters in results, callers of a definition

Targets on recomputed prompt tokens, load balance and at most once are told by the upstreams' own counters, taken before and after the run. The callers command prints the key digests that a routes table needs for a definition's callers.

--- a/load/skylarkcroft_comparison.cc
+++ b/load/skylarkcroft_comparison.cc
@@ -61,6 +61,36 @@
      [](const group_result& group, double) { return group.Fairness(); }},
 }};
 
+struct upstream_figure {
+  std::string_view name;
+  double (*read)(const upstream_summary&);
+};
+
+constexpr std::array<upstream_figure, 6> kUpstreamFigures = {{
+    {"requests",
+     [](const upstream_summary& summary) {
+       return static_cast<double>(summary.sums.requests);
+     }},
+    {"prompt_tokens_computed",
+     [](const upstream_summary& summary) {
+       return static_cast<double>(summary.sums.prefill_tokens);
+     }},
+    {"prompt_tokens_cached",
+     [](const upstream_summary& summary) {
+       return static_cast<double>(summary.sums.cached_tokens);
+     }},
+    {"tokens_generated",
+     [](const upstream_summary& summary) {
+       return static_cast<double>(summary.sums.generated_tokens);
+     }},
+    {"repeated_runs",
+     [](const upstream_summary& summary) {
+       return static_cast<double>(summary.sums.repeated_runs);
+     }},
+    {"busiest_over_mean",
+     [](const upstream_summary& summary) { return summary.busiest_over_mean; }},
+}};
+
 const group_result* Find(const load_result& result, const std::string& name) {
   for (const group_result& group : result.groups) {
     if (group.name == name) {
@@ -70,28 +100,48 @@
   return nullptr;
 }
 
-compared_value Read(const load_result& result, const std::string& group_name,
-                    const figure& wanted,
-                    const std::optional<double>& baseline) {
-  const group_result* group = Find(result, group_name);
+std::optional<double> Read(const load_result& result, const std::string& name,
+                           const figure& wanted) {
+  const group_result* group = Find(result, name);
   if (group == nullptr) {
-    return {};
+    return std::nullopt;
+  }
+  return wanted.read(*group, result.duration_s);
+}
+
+std::optional<double> Read(const load_result& result,
+                           const upstream_figure& wanted) {
+  if (result.upstreams.upstreams == 0) {
+    return std::nullopt;
   }
+  return wanted.read(result.upstreams);
+}
+
+void AddValue(comparison_row& row, std::optional<double> value) {
   compared_value compared;
-  compared.value = wanted.read(*group, result.duration_s);
-  if (baseline.value_or(0) != 0) {
-    compared.ratio = *compared.value / *baseline;
+  compared.value = value;
+  const double baseline =
+      row.values.empty() ? value.value_or(0) : row.values[0].value.value_or(0);
+  if (value.has_value() && baseline != 0) {
+    compared.ratio = *value / baseline;
   }
-  return compared;
+  row.values.push_back(compared);
 }
 
 comparison_row MakeRow(const std::vector<load_result>& results,
                        const std::string& group, const figure& wanted) {
   comparison_row row{group, std::string(wanted.name), {}};
-  const std::optional<double> baseline =
-      Read(results.front(), group, wanted, std::nullopt).value;
   for (const load_result& result : results) {
-    row.values.push_back(Read(result, group, wanted, baseline));
+    AddValue(row, Read(result, group, wanted));
+  }
+  return row;
+}
+
+comparison_row MakeRow(const std::vector<load_result>& results,
+                       const upstream_figure& wanted) {
+  comparison_row row{"(upstreams)", std::string(wanted.name), {}};
+  for (const load_result& result : results) {
+    AddValue(row, Read(result, wanted));
   }
   return row;
 }
@@ -121,6 +171,11 @@
       compared.rows.push_back(MakeRow(results, group.name, wanted));
     }
   }
+  if (results.front().upstreams.upstreams > 0) {
+    for (const upstream_figure& wanted : kUpstreamFigures) {
+      compared.rows.push_back(MakeRow(results, wanted));
+    }
+  }
   return compared;
 }
 
--- a/load/skylarkcroft_load_cli.cc
+++ b/load/skylarkcroft_load_cli.cc
@@ -2,6 +2,7 @@
 
 #include <popt.h>
 
+#include <algorithm>
 #include <fstream>
 #include <iostream>
 #include <memory>
@@ -15,7 +16,10 @@
 #include "load/skylarkcroft_experiment_definition.h"
 #include "load/skylarkcroft_load_generator.h"
 #include "load/skylarkcroft_load_result.h"
+#include "load/skylarkcroft_request_plan.h"
 #include "load/skylarkcroft_result_plot.h"
+#include "load/skylarkcroft_upstream_poll.h"
+#include "skylarkcroft/internal/skylarkcroft_digest.h"
 #include "skylarkcroft/internal/skylarkcroft_error.h"
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
 #include "skylarkcroft/internal/skylarkcroft_json_reader.h"
@@ -31,6 +35,8 @@
     "usage: skylarkcroft_load COMMAND [OPTIONS]\n"
     "  run DEFINITION --node IP:PORT,...   sends the load, prints a table\n"
     "  compare RESULT RESULT...            prints results side by side\n"
+    "  callers DEFINITION                  prints the callers of a routes "
+    "table\n"
     "  COMMAND --help                      lists the options\n";
 
 /// A file or argument that cannot be used.
@@ -42,6 +48,7 @@
 struct load_options {
   std::vector<std::string> arguments;
   std::string nodes;
+  std::string upstreams;
   std::string json_file;
   std::string svg_file;
   std::string label;
@@ -62,6 +69,7 @@
 
 load_options ParseOptions(int argc, const char** argv) {
   char* nodes = nullptr;
+  char* upstreams = nullptr;
   char* json_file = nullptr;
   char* svg_file = nullptr;
   char* label = nullptr;
@@ -71,6 +79,8 @@
   const poptOption table[] = {
       {"node", 'n', POPT_ARG_STRING, &nodes, 0,
        "nodes that requests are spread over, loopback only", "IP:PORT,..."},
+      {"upstream", 'u', POPT_ARG_STRING, &upstreams, 0,
+       "upstream stand-ins whose counters go into the result", "IP:PORT,..."},
       {"json", 'j', POPT_ARG_STRING, &json_file, 0, "write the result here",
        "FILE"},
       {"svg", 's', POPT_ARG_STRING, &svg_file, 0, "write a plot here", "FILE"},
@@ -88,6 +98,7 @@
   const int code = poptGetNextOpt(context.get());
   load_options options;
   options.nodes = Take(nodes);
+  options.upstreams = Take(upstreams);
   options.json_file = Take(json_file);
   options.svg_file = Take(svg_file);
   options.label = Take(label);
@@ -154,6 +165,9 @@
     throw usage_error("run takes one definition", "see run --help");
   }
   event_loop loop;
+  const std::vector<endpoint> upstreams =
+      ParseNodes(options.upstreams, "--upstream");
+  const std::vector<upstream_stats> before = ReadUpstreamStats(loop, upstreams);
   load_hooks hooks{SteadyNow, token_text, {}};
   if (options.progress) {
     hooks.on_progress = ShowProgress;
@@ -167,6 +181,7 @@
   }
   load_result result = generator.Result();
   result.label = options.label;
+  result.upstreams = Summarize(before, ReadUpstreamStats(loop, upstreams));
   if (!options.quiet) {
     std::cout << ToText(result);
   }
@@ -176,6 +191,25 @@
   return totals.lost + totals.wrong > 0 ? kExitFaults : 0;
 }
 
+int PrintCallers(const load_options& options) {
+  if (options.arguments.size() != 1) {
+    throw usage_error("callers takes one definition", "see callers --help");
+  }
+  nlohmann::json callers = nlohmann::json::array();
+  for (const caller_group& group : ReadDefinition(options).groups) {
+    for (int caller = 1; caller <= group.callers; ++caller) {
+      const std::string key = CallerKey(group, caller);
+      const nlohmann::json entry = {{"name", key},
+                                    {"key_sha256", {Sha256Hex(key)}}};
+      if (std::find(callers.begin(), callers.end(), entry) == callers.end()) {
+        callers.push_back(entry);
+      }
+    }
+  }
+  std::cout << callers.dump(kJsonIndent) << "\n";
+  return 0;
+}
+
 int CompareFiles(const load_options& options) {
   if (options.arguments.size() < 2) {
     throw usage_error("compare takes two results or more",
@@ -202,6 +236,9 @@
     if (command == "run") {
       return Run(ParseOptions(argc - 1, argv + 1), token_text);
     }
+    if (command == "callers") {
+      return PrintCallers(ParseOptions(argc - 1, argv + 1));
+    }
     if (command == "compare") {
       return CompareFiles(ParseOptions(argc - 1, argv + 1));
     }
--- a/load/skylarkcroft_load_result.cc
+++ b/load/skylarkcroft_load_result.cc
@@ -72,6 +72,35 @@
           {"callers", ToJson(group.callers)}};
 }
 
+json ToJson(const upstream_summary& summary) {
+  return {{"upstreams", summary.upstreams},
+          {"requests", summary.sums.requests},
+          {"prefill_tokens", summary.sums.prefill_tokens},
+          {"cached_tokens", summary.sums.cached_tokens},
+          {"generated_tokens", summary.sums.generated_tokens},
+          {"resumed", summary.sums.resumed},
+          {"cancelled", summary.sums.cancelled},
+          {"repeated_runs", summary.sums.repeated_runs},
+          {"received_while_leaving", summary.sums.received_while_leaving},
+          {"busiest_over_mean", summary.busiest_over_mean}};
+}
+
+upstream_summary ParseUpstreams(const json_reader& parent) {
+  const json_reader reader(
+      parent.Member("upstreams"), parent.PathOf("upstreams"),
+      {"upstreams", "requests", "prefill_tokens", "cached_tokens",
+       "generated_tokens", "resumed", "cancelled", "repeated_runs",
+       "received_while_leaving", "busiest_over_mean"});
+  return {
+      reader.Int("upstreams", kCount),
+      {reader.Int("requests", kCount), reader.Int("prefill_tokens", kCount),
+       reader.Int("cached_tokens", kCount),
+       reader.Int("generated_tokens", kCount), reader.Int("resumed", kCount),
+       reader.Int("cancelled", kCount), reader.Int("repeated_runs", kCount),
+       reader.Int("received_while_leaving", kCount)},
+      reader.NumberOr("busiest_over_mean", kAnyNumber, 0)};
+}
+
 latency_summary ParseSummary(const json_reader& parent, std::string_view key) {
   const json_reader reader(
       parent.Member(key), parent.PathOf(key),
@@ -166,6 +195,22 @@
   }
 }
 
+std::string UpstreamText(const upstream_summary& summary) {
+  if (summary.upstreams == 0) {
+    return "";
+  }
+  const upstream_stats& sums = summary.sums;
+  return "  " + std::to_string(summary.upstreams) + " upstreams: " +
+         Reasons({{"requests", sums.requests},
+                  {"prompt tokens computed", sums.prefill_tokens},
+                  {"cached", sums.cached_tokens},
+                  {"generated", sums.generated_tokens},
+                  {"resumed", sums.resumed},
+                  {"cancelled", sums.cancelled},
+                  {"repeated runs", sums.repeated_runs}}) +
+         ", busiest over mean " + Decimal(summary.busiest_over_mean, 2) + "\n";
+}
+
 std::string FaultText(const answer_faults& faults) {
   if (!faults.Any()) {
     return "";
@@ -227,13 +272,14 @@
           {"seed", result.seed},
           {"duration_s", result.duration_s},
           {"send_delay", ToJson(result.send_delay)},
-          {"groups", groups}};
+          {"groups", groups},
+          {"upstreams", ToJson(result.upstreams)}};
 }
 
 load_result ParseResult(const json& document) {
-  const json_reader reader(
-      document, "$",
-      {"name", "label", "seed", "duration_s", "send_delay", "groups"});
+  const json_reader reader(document, "$",
+                           {"name", "label", "seed", "duration_s", "send_delay",
+                            "groups", "upstreams"});
   load_result result;
   result.name = reader.Name("name");
   result.label = reader.StringOr("label", "");
@@ -243,6 +289,7 @@
   reader.Each("groups", [&](const json& value, const std::string& path) {
     result.groups.push_back(ParseGroup(value, path));
   });
+  result.upstreams = ParseUpstreams(reader);
   return result;
 }
 
@@ -274,7 +321,8 @@
   return result.name + (result.label.empty() ? "" : " / " + result.label) +
          ", seed " + std::to_string(result.seed) + ", " +
          Decimal(result.duration_s) + " s, sent late by p99 " +
-         Decimal(result.send_delay.p99_ms) + " ms\n" + table.Render() + notes;
+         Decimal(result.send_delay.p99_ms) + " ms\n" + table.Render() + notes +
+         UpstreamText(result.upstreams);
 }
 
 }  // namespace skylarkcroft::load
--- a/load/skylarkcroft_load_result.h
+++ b/load/skylarkcroft_load_result.h
@@ -8,6 +8,7 @@
 
 #include "load/skylarkcroft_answer_check.h"
 #include "load/skylarkcroft_latency_histogram.h"
+#include "load/skylarkcroft_upstream_stats.h"
 
 namespace skylarkcroft::load {
 
@@ -77,6 +78,8 @@
   /// How late the load tool itself was against the intended arrival times.
   latency_summary send_delay;
   std::vector<group_result> groups;
+  /// Without upstreams when none were named.
+  upstream_summary upstreams;
 
   bool operator==(const load_result&) const = default;
 };
--- a/load/skylarkcroft_request_plan.cc
+++ b/load/skylarkcroft_request_plan.cc
@@ -28,6 +28,10 @@
 
 }  // namespace
 
+std::string CallerKey(const caller_group& group, int caller) {
+  return group.key_prefix + "-" + std::to_string(caller);
+}
+
 http_request MakeRequest(const caller_group& group, const request_plan& plan) {
   http_request request;
   request.target = group.path;
--- a/load/skylarkcroft_request_plan.h
+++ b/load/skylarkcroft_request_plan.h
@@ -22,6 +22,9 @@
   bool operator==(const request_plan&) const = default;
 };
 
+/// Bearer key of caller number `caller` of `group`.
+std::string CallerKey(const caller_group& group, int caller);
+
 /// The request itself, in the form that the route's upstreams speak.
 http_request MakeRequest(const caller_group& group, const request_plan& plan);
 
--- a/tests/load/load_result_test.cc
+++ b/tests/load/load_result_test.cc
@@ -40,6 +40,7 @@
   result.label = std::to_string(latency.count());
   result.duration_s = 2;
   result.groups = {recorder.Result()};
+  result.upstreams = {2, {4, 100, 20, 40, 0, 0, 0, 0}, 1.5};
   return result;
 }
 
@@ -129,6 +130,18 @@
   CHECK_FALSE(Row(compared, "sent").values[1].value.has_value());
 }
 
+TEST_CASE("upstream counters are taken over the run only", "[load]") {
+  const upstream_stats before = ParseUpstreamStats(
+      R"({"requests":5,"generated_tokens":50,"runs":{"a":1,"b":2}})");
+  const upstream_stats after = ParseUpstreamStats(
+      R"({"requests":9,"generated_tokens":80,"runs":{"a":3,"b":2}})");
+  const upstream_summary summary = Summarize({before, before}, {after, before});
+  CHECK(summary.sums.requests == 4);
+  CHECK(summary.sums.generated_tokens == 30);
+  CHECK(summary.sums.repeated_runs == 2);
+  CHECK(summary.busiest_over_mean == Approx(2.0));
+}
+
 TEST_CASE("the plot is well-formed XML with every group", "[load]") {
   std::istringstream text(
       PlotResults({Result(milliseconds(200)), Result(milliseconds(50))}));
