At most once: claims of idempotency keys, marked as sent before the first byte

Cause: a request that may not be repeated was sent on the word of one process only; two nodes given the same key would both have run it. Change: claim rows in the table service, taken, marked as sent and settled by compare-and-set; group commit so that many claims share a write; outcomes replayed through any node, asked of the upstream where it can be asked. Conclusion: each key's request runs at most once whatever is lost.

--- /dev/null
+++ b/src/skylarkcroft/attempt/skylarkcroft_outcome_query.cc
@@ -0,0 +1,76 @@
+#include "skylarkcroft/attempt/skylarkcroft_outcome_query.h"
+
+#include <event2/http.h>
+
+#include <cstdlib>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace skylarkcroft {
+namespace {
+
+constexpr milliseconds kAskPeriod{300};
+constexpr milliseconds kAskTimeout{1000};
+
+std::string EscapePath(const std::string& text) {
+  const std::unique_ptr<char, decltype(&std::free)> escaped(
+      evhttp_uriencode(text.data(), static_cast<ev_ssize_t>(text.size()), 0),
+      &std::free);
+  return escaped.get();
+}
+
+std::optional<http_response> ParseOutcome(const std::string& body) {
+  const nlohmann::json document = nlohmann::json::parse(body, nullptr, false);
+  if (!document.is_object() || !document.contains("status") ||
+      !document.at("status").is_number_integer()) {
+    return std::nullopt;
+  }
+  http_response response;
+  response.status = document.at("status").get<int>();
+  const auto found = document.find("body");
+  if (found != document.end()) {
+    response.body =
+        found->is_string() ? found->get<std::string>() : found->dump();
+  }
+  return response;
+}
+
+}  // namespace
+
+outcome_query::outcome_query(event_loop& loop, http_client& client,
+                             endpoint service,
+                             const std::string& idempotency_key,
+                             time_point until, clock_fn clock, done_fn done)
+    : loop_(loop),
+      client_(client),
+      service_(std::move(service)),
+      target_("/outcomes/" + EscapePath(idempotency_key)),
+      until_(until),
+      clock_(std::move(clock)),
+      done_(std::move(done)) {}
+
+void outcome_query::Start() {
+  http_request request;
+  request.target = target_;
+  http_call_options options;
+  options.progress_timeout = kAskTimeout;
+  // The kept connections may be the reason why the outcome is not known.
+  options.reuse_connection = false;
+  call_ = client_.Send(
+      service_, request, options,
+      {{}, {}, [this](const http_result& result) { OnAnswer(result); }});
+}
+
+void outcome_query::OnAnswer(const http_result& result) {
+  const std::optional<http_response> outcome =
+      result.Ok() ? ParseOutcome(result.response.body) : std::nullopt;
+  if (outcome || clock_() + kAskPeriod >= until_) {
+    const done_fn done = done_;
+    done(outcome);
+    return;
+  }
+  timer_ = loop_.After(kAskPeriod, [this] { Start(); });
+}
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/src/skylarkcroft/attempt/skylarkcroft_outcome_query.h
@@ -0,0 +1,44 @@
+#ifndef SKYLARKCROFT_ATTEMPT_SKYLARKCROFT_OUTCOME_QUERY_H_
+#define SKYLARKCROFT_ATTEMPT_SKYLARKCROFT_OUTCOME_QUERY_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "skylarkcroft/http/skylarkcroft_http_client.h"
+#include "skylarkcroft/internal/skylarkcroft_event_loop.h"
+#include "skylarkcroft/internal/skylarkcroft_time.h"
+
+namespace skylarkcroft {
+
+/// Asks a plain service whether the request of an idempotency key ran, again
+/// and again until it says so or the time is up. That the service does not know
+/// the key yet proves nothing, since the request may still be on its way.
+class outcome_query {
+ public:
+  using done_fn = std::function<void(const std::optional<http_response>&)>;
+
+  outcome_query(event_loop& loop, http_client& client, endpoint service,
+                const std::string& idempotency_key, time_point until,
+                clock_fn clock, done_fn done);
+
+  /// Sends the first question.
+  void Start();
+
+ private:
+  void OnAnswer(const http_result& result);
+
+  event_loop& loop_;
+  http_client& client_;
+  endpoint service_;
+  std::string target_;
+  time_point until_;
+  clock_fn clock_;
+  done_fn done_;
+  http_call_ptr call_;
+  event_loop::handle_ptr timer_;
+};
+
+}  // namespace skylarkcroft
+
+#endif  // SKYLARKCROFT_ATTEMPT_SKYLARKCROFT_OUTCOME_QUERY_H_
--- /dev/null
+++ b/src/skylarkcroft/claims/skylarkcroft_claim_keeper.cc
@@ -0,0 +1,355 @@
+#include "skylarkcroft/claims/skylarkcroft_claim_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "skylarkcroft/claims/skylarkcroft_claim_decision.h"
+
+namespace skylarkcroft {
+namespace {
+
+constexpr int64_t kClaimLifeMs = 5000;
+constexpr milliseconds kWaitPeriod{200};
+constexpr milliseconds kStorePeriod{500};
+constexpr std::chrono::minutes kStoreLimit{10};
+
+row_write PutClaim(const row_key& key, int64_t expected_version,
+                   const claim_record& record) {
+  row_write write;
+  write.row = {key, expected_version + 1, EncodeClaim(record)};
+  write.expected_version = expected_version;
+  return write;
+}
+
+held_claim Advanced(const held_claim& held, const claim_record& record) {
+  return {held.key, held.version + 1, record};
+}
+
+}  // namespace
+
+struct claim_keeper::search {
+  claim_query query;
+  row_key key;
+  claim_record record;
+  claim_done_fn done;
+  event_loop::handle_ptr timer;
+};
+
+claim_keeper::claim_keeper(event_loop& loop, table_service& store,
+                           group_commit& commits, clock_fn clock,
+                           wall_clock_fn wall_clock)
+    : loop_(loop),
+      store_(store),
+      commits_(commits),
+      clock_(std::move(clock)),
+      wall_clock_(std::move(wall_clock)) {}
+
+claim_keeper::~claim_keeper() = default;
+
+std::function<bool()> claim_keeper::Alive() const {
+  const std::weak_ptr<bool> alive = alive_;
+  return [alive] { return !alive.expired(); };
+}
+
+void claim_keeper::Claim(const claim_query& query, claim_done_fn done) {
+  auto current = std::make_shared<search>();
+  current->query = query;
+  current->key = ClaimKey(query.caller_name, query.idempotency_key);
+  current->done = std::move(done);
+  const int64_t now_ms = wall_clock_();
+  current->record.request_id = query.request_id;
+  current->record.fingerprint = query.fingerprint;
+  current->record.expires_at_ms = now_ms + kClaimLifeMs;
+  current->record.deadline_ms = now_ms + ElapsedMs(clock_(), query.deadline);
+  TryCreate(current);
+}
+
+void claim_keeper::TryCreate(const search_ptr& current) {
+  commits_.Write(PutClaim(current->key, 0, current->record),
+                 [this, current, alive = Alive()](row_outcome outcome) {
+                   if (!alive()) {
+                     return;
+                   }
+                   if (outcome == row_outcome::kCommitted) {
+                     End(current, {claim_outcome::kHeld,
+                                   held_claim{current->key, 1, current->record},
+                                   {}});
+                     return;
+                   }
+                   if (outcome == row_outcome::kRejected) {
+                     End(current, {claim_outcome::kStoreUnavailable, {}, {}});
+                     return;
+                   }
+                   ReadStored(current);
+                 });
+}
+
+void claim_keeper::ReadStored(const search_ptr& current) {
+  store_.Get(current->key,
+             [this, current, alive = Alive()](const read_result& result) {
+               if (alive()) {
+                 OnStored(current, result);
+               }
+             });
+}
+
+void claim_keeper::OnStored(const search_ptr& current,
+                            const read_result& result) {
+  if (result.outcome == read_outcome::kUnavailable) {
+    End(current, {claim_outcome::kStoreUnavailable, {}, {}});
+    return;
+  }
+  if (result.outcome == read_outcome::kMissing) {
+    // Released meanwhile, or never written.
+    if (clock_() >= current->query.deadline) {
+      End(current, {claim_outcome::kBusy, {}, {}});
+      return;
+    }
+    TryCreate(current);
+    return;
+  }
+  const std::optional<claim_record> stored = DecodeClaim(result.row.document);
+  if (!stored) {
+    End(current, {claim_outcome::kUnknown, {}, {}});
+    return;
+  }
+  switch (DecideClaim(*stored, current->query.request_id,
+                      current->query.fingerprint, wall_clock_())) {
+    case claim_step::kHold:
+      End(current, {claim_outcome::kHeld,
+                    held_claim{current->key, result.row.version, *stored},
+                    {}});
+      return;
+    case claim_step::kReplay:
+      End(current, {stored->response ? claim_outcome::kReplay
+                                     : claim_outcome::kRanWithoutAnswer,
+                    {},
+                    stored->response});
+      return;
+    case claim_step::kWait:
+      WaitAndRead(current);
+      return;
+    case claim_step::kTakeOver:
+      TakeOver(current, result.row, *stored);
+      return;
+    case claim_step::kKeyReused:
+      End(current, {claim_outcome::kKeyReused, {}, {}});
+      return;
+    case claim_step::kUnknown:
+      End(current, {claim_outcome::kUnknown, {}, {}, stored->upstream});
+      return;
+  }
+}
+
+void claim_keeper::TakeOver(const search_ptr& current, const table_row& stored,
+                            const claim_record& record) {
+  claim_record mine = current->record;
+  mine.number = record.number + 1;
+  mine.expires_at_ms = wall_clock_() + kClaimLifeMs;
+  commits_.Write(PutClaim(current->key, stored.version, mine),
+                 [this, current, version = stored.version + 1, mine,
+                  alive = Alive()](row_outcome outcome) {
+                   if (!alive()) {
+                     return;
+                   }
+                   if (outcome == row_outcome::kCommitted) {
+                     End(current, {claim_outcome::kHeld,
+                                   held_claim{current->key, version, mine},
+                                   {}});
+                     return;
+                   }
+                   if (outcome == row_outcome::kRejected) {
+                     End(current, {claim_outcome::kStoreUnavailable, {}, {}});
+                     return;
+                   }
+                   ReadStored(current);
+                 });
+}
+
+void claim_keeper::WaitAndRead(const search_ptr& current) {
+  if (clock_() >= current->query.deadline) {
+    End(current, {claim_outcome::kBusy, {}, {}});
+    return;
+  }
+  // The timer must not keep what holds it.
+  current->timer =
+      loop_.After(kWaitPeriod, [this, weak = std::weak_ptr<search>(current)] {
+        if (const auto again = weak.lock()) {
+          std::erase(waiting_, again);
+          ReadStored(again);
+        }
+      });
+  waiting_.push_back(current);
+}
+
+void claim_keeper::End(const search_ptr& current, const claim_answer& answer) {
+  const claim_done_fn done = std::move(current->done);
+  done(answer);
+}
+
+void claim_keeper::MarkSent(const held_claim& held, const std::string& upstream,
+                            mark_done_fn done) {
+  claim_record record = held.record;
+  record.state = claim_state::kSent;
+  record.upstream = upstream;
+  const held_claim marked = Advanced(held, record);
+  commits_.Write(PutClaim(held.key, held.version, record),
+                 [this, held, marked, done = std::move(done),
+                  alive = Alive()](row_outcome outcome) {
+                   if (!alive()) {
+                     return;
+                   }
+                   if (outcome == row_outcome::kCommitted) {
+                     done(mark_outcome::kMaySend, marked);
+                     return;
+                   }
+                   if (outcome == row_outcome::kRejected) {
+                     done(mark_outcome::kStoreUnavailable, held);
+                     return;
+                   }
+                   ReadBackMark(marked, done);
+                 });
+}
+
+void claim_keeper::ReadBackMark(const held_claim& marked,
+                                const mark_done_fn& done) {
+  store_.Get(marked.key, [marked, done,
+                          alive = Alive()](const read_result& result) {
+    if (!alive()) {
+      return;
+    }
+    if (result.outcome != read_outcome::kFound) {
+      done(result.outcome == read_outcome::kMissing
+               ? mark_outcome::kLost
+               : mark_outcome::kStoreUnavailable,
+           marked);
+      return;
+    }
+    const std::optional<claim_record> stored = DecodeClaim(result.row.document);
+    const bool mine = stored && result.row.version == marked.version &&
+                      stored->state == claim_state::kSent &&
+                      stored->request_id == marked.record.request_id;
+    if (mine) {
+      done(mark_outcome::kMaySend, marked);
+      return;
+    }
+    const bool unmarked = stored && stored->state == claim_state::kClaimed &&
+                          stored->request_id == marked.record.request_id;
+    done(unmarked ? mark_outcome::kStoreUnavailable : mark_outcome::kLost,
+         marked);
+  });
+}
+
+void claim_keeper::RecordDone(const held_claim& held,
+                              const http_response& response,
+                              std::function<void()> done) {
+  claim_record record = held.record;
+  record.state = claim_state::kDone;
+  record.response = response;
+  Store(held, record, std::move(done));
+}
+
+void claim_keeper::RecordUnknown(const held_claim& held,
+                                 std::function<void()> done) {
+  claim_record record = held.record;
+  record.state = claim_state::kUnknown;
+  Store(held, record, std::move(done));
+}
+
+void claim_keeper::Release(const held_claim& held, std::function<void()> done) {
+  claim_record record = held.record;
+  record.state = claim_state::kReleased;
+  Store(held, record, std::move(done));
+}
+
+struct claim_keeper::storing {
+  held_claim held;
+  claim_record record;
+  time_point until{};
+  // Empty once it has been called.
+  std::function<void()> done;
+  event_loop::handle_ptr retry;
+  event_loop::handle_ptr wait_limit;
+
+  void CallDone() {
+    const std::function<void()> call = std::exchange(done, nullptr);
+    if (call) {
+      call();
+    }
+  }
+};
+
+void claim_keeper::Store(const held_claim& held, const claim_record& record,
+                         std::function<void()> done) {
+  auto current = std::make_shared<storing>();
+  current->held = held;
+  current->record = record;
+  current->until = clock_() + kStoreLimit;
+  current->done = std::move(done);
+  current->wait_limit =
+      loop_.After(kRecordWait, [weak = std::weak_ptr<storing>(current)] {
+        if (const auto waiting = weak.lock()) {
+          waiting->CallDone();
+        }
+      });
+  StoreUntilSettled(current);
+}
+
+void claim_keeper::StoreUntilSettled(const std::shared_ptr<storing>& current) {
+  commits_.Write(
+      PutClaim(current->held.key, current->held.version, current->record),
+      [this, current, alive = Alive()](row_outcome outcome) {
+        if (!alive()) {
+          return;
+        }
+        if (outcome == row_outcome::kCommitted || clock_() >= current->until) {
+          current->CallDone();
+          return;
+        }
+        if (outcome == row_outcome::kConflict) {
+          StoreOverOwnMark(current);
+          return;
+        }
+        StoreAgainLater(current);
+      });
+}
+
+void claim_keeper::StoreOverOwnMark(const std::shared_ptr<storing>& current) {
+  store_.Get(current->held.key, [this, current,
+                                 alive = Alive()](const read_result& result) {
+    if (!alive()) {
+      return;
+    }
+    if (result.outcome == read_outcome::kUnavailable) {
+      StoreAgainLater(current);
+      return;
+    }
+    const std::optional<claim_record> stored = DecodeClaim(result.row.document);
+    // A mark of this holder whose answer was lost is the only row to replace;
+    // anything else is this record itself or another holder's claim.
+    const bool own_mark = stored &&
+                          stored->request_id == current->record.request_id &&
+                          (stored->state == claim_state::kSent ||
+                           stored->state == claim_state::kClaimed);
+    if (!own_mark) {
+      current->CallDone();
+      return;
+    }
+    current->held.version = result.row.version;
+    StoreUntilSettled(current);
+  });
+}
+
+void claim_keeper::StoreAgainLater(const std::shared_ptr<storing>& current) {
+  // The timer must not keep what holds it.
+  current->retry =
+      loop_.After(kStorePeriod, [this, weak = std::weak_ptr<storing>(current)] {
+        if (const auto again = weak.lock()) {
+          std::erase(pending_, again);
+          StoreUntilSettled(again);
+        }
+      });
+  pending_.push_back(current);
+}
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/src/skylarkcroft/claims/skylarkcroft_run_claim.cc
@@ -0,0 +1,79 @@
+#include "skylarkcroft/claims/skylarkcroft_run_claim.h"
+
+#include <utility>
+
+namespace skylarkcroft {
+
+template <typename... argument_types>
+std::function<void(argument_types...)> run_claim::WhileAlive(
+    std::function<void(argument_types...)> call) const {
+  return [call = std::move(call),
+          alive = std::weak_ptr<bool>(alive_)](argument_types... arguments) {
+    if (!alive.expired() && call) {
+      call(arguments...);
+    }
+  };
+}
+
+void run_claim::Take(const claim_query& query, claim_done_fn done) {
+  const std::weak_ptr<bool> alive = alive_;
+  keeper_.Claim(query, [this, alive, &keeper = keeper_,
+                        done = std::move(done)](const claim_answer& answer) {
+    if (!alive.expired()) {
+      held_ = answer.held;
+      done(answer);
+      return;
+    }
+    // The request has ended meanwhile and will not be sent.
+    if (answer.held) {
+      keeper.Release(*answer.held, nullptr);
+    }
+  });
+}
+
+void run_claim::EnsureMarked(const std::string& upstream,
+                             std::function<void(mark_outcome)> done) {
+  if (marked_) {
+    done(mark_outcome::kMaySend);
+    return;
+  }
+  const std::weak_ptr<bool> alive = alive_;
+  keeper_.MarkSent(*held_, upstream,
+                   [this, alive, &keeper = keeper_, done = std::move(done)](
+                       mark_outcome outcome, const held_claim& held) {
+                     if (alive.expired()) {
+                       // The request has ended meanwhile and will not be sent.
+                       keeper.Release(held, nullptr);
+                       return;
+                     }
+                     marked_ = outcome == mark_outcome::kMaySend;
+                     if (outcome == mark_outcome::kLost) {
+                       held_.reset();
+                     } else {
+                       held_ = held;
+                     }
+                     done(outcome);
+                   });
+}
+
+void run_claim::RecordDone(const http_response& response,
+                           std::function<void()> done) {
+  keeper_.RecordDone(*held_, response, WhileAlive(std::move(done)));
+  held_.reset();
+}
+
+void run_claim::RecordUnknown(std::function<void()> done) {
+  keeper_.RecordUnknown(*held_, WhileAlive(std::move(done)));
+  held_.reset();
+}
+
+void run_claim::Release(std::function<void()> done) {
+  if (!held_) {
+    done();
+    return;
+  }
+  keeper_.Release(*held_, WhileAlive(std::move(done)));
+  held_.reset();
+}
+
+}  // namespace skylarkcroft
--- a/src/skylarkcroft/node/skylarkcroft_front.cc
+++ b/src/skylarkcroft/node/skylarkcroft_front.cc
@@ -197,15 +197,6 @@
     return;
   }
   request.id = NextId();
-  const std::optional<refusal> refused =
-      environment_.admit.Submit(ItemOf(request), now);
-  if (refused) {
-    problem why = NotRun(refused->reason, "the node is over its capacity");
-    why.retry_after = refused->retry_after;
-    why.request_id = request.id;
-    Refuse(exchange, why);
-    return;
-  }
   environment_.metrics.CountRequest(request.via.work_rank);
   request_entry entry;
   entry.id = request.id;
@@ -218,11 +209,31 @@
   entry.arrived = now;
   entry.unread_since = now;
   const std::string id = request.id;
+  const work_item item = ItemOf(request);
+  const bool needs_claim =
+      !request.idempotent && !request.idempotency_key.empty();
   entry.run = std::make_unique<request_run>(
       environment_.runs, std::move(request),
       [this, id](int64_t actual_tokens) { OnRunEnd(id, actual_tokens); });
   entry.result = entry.run->result();
+  request_run& run = *entry.run;
   Attach(exchange, environment_.registry.Add(std::move(entry)), 0);
+  if (needs_claim) {
+    run.TakeClaim([this, item] { Submit(item); });
+  } else {
+    Submit(item);
+  }
+}
+
+void front::Submit(const work_item& item) {
+  const std::optional<refusal> refused =
+      environment_.admit.Submit(item, environment_.clock());
+  request_entry* entry = environment_.registry.Find(item.request_id);
+  if (refused && entry != nullptr && entry->run != nullptr) {
+    entry->run->Fail(refused->reason, "the node is over its capacity",
+                     refused->retry_after);
+    return;
+  }
   DispatchNow();
 }
 
--- a/src/skylarkcroft/node/skylarkcroft_front.h
+++ b/src/skylarkcroft/node/skylarkcroft_front.h
@@ -63,6 +63,8 @@
   void OnRead(const http_exchange_ptr& exchange, time_point now);
   void Accept(const http_exchange_ptr& exchange, accepted_request request,
               time_point now);
+  /// Passes a request through admission.
+  void Submit(const work_item& item);
   void Attach(const http_exchange_ptr& exchange, request_entry& entry,
               int64_t after_offset);
   void OnWriterEnd(const std::string& id, bool delivered);
--- a/src/skylarkcroft/node/skylarkcroft_node.cc
+++ b/src/skylarkcroft/node/skylarkcroft_node.cc
@@ -8,6 +8,7 @@
 
 #include "skylarkcroft/admission/skylarkcroft_admission.h"
 #include "skylarkcroft/attempt/skylarkcroft_retry_budget.h"
+#include "skylarkcroft/claims/skylarkcroft_claim_keeper.h"
 #include "skylarkcroft/http/skylarkcroft_http_client.h"
 #include "skylarkcroft/internal/skylarkcroft_digest.h"
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
@@ -18,6 +19,7 @@
 #include "skylarkcroft/node/skylarkcroft_operators_api.h"
 #include "skylarkcroft/node/skylarkcroft_request_registry.h"
 #include "skylarkcroft/node/skylarkcroft_status_report.h"
+#include "skylarkcroft/platform/skylarkcroft_group_commit.h"
 #include "skylarkcroft/platform/skylarkcroft_table_service.h"
 #include "skylarkcroft/routing/skylarkcroft_load_poller.h"
 #include "skylarkcroft/routing/skylarkcroft_upstream_directory.h"
@@ -56,6 +58,10 @@
                   log_.Log({log_level::kError, message, "", "", "", "", {}});
                 }),
         editor_(loop, *store_, tables_, config_.name, SteadyNow, WallNowMs),
+        incarnation_(RandomHex(kIncarnationBytes)),
+        commits_(loop, *store_, config_.name + "-" + incarnation_, {},
+                 SteadyNow),
+        claims_(loop, *store_, commits_, SteadyNow, WallNowMs),
         node_metrics_(metrics_),
         admission_(MakeFifoAdmission(
             [this](const std::string& pool, time_point now) {
@@ -64,7 +70,7 @@
             kMaxQueuedPerPool)),
         runs_(MakeRunEnvironment()),
         front_({loop, config_, tables_, *admission_, registry_, runs_,
-                node_metrics_, log_, SteadyNow, RandomHex(kIncarnationBytes)}),
+                node_metrics_, log_, SteadyNow, incarnation_}),
         operators_(MakeOperatorsEnvironment()),
         poller_(loop, client_, directory_, kLoadPollPeriod, SteadyNow),
         callers_server_(loop, config_.callers_address, config_.http,
@@ -114,8 +120,10 @@
         loop_,
         client_,
         directory_,
+        claims_,
         MakeChoice(config_.policy.routing, random_()),
-        [this](const std::string& pool) { return TakeRetry(pool); },
+        [this](const std::string& pool) { BudgetOf(pool).NoteFirstTry(); },
+        [this](const std::string& pool) { return BudgetOf(pool).TryRetry(); },
         [this](std::string_view reason) { node_metrics_.CountRetry(reason); },
         [this](rank work_rank, duration elapsed) {
           node_metrics_.RecordFirstToken(work_rank, elapsed);
@@ -147,10 +155,10 @@
                         SteadyNow());
   }
 
-  bool TakeRetry(const std::string& pool_name) {
+  retry_budget& BudgetOf(const std::string& pool_name) {
     const pool* target = tables_.current()->pools.Find(pool_name);
     const double share = target == nullptr ? 0 : target->retry.budget_share;
-    return budgets_.try_emplace(pool_name, share).first->second.TryRetry();
+    return budgets_.try_emplace(pool_name, share).first->second;
   }
 
   void Drain() {
@@ -174,6 +182,9 @@
   tables_in_force tables_;
   table_loader loader_;
   table_editor editor_;
+  const std::string incarnation_;
+  group_commit commits_;
+  claim_keeper claims_;
   metrics_registry metrics_;
   node_metrics node_metrics_;
   upstream_directory directory_;
--- a/src/skylarkcroft/node/skylarkcroft_request_run.cc
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <utility>
 
+#include "skylarkcroft/attempt/skylarkcroft_service_request.h"
 #include "skylarkcroft/http/skylarkcroft_http_client.h"
 #include "skylarkcroft/routing/skylarkcroft_upstream_directory.h"
 
@@ -13,6 +14,9 @@
 constexpr milliseconds kMaxBackoff{2000};
 // Time until another look for an upstream when none takes requests.
 constexpr milliseconds kNoUpstreamDelay{100};
+// Longest time for which a service is asked after a lost outcome.
+constexpr milliseconds kOutcomeLimit{5000};
+constexpr std::chrono::seconds kRetryAfter{1};
 
 const upstream* FindUpstream(const std::vector<upstream_state>& members,
                              const std::string& name) {
@@ -24,41 +28,14 @@
   return nullptr;
 }
 
-bool IsHopField(const std::string& name) {
-  for (const char* field :
-       {"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length",
-        "Upgrade", "TE", "Host", "Authorization", "X-Request-Id"}) {
-    if (EqualsIgnoringCase(name, field)) {
-      return true;
-    }
-  }
-  return false;
-}
-
-http_request ForService(const accepted_request& request, time_point now) {
-  http_request built;
-  built.method = request.original.method;
-  built.target = request.original.target;
-  built.body = request.original.body;
-  for (const http_header& field : request.original.headers.fields()) {
-    if (!IsHopField(field.name)) {
-      built.headers.Add(field.name, field.value);
-    }
-  }
-  built.headers.Add("X-Request-Id", request.id);
-  built.headers.Add("X-Caller", request.from.name);
-  built.headers.Add("X-Deadline-Ms",
-                    std::to_string(ElapsedMs(now, request.deadline)));
-  return built;
-}
-
 }  // namespace
 
 request_run::request_run(run_environment& environment, accepted_request request,
                          std::function<void(int64_t)> on_end)
     : environment_(environment),
       request_(std::move(request)),
-      on_end_(std::move(on_end)) {
+      on_end_(std::move(on_end)),
+      claim_(environment_.claims) {
   const duration left = request_.deadline - environment_.clock();
   deadline_timer_ = environment_.loop.After(left, [this] {
     Fail(refusal_reason::kUpstreamTimeout, "the deadline has passed",
@@ -68,9 +45,82 @@
 
 request_run::~request_run() = default;
 
+void request_run::TakeClaim(std::function<void()> on_held) {
+  claim_query query;
+  query.caller_name = request_.from.name;
+  query.idempotency_key = request_.idempotency_key;
+  query.fingerprint = FingerprintOf(request_.original);
+  query.request_id = request_.id;
+  query.deadline = request_.deadline;
+  claim_.Take(query,
+              [this, on_held = std::move(on_held)](const claim_answer& found) {
+                if (ended_) {
+                  claim_.Release([] {});
+                  return;
+                }
+                OnClaim(found, on_held);
+              });
+}
+
+void request_run::OnClaim(const claim_answer& found,
+                          const std::function<void()>& on_held) {
+  const auto fail = [this](refusal_reason reason, run_state state,
+                           const std::string& detail) {
+    FailWith(MakeProblem(reason, state, detail, request_.id));
+  };
+  switch (found.outcome) {
+    case claim_outcome::kHeld:
+      on_held();
+      return;
+    case claim_outcome::kReplay:
+      Publish([this, response = *found.response] {
+        answer_->CompleteWith(response);
+      });
+      return;
+    case claim_outcome::kRanWithoutAnswer:
+      fail(refusal_reason::kOutcomeUnknown, run_state::kRan,
+           "it ran before; its answer was too large to keep");
+      return;
+    case claim_outcome::kKeyReused:
+      fail(refusal_reason::kKeyReused, run_state::kNotRun,
+           "this Idempotency-Key belongs to another request; use a new key");
+      return;
+    case claim_outcome::kUnknown:
+      OnUnknownClaim(found.upstream);
+      return;
+    case claim_outcome::kStoreUnavailable: {
+      problem why = MakeProblem(
+          refusal_reason::kStoreUnavailable, run_state::kNotRun,
+          "the key could not be claimed; send it again", request_.id);
+      why.retry_after = kRetryAfter;
+      FailWith(why);
+      return;
+    }
+    case claim_outcome::kBusy:
+      fail(refusal_reason::kClaimConflict, run_state::kUnknown,
+           "another request with this key is still at work; ask again later");
+      return;
+  }
+}
+
+void request_run::OnUnknownClaim(const std::string& upstream_name) {
+  const upstream* sent_to = FindUpstream(
+      environment_.directory.InPool(request_.target.name), upstream_name);
+  if (request_.target.outcomes_readable && sent_to != nullptr) {
+    AskOutcome(*sent_to, "it was sent before and its outcome is not known");
+    return;
+  }
+  FailWith(MakeProblem(refusal_reason::kOutcomeUnknown, run_state::kUnknown,
+                       "it was sent before and its outcome is not known",
+                       request_.id));
+}
+
 void request_run::Begin(time_point now) {
   started_ = true;
   answer_->BeginStreaming();
+  if (tries_ == 0) {
+    environment_.note_first_try(request_.target.name);
+  }
   StartTry(now);
 }
 
@@ -105,7 +155,38 @@
         kNoUpstreamDelay, [this] { StartTry(environment_.clock()); });
     return;
   }
+  if (claim_.held()) {
+    MarkAndSend(*found);
+    return;
+  }
   const upstream target = *found;
+  Send(target, now);
+}
+
+void request_run::MarkAndSend(const upstream& target) {
+  claim_.EnsureMarked(target.name, [this, target](mark_outcome marked) {
+    if (ended_) {
+      claim_.Release([] {});
+      return;
+    }
+    switch (marked) {
+      case mark_outcome::kMaySend:
+        Send(target, environment_.clock());
+        return;
+      case mark_outcome::kLost:
+        // Nothing was sent; the request now waits for the one that took over.
+        TakeClaim([this] { StartTry(environment_.clock()); });
+        return;
+      case mark_outcome::kStoreUnavailable:
+        Fail(refusal_reason::kStoreUnavailable,
+             "the key could not be marked as sent; send it again", kRetryAfter);
+        return;
+    }
+  });
+}
+
+void request_run::Send(const upstream& target, time_point now) {
+  current_upstream_ = target;
   upstream_name_ = target.name;
   last_zone_ = target.availability_zone;
   ++tries_;
@@ -147,7 +228,7 @@
   // cannot be sent again.
   start.reuse_connection = request_.idempotent;
   try_ = StartServiceAttempt(
-      environment_.client, start, ForService(request_, now),
+      environment_.client, start, MakeServiceRequest(request_, now),
       [this](const attempt_result& result) { OnTryEnded(result); });
 }
 
@@ -163,27 +244,22 @@
 void request_run::OnTryEnded(const attempt_result& result) {
   const time_point now = environment_.clock();
   may_have_run_ = may_have_run_ || result.may_have_run;
-  const std::string name = upstream_name_;
+  const upstream from = current_upstream_;
   DropTry(result.outcome, now);
   if (ended_) {
     return;
   }
-  if (result.outcome == attempt_outcome::kComplete ||
-      result.outcome == attempt_outcome::kRejected) {
-    Conclude(result);
+  if (result.outcome == attempt_outcome::kRejected ||
+      (result.outcome == attempt_outcome::kComplete && !request_.completion)) {
+    CompleteService(result.response);
     return;
   }
-  tried_.push_back(name);
-  RetryOrFail(result, now);
-}
-
-void request_run::Conclude(const attempt_result& result) {
-  if (request_.completion && result.outcome == attempt_outcome::kComplete) {
-    answer_->Complete();
-  } else {
-    answer_->CompleteWith(result.response);
+  if (result.outcome == attempt_outcome::kComplete) {
+    CompleteEngine();
+    return;
   }
-  End();
+  tried_.push_back(from.name);
+  RetryOrFail(result, from, now);
 }
 
 bool request_run::MayRetry(const attempt_result& result, time_point now) const {
@@ -194,17 +270,18 @@
   return request_.idempotent || !result.may_have_run;
 }
 
-void request_run::RetryOrFail(const attempt_result& result, time_point now) {
+void request_run::RetryOrFail(const attempt_result& result,
+                              const upstream& from, time_point now) {
   if (!MayRetry(result, now) ||
       !environment_.take_retry(request_.target.name)) {
-    FailAfter(result);
+    FailAfter(result, from);
     return;
   }
   environment_.count_retry(ToString(result.outcome));
-  ScheduleRetry(now);
+  ScheduleRetry();
 }
 
-void request_run::ScheduleRetry(time_point /*now*/) {
+void request_run::ScheduleRetry() {
   const double doubled = std::pow(2.0, static_cast<double>(tries_ - 1));
   const double base =
       static_cast<double>(request_.target.retry.base_backoff.count()) * doubled;
@@ -216,17 +293,17 @@
                                    [this] { StartTry(environment_.clock()); });
 }
 
-void request_run::FailAfter(const attempt_result& result) {
+void request_run::FailAfter(const attempt_result& result,
+                            const upstream& from) {
   // What a plain service answered is the caller's to read.
   if (!request_.completion && result.response.status != 0) {
-    Conclude(result);
+    CompleteService(result.response);
     return;
   }
   const std::string detail =
       "the last try ended as " + std::string(ToString(result.outcome));
-  constexpr std::chrono::seconds kRetryAfter{1};
   if (!request_.idempotent && RunState() == run_state::kUnknown) {
-    Fail(refusal_reason::kOutcomeUnknown, detail, std::nullopt);
+    AskOutcome(from, detail);
     return;
   }
   Fail(result.outcome == attempt_outcome::kTimedOut
@@ -235,6 +312,49 @@
        detail, kRetryAfter);
 }
 
+void request_run::AskOutcome(const upstream& from, const std::string& detail) {
+  if (!request_.target.outcomes_readable || request_.idempotency_key.empty()) {
+    FailWith(MakeProblem(refusal_reason::kOutcomeUnknown, run_state::kUnknown,
+                         detail, request_.id));
+    return;
+  }
+  const time_point until = std::min(
+      request_.deadline, environment_.clock() + duration(kOutcomeLimit));
+  outcome_query_ = std::make_unique<outcome_query>(
+      environment_.loop, environment_.client, from.address,
+      request_.idempotency_key, until, environment_.clock,
+      [this, detail](const std::optional<http_response>& outcome) {
+        if (ended_) {
+          return;
+        }
+        if (outcome) {
+          CompleteService(*outcome);
+          return;
+        }
+        FailWith(MakeProblem(refusal_reason::kOutcomeUnknown,
+                             run_state::kUnknown, detail, request_.id));
+      });
+  outcome_query_->Start();
+}
+
+void request_run::CompleteEngine() {
+  Publish([this] { answer_->Complete(); });
+}
+
+void request_run::CompleteService(const http_response& response) {
+  const auto publish = [this, response] {
+    Publish([this, response] { answer_->CompleteWith(response); });
+  };
+  Stop();
+  if (!claim_.held()) {
+    publish();
+  } else if (may_have_run_) {
+    claim_.RecordDone(response, publish);
+  } else {
+    claim_.Release(publish);
+  }
+}
+
 run_state request_run::RunState() const {
   if (!may_have_run_) {
     return run_state::kNotRun;
@@ -251,9 +371,19 @@
   may_have_run_ = may_have_run_ || try_ != nullptr;
   problem why = MakeProblem(reason, RunState(), detail, request_.id);
   why.retry_after = retry_after;
-  DropTry(attempt_outcome::kComplete, environment_.clock());
-  answer_->Fail(std::move(why));
-  End();
+  FailWith(why);
+}
+
+void request_run::FailWith(problem why) {
+  const auto publish = [this, why] {
+    Publish([this, why] { answer_->Fail(why); });
+  };
+  Stop();
+  if (claim_.held() && may_have_run_) {
+    claim_.RecordUnknown(publish);
+  } else {
+    claim_.Release(publish);
+  }
 }
 
 void request_run::DropTry(attempt_outcome outcome, time_point now) {
@@ -268,13 +398,18 @@
       [ended = std::shared_ptr<attempt>(std::move(try_))] {});
 }
 
-void request_run::End() {
-  if (ended_) {
-    return;
-  }
+void request_run::Stop() {
   ended_ = true;
   timer_.reset();
   deadline_timer_.reset();
+  environment_.loop.Defer(
+      [ended = std::shared_ptr<outcome_query>(std::move(outcome_query_))] {});
+  DropTry(attempt_outcome::kComplete, environment_.clock());
+}
+
+void request_run::Publish(const std::function<void()>& end_answer) {
+  Stop();
+  end_answer();
   const int64_t prompt =
       request_.completion ? request_.completion->PromptTokens() : 1;
   on_end_(prompt + static_cast<int64_t>(answer_->tokens().size()));
--- a/src/skylarkcroft/node/skylarkcroft_request_run.h
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.h
@@ -13,6 +13,8 @@
 #include "skylarkcroft/attempt/skylarkcroft_accepted_request.h"
 #include "skylarkcroft/attempt/skylarkcroft_answer.h"
 #include "skylarkcroft/attempt/skylarkcroft_attempt.h"
+#include "skylarkcroft/attempt/skylarkcroft_outcome_query.h"
+#include "skylarkcroft/claims/skylarkcroft_run_claim.h"
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
 #include "skylarkcroft/internal/skylarkcroft_time.h"
 #include "skylarkcroft/routing/skylarkcroft_upstream_choice.h"
@@ -27,7 +29,10 @@
   event_loop& loop;
   http_client& client;
   upstream_directory& directory;
+  claim_keeper& claims;
   choose_fn choose;
+  /// Notes a first try in the pool's retry budget.
+  std::function<void(const std::string& pool)> note_first_try;
   /// Takes one retry from the pool's budget; false when it is used up.
   std::function<bool(const std::string& pool)> take_retry;
   /// Counts a retry by the outcome of the try before it.
@@ -38,9 +43,9 @@
   clock_fn clock;
 };
 
-/// Carries one accepted request to its end: tries upstreams, resumes a broken
-/// stream from the offset that was delivered, and ends the answer in every
-/// case.
+/// Carries one accepted request to its end: claims the key of a request that
+/// may run only once, tries upstreams, resumes a broken stream from the offset
+/// that was delivered, and ends the answer in every case.
 class request_run {
  public:
   /// `on_end(tokens)` runs once, after the answer has ended.
@@ -60,29 +65,44 @@
     return upstream_name_;
   }
 
+  /// Takes the claim of the request's key. `on_held` runs when the request may
+  /// go on; otherwise the answer ends.
+  void TakeClaim(std::function<void()> on_held);
   /// Starts the first try, or goes on after Pause().
   void Begin(time_point now);
   /// Stops the current try so that another request can have its place. The
-  /// answer stays as it is.
+  /// answer stays as it is. Only for idempotent requests.
   void Pause(time_point now);
   /// Ends the answer as failed and stops the current try.
   void Fail(refusal_reason reason, const std::string& detail,
             std::optional<std::chrono::seconds> retry_after);
 
  private:
+  void OnClaim(const claim_answer& found, const std::function<void()>& on_held);
+  void OnUnknownClaim(const std::string& upstream_name);
   void StartTry(time_point now);
+  void MarkAndSend(const upstream& target);
+  void Send(const upstream& target, time_point now);
   void SendToEngine(const upstream& target, time_point now);
   void SendToService(const upstream& target, time_point now);
   void OnToken(const std::string& data);
   void OnTryEnded(const attempt_result& result);
-  void Conclude(const attempt_result& result);
-  void RetryOrFail(const attempt_result& result, time_point now);
   [[nodiscard]] bool MayRetry(const attempt_result& result,
                               time_point now) const;
-  void ScheduleRetry(time_point now);
-  void FailAfter(const attempt_result& result);
+  void RetryOrFail(const attempt_result& result, const upstream& from,
+                   time_point now);
+  void ScheduleRetry();
+  void FailAfter(const attempt_result& result, const upstream& from);
+  /// Asks `from` after the outcome, and fails as unknown when it does not say.
+  void AskOutcome(const upstream& from, const std::string& detail);
+  void CompleteEngine();
+  void CompleteService(const http_response& response);
+  void FailWith(problem why);
   void DropTry(attempt_outcome outcome, time_point now);
-  void End();
+  /// Stops all work; the answer is still open.
+  void Stop();
+  /// Stops all work and ends the answer.
+  void Publish(const std::function<void()>& end_answer);
   [[nodiscard]] choice_query MakeQuery() const;
   [[nodiscard]] run_state RunState() const;
 
@@ -90,9 +110,12 @@
   accepted_request request_;
   std::function<void(int64_t)> on_end_;
   std::shared_ptr<answer> answer_ = std::make_shared<answer>();
+  run_claim claim_;
   attempt_ptr try_;
+  std::unique_ptr<outcome_query> outcome_query_;
   event_loop::handle_ptr timer_;
   event_loop::handle_ptr deadline_timer_;
+  upstream current_upstream_;
   std::string upstream_name_;
   std::string last_zone_;
   std::vector<std::string> tried_;
--- a/tests/node/node_fixture.h
+++ b/tests/node/node_fixture.h
@@ -15,6 +15,7 @@
 #include "skylarkcroft/node/skylarkcroft_node.h"
 #include "skylarkcroft/node/skylarkcroft_settings.h"
 #include "standins/engine/engine_standin.h"
+#include "standins/plain_service/plain_service_standin.h"
 #include "standins/platform/skylarkcroft_platform_standin.h"
 
 namespace skylarkcroft {
@@ -27,7 +28,8 @@
 class node_fixture {
  public:
   explicit node_fixture(size_t node_count = 1, size_t engine_count = 2)
-      : platform_(loop, standin::platform_options{}),
+      : services(MakeServices()),
+        platform_(loop, standin::platform_options{}),
         log_(loop, QuietLog()),
         client(loop) {
     for (size_t index = 0; index < engine_count; ++index) {
@@ -85,7 +87,11 @@
              {{{"name", "ask"},
                {"path_prefix", "/v1/"},
                {"pool", "assistant"},
-               {"rank", "urgent"}}}}};
+               {"rank", "urgent"}},
+              {{"name", "orders"},
+               {"path_prefix", "/orders"},
+               {"pool", "orders"},
+               {"deadline_ms", 4000}}}}};
   }
 
   nlohmann::json PoolsDocument() const {
@@ -96,10 +102,67 @@
                            {"address", ToString(engine->address())},
                            {"availability_zone", "cairo-a"}});
     }
+    nlohmann::json service_upstreams = nlohmann::json::array();
+    for (const auto& service : services) {
+      service_upstreams.push_back({{"name", "s" + std::to_string(number++)},
+                                   {"address", ToString(service->address())},
+                                   {"availability_zone", "cairo-b"}});
+    }
     return {{"pools",
              {{{"name", "assistant"},
                {"retry", {{"progress_timeout_ms", 500}}},
-               {"upstreams", upstreams}}}}};
+               {"upstreams", upstreams}},
+              {{"name", "orders"},
+               {"kind", "service"},
+               {"outcomes_readable", outcomes_readable},
+               {"retry", {{"progress_timeout_ms", 500}}},
+               {"upstreams", service_upstreams}}}}};
+  }
+
+  /// Sets a fault of a stand-in by its administration path.
+  void SetFault(const endpoint& standin, const nlohmann::json& fault) {
+    http_request request;
+    request.method = "POST";
+    request.target = "/admin/fault";
+    request.body = fault.dump();
+    static_cast<void>(Call(standin, request));
+  }
+  void SetPlatformFault(const nlohmann::json& fault) {
+    SetFault(platform_.address(), fault);
+  }
+
+  /// A non-idempotent request with the test key; `key` may be empty.
+  static http_request Order(const std::string& key, const std::string& body) {
+    http_request request;
+    request.method = "POST";
+    request.target = "/orders";
+    request.headers.Add("Authorization", std::string("Bearer ") + kTestKey);
+    if (!key.empty()) {
+      request.headers.Add("Idempotency-Key", key);
+    }
+    request.body = body;
+    return request;
+  }
+
+  /// Runs of an idempotency key over all plain services.
+  int64_t RunsOf(const std::string& key) const {
+    int64_t runs = 0;
+    for (const auto& service : services) {
+      const auto counted = service->stats().runs;
+      const auto found = counted.find(key);
+      runs += found == counted.end() ? 0 : found->second;
+    }
+    return runs;
+  }
+  /// Runs over all plain services and keys.
+  int64_t AllRuns() const {
+    int64_t runs = 0;
+    for (const auto& service : services) {
+      for (const auto& [key, count] : service->stats().runs) {
+        runs += count;
+      }
+    }
+    return runs;
   }
 
   http_response Put(const std::string& table, const nlohmann::json& document) {
@@ -165,6 +228,15 @@
     return options;
   }
 
+  std::vector<std::unique_ptr<standin::plain_service_standin>> MakeServices() {
+    std::vector<std::unique_ptr<standin::plain_service_standin>> made;
+    for (int index = 0; index < 2; ++index) {
+      made.push_back(std::make_unique<standin::plain_service_standin>(
+          loop, standin::plain_service_options{}, SteadyNow));
+    }
+    return made;
+  }
+
   static standin::engine_options EngineOptions() {
     standin::engine_options options;
     options.load_lag = milliseconds(50);
@@ -175,6 +247,8 @@
 
  public:
   event_loop loop;
+  std::vector<std::unique_ptr<standin::plain_service_standin>> services;
+  bool outcomes_readable = false;
 
  private:
   standin::platform_standin platform_;
