JSON reader: check for a member, and read objects of other systems

Answers of the platform may gain members that this version does not know, and a missing array must not read as an empty one. A reader without a list of keys takes any, and Require() throws when a member is missing.

--- a/src/skylarkcroft/internal/skylarkcroft_json_reader.cc
+++ b/src/skylarkcroft/internal/skylarkcroft_json_reader.cc
@@ -29,12 +29,16 @@
 
 }  // namespace
 
-json_reader::json_reader(const nlohmann::json& value, std::string path,
-                         std::initializer_list<std::string_view> allowed)
+json_reader::json_reader(const nlohmann::json& value, std::string path)
     : value_(value), path_(std::move(path)) {
   if (!value_.is_object()) {
     ThrowType(path_, value_, "an object");
   }
+}
+
+json_reader::json_reader(const nlohmann::json& value, std::string path,
+                         std::initializer_list<std::string_view> allowed)
+    : json_reader(value, std::move(path)) {
   for (const auto& item : value_.items()) {
     const bool known =
         std::find(allowed.begin(), allowed.end(), item.key()) != allowed.end();
@@ -50,6 +54,10 @@
   return Find(key) != nullptr;
 }
 
+void json_reader::Require(std::string_view key) const {
+  static_cast<void>(Member(key));
+}
+
 std::string json_reader::PathOf(std::string_view key) const {
   return path_ + "." + std::string(key);
 }
--- a/src/skylarkcroft/internal/skylarkcroft_json_reader.h
+++ b/src/skylarkcroft/internal/skylarkcroft_json_reader.h
@@ -31,8 +31,13 @@
   /// Checks that `value` is an object whose keys are all in `allowed`.
   json_reader(const nlohmann::json& value, std::string path,
               std::initializer_list<std::string_view> allowed);
+  /// Checks only that `value` is an object. For answers of other systems,
+  /// which may gain members.
+  json_reader(const nlohmann::json& value, std::string path);
 
   [[nodiscard]] bool Has(std::string_view key) const;
+  /// Throws when `key` is missing.
+  void Require(std::string_view key) const;
   [[nodiscard]] const std::string& path() const { return path_; }
   [[nodiscard]] std::string PathOf(std::string_view key) const;
 
