--- a/src/skylarkcroft/platform/skylarkcroft_table_service_client.cc
+++ b/src/skylarkcroft/platform/skylarkcroft_table_service_client.cc
@@ -104,7 +104,7 @@
   }
   try {
     const json answer = ParseJson(result.response.body);
-    const json_reader reader(answer, "$", {"Item", "ConsumedCapacity"});
+    const json_reader reader(answer, "$");
     if (!reader.Has("Item")) {
       return {read_outcome::kMissing, {}};
     }
@@ -123,9 +123,8 @@
 
 query_page ReadPage(const std::string& body) {
   const json answer = ParseJson(body);
-  const json_reader reader(answer, "$",
-                           {"Items", "Count", "ScannedCount",
-                            "LastEvaluatedKey", "ConsumedCapacity"});
+  const json_reader reader(answer, "$");
+  reader.Require("Items");
   query_page page;
   reader.Each("Items", [&](const json& item, const std::string& path) {
     page.rows.push_back(DecodeRow(item, path));
