Platform stand-in: objects, hosts, cloud, weights and their administration

The stand-in had only the table service. Host list, cloud and rates are functions of the instant passed in, so that lag, start delay and notices are tested on a clock that the test moves. A fleet keeps the host list in step with what the cloud starts, ends and reclaims.

--- a/standins/platform/skylarkcroft_admin_handler.cc
+++ b/standins/platform/skylarkcroft_admin_handler.cc
@@ -2,8 +2,15 @@
 
 #include <nlohmann/json.hpp>
 #include <string>
+#include <utility>
 
 #include "skylarkcroft/internal/skylarkcroft_json_reader.h"
+#include "skylarkcroft/platform/skylarkcroft_cloud_codec.h"
+#include "skylarkcroft/platform/skylarkcroft_host_list_codec.h"
+#include "standins/platform/skylarkcroft_cloud.h"
+#include "standins/platform/skylarkcroft_fleet.h"
+#include "standins/platform/skylarkcroft_lagging_host_list.h"
+#include "standins/platform/skylarkcroft_paths.h"
 
 namespace skylarkcroft::standin {
 namespace {
@@ -11,7 +18,6 @@
 using nlohmann::json;
 
 constexpr int kOk = 200;
-constexpr int kServiceUnavailable = 503;
 constexpr int64_t kMaxDelayMs = 3600 * 1000;
 constexpr int64_t kMaxCount = 1000000000;
 
@@ -31,33 +37,74 @@
   return wanted;
 }
 
+std::vector<endpoint> ReadAddresses(const json_reader& reader) {
+  std::vector<endpoint> addresses;
+  for (const std::string& text : reader.StringsOr("addresses", {})) {
+    addresses.push_back(ParseEndpoint(text, reader.PathOf("addresses")));
+  }
+  return addresses;
+}
+
+reclaim_order ReadReclaim(const json& body) {
+  const json_reader reader(body, "$",
+                           {"availability_zone", "addresses", "notice_ms"});
+  return {reader.StringOr("availability_zone", ""), ReadAddresses(reader),
+          milliseconds(reader.IntOr("notice_ms", {0, kMaxDelayMs}, 0))};
+}
+
 }  // namespace
 
 admin_handler::admin_handler(fault_injector& faults,
-                             const service_handlers& services)
-    : faults_(faults), services_(services) {}
+                             const service_handlers& services, cloud& machines,
+                             lagging_host_list& list, fleet& hosts,
+                             wall_clock_fn wall_clock)
+    : faults_(faults),
+      services_(services),
+      machines_(machines),
+      list_(list),
+      hosts_(hosts),
+      wall_clock_(std::move(wall_clock)) {}
 
-http_response admin_handler::Throttled() const {
-  return ErrorResponse(kServiceUnavailable, "SlowDown", "too many calls");
-}
+http_response admin_handler::Throttled() const { return TooManyCalls(); }
 
 http_response admin_handler::Answer(const http_request& request,
-                                    time_point /*now*/) {
-  const std::string path = request.path();
-  if (request.method == "GET" && path == "/admin/stats") {
+                                    time_point now) {
+  const std::string call =
+      request.path().substr(std::string(kAdminPath).size());
+  if (request.method == "GET" && call == "stats") {
     return Stats();
   }
   if (request.method != "POST") {
     return MethodNotAllowed();
   }
   const json body = ParseJson(request.body);
-  if (path == "/admin/fault") {
-    return SetFault(body);
+  return Perform(call, body, now) ? JsonResponse(kOk, json::object())
+                                  : NotFound();
+}
+
+bool admin_handler::Perform(const std::string& call, const json& body,
+                            time_point now) {
+  if (call == "fault") {
+    SetFault(body);
+  } else if (call == "hosts") {
+    const json_reader reader(body, "$", {"hosts"});
+    reader.Require("hosts");
+    list_.Replace(DecodeListedHosts(reader), now);
+  } else if (call == "reclaim") {
+    hosts_.Reclaim(ReadReclaim(body), now, wall_clock_());
+  } else if (call == "capacity") {
+    SetCapacity(body);
+  } else if (call == "prices") {
+    machines_.SetPrices(DecodePrices(json_reader(body, "$", {"prices"})));
+  } else if (call == "addresses") {
+    AddAddresses(body);
+  } else {
+    return false;
   }
-  return NotFound();
+  return true;
 }
 
-http_response admin_handler::SetFault(const json& body) {
+void admin_handler::SetFault(const json& body) {
   const json_reader reader(
       body, "$", {"service", "mode", "delay_ms", "probability", "count"});
   const std::string service = reader.ChoiceOr(
@@ -70,18 +117,31 @@
     }
     faults_.Set(kind, wanted);
   }
-  return JsonResponse(kOk, json::object());
+}
+
+void admin_handler::SetCapacity(const json& body) {
+  const json_reader reader(
+      body, "$",
+      {"availability_zone", "machine_class", "reclaimable", "available"});
+  reader.Require("reclaimable");
+  const machine_offer offer{reader.Name("availability_zone"),
+                            reader.Name("machine_class"),
+                            reader.BoolOr("reclaimable", true)};
+  machines_.SetCapacity(offer, reader.Int("available", {0, kMaxCount}));
+}
+
+void admin_handler::AddAddresses(const json& body) {
+  const json_reader reader(body, "$", {"availability_zone", "addresses"});
+  reader.Require("addresses");
+  machines_.AddAddresses(reader.Name("availability_zone"),
+                         ReadAddresses(reader));
 }
 
 http_response admin_handler::Stats() {
   json stats = json::object();
   for (const service_kind kind : kAllServices) {
-    request_handler* service = services_[IndexOf(kind)];
-    if (service == nullptr) {
-      continue;
-    }
     stats[std::string(kServiceNames[IndexOf(kind)])] =
-        EncodeCounters(service->counters());
+        EncodeCounters(services_[IndexOf(kind)]->counters());
   }
   return JsonResponse(kOk, stats);
 }
--- a/standins/platform/skylarkcroft_platform_standin.cc
+++ b/standins/platform/skylarkcroft_platform_standin.cc
@@ -9,9 +9,18 @@
 #include "skylarkcroft/internal/skylarkcroft_error.h"
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
 #include "standins/platform/skylarkcroft_admin_handler.h"
+#include "standins/platform/skylarkcroft_cloud.h"
+#include "standins/platform/skylarkcroft_cloud_handler.h"
 #include "standins/platform/skylarkcroft_fault_injector.h"
+#include "standins/platform/skylarkcroft_fleet.h"
+#include "standins/platform/skylarkcroft_host_list_handler.h"
+#include "standins/platform/skylarkcroft_lagging_host_list.h"
+#include "standins/platform/skylarkcroft_object_handler.h"
+#include "standins/platform/skylarkcroft_object_map.h"
+#include "standins/platform/skylarkcroft_paths.h"
 #include "standins/platform/skylarkcroft_table_handler.h"
 #include "standins/platform/skylarkcroft_table_store.h"
+#include "standins/platform/skylarkcroft_weight_handler.h"
 
 namespace skylarkcroft::standin {
 namespace {
@@ -19,9 +28,21 @@
 constexpr int kInternalServerError = 500;
 
 std::optional<service_kind> ServiceOf(const std::string& path) {
-  if (path == "/") {
+  if (path == kTablePath) {
     return service_kind::kTables;
   }
+  if (path.starts_with(kObjectPath)) {
+    return service_kind::kObjects;
+  }
+  if (path == kHostListPath) {
+    return service_kind::kHosts;
+  }
+  if (path.starts_with(kCloudPath)) {
+    return service_kind::kCloud;
+  }
+  if (path.starts_with(kWeightPath)) {
+    return service_kind::kWeights;
+  }
   return std::nullopt;
 }
 
@@ -42,11 +63,19 @@
        wall_clock_fn wall_clock)
       : loop_(loop),
         clock_(std::move(clock)),
-        wall_clock_(std::move(wall_clock)),
         faults_(options.seed),
-        tables_(table_store_, options.reads_per_s, options.writes_per_s),
-        services_{&tables_},
-        admin_(faults_, services_),
+        list_(options.host_list_lag),
+        machines_(options.start_delay),
+        fleet_(machines_, list_),
+        table_handler_(tables_, options.reads_per_s, options.writes_per_s),
+        object_handler_(objects_, options.reads_per_s, options.writes_per_s),
+        host_list_handler_(list_),
+        cloud_handler_(machines_, fleet_),
+        weight_handler_(options.weights_per_s),
+        services_{&table_handler_, &object_handler_, &host_list_handler_,
+                  &cloud_handler_, &weight_handler_},
+        admin_handler_(faults_, services_, machines_, list_, fleet_,
+                       std::move(wall_clock)),
         server_(loop, options.listen, {},
                 [this](const http_exchange_ptr& exchange) { Take(exchange); }) {
   }
@@ -63,8 +92,9 @@
  private:
   void Take(const http_exchange_ptr& exchange) {
     const std::string path = exchange->request().path();
-    if (path.starts_with("/admin/")) {
-      exchange->Reply(AnswerSafely(admin_, exchange->request(), clock_()));
+    if (path.starts_with(kAdminPath)) {
+      exchange->Reply(
+          AnswerSafely(admin_handler_, exchange->request(), clock_()));
       return;
     }
     const std::optional<service_kind> kind = ServiceOf(path);
@@ -124,12 +154,19 @@
 
   event_loop& loop_;
   clock_fn clock_;
-  wall_clock_fn wall_clock_;
   fault_injector faults_;
-  table_store table_store_;
-  table_handler tables_;
+  table_store tables_;
+  object_map objects_;
+  lagging_host_list list_;
+  cloud machines_;
+  fleet fleet_;
+  table_handler table_handler_;
+  object_handler object_handler_;
+  host_list_handler host_list_handler_;
+  cloud_handler cloud_handler_;
+  weight_handler weight_handler_;
   service_handlers services_;
-  admin_handler admin_;
+  admin_handler admin_handler_;
   http_server server_;
   uint64_t next_id_ = 0;
   std::unordered_map<uint64_t, http_exchange_ptr> hanging_;
--- a/standins/platform/skylarkcroft_request_handler.cc
+++ b/standins/platform/skylarkcroft_request_handler.cc
@@ -8,6 +8,7 @@
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kMethodNotAllowed = 405;
+constexpr int kTooManyRequests = 429;
 
 }  // namespace
 
@@ -33,4 +34,9 @@
                        "this path does not take this method");
 }
 
+http_response TooManyCalls() {
+  return ErrorResponse(kTooManyRequests, "TooManyRequests",
+                       "the rate of the service was exceeded");
+}
+
 }  // namespace skylarkcroft::standin
--- a/standins/platform/skylarkcroft_request_handler.h
+++ b/standins/platform/skylarkcroft_request_handler.h
@@ -45,6 +45,8 @@
                             const std::string& message);
 http_response NotFound();
 http_response MethodNotAllowed();
+/// An answer of status 429.
+http_response TooManyCalls();
 
 }  // namespace skylarkcroft::standin
 
