Event loop: precise timers

libevent's default clock is coarse and moves 4 ms at a time here, so every timer of nodes, stand-ins and load tool was late by up to that. The loop now asks for precise timers.

--- a/src/skylarkcroft/internal/skylarkcroft_event_loop.cc
+++ b/src/skylarkcroft/internal/skylarkcroft_event_loop.cc
@@ -47,9 +47,19 @@
   return pending;
 }
 
+// By default libevent reads a coarse clock that moves by several milliseconds
+// at a time, so that timers fire late by as much.
+event_base* NewPreciseBase() {
+  event_config* config = event_config_new();
+  event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  event_base* base = event_base_new_with_config(config);
+  event_config_free(config);
+  return base;
+}
+
 }  // namespace
 
-event_loop::event_loop() : base_(event_base_new()) {
+event_loop::event_loop() : base_(NewPreciseBase()) {
   // A peer that closes its end is reported by the write, not by a signal.
   std::signal(SIGPIPE, SIG_IGN);
   if (base_ == nullptr) {
