Load tool: tell open requests from lost ones, take error events as refusals

A request that still waits when the run ends has not been lost, and an error event in a stream tells an outcome. A trial of retry-storm had counted both as losses and continued refused streams at other nodes.

--- a/load/skylarkcroft_completion_reader.cc
+++ b/load/skylarkcroft_completion_reader.cc
@@ -4,8 +4,6 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "load/skylarkcroft_told_problem.h"
-
 namespace skylarkcroft::load {
 namespace {
 
@@ -58,7 +56,7 @@
               [this](const sse_event& event) { TakeEvent(event, now_); }) {}
 
 void completion_reader::StartStream() {
-  error_reason_.clear();
+  error_.reset();
   parser_ = sse_parser(kMaxEventBytes, [this](const sse_event& event) {
     TakeEvent(event, now_);
   });
@@ -77,7 +75,7 @@
     return;
   }
   if (event.event == "error") {
-    error_reason_ = ParseProblem(event.data).reason;
+    error_ = ParseProblem(event.data);
     return;
   }
   const json answer = json::parse(event.data, nullptr, false);
--- a/load/skylarkcroft_completion_reader.h
+++ b/load/skylarkcroft_completion_reader.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "load/skylarkcroft_answer_check.h"
+#include "load/skylarkcroft_told_problem.h"
 #include "skylarkcroft/attempt/skylarkcroft_sse_parser.h"
 #include "skylarkcroft/internal/skylarkcroft_time.h"
 
@@ -28,9 +29,9 @@
   /// The end marker, or the whole answer, has been read.
   [[nodiscard]] bool ended() const { return check_.ended(); }
   [[nodiscard]] const answer_check& check() const { return check_; }
-  /// Reason of an error event that ended the stream; empty when there was none.
-  [[nodiscard]] const std::string& error_reason() const {
-    return error_reason_;
+  /// The error event that ended the stream, if one did.
+  [[nodiscard]] const std::optional<told_problem>& error() const {
+    return error_;
   }
   [[nodiscard]] std::optional<duration> first_token() const {
     return first_token_;
@@ -49,7 +50,7 @@
   time_point intended_;
   time_point now_;
   sse_parser parser_;
-  std::string error_reason_;
+  std::optional<told_problem> error_;
   std::optional<duration> first_token_;
   time_point last_token_at_;
   std::vector<duration> token_gaps_;
--- a/load/skylarkcroft_experiment_definition.cc
+++ b/load/skylarkcroft_experiment_definition.cc
@@ -22,6 +22,7 @@
 constexpr int64_t kMaxInFlight = 20'000;
 constexpr int64_t kDefaultMaxInFlight = 5'000;
 constexpr int64_t kDefaultSpanMs = 10'000;
+constexpr int64_t kDefaultProgressTimeoutMs = 60'000;
 constexpr double kMaxRate = 100'000.0;
 constexpr double kMaxFactor = 10'000.0;
 
--- a/load/skylarkcroft_group_recorder.cc
+++ b/load/skylarkcroft_group_recorder.cc
@@ -87,6 +87,9 @@
       ++sums_.lost;
       ++lost_by_cause_[record.reason];
       return;
+    case request_outcome::kOpen:
+      ++sums_.open;
+      return;
   }
 }
 
--- a/load/skylarkcroft_load_request.cc
+++ b/load/skylarkcroft_load_request.cc
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include "load/skylarkcroft_told_problem.h"
-
 namespace skylarkcroft::load {
 namespace {
 
@@ -13,6 +11,8 @@
 constexpr int kAccepted = 202;
 constexpr int kFirstError = 400;
 constexpr size_t kMaxBodyBytes = 16 * 1024 * 1024;
+constexpr std::string_view kNotFound = "not_found";
+constexpr std::string_view kShuttingDown = "shutting_down";
 constexpr const char* kEventStream = "text/event-stream";
 
 }  // namespace
@@ -75,16 +75,19 @@
     return;
   }
   if (status_ >= kFirstError) {
-    TakeRefusal();
+    TakeRefusal(ParseProblem(body_));
     return;
   }
   if (status_ == kAccepted && group_.kind == request_kind::kDeferred) {
     PollLater();
     return;
   }
+  if (streaming_ && reader_.error().has_value()) {
+    TakeRefusal(*reader_.error());
+    return;
+  }
   if (streaming_ && !reader_.ended()) {
-    TakeBreak(reader_.error_reason().empty() ? "truncated"
-                                             : reader_.error_reason());
+    TakeBreak("truncated");
     return;
   }
   TakeAnswer();
@@ -97,11 +100,12 @@
   End(Record(request_outcome::kAnswered, "", context_.clock()));
 }
 
-void load_request::TakeRefusal() {
-  const told_problem told = ParseProblem(body_);
-  const bool started = resumes_ > 0 || !result_target_.empty();
-  // After the first answer began, a refused follow-up may succeed elsewhere.
-  if (started && CanContinue()) {
+void load_request::TakeRefusal(const told_problem& told) {
+  // Another node may know the request, or serve it while this one leaves.
+  const bool elsewhere =
+      told.reason == kNotFound || told.reason == kShuttingDown;
+  const bool started = !request_id_.empty() || !result_target_.empty();
+  if (elsewhere && started && CanContinue()) {
     ContinueLater();
     return;
   }
@@ -180,7 +184,7 @@
 }
 
 request_record load_request::Abandoned(time_point now) const {
-  return Record(request_outcome::kLost, "unfinished", now);
+  return Record(request_outcome::kOpen, "", now);
 }
 
 void load_request::End(const request_record& record) {
--- a/load/skylarkcroft_load_request.h
+++ b/load/skylarkcroft_load_request.h
@@ -9,6 +9,7 @@
 #include "load/skylarkcroft_experiment_definition.h"
 #include "load/skylarkcroft_request_plan.h"
 #include "load/skylarkcroft_request_record.h"
+#include "load/skylarkcroft_told_problem.h"
 #include "skylarkcroft/http/skylarkcroft_http_client.h"
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
 #include "skylarkcroft/internal/skylarkcroft_time.h"
@@ -51,7 +52,7 @@
   void TakeDone(const http_result& result);
   void TakeAnswer();
   void TakeBreak(const std::string& cause);
-  void TakeRefusal();
+  void TakeRefusal(const told_problem& told);
   [[nodiscard]] bool CanContinue() const;
   void ContinueLater();
   void Continue();
--- a/load/skylarkcroft_load_result.cc
+++ b/load/skylarkcroft_load_result.cc
@@ -57,6 +57,7 @@
           {"wrong", group.wrong},
           {"refused", group.refused},
           {"lost", group.lost},
+          {"open", group.open},
           {"refused_by_reason", ToJson(group.refused_by_reason)},
           {"refused_by_run_state", ToJson(group.refused_by_run_state)},
           {"lost_by_cause", ToJson(group.lost_by_cause)},
@@ -142,17 +143,29 @@
 
 group_result ParseGroup(const json& value, const std::string& path) {
   const json_reader reader(value, path,
-                           {"name",          "rank",
-                            "not_sent",      "sent",
-                            "answered",      "whole",
-                            "wrong",         "refused",
-                            "lost",          "refused_by_reason",
-                            "lost_by_cause", "refused_by_run_state",
-                            "faults",        "first_token",
-                            "total",         "between_tokens",
-                            "targets_met",   "target_share",
-                            "tokens",        "resumes",
-                            "fairness",      "callers"});
+                           {"name",
+                            "rank",
+                            "not_sent",
+                            "sent",
+                            "answered",
+                            "whole",
+                            "wrong",
+                            "refused",
+                            "lost",
+                            "open",
+                            "refused_by_reason",
+                            "lost_by_cause",
+                            "refused_by_run_state",
+                            "faults",
+                            "first_token",
+                            "total",
+                            "between_tokens",
+                            "targets_met",
+                            "target_share",
+                            "tokens",
+                            "resumes",
+                            "fairness",
+                            "callers"});
   group_result group;
   group.name = reader.Name("name");
   group.rank = reader.StringOr("rank", "");
@@ -163,6 +176,7 @@
   group.wrong = reader.Int("wrong", kCount);
   group.refused = reader.Int("refused", kCount);
   group.lost = reader.Int("lost", kCount);
+  group.open = reader.Int("open", kCount);
   group.refused_by_reason = ParseCounts(reader, "refused_by_reason");
   group.refused_by_run_state = ParseCounts(reader, "refused_by_run_state");
   group.lost_by_cause = ParseCounts(reader, "lost_by_cause");
@@ -255,6 +269,7 @@
     totals.wrong += group.wrong;
     totals.refused += group.refused;
     totals.lost += group.lost;
+    totals.open += group.open;
     totals.targets_met += group.targets_met;
     totals.tokens += group.tokens;
     totals.resumes += group.resumes;
@@ -295,14 +310,15 @@
 
 std::string ToText(const load_result& result) {
   text_table table({"group", "rank", "sent", "whole", "wrong", "refused",
-                    "lost", "first p50", "p95 ms", "between p95", "total p50",
-                    "p95 ms", "p99 ms", "targets", "tokens", "fairness"});
+                    "lost", "open", "first p50", "p95 ms", "between p95",
+                    "total p50", "p95 ms", "p99 ms", "targets", "tokens",
+                    "fairness"});
   std::string notes;
   for (const group_result& group : result.groups) {
     table.AddRow({group.name, group.rank, std::to_string(group.sent),
                   std::to_string(group.whole), std::to_string(group.wrong),
                   std::to_string(group.refused), std::to_string(group.lost),
-                  Decimal(group.first_token.p50_ms),
+                  std::to_string(group.open), Decimal(group.first_token.p50_ms),
                   Decimal(group.first_token.p95_ms),
                   Decimal(group.between_tokens.p95_ms),
                   Decimal(group.total.p50_ms), Decimal(group.total.p95_ms),
--- a/load/skylarkcroft_load_result.h
+++ b/load/skylarkcroft_load_result.h
@@ -31,7 +31,8 @@
 };
 
 /// What one caller group got. Every arrival is in exactly one of `not_sent`,
-/// `answered`, `refused` and `lost`; `sent` is the sum of the last three.
+/// `answered`, `refused`, `lost` and `open`; `sent` is the sum of the last
+/// four.
 struct group_result {
   std::string name;
   std::string rank;
@@ -43,8 +44,10 @@
   int64_t whole = 0;
   int64_t wrong = 0;
   int64_t refused = 0;
-  /// Requests without an outcome: broken, silent, or open when the run ended.
+  /// Requests that ended without an outcome: broken off or silent for too long.
   int64_t lost = 0;
+  /// Requests still waiting when the run ended.
+  int64_t open = 0;
   std::vector<reason_count> refused_by_reason;
   /// Refusals by the run state that the caller was told.
   std::vector<reason_count> refused_by_run_state;
--- a/load/skylarkcroft_request_record.h
+++ b/load/skylarkcroft_request_record.h
@@ -16,6 +16,7 @@
   kAnswered,  ///< An answer ended, right or wrong.
   kRefused,   ///< The caller was told that there is no answer.
   kLost,      ///< The caller never learned an outcome.
+  kOpen,      ///< The caller was still waiting when the run ended.
 };
 
 /// One request as its caller saw it. Latencies count from the intended arrival.
