Scored choice of upstream with prefix affinity under a load bound

Cause: least loaded of two spreads one prefix over all engines, so each computes it again; on stale reports it also ignores what was sent since. Change: expected time to the first token from load, uncached prefix, zone, price and reclaim risk; a tracker of cached blocks fed by what was sent and by cache events; rendezvous for prefixes nobody knows; loads above 1.25 of the mean are passed over; a new upstream's slots grow over ten seconds.

--- a/src/skylarkcroft/node/skylarkcroft_node.cc
+++ b/src/skylarkcroft/node/skylarkcroft_node.cc
@@ -22,6 +22,7 @@
 #include "skylarkcroft/platform/skylarkcroft_group_commit.h"
 #include "skylarkcroft/platform/skylarkcroft_table_service.h"
 #include "skylarkcroft/routing/skylarkcroft_load_poller.h"
+#include "skylarkcroft/routing/skylarkcroft_scored_choice.h"
 #include "skylarkcroft/routing/skylarkcroft_upstream_directory.h"
 #include "skylarkcroft/tables/skylarkcroft_table_editor.h"
 #include "skylarkcroft/tables/skylarkcroft_table_loader.h"
@@ -34,6 +35,7 @@
 constexpr milliseconds kDrainPollPeriod{50};
 constexpr size_t kMaxQueuedPerPool = 10000;
 constexpr size_t kIncarnationBytes = 4;
+constexpr size_t kTrackedBlocksPerUpstream = 8192;
 
 uint64_t RandomSeed() {
   std::random_device device;
@@ -121,7 +123,7 @@
         client_,
         directory_,
         claims_,
-        MakeChoice(config_.policy.routing, random_()),
+        MakeChoice(),
         [this](const std::string& pool) { BudgetOf(pool).NoteFirstTry(); },
         [this](const std::string& pool) { return BudgetOf(pool).TryRetry(); },
         [this](std::string_view reason) { node_metrics_.CountRetry(reason); },
@@ -155,6 +157,18 @@
                         SteadyNow());
   }
 
+  choose_fn MakeChoice() {
+    if (config_.policy.routing == "random") {
+      return MakeRandomChoice(random_());
+    }
+    if (config_.policy.routing == "least_loaded") {
+      return MakeLeastLoadedChoice(random_());
+    }
+    return MakeScoredChoice(
+        std::make_shared<prefix_tracker>(kTrackedBlocksPerUpstream), {},
+        random_());
+  }
+
   retry_budget& BudgetOf(const std::string& pool_name) {
     const pool* target = tables_.current()->pools.Find(pool_name);
     const double share = target == nullptr ? 0 : target->retry.budget_share;
--- a/src/skylarkcroft/node/skylarkcroft_settings.cc
+++ b/src/skylarkcroft/node/skylarkcroft_settings.cc
@@ -110,8 +110,8 @@
                            {"admission", "routing"});
   parsed.policy.admission =
       reader.ChoiceOr("admission", {"ranked", "fifo"}, parsed.policy.admission);
-  parsed.policy.routing =
-      reader.ChoiceOr("routing", {"scored", "random"}, parsed.policy.routing);
+  parsed.policy.routing = reader.ChoiceOr(
+      "routing", {"scored", "least_loaded", "random"}, parsed.policy.routing);
 }
 
 void ReadAnswers(const json_reader& root, settings& parsed) {
--- /dev/null
+++ b/src/skylarkcroft/routing/skylarkcroft_prompt_prefix.h
@@ -0,0 +1,28 @@
+#ifndef SKYLARKCROFT_ROUTING_SKYLARKCROFT_PROMPT_PREFIX_H_
+#define SKYLARKCROFT_ROUTING_SKYLARKCROFT_PROMPT_PREFIX_H_
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace skylarkcroft {
+
+/// Tokens in one block of an engine's prefix cache (docs/upstream-protocol.md).
+inline constexpr int64_t kPrefixBlockTokens = 16;
+
+/// A prompt as an engine's prefix cache names its parts.
+struct prompt_prefix {
+  int64_t tokens = 0;
+  /// Hash of the first 16 (k + 1) tokens, for each whole block k.
+  std::vector<uint64_t> block_hashes;
+
+  bool operator==(const prompt_prefix&) const = default;
+};
+
+/// Splits `prompt` at whitespace and hashes it with 64-bit FNV-1a, as the
+/// upstream protocol states.
+prompt_prefix HashPrompt(std::string_view prompt);
+
+}  // namespace skylarkcroft
+
+#endif  // SKYLARKCROFT_ROUTING_SKYLARKCROFT_PROMPT_PREFIX_H_
--- /dev/null
+++ b/src/skylarkcroft/routing/skylarkcroft_scored_choice.h
@@ -0,0 +1,45 @@
+#ifndef SKYLARKCROFT_ROUTING_SKYLARKCROFT_SCORED_CHOICE_H_
+#define SKYLARKCROFT_ROUTING_SKYLARKCROFT_SCORED_CHOICE_H_
+
+#include <cstdint>
+#include <memory>
+
+#include "skylarkcroft/routing/skylarkcroft_prefix_tracker.h"
+#include "skylarkcroft/routing/skylarkcroft_upstream_choice.h"
+
+namespace skylarkcroft {
+
+/// Weights of a choice; all costs are compared in milliseconds.
+struct score_options {
+  /// Milliseconds to compute one uncached prompt token.
+  double prefill_ms_per_token = 0.125;
+  /// Milliseconds that a request waits for each request beyond the slots.
+  double queued_request_ms = 500;
+  /// Milliseconds that a full upstream is slower than an idle one.
+  double full_batch_ms = 60;
+  /// Milliseconds for being in the availability zone of the last failure.
+  double failed_zone_ms = 200;
+  /// Milliseconds for each unit of price an hour.
+  double price_ms = 1;
+  /// Milliseconds for each token at stake on a reclaimable host.
+  double reclaim_ms_per_token = 0.01;
+  /// An upstream whose load is above this multiple of the mean is passed over.
+  double load_bound = 1.25;
+  /// Time over which a new upstream's share grows to its full size.
+  milliseconds slow_start{10000};
+
+  bool operator==(const score_options&) const = default;
+};
+
+/// Prefers the upstream with the lowest expected time to the first token:
+/// waiting, prefill of what is not cached, zone, price, and the chance of a
+/// reclaim times the tokens at stake. Loads above the bound are passed over, a
+/// prompt that nobody has cached goes to the same upstream from every node, and
+/// prompts without a shared prefix are spread by two random choices. Records
+/// what it chose in `prefixes`.
+choose_fn MakeScoredChoice(std::shared_ptr<prefix_tracker> prefixes,
+                           const score_options& options, uint64_t seed);
+
+}  // namespace skylarkcroft
+
+#endif  // SKYLARKCROFT_ROUTING_SKYLARKCROFT_SCORED_CHOICE_H_
--- a/src/skylarkcroft/routing/skylarkcroft_upstream_choice.cc
+++ b/src/skylarkcroft/routing/skylarkcroft_upstream_choice.cc
@@ -76,9 +76,4 @@
   };
 }
 
-choose_fn MakeChoice(const std::string& name, uint64_t seed) {
-  return name == "random" ? MakeRandomChoice(seed)
-                          : MakeLeastLoadedChoice(seed);
-}
-
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/routing/skylarkcroft_upstream_choice.h
+++ b/src/skylarkcroft/routing/skylarkcroft_upstream_choice.h
@@ -43,9 +43,6 @@
 /// The less loaded of two random upstreams that take requests.
 choose_fn MakeLeastLoadedChoice(uint64_t seed);
 
-/// The policy called `name` in the settings: `random` or `scored`.
-choose_fn MakeChoice(const std::string& name, uint64_t seed);
-
 }  // namespace skylarkcroft
 
 #endif  // SKYLARKCROFT_ROUTING_SKYLARKCROFT_UPSTREAM_CHOICE_H_
--- /dev/null
+++ b/tests/routing/prompt_prefix_test.cc
@@ -0,0 +1,64 @@
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "skylarkcroft/routing/skylarkcroft_prefix_tracker.h"
+#include "skylarkcroft/routing/skylarkcroft_prompt_prefix.h"
+#include "standins/engine/prompt_blocks.h"
+
+namespace skylarkcroft {
+namespace {
+
+std::string Words(const std::string& word, int count) {
+  std::string text;
+  for (int index = 0; index < count; ++index) {
+    text += word + std::to_string(index) + (index % 3 == 0 ? "\n" : "  ");
+  }
+  return text;
+}
+
+const upstream_key kFirst{"pool", "e1"};
+const upstream_key kSecond{"pool", "e2"};
+
+TEST_CASE("prompts are hashed as engines hash them", "[routing][prefix]") {
+  for (const int count : {0, 1, 15, 16, 17, 100}) {
+    const std::string prompt = Words("w", count);
+    const prompt_prefix ours = HashPrompt(prompt);
+    const standin::prompt_blocks theirs = standin::SplitPrompt(prompt);
+    CHECK(ours.tokens == theirs.tokens);
+    CHECK(ours.block_hashes == theirs.prefix_hashes);
+  }
+}
+
+TEST_CASE("a sent prompt counts as cached up to the first other block",
+          "[routing][prefix]") {
+  prefix_tracker tracker(100);
+  tracker.NoteSent(kFirst, HashPrompt(Words("a", 64)));
+  CHECK(tracker.CachedTokens(kFirst, HashPrompt(Words("a", 64))) == 64);
+  CHECK(tracker.CachedTokens(
+            kFirst, HashPrompt(Words("a", 32) + Words("b", 32))) == 32);
+  CHECK(tracker.CachedTokens(kSecond, HashPrompt(Words("a", 64))) == 0);
+  tracker.Forget(kFirst);
+  CHECK(tracker.CachedTokens(kFirst, HashPrompt(Words("a", 64))) == 0);
+}
+
+TEST_CASE("cache events correct the belief", "[routing][prefix]") {
+  prefix_tracker tracker(100);
+  const prompt_prefix prefix = HashPrompt(Words("a", 48));
+  tracker.NoteSent(kFirst, prefix);
+  tracker.NoteEvicted(kFirst, prefix.block_hashes[1]);
+  CHECK(tracker.CachedTokens(kFirst, prefix) == 16);
+  tracker.NoteStored(kFirst, prefix.block_hashes[1]);
+  CHECK(tracker.CachedTokens(kFirst, prefix) == 48);
+}
+
+TEST_CASE("the blocks remembered for an upstream are bounded",
+          "[routing][prefix]") {
+  prefix_tracker tracker(4);
+  tracker.NoteSent(kFirst, HashPrompt(Words("a", 64)));
+  tracker.NoteSent(kFirst, HashPrompt(Words("b", 32)));
+  CHECK(tracker.CachedTokens(kFirst, HashPrompt(Words("b", 32))) == 32);
+  CHECK(tracker.CachedTokens(kFirst, HashPrompt(Words("a", 64))) == 32);
+}
+
+}  // namespace
+}  // namespace skylarkcroft
--- /dev/null
+++ b/tests/routing/scored_choice_test.cc
@@ -0,0 +1,117 @@
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "skylarkcroft/routing/skylarkcroft_scored_choice.h"
+
+namespace skylarkcroft {
+namespace {
+
+const time_point kNow = time_point{} + std::chrono::hours(1);
+
+upstream_state State(const std::string& name) {
+  upstream_state state;
+  state.spec.name = name;
+  state.spec.availability_zone = "z-" + name;
+  state.known_since = time_point{};
+  return state;
+}
+
+choose_fn Scored() {
+  return MakeScoredChoice(std::make_shared<prefix_tracker>(1000), {}, 1);
+}
+
+std::string LongPrompt(const std::string& word) {
+  std::string text;
+  for (int index = 0; index < 320; ++index) {
+    text += word + std::to_string(index) + " ";
+  }
+  return text;
+}
+
+TEST_CASE("an upstream that is leaving or ejected is never chosen",
+          "[routing]") {
+  std::vector<upstream_state> members = {State("a"), State("b"), State("c")};
+  members[0].leaving = true;
+  members[1].ejected_until = kNow + milliseconds(1);
+  const choose_fn choose = Scored();
+  for (int index = 0; index < 50; ++index) {
+    CHECK(choose({}, members, kNow) == "c");
+  }
+  members[2].leaving = true;
+  CHECK_FALSE(choose({}, members, kNow).has_value());
+  CHECK(choose({}, members, kNow + milliseconds(1)) == "b");
+}
+
+TEST_CASE("a retry avoids what was tried and the zone that failed",
+          "[routing][retry]") {
+  std::vector<upstream_state> members = {State("a"), State("b"), State("c")};
+  members[1].spec.availability_zone = "z-a";
+  choice_query query;
+  query.tried = {"a"};
+  query.avoid_zone = "z-a";
+  query.prompt = LongPrompt("w");
+  CHECK(Scored()(query, members, kNow) == "c");
+}
+
+TEST_CASE("a prompt goes back to where its prefix is cached",
+          "[routing][prefix]") {
+  const std::vector<upstream_state> members = {State("a"), State("b"),
+                                               State("c"), State("d")};
+  const choose_fn choose = Scored();
+  choice_query query;
+  query.prompt = LongPrompt("shared") + "first";
+  const std::string first = *choose(query, members, kNow);
+  query.prompt = LongPrompt("shared") + "second";
+  CHECK(choose(query, members, kNow) == first);
+}
+
+TEST_CASE("nodes that know nothing yet send one prefix to one upstream",
+          "[routing][prefix]") {
+  const std::vector<upstream_state> members = {State("a"), State("b"),
+                                               State("c"), State("d")};
+  std::set<std::string> spread;
+  for (int prompt = 0; prompt < 40; ++prompt) {
+    choice_query query;
+    query.prompt = LongPrompt("p" + std::to_string(prompt));
+    const std::string chosen = *Scored()(query, members, kNow);
+    CHECK(Scored()(query, members, kNow) == chosen);
+    spread.insert(chosen);
+  }
+  CHECK(spread.size() == members.size());
+}
+
+TEST_CASE("a cached prefix does not draw load beyond the bound",
+          "[routing][prefix]") {
+  std::vector<upstream_state> members = {State("a"), State("b"), State("c"),
+                                         State("d")};
+  const choose_fn choose = Scored();
+  choice_query query;
+  query.prompt = LongPrompt("hot");
+  std::map<std::string, int64_t> counts;
+  for (int index = 0; index < 400; ++index) {
+    const std::string chosen = *choose(query, members, kNow);
+    ++counts[chosen];
+    for (upstream_state& state : members) {
+      if (state.spec.name == chosen) {
+        ++state.in_flight;
+      }
+    }
+  }
+  for (const auto& [name, count] : counts) {
+    CHECK(static_cast<double>(count) <= 1.25 * 100 + 1);
+  }
+}
+
+TEST_CASE("a new upstream gets a small share at first", "[routing]") {
+  std::vector<upstream_state> members = {State("old"), State("new")};
+  members[1].known_since = kNow;
+  members[0].in_flight = 4;
+  members[1].in_flight = 4;
+  CHECK(Scored()({}, members, kNow) == "old");
+}
+
+}  // namespace
+}  // namespace skylarkcroft
