--- a/load/skylarkcroft_experiment_definition.cc
+++ b/load/skylarkcroft_experiment_definition.cc
@@ -205,8 +205,9 @@
       std::chrono::seconds(reader.IntOr("duration_s", {1, kMaxDurationS}, 10));
   definition.drain =
       ReadMs(reader, "drain_ms", {0, kMaxDurationMs}, kDefaultSpanMs);
-  definition.progress_timeout = ReadMs(reader, "progress_timeout_ms",
-                                       {1, kMaxDurationMs}, kDefaultSpanMs);
+  definition.progress_timeout =
+      ReadMs(reader, "progress_timeout_ms", {1, kMaxDurationMs},
+             kDefaultProgressTimeoutMs);
   definition.max_requests =
       reader.IntOr("max_requests", {1, kMaxRequests}, kDefaultMaxRequests);
   definition.max_in_flight =
--- a/load/skylarkcroft_load_cli.cc
+++ b/load/skylarkcroft_load_cli.cc
@@ -18,6 +18,7 @@
 #include "load/skylarkcroft_load_result.h"
 #include "load/skylarkcroft_request_plan.h"
 #include "load/skylarkcroft_result_plot.h"
+#include "load/skylarkcroft_run_summary.h"
 #include "load/skylarkcroft_upstream_poll.h"
 #include "skylarkcroft/internal/skylarkcroft_digest.h"
 #include "skylarkcroft/internal/skylarkcroft_error.h"
@@ -35,6 +36,7 @@
     "usage: skylarkcroft_load COMMAND [OPTIONS]\n"
     "  run DEFINITION --node IP:PORT,...   sends the load, prints a table\n"
     "  compare RESULT RESULT...            prints results side by side\n"
+    "  summary RESULT...                   prints the counts as one JSON line\n"
     "  callers DEFINITION                  prints the callers of a routes "
     "table\n"
     "  COMMAND --help                      lists the options\n";
@@ -152,12 +154,11 @@
 }
 
 void ShowProgress(const load_progress& progress) {
-  constexpr double kMillisPerSecond = 1000.0;
-  std::cerr << '\r'
-            << static_cast<double>(progress.elapsed.count()) / kMillisPerSecond
-            << " s: " << progress.sent << " sent, " << progress.ended
-            << " ended, " << progress.in_flight << " in flight   "
-            << std::flush;
+  using std::chrono::duration_cast;
+  const auto elapsed = duration_cast<std::chrono::seconds>(progress.elapsed);
+  std::cerr << '\r' << elapsed.count() << " s: " << progress.sent << " sent, "
+            << progress.ended << " ended, " << progress.in_flight
+            << " in flight   " << std::flush;
 }
 
 int Run(const load_options& options, const token_text_fn& token_text) {
@@ -187,8 +188,25 @@
   }
   WriteFile(options.json_file, ToJson(result).dump(kJsonIndent) + "\n");
   WriteFile(options.svg_file, PlotResults({result}));
-  const group_result totals = Totals(result);
-  return totals.lost + totals.wrong > 0 ? kExitFaults : 0;
+  const run_summary summary = SummaryOf({result});
+  return summary.lost + summary.wrong > 0 ? kExitFaults : 0;
+}
+
+std::vector<load_result> ReadResults(const load_options& options) {
+  std::vector<load_result> results;
+  for (const std::string& path : options.arguments) {
+    results.push_back(ParseResult(ReadJsonFile(path)));
+  }
+  return results;
+}
+
+int PrintSummary(const load_options& options) {
+  if (options.arguments.empty()) {
+    throw usage_error("summary takes one result or more", "see summary --help");
+  }
+  const run_summary summary = SummaryOf(ReadResults(options));
+  std::cout << ToJson(summary).dump() << "\n";
+  return summary.Ok() ? 0 : kExitFaults;
 }
 
 int PrintCallers(const load_options& options) {
@@ -215,10 +233,7 @@
     throw usage_error("compare takes two results or more",
                       "see compare --help");
   }
-  std::vector<load_result> results;
-  for (const std::string& path : options.arguments) {
-    results.push_back(ParseResult(ReadJsonFile(path)));
-  }
+  const std::vector<load_result> results = ReadResults(options);
   const comparison compared = Compare(results);
   if (!options.quiet) {
     std::cout << ToText(compared);
@@ -239,6 +254,9 @@
     if (command == "callers") {
       return PrintCallers(ParseOptions(argc - 1, argv + 1));
     }
+    if (command == "summary") {
+      return PrintSummary(ParseOptions(argc - 1, argv + 1));
+    }
     if (command == "compare") {
       return CompareFiles(ParseOptions(argc - 1, argv + 1));
     }
--- a/load/skylarkcroft_load_result.cc
+++ b/load/skylarkcroft_load_result.cc
@@ -209,6 +209,10 @@
   }
 }
 
+std::string Cell(const latency_summary& summary, double ms) {
+  return summary.count == 0 ? "-" : Decimal(ms);
+}
+
 std::string UpstreamText(const upstream_summary& summary) {
   if (summary.upstreams == 0) {
     return "";
@@ -258,25 +262,6 @@
   return sum * sum / (static_cast<double>(callers.size()) * sum_of_squares);
 }
 
-group_result Totals(const load_result& result) {
-  group_result totals;
-  totals.name = "all";
-  for (const group_result& group : result.groups) {
-    totals.not_sent += group.not_sent;
-    totals.sent += group.sent;
-    totals.answered += group.answered;
-    totals.whole += group.whole;
-    totals.wrong += group.wrong;
-    totals.refused += group.refused;
-    totals.lost += group.lost;
-    totals.open += group.open;
-    totals.targets_met += group.targets_met;
-    totals.tokens += group.tokens;
-    totals.resumes += group.resumes;
-  }
-  return totals;
-}
-
 json ToJson(const load_result& result) {
   json groups = json::array();
   for (const group_result& group : result.groups) {
@@ -318,12 +303,15 @@
     table.AddRow({group.name, group.rank, std::to_string(group.sent),
                   std::to_string(group.whole), std::to_string(group.wrong),
                   std::to_string(group.refused), std::to_string(group.lost),
-                  std::to_string(group.open), Decimal(group.first_token.p50_ms),
-                  Decimal(group.first_token.p95_ms),
-                  Decimal(group.between_tokens.p95_ms),
-                  Decimal(group.total.p50_ms), Decimal(group.total.p95_ms),
-                  Decimal(group.total.p99_ms), Percent(group.TargetShare()),
-                  std::to_string(group.tokens), Decimal(group.Fairness(), 3)});
+                  std::to_string(group.open),
+                  Cell(group.first_token, group.first_token.p50_ms),
+                  Cell(group.first_token, group.first_token.p95_ms),
+                  Cell(group.between_tokens, group.between_tokens.p95_ms),
+                  Cell(group.total, group.total.p50_ms),
+                  Cell(group.total, group.total.p95_ms),
+                  Cell(group.total, group.total.p99_ms),
+                  Percent(group.TargetShare()), std::to_string(group.tokens),
+                  Decimal(group.Fairness(), 3)});
     AddLine(notes, group.name, "refused", Reasons(group.refused_by_reason));
     AddLine(notes, group.name, "refused as",
             Reasons(group.refused_by_run_state));
--- a/load/skylarkcroft_load_result.h
+++ b/load/skylarkcroft_load_result.h
@@ -87,9 +87,6 @@
   bool operator==(const load_result&) const = default;
 };
 
-/// Sums over all groups; latencies are left out.
-group_result Totals(const load_result& result);
-
 nlohmann::json ToJson(const load_result& result);
 /// Throws config_error with the JSON path.
 load_result ParseResult(const nlohmann::json& document);
--- a/tests/load/load_result_test.cc
+++ b/tests/load/load_result_test.cc
@@ -7,6 +7,7 @@
 #include "load/skylarkcroft_group_recorder.h"
 #include "load/skylarkcroft_load_result.h"
 #include "load/skylarkcroft_result_plot.h"
+#include "load/skylarkcroft_run_summary.h"
 #include "skylarkcroft/internal/skylarkcroft_error.h"
 
 namespace skylarkcroft::load {
@@ -130,6 +131,25 @@
   CHECK_FALSE(Row(compared, "sent").values[1].value.has_value());
 }
 
+TEST_CASE("a summary is in order only when every request has an outcome",
+          "[load]") {
+  load_result result = Result(milliseconds(10));
+  CHECK(SummaryOf({result, result}) == run_summary{4, 4, 0, 0, 0, 0});
+  CHECK(SummaryOf({result}).Ok());
+  CHECK_FALSE(SummaryOf({}).Ok());
+  group_result& group = result.groups[0];
+  SECTION("a refusal is an outcome") {
+    group.refused = 1;
+    CHECK(SummaryOf({result}).Ok());
+  }
+  SECTION("a wrong answer is none") { group.wrong = 1; }
+  SECTION("a lost request has none") { group.lost = 1; }
+  SECTION("an open request has none") { group.open = 1; }
+  if (group.refused == 0) {
+    CHECK_FALSE(SummaryOf({result}).Ok());
+  }
+}
+
 TEST_CASE("upstream counters are taken over the run only", "[load]") {
   const upstream_stats before = ParseUpstreamStats(
       R"({"requests":5,"generated_tokens":50,"runs":{"a":1,"b":2}})");
