--- a/load/skylarkcroft_group_recorder.cc
+++ b/load/skylarkcroft_group_recorder.cc
@@ -8,6 +8,7 @@
 std::vector<reason_count> ToCounts(
     const std::map<std::string, int64_t>& by_reason) {
   std::vector<reason_count> counts;
+  counts.reserve(by_reason.size());
   for (const auto& [reason, count] : by_reason) {
     counts.push_back({reason, count});
   }
