--- a/tests/standins/engine_state_test.cc
+++ b/tests/standins/engine_state_test.cc
@@ -30,6 +30,7 @@
 
 std::vector<cache_change> Changes(int count) {
   std::vector<cache_change> changes;
+  changes.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     changes.push_back(
         {cache_change_kind::kStored, static_cast<uint64_t>(i), kBlockTokens});
