--- a/tests/standins/engine_fault_test.cc
+++ b/tests/standins/engine_fault_test.cc
@@ -53,6 +53,27 @@
   CHECK(hung.status == 0);
 }
 
+TEST_CASE("a slow engine takes its factor longer for each token",
+          "[engine][faults]") {
+  time_point now{};
+  standin_harness harness;
+  engine_options options = FastOptions();
+  options.speeds.slots = 1;
+  options.speeds.token = milliseconds(100);
+  options.speeds.first_token = milliseconds(100);
+  const engine_standin engine(harness.loop, options, [&now] { return now; });
+  harness.Post(engine.address(), "/admin/fault",
+               {{"mode", "slow"}, {"factor", 5}, {"count", 2}});
+  watched_call stream;
+  harness.Start(engine.address(), StreamRequest("r", "p", 2), stream);
+  harness.RunUntil([&] { return engine.stats().runs.count("r") == 1; });
+  now += milliseconds(499);
+  harness.loop.RunFor(milliseconds(600));
+  CHECK(engine.stats().generated_tokens == 0);
+  now += milliseconds(10);
+  harness.RunUntil([&] { return engine.stats().generated_tokens == 1; });
+}
+
 TEST_CASE("silent connections stay open without a byte while new ones work",
           "[engine][faults]") {
   standin_harness harness;
