Event loop: a stopped run leaves no timer, deferred calls are released with the loop

Cause: RunFor armed an exit that outlived an early Stop and could end a later run; calls still deferred at the end of the loop leaked what they held. Change: RunFor owns its limit timer; deferred calls are kept in a list. Also: the scored choice's bound is in requests per slot with a slack of two.

--- a/src/skylarkcroft/internal/skylarkcroft_event_loop.cc
+++ b/src/skylarkcroft/internal/skylarkcroft_event_loop.cc
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <utility>
+#include <vector>
 
 #include "skylarkcroft/internal/skylarkcroft_error.h"
 
@@ -59,6 +60,38 @@
 
 }  // namespace
 
+// Calls waiting for the next turn of the loop, in order.
+class event_loop::deferred {
+ public:
+  explicit deferred(event_base* base)
+      : turn_(base, -1, EV_TIMEOUT, [this] { RunAll(); }) {}
+
+  void Add(std::function<void()> call) {
+    calls_.push_back(std::move(call));
+    const timeval now = {0, 0};
+    turn_.Add(&now);
+  }
+
+  // What a call holds may defer further calls while it is destroyed.
+  void DropAll() {
+    while (!calls_.empty()) {
+      const std::vector<std::function<void()>> dropped =
+          std::exchange(calls_, {});
+    }
+  }
+
+ private:
+  void RunAll() {
+    const std::vector<std::function<void()>> due = std::exchange(calls_, {});
+    for (const std::function<void()>& call : due) {
+      call();
+    }
+  }
+
+  std::vector<std::function<void()>> calls_;
+  loop_event turn_;
+};
+
 event_loop::event_loop() : base_(NewPreciseBase()) {
   // A peer that closes its end is reported by the write, not by a signal.
   std::signal(SIGPIPE, SIG_IGN);
@@ -66,9 +99,14 @@
     throw network_error("the event loop could not be created",
                         "raise the limit of open files");
   }
+  deferred_ = std::make_unique<deferred>(base_);
 }
 
-event_loop::~event_loop() { event_base_free(base_); }
+event_loop::~event_loop() {
+  deferred_->DropAll();
+  deferred_.reset();
+  event_base_free(base_);
+}
 
 event_loop::handle_ptr event_loop::After(duration delay,
                                          std::function<void()> call) {
@@ -94,23 +132,14 @@
 }
 
 void event_loop::Defer(std::function<void()> call) {
-  auto* owned = new std::function<void()>(std::move(call));
-  const timeval now = {0, 0};
-  event_base_once(
-      base_, -1, EV_TIMEOUT,
-      [](int /*fd*/, int16_t /*what*/, void* argument) {
-        const std::unique_ptr<std::function<void()>> once(
-            static_cast<std::function<void()>*>(argument));
-        (*once)();
-      },
-      owned, &now);
+  deferred_->Add(std::move(call));
 }
 
 void event_loop::Run() { event_base_dispatch(base_); }
 
 void event_loop::RunFor(duration limit) {
-  const timeval span = ToTimeval(limit);
-  event_base_loopexit(base_, &span);
+  // Ends with this call, so that it cannot end a later run.
+  const handle_ptr limit_timer = After(limit, [this] { Stop(); });
   event_base_dispatch(base_);
 }
 
--- a/src/skylarkcroft/internal/skylarkcroft_event_loop.h
+++ b/src/skylarkcroft/internal/skylarkcroft_event_loop.h
@@ -48,7 +48,10 @@
   void Stop();
 
  private:
+  class deferred;
+
   event_base* base_;
+  std::unique_ptr<deferred> deferred_;
 };
 
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/routing/skylarkcroft_scored_choice.cc
+++ b/src/skylarkcroft/routing/skylarkcroft_scored_choice.cc
@@ -9,6 +9,8 @@
 
 struct candidate {
   const upstream_state* state = nullptr;
+  double slots = 1;
+  /// Requests for each slot.
   double load = 0;
   double score = 0;
 };
@@ -46,8 +48,8 @@
     if (!TakesRequests(state, now)) {
       continue;
     }
-    const candidate one{&state,
-                        RequestsOn(state) / OpenSlots(state, options, now), 0};
+    const double slots = OpenSlots(state, options, now);
+    const candidate one{&state, slots, RequestsOn(state) / slots, 0};
     open.push_back(one);
     if (!WasTried(query, state)) {
       untried.push_back(one);
@@ -56,19 +58,25 @@
   return untried.empty() ? open : untried;
 }
 
-// Drops those above the bound; the least loaded always stays.
-candidate_list WithinBound(candidate_list candidates, double bound) {
+// Drops those above the bound; the least loaded always stays. The slack keeps
+// small numbers of requests from counting as imbalance.
+candidate_list WithinBound(candidate_list candidates,
+                           const score_options& options) {
   double total = 0;
+  double slots = 0;
   for (const candidate& one : candidates) {
-    total += one.load;
+    total += one.load * one.slots;
+    slots += one.slots;
   }
-  const double mean = total / static_cast<double>(candidates.size());
+  const double mean = total / slots;
   const auto least = std::min_element(
       candidates.begin(), candidates.end(),
       [](const candidate& a, const candidate& b) { return a.load < b.load; });
-  const double limit = std::max(bound * mean, least->load);
-  std::erase_if(candidates,
-                [&](const candidate& one) { return one.load > limit; });
+  const double least_load = least->load;
+  std::erase_if(candidates, [&](const candidate& one) {
+    const double slack = options.load_slack_requests / one.slots;
+    return one.load > std::max(options.load_bound * mean + slack, least_load);
+  });
   return candidates;
 }
 
@@ -101,7 +109,7 @@
     if (candidates.empty()) {
       return std::nullopt;
     }
-    candidates = WithinBound(std::move(candidates), options_.load_bound);
+    candidates = WithinBound(std::move(candidates), options_);
     const prompt_prefix prefix = HashPrompt(query.prompt);
     for (candidate& one : candidates) {
       one.score = Score(query, prefix, one);
--- a/src/skylarkcroft/routing/skylarkcroft_scored_choice.h
+++ b/src/skylarkcroft/routing/skylarkcroft_scored_choice.h
@@ -25,6 +25,8 @@
   double reclaim_ms_per_token = 0.01;
   /// An upstream whose load is above this multiple of the mean is passed over.
   double load_bound = 1.25;
+  /// Requests that an upstream may be above that bound.
+  double load_slack_requests = 2;
   /// Time over which a new upstream's share grows to its full size.
   milliseconds slow_start{10000};
 
