HTTP server: a deadline for receiving a request, and bounds on hostile peers

Cause: a peer that trickled a byte at a time kept its connection for ever (seen as a failing test), and the table of connection numbers kept an entry for each address that a connection ever had. Change: a table of connections notes when a request begins to arrive, answers 408 and closes once it is overdue (http.request_timeout_ms), bounds the bytes held of each connection, and forgets connections that have closed.

--- /dev/null
+++ b/src/skylarkcroft/http/skylarkcroft_connection_table.cc
@@ -0,0 +1,165 @@
+#include "skylarkcroft/http/skylarkcroft_connection_table.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <sys/socket.h>
+
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "skylarkcroft/http/skylarkcroft_problem.h"
+
+namespace skylarkcroft {
+namespace {
+
+/// Bytes of requests sent ahead that are held while an answer is under way.
+constexpr size_t kMaxPipelinedBytes = 64 * 1024;
+
+std::string TimeoutAnswer() {
+  constexpr int kRequestTimeout = 408;
+  problem failure = MakeProblem(refusal_reason::kBadRequest, run_state::kNotRun,
+                                "the request took too long to arrive", "");
+  failure.status = kRequestTimeout;
+  const http_response response = ToResponse(failure);
+  std::string text = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n";
+  for (const http_header& field : response.headers.fields()) {
+    text += field.name + ": " + field.value + "\r\n";
+  }
+  return text + "Content-Length: " + std::to_string(response.body.size()) +
+         "\r\n\r\n" + response.body;
+}
+
+}  // namespace
+
+// Holds a reference to the stream, so that its address is not used again before
+// the connection is forgotten. evhttp disables a stream when it closes its
+// socket, and bufferevent_free removes its callbacks.
+class connection_table::connection {
+ public:
+  connection(bufferevent* stream, uint64_t number, clock_fn clock)
+      : stream_(stream), number_(number), clock_(std::move(clock)) {
+    bufferevent_incref(stream_);
+    evbuffer_add_cb(bufferevent_get_input(stream_), &connection::OnInput, this);
+  }
+  ~connection() {
+    evbuffer_remove_cb(bufferevent_get_input(stream_), &connection::OnInput,
+                       this);
+    bufferevent_decref(stream_);
+  }
+  connection(const connection&) = delete;
+  connection& operator=(const connection&) = delete;
+
+  [[nodiscard]] uint64_t number() const { return number_; }
+
+  [[nodiscard]] bool Freed() const {
+    bufferevent_event_cb on_event = nullptr;
+    bufferevent_getcb(stream_, nullptr, nullptr, &on_event, nullptr);
+    return on_event == nullptr;
+  }
+
+  [[nodiscard]] bool Overdue(time_point now, milliseconds limit) const {
+    return receiving_since_.has_value() && now - *receiving_since_ > limit;
+  }
+
+  void HoldAtMost(size_t bytes) {
+    bufferevent_setwatermark(stream_, EV_READ, 0, bytes);
+  }
+
+  // evhttp stops reading while a request is handled, and would not learn that
+  // the peer has gone. It does not expect to be called for input then.
+  void OnlyDetectClose() {
+    answering_ = true;
+    receiving_since_.reset();
+    HoldAtMost(kMaxPipelinedBytes);
+    bufferevent_data_cb on_write = nullptr;
+    bufferevent_event_cb on_event = nullptr;
+    void* argument = nullptr;
+    bufferevent_getcb(stream_, nullptr, &on_write, &on_event, &argument);
+    bufferevent_setcb(stream_, nullptr, on_write, on_event, argument);
+    bufferevent_enable(stream_, EV_READ);
+  }
+
+  void ReceiveNext(size_t max_request_bytes, time_point now) {
+    answering_ = false;
+    HoldAtMost(max_request_bytes);
+    if (evbuffer_get_length(bufferevent_get_input(stream_)) > 0) {
+      receiving_since_ = now;
+    }
+  }
+
+  // Ends the socket; evhttp then sees the end of input and frees all of it.
+  void Close() {
+    receiving_since_.reset();
+    const int fd = bufferevent_getfd(stream_);
+    if (evbuffer_get_length(bufferevent_get_output(stream_)) == 0) {
+      const std::string answer = TimeoutAnswer();
+      send(fd, answer.data(), answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    }
+    shutdown(fd, SHUT_RDWR);
+  }
+
+ private:
+  static void OnInput(evbuffer* /*input*/, const evbuffer_cb_info* change,
+                      void* self) {
+    auto* link = static_cast<connection*>(self);
+    if (change->n_added == 0 || link->answering_ ||
+        link->receiving_since_.has_value()) {
+      return;
+    }
+    link->receiving_since_ = link->clock_();
+  }
+
+  bufferevent* stream_;
+  uint64_t number_;
+  clock_fn clock_;
+  bool answering_ = false;
+  std::optional<time_point> receiving_since_;
+};
+
+connection_table::connection_table(const connection_limits& limits,
+                                   clock_fn clock)
+    : limits_(limits), clock_(std::move(clock)) {}
+
+connection_table::~connection_table() = default;
+
+bufferevent* connection_table::Accept(event_base* base) {
+  bufferevent* stream = bufferevent_socket_new(base, -1, 0);
+  auto opened = std::make_unique<connection>(stream, ++accepted_, clock_);
+  opened->HoldAtMost(limits_.max_request_bytes);
+  open_.emplace(stream, std::move(opened));
+  return stream;
+}
+
+uint64_t connection_table::NumberOf(bufferevent* stream) const {
+  const auto found = open_.find(stream);
+  return found == open_.end() ? 0 : found->second->number();
+}
+
+void connection_table::OnRequest(bufferevent* stream) {
+  const auto found = open_.find(stream);
+  if (found != open_.end()) {
+    found->second->OnlyDetectClose();
+  }
+}
+
+void connection_table::OnAnswered(bufferevent* stream, time_point now) {
+  const auto found = open_.find(stream);
+  if (found != open_.end()) {
+    found->second->ReceiveNext(limits_.max_request_bytes, now);
+  }
+}
+
+void connection_table::Sweep(time_point now) {
+  std::erase_if(open_, [](const auto& entry) { return entry.second->Freed(); });
+  for (const auto& [stream, open] : open_) {
+    if (open->Overdue(now, limits_.request_timeout)) {
+      open->Close();
+    }
+  }
+}
+
+void connection_table::Clear() { open_.clear(); }
+
+}  // namespace skylarkcroft
--- a/src/skylarkcroft/http/skylarkcroft_http_server.cc
+++ b/src/skylarkcroft/http/skylarkcroft_http_server.cc
@@ -10,10 +10,11 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
-#include <unordered_map>
 #include <utility>
 
+#include "skylarkcroft/http/skylarkcroft_connection_table.h"
 #include "skylarkcroft/internal/skylarkcroft_error.h"
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
 
@@ -67,49 +68,38 @@
              sizeof(on));
 }
 
-// evhttp stops reading at the end of a request's body, and then does not learn
-// that the peer has closed. Reading on finds that out; what arrives early stays
-// buffered, up to a bound, until the answer has ended.
-void WatchForClose(evhttp_connection* connection) {
-  constexpr size_t kMaxEarlyBytes = 64 * 1024;
-  bufferevent* stream = evhttp_connection_get_bufferevent(connection);
-  bufferevent_data_cb on_write = nullptr;
-  bufferevent_event_cb on_event = nullptr;
-  void* argument = nullptr;
-  bufferevent_getcb(stream, nullptr, &on_write, &on_event, &argument);
-  bufferevent_setcb(stream, nullptr, on_write, on_event, argument);
-  bufferevent_setwatermark(stream, EV_READ, 0, kMaxEarlyBytes);
-  bufferevent_enable(stream, EV_READ);
-}
-
-void StopWatchingForClose(evhttp_connection* connection) {
-  bufferevent* stream = evhttp_connection_get_bufferevent(connection);
-  bufferevent_setwatermark(stream, EV_READ, 0, 0);
-}
-
 timeval ToTimeval(milliseconds span) {
   constexpr int kMillisPerSecond = 1000;
   return {span.count() / kMillisPerSecond,
           (span.count() % kMillisPerSecond) * kMillisPerSecond};
 }
 
+// What a server shares with its exchanges.
+struct server_state {
+  server_state(const connection_limits& limits, timeval timeout)
+      : connections(limits, SteadyNow), io_timeout(timeout) {}
+
+  connection_table connections;
+  timeval io_timeout;
+  /// Exchanges whose answers have not ended.
+  size_t open_count = 0;
+};
+using server_state_ptr = std::shared_ptr<server_state>;
+
 class exchange final : public http_exchange {
  public:
-  exchange(evhttp_request* raw, timeval io_timeout,
-           std::shared_ptr<size_t> open_count, uint64_t connection_number)
+  exchange(evhttp_request* raw, server_state_ptr server)
       : raw_(raw),
-        connection_number_(connection_number),
         connection_(evhttp_request_get_connection(raw)),
-        io_timeout_(io_timeout),
-        open_count_(std::move(open_count)),
+        server_(std::move(server)),
+        connection_number_(server_->connections.NumberOf(Stream())),
         request_(ReadRequest(raw)) {
-    ++*open_count_;
+    ++server_->open_count;
     DisableNagle(connection_);
     // A long answer must not be cut by the timeout on receiving.
-    bufferevent_set_timeouts(evhttp_connection_get_bufferevent(connection_),
-                             nullptr, &io_timeout_);
+    bufferevent_set_timeouts(Stream(), nullptr, &server_->io_timeout);
     evhttp_connection_set_closecb(connection_, &exchange::OnClose, this);
-    WatchForClose(connection_);
+    server_->connections.OnRequest(Stream());
   }
   ~exchange() override { EndIfOpen(); }
   exchange(const exchange&) = delete;
@@ -182,8 +172,7 @@
     if (closed()) {
       return 0;
     }
-    bufferevent* stream = evhttp_connection_get_bufferevent(connection_);
-    return evbuffer_get_length(bufferevent_get_output(stream));
+    return evbuffer_get_length(bufferevent_get_output(Stream()));
   }
 
   uint64_t connection_number() const override { return connection_number_; }
@@ -199,7 +188,7 @@
     if (evhttp_request_get_connection(closing->raw_) != nullptr) {
       // The server is going: evhttp frees the request with its connection.
       closing->raw_ = nullptr;
-      --*closing->open_count_;
+      --closing->server_->open_count;
     }
     const std::function<void()> call = std::move(closing->peer_gone_);
     closing->peer_gone_ = nullptr;
@@ -218,13 +207,13 @@
   // Gives up the request, so that it can be ended; the connection goes back to
   // its timeout on receiving.
   evhttp_request* Detach() {
-    --*open_count_;
+    --server_->open_count;
     peer_gone_ = nullptr;
     if (connection_ != nullptr) {
-      StopWatchingForClose(connection_);
       evhttp_connection_set_closecb(connection_, nullptr, nullptr);
-      bufferevent_set_timeouts(evhttp_connection_get_bufferevent(connection_),
-                               &io_timeout_, &io_timeout_);
+      bufferevent_set_timeouts(Stream(), &server_->io_timeout,
+                               &server_->io_timeout);
+      server_->connections.OnAnswered(Stream(), SteadyNow());
     }
     return std::exchange(raw_, nullptr);
   }
@@ -248,11 +237,14 @@
     evhttp_send_error(Detach(), kInternalServerError, nullptr);
   }
 
+  [[nodiscard]] bufferevent* Stream() const {
+    return evhttp_connection_get_bufferevent(connection_);
+  }
+
   evhttp_request* raw_;
-  uint64_t connection_number_;
   evhttp_connection* connection_;
-  timeval io_timeout_;
-  std::shared_ptr<size_t> open_count_;
+  server_state_ptr server_;
+  uint64_t connection_number_;
   http_request request_;
   std::function<void()> peer_gone_;
   bool started_ = false;
@@ -269,6 +261,21 @@
   return ntohs(reinterpret_cast<sockaddr_in*>(&storage)->sin_port);
 }
 
+connection_limits ToConnectionLimits(const http_server_limits& limits) {
+  // Framing of a chunked body.
+  constexpr size_t kSlackBytes = 64 * 1024;
+  return {limits.request_timeout,
+          limits.max_header_bytes + limits.max_body_bytes + kSlackBytes};
+}
+
+milliseconds SweepPeriod(const http_server_limits& limits) {
+  constexpr milliseconds kLongest{1000};
+  constexpr milliseconds kShortest{1};
+  constexpr int kSweepsPerTimeout = 4;
+  return std::clamp(limits.request_timeout / kSweepsPerTimeout, kShortest,
+                    kLongest);
+}
+
 }  // namespace
 
 class http_server::impl {
@@ -276,16 +283,18 @@
   impl(event_loop& loop, const endpoint& listen,
        const http_server_limits& limits, http_handler_fn handler)
       : handler_(std::move(handler)),
-        io_timeout_(ToTimeval(limits.io_timeout)),
-        open_count_(std::make_shared<size_t>(0)),
+        state_(std::make_shared<server_state>(ToConnectionLimits(limits),
+                                              ToTimeval(limits.io_timeout))),
         http_(evhttp_new(loop.base())),
-        address_(listen) {
+        address_(listen),
+        sweep_(loop.Every(SweepPeriod(limits),
+                          [this] { state_->connections.Sweep(SteadyNow()); })) {
     evhttp_set_allowed_methods(http_, kAllMethods);
     evhttp_set_max_headers_size(http_,
                                 static_cast<ssize_t>(limits.max_header_bytes));
     evhttp_set_max_body_size(http_,
                              static_cast<ssize_t>(limits.max_body_bytes));
-    evhttp_set_timeout_tv(http_, &io_timeout_);
+    evhttp_set_timeout_tv(http_, &state_->io_timeout);
     evhttp_set_default_content_type(http_, nullptr);
     evhttp_set_gencb(http_, &impl::OnRequest, this);
     evhttp_set_bevcb(http_, &impl::OnAccept, this);
@@ -298,7 +307,11 @@
     }
     address_.port = BoundPort(bound_);
   }
-  ~impl() { evhttp_free(http_); }
+  ~impl() {
+    evhttp_free(http_);
+    // Exchanges that are still held share the state and may outlive the loop.
+    state_->connections.Clear();
+  }
   impl(const impl&) = delete;
   impl& operator=(const impl&) = delete;
 
@@ -311,35 +324,28 @@
   }
 
   const endpoint& address() const { return address_; }
-  size_t open_exchanges() const { return *open_count_; }
-  uint64_t connections_accepted() const { return accepted_; }
+  size_t open_exchanges() const { return state_->open_count; }
+  uint64_t connections_accepted() const {
+    return state_->connections.accepted();
+  }
+  size_t open_connections() const { return state_->connections.size(); }
 
  private:
   static bufferevent* OnAccept(event_base* base, void* self) {
-    auto* server = static_cast<impl*>(self);
-    bufferevent* stream = bufferevent_socket_new(base, -1, 0);
-    // A freed connection's address may return; its entry is then replaced.
-    server->numbers_[stream] = ++server->accepted_;
-    return stream;
+    return static_cast<impl*>(self)->state_->connections.Accept(base);
   }
 
   static void OnRequest(evhttp_request* raw, void* self) {
     auto* server = static_cast<impl*>(self);
-    const bufferevent* stream =
-        evhttp_connection_get_bufferevent(evhttp_request_get_connection(raw));
-    server->handler_(std::make_shared<exchange>(raw, server->io_timeout_,
-                                                server->open_count_,
-                                                server->numbers_[stream]));
+    server->handler_(std::make_shared<exchange>(raw, server->state_));
   }
 
   http_handler_fn handler_;
-  timeval io_timeout_;
-  std::shared_ptr<size_t> open_count_;
+  server_state_ptr state_;
   evhttp* http_;
   evhttp_bound_socket* bound_ = nullptr;
   endpoint address_;
-  uint64_t accepted_ = 0;
-  std::unordered_map<const bufferevent*, uint64_t> numbers_;
+  event_loop::handle_ptr sweep_;
 };
 
 http_server::http_server(event_loop& loop, const endpoint& listen,
@@ -359,4 +365,8 @@
   return impl_->connections_accepted();
 }
 
+size_t http_server::open_connections() const {
+  return impl_->open_connections();
+}
+
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/http/skylarkcroft_http_server.h
+++ b/src/skylarkcroft/http/skylarkcroft_http_server.h
@@ -23,6 +23,8 @@
   /// Longest silence while a request is being received or an answer is being
   /// taken.
   milliseconds io_timeout{30000};
+  /// Longest time from the first byte of a request to its last.
+  milliseconds request_timeout{30000};
 };
 
 /// One request being answered. Either Reply() or Start(), Write()..., End().
@@ -71,6 +73,8 @@
   [[nodiscard]] size_t open_exchanges() const;
   /// Connections accepted so far.
   [[nodiscard]] uint64_t connections_accepted() const;
+  /// Connections that are open, or were closed within the last second.
+  [[nodiscard]] size_t open_connections() const;
 
  private:
   class impl;
--- a/src/skylarkcroft/node/skylarkcroft_settings.cc
+++ b/src/skylarkcroft/node/skylarkcroft_settings.cc
@@ -77,9 +77,9 @@
   if (!root.Has("http")) {
     return;
   }
-  const json_reader reader(
-      root.Member("http"), root.PathOf("http"),
-      {"max_header_bytes", "max_body_bytes", "io_timeout_ms"});
+  const json_reader reader(root.Member("http"), root.PathOf("http"),
+                           {"max_header_bytes", "max_body_bytes",
+                            "io_timeout_ms", "request_timeout_ms"});
   http_server_limits& limits = parsed.http;
   limits.max_header_bytes = static_cast<size_t>(
       reader.IntOr("max_header_bytes", {kMinHeaderBytes, kMaxHeaderBytes},
@@ -88,6 +88,8 @@
       reader.IntOr("max_body_bytes", {kMinBodyBytes, kMaxBodyBytes},
                    static_cast<int64_t>(limits.max_body_bytes)));
   limits.io_timeout = ReadMs(reader, "io_timeout_ms", limits.io_timeout);
+  limits.request_timeout =
+      ReadMs(reader, "request_timeout_ms", limits.request_timeout);
 }
 
 void ReadTables(const json_reader& root, settings& parsed) {
--- /dev/null
+++ b/tests/http/hostile_peer_test.cc
@@ -0,0 +1,304 @@
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "skylarkcroft/http/skylarkcroft_http_server.h"
+#include "skylarkcroft/internal/skylarkcroft_event_loop.h"
+
+namespace skylarkcroft {
+namespace {
+
+using Catch::Matchers::Contains;
+using Catch::Matchers::StartsWith;
+
+constexpr milliseconds kTestLimit{10000};
+constexpr milliseconds kPollPeriod{5};
+
+http_server_limits SmallLimits() {
+  http_server_limits limits;
+  limits.max_header_bytes = 2048;
+  limits.max_body_bytes = 64 * 1024;
+  limits.io_timeout = milliseconds(60000);
+  return limits;
+}
+
+// A server and raw connections to it on one loop.
+struct hostile_bench {
+  explicit hostile_bench(const http_server_limits& limits,
+                         http_handler_fn handler)
+      : server(loop, {"127.0.0.1", 0}, limits, std::move(handler)) {}
+
+  // Runs the loop until `done`; fails the test when it takes too long.
+  void Until(const std::function<bool()>& done) {
+    const auto poll = loop.Every(kPollPeriod, [&] {
+      if (done()) {
+        loop.Stop();
+      }
+    });
+    loop.RunFor(kTestLimit);
+    REQUIRE(done());
+  }
+
+  event_loop loop;
+  http_server server;
+};
+
+// One raw connection that collects what the server sends.
+class raw_peer {
+ public:
+  explicit raw_peer(hostile_bench& bench)
+      : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    const endpoint& server = bench.server.address();
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(server.port);
+    inet_pton(AF_INET, server.host.c_str(), &address.sin_addr);
+    REQUIRE(connect(fd_, reinterpret_cast<sockaddr*>(&address),
+                    sizeof(address)) == 0);
+    fcntl(fd_, F_SETFL, O_NONBLOCK);
+    reading_ = bench.loop.OnReadable(fd_, [this] { Read(); });
+  }
+  ~raw_peer() {
+    reading_.reset();
+    close(fd_);
+  }
+  raw_peer(const raw_peer&) = delete;
+  raw_peer& operator=(const raw_peer&) = delete;
+
+  // Sends what the socket takes at once and returns how much that is.
+  size_t Send(const std::string& text) {
+    const ssize_t sent = send(fd_, text.data(), text.size(), MSG_NOSIGNAL);
+    return sent < 0 ? 0 : static_cast<size_t>(sent);
+  }
+  void HalfClose() { shutdown(fd_, SHUT_WR); }
+
+  const std::string& received() const { return received_; }
+  bool closed() const { return closed_; }
+
+ private:
+  void Read() {
+    std::array<char, 4096> block{};
+    const ssize_t size = recv(fd_, block.data(), block.size(), 0);
+    if (size > 0) {
+      received_.append(block.data(), static_cast<size_t>(size));
+      return;
+    }
+    closed_ = true;
+    reading_.reset();
+  }
+
+  int fd_;
+  std::string received_;
+  bool closed_ = false;
+  event_loop::handle_ptr reading_;
+};
+
+http_handler_fn CountAndAnswer(size_t& seen) {
+  return [&seen](const http_exchange_ptr& exchange) {
+    ++seen;
+    exchange->Reply({200, {}, "answer to " + exchange->request().target});
+  };
+}
+
+TEST_CASE("a request trickled a byte at a time is ended with 408",
+          "[http][hostile]") {
+  size_t seen = 0;
+  http_server_limits limits = SmallLimits();
+  limits.request_timeout = milliseconds(200);
+  hostile_bench bench(limits, CountAndAnswer(seen));
+  raw_peer peer(bench);
+  SECTION("in its headers") { peer.Send("GET / HTTP/1.1\r\nX: "); }
+  SECTION("in its body") {
+    peer.Send("POST / HTTP/1.1\r\nContent-Length: 60000\r\n\r\n");
+  }
+  const auto trickle =
+      bench.loop.Every(milliseconds(10), [&] { peer.Send("x"); });
+  bench.Until([&] { return peer.closed(); });
+  CHECK_THAT(peer.received(), StartsWith("HTTP/1.1 408 "));
+  CHECK(seen == 0);
+}
+
+TEST_CASE("an answer may take longer than receiving a request may",
+          "[http][hostile]") {
+  http_server_limits limits = SmallLimits();
+  limits.request_timeout = milliseconds(50);
+  http_exchange_ptr kept;
+  hostile_bench bench(limits,
+                      [&](const http_exchange_ptr& got) { kept = got; });
+  raw_peer peer(bench);
+  peer.Send("GET / HTTP/1.1\r\n\r\nGET /next HTTP/1.1\r\n\r\n");
+  bench.Until([&] { return kept != nullptr; });
+  bench.loop.RunFor(milliseconds(500));
+  REQUIRE_FALSE(kept->closed());
+  const http_exchange_ptr first = std::move(kept);
+  kept = nullptr;
+  first->Reply({200, {}, "late"});
+  bench.Until([&] { return kept != nullptr; });
+  CHECK(kept->request().target == "/next");
+  CHECK_THAT(peer.received(), Contains("late"));
+}
+
+TEST_CASE("a flood of headers is ended with a 4xx", "[http][hostile]") {
+  size_t seen = 0;
+  hostile_bench bench(SmallLimits(), CountAndAnswer(seen));
+  raw_peer peer(bench);
+  SECTION("of many fields") {
+    std::string flood = "GET / HTTP/1.1\r\n";
+    for (int field = 0; field < 1000; ++field) {
+      flood += "X-" + std::to_string(field) + ": y\r\n";
+    }
+    peer.Send(flood + "\r\n");
+  }
+  SECTION("of one endless field") {
+    peer.Send("GET / HTTP/1.1\r\nX: " + std::string(20000, 'x'));
+  }
+  SECTION("of one endless target") {
+    peer.Send("GET /" + std::string(20000, 'x'));
+  }
+  bench.Until([&] { return peer.closed(); });
+  CHECK_THAT(peer.received(), StartsWith("HTTP/1.1 4"));
+  CHECK(seen == 0);
+}
+
+TEST_CASE("an oversized body is answered 413 and not kept", "[http][hostile]") {
+  size_t seen = 0;
+  hostile_bench bench(SmallLimits(), CountAndAnswer(seen));
+  raw_peer peer(bench);
+  const std::string block(16 * 1024, 'x');
+  size_t left = 1024 * 1024;
+  std::function<void()> send_more;
+  SECTION("with its length told") {
+    peer.Send("POST / HTTP/1.1\r\nContent-Length: " + std::to_string(left) +
+              "\r\n\r\n");
+    send_more = [&] { left -= peer.Send(block.substr(0, left)); };
+  }
+  SECTION("in chunks") {
+    peer.Send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    send_more = [&] { peer.Send("400\r\n" + std::string(1024, 'x') + "\r\n"); };
+  }
+  const auto sending = bench.loop.Every(milliseconds(1), send_more);
+  bench.Until([&] { return peer.closed(); });
+  CHECK_THAT(peer.received(), StartsWith("HTTP/1.1 413 "));
+  CHECK(seen == 0);
+}
+
+TEST_CASE("text that is not HTTP is answered 400", "[http][hostile]") {
+  size_t seen = 0;
+  hostile_bench bench(SmallLimits(), CountAndAnswer(seen));
+  raw_peer peer(bench);
+  SECTION("garbage") { peer.Send("\x16\x03\x01 nonsense\r\n\r\n"); }
+  SECTION("a field without a colon") {
+    peer.Send("GET / HTTP/1.1\r\nnonsense\r\n\r\n");
+  }
+  SECTION("a length that is not a number") {
+    peer.Send("POST / HTTP/1.1\r\nContent-Length: ten\r\n\r\n");
+  }
+  SECTION("a negative length") {
+    peer.Send("POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n");
+  }
+  bench.Until([&] { return peer.closed(); });
+  CHECK_THAT(peer.received(), StartsWith("HTTP/1.1 4"));
+  CHECK(seen == 0);
+}
+
+TEST_CASE("a half-closed connection is ended", "[http][hostile]") {
+  http_exchange_ptr kept;
+  bool gone = false;
+  hostile_bench bench(SmallLimits(), [&](const http_exchange_ptr& got) {
+    kept = got;
+    kept->OnPeerGone([&] { gone = true; });
+  });
+  raw_peer peer(bench);
+  SECTION("within a request, which is not handled") {
+    peer.Send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf");
+    peer.HalfClose();
+    bench.Until([&] { return peer.closed(); });
+    CHECK(kept == nullptr);
+  }
+  SECTION("while its request is answered") {
+    peer.Send("GET / HTTP/1.1\r\n\r\n");
+    bench.Until([&] { return kept != nullptr; });
+    peer.HalfClose();
+    bench.Until([&] { return gone; });
+    CHECK(kept->closed());
+    kept->Reply({200, {}, "ignored"});
+  }
+}
+
+TEST_CASE("pipelined requests are answered one after the other, in order",
+          "[http][hostile]") {
+  size_t seen = 0;
+  hostile_bench bench(SmallLimits(), CountAndAnswer(seen));
+  raw_peer peer(bench);
+  std::string requests;
+  for (int number = 0; number < 20; ++number) {
+    requests += "GET /" + std::to_string(number) + "; HTTP/1.1\r\n\r\n";
+  }
+  peer.Send(requests);
+  bench.Until(
+      [&] { return peer.received().find("/19;") != std::string::npos; });
+  CHECK(seen == 20);
+  size_t last = 0;
+  for (int number = 0; number < 20; ++number) {
+    const size_t found =
+        peer.received().find("/" + std::to_string(number) + ";");
+    CHECK(found >= last);
+    last = found;
+  }
+}
+
+TEST_CASE("bytes sent behind a request under way are bounded",
+          "[http][hostile]") {
+  http_exchange_ptr kept;
+  hostile_bench bench(SmallLimits(),
+                      [&](const http_exchange_ptr& got) { kept = got; });
+  raw_peer peer(bench);
+  peer.Send("GET / HTTP/1.1\r\n\r\n");
+  bench.Until([&] { return kept != nullptr; });
+  SECTION("while it waits") {}
+  SECTION("while it is answered") {
+    kept->Start(200, {});
+    kept->Write("first");
+  }
+  constexpr size_t kFlood = 256 * 1024 * 1024;
+  constexpr int kStalled = 50;
+  const std::string block(256 * 1024, 'x');
+  size_t sent = 0;
+  int stalls = 0;
+  const auto flooding = bench.loop.Every(milliseconds(1), [&] {
+    const size_t taken = peer.Send(block);
+    sent += taken;
+    stalls = taken == 0 ? stalls + 1 : 0;
+  });
+  bench.Until([&] { return stalls >= kStalled || sent >= kFlood; });
+  CHECK(sent < kFlood);
+  CHECK_FALSE(kept->closed());
+}
+
+TEST_CASE("connections that come and go leave nothing behind",
+          "[http][hostile]") {
+  size_t seen = 0;
+  http_server_limits limits = SmallLimits();
+  limits.request_timeout = milliseconds(20);
+  hostile_bench bench(limits, CountAndAnswer(seen));
+  constexpr size_t kConnections = 50;
+  for (size_t number = 0; number < kConnections; ++number) {
+    raw_peer peer(bench);
+    peer.Send("GET / HTTP/1.1\r\n\r\n");
+    bench.Until([&] { return !peer.received().empty(); });
+  }
+  bench.Until([&] { return bench.server.open_connections() == 0; });
+  CHECK(bench.server.connections_accepted() == kConnections);
+  CHECK(seen == kConnections);
+}
+
+}  // namespace
+}  // namespace skylarkcroft
