--- a/tests/load/experiment_definition_test.cc
+++ b/tests/load/experiment_definition_test.cc
@@ -1,5 +1,8 @@
 #include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
 #include <nlohmann/json.hpp>
+#include <set>
 
 #include "load/skylarkcroft_experiment_definition.h"
 #include "skylarkcroft/internal/skylarkcroft_error.h"
@@ -73,5 +76,26 @@
   CHECK(scaled.groups[0].phases[0].to == milliseconds(2000));
 }
 
+TEST_CASE("every definition of the project is valid", "[load]") {
+  const std::filesystem::path root =
+      std::filesystem::path(SKYLARKCROFT_EXAMPLES).parent_path();
+  const std::set<std::string> tables = {"routes.json", "pools.json"};
+  int definitions = 0;
+  for (const std::string folder : {"experiments", "load/demo"}) {
+    for (const auto& entry :
+         std::filesystem::recursive_directory_iterator(root / folder)) {
+      const std::filesystem::path& path = entry.path();
+      if (path.extension() != ".json" || tables.count(path.filename()) != 0) {
+        continue;
+      }
+      INFO(path);
+      std::ifstream file(path);
+      CHECK_NOTHROW(ParseDefinition(nlohmann::json::parse(file)));
+      ++definitions;
+    }
+  }
+  CHECK(definitions >= 10);
+}
+
 }  // namespace
 }  // namespace skylarkcroft::load
