Tables in force: spread by the mesh, confirmed as of the question

An accepted edit was told at once whether or not other nodes had it, and an answer that had waited through a pause still confirmed the tables. Now every mesh message tells the sender's revision, a node fetches from the member that has more and falls back to the store, answers confirm as of when they were asked for, and a higher revision heard of keeps a node from being confirmed. PUT waits until each reachable member serves under the edit or has stopped by the staleness rule, and lists in_force_on, stopped and pending. The loader no longer spins on rows of different revisions.

--- a/src/skylarkcroft/node/skylarkcroft_node.cc
+++ b/src/skylarkcroft/node/skylarkcroft_node.cc
@@ -15,6 +15,7 @@
 #include "skylarkcroft/log/skylarkcroft_logger.h"
 #include "skylarkcroft/metrics/skylarkcroft_metrics_registry.h"
 #include "skylarkcroft/node/skylarkcroft_front.h"
+#include "skylarkcroft/node/skylarkcroft_node_mesh.h"
 #include "skylarkcroft/node/skylarkcroft_node_metrics.h"
 #include "skylarkcroft/node/skylarkcroft_operators_api.h"
 #include "skylarkcroft/node/skylarkcroft_request_registry.h"
@@ -95,6 +96,9 @@
                 "",
                 {{"revision", std::to_string(tables->revision)}}});
     });
+    mesh_ = std::make_unique<node_mesh>(node_mesh_environment{
+        loop, config_, tables_, metrics_, log_, callers_server_.address(),
+        operators_server_.address(), [this] { loader_.Poll(); }, random_()});
     loader_.Poll();
   }
 
@@ -106,6 +110,7 @@
     shutdown_requested_ = true;
     log_.Log({log_level::kInfo, "shutting down", "", "", "", "", {}});
     front_.SetReady(false);
+    mesh_->part().PublishLeaving();
     settle_timer_ = loop_.After(config_.shutdown.settle, [this] { Drain(); });
     limit_timer_ = loop_.After(config_.shutdown.settle + config_.shutdown.limit,
                                [this] { loop_.Stop(); });
@@ -115,6 +120,7 @@
   const endpoint& operators_address() const {
     return operators_server_.address();
   }
+  const endpoint& mesh_address() const { return mesh_->address(); }
 
  private:
   run_environment MakeRunEnvironment() {
@@ -145,16 +151,19 @@
             config_.operator_key_digest,
             [this] { return Status(); },
             [this] { return DescribeRequests(registry_, SteadyNow()); },
-            [this](int64_t /*revision*/,
-                   const std::function<void(edit_spread)>& done) {
-              done({{config_.name}, {}});
+            [this](int64_t revision, std::function<void(edit_spread)> done) {
+              mesh_->AwaitSpread(revision, std::move(done));
             }};
   }
 
   nlohmann::json Status() const {
-    return DescribeNode({config_, tables_, directory_, *admission_, registry_,
-                         loader_.store_reachable(), front_.Ready(SteadyNow())},
-                        SteadyNow());
+    const time_point now = SteadyNow();
+    nlohmann::json document =
+        DescribeNode({config_, tables_, directory_, *admission_, registry_,
+                      loader_.store_reachable(), front_.Ready(now)},
+                     now);
+    document["members"] = mesh_->Describe(now);
+    return document;
   }
 
   choose_fn MakeChoice() {
@@ -211,6 +220,7 @@
   load_poller poller_;
   http_server callers_server_;
   http_server operators_server_;
+  std::unique_ptr<node_mesh> mesh_;
   event_loop::handle_ptr poll_timer_;
   event_loop::handle_ptr settle_timer_;
   event_loop::handle_ptr drain_timer_;
@@ -233,4 +243,6 @@
   return impl_->operators_address();
 }
 
+const endpoint& node::mesh_address() const { return impl_->mesh_address(); }
+
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/node/skylarkcroft_node.h
+++ b/src/skylarkcroft/node/skylarkcroft_node.h
@@ -27,6 +27,7 @@
 
   [[nodiscard]] const endpoint& callers_address() const;
   [[nodiscard]] const endpoint& operators_address() const;
+  [[nodiscard]] const endpoint& mesh_address() const;
 
  private:
   class impl;
--- a/src/skylarkcroft/node/skylarkcroft_operators_api.cc
+++ b/src/skylarkcroft/node/skylarkcroft_operators_api.cc
@@ -202,6 +202,7 @@
                             [exchange, result](const edit_spread& spread) {
                               nlohmann::json document = Describe(result);
                               document["in_force_on"] = spread.in_force_on;
+                              document["stopped"] = spread.stopped;
                               document["pending"] = spread.pending;
                               ReplyJson(exchange, kOk, document);
                             });
--- a/src/skylarkcroft/node/skylarkcroft_operators_api.h
+++ b/src/skylarkcroft/node/skylarkcroft_operators_api.h
@@ -10,6 +10,7 @@
 
 #include "skylarkcroft/http/skylarkcroft_http_server.h"
 #include "skylarkcroft/platform/skylarkcroft_table_service.h"
+#include "skylarkcroft/tables/skylarkcroft_edit_spread.h"
 #include "skylarkcroft/tables/skylarkcroft_table_editor.h"
 
 namespace skylarkcroft {
@@ -18,14 +19,6 @@
 class metrics_registry;
 class tables_in_force;
 
-/// Which nodes serve under an accepted edit.
-struct edit_spread {
-  std::vector<std::string> in_force_on;
-  std::vector<std::string> pending;
-
-  bool operator==(const edit_spread&) const = default;
-};
-
 /// What the operators' API works with; all outlive it.
 struct operators_environment {
   tables_in_force& tables;
--- a/src/skylarkcroft/node/skylarkcroft_run_node.cc
+++ b/src/skylarkcroft/node/skylarkcroft_run_node.cc
@@ -25,7 +25,8 @@
       loop.OnSignal(SIGINT, [&serving] { serving.Shutdown(); });
   const nlohmann::json listening = {
       {"callers", ToString(serving.callers_address())},
-      {"operators", ToString(serving.operators_address())}};
+      {"operators", ToString(serving.operators_address())},
+      {"mesh", ToString(serving.mesh_address())}};
   std::cout << listening.dump() << std::endl;
   loop.Run();
   return 0;
--- /dev/null
+++ b/src/skylarkcroft/tables/skylarkcroft_edit_spread.cc
@@ -0,0 +1,54 @@
+#include "skylarkcroft/tables/skylarkcroft_edit_spread.h"
+
+#include "skylarkcroft/mesh/skylarkcroft_member_list.h"
+
+namespace skylarkcroft {
+namespace {
+
+bool Left(const member& known) {
+  return known.details.leaving && known.state == member_state::kRemoved;
+}
+
+bool SilentSince(const member& known, time_point since) {
+  return !known.heard_at || *known.heard_at < since;
+}
+
+}  // namespace
+
+edit_spread AssessSpread(const member_list& members, const watched_edit& edit,
+                         milliseconds staleness_bound, time_point now) {
+  edit_spread spread;
+  std::vector<std::string> silent;
+  for (const auto& [name, known] : members.all()) {
+    if (known.revision >= edit.revision) {
+      spread.in_force_on.push_back(name);
+      continue;
+    }
+    if (Left(known)) {
+      continue;
+    }
+    if (SilentSince(known, edit.accepted_at)) {
+      silent.push_back(name);
+    }
+    spread.pending.push_back(name);
+  }
+  const bool lapsed = now - edit.accepted_at > staleness_bound;
+  if (silent.size() == 1 && lapsed) {
+    std::erase(spread.pending, silent.front());
+    spread.stopped = silent;
+  }
+  return spread;
+}
+
+std::vector<std::string> Awaited(const edit_spread& spread,
+                                 const member_list& members) {
+  std::vector<std::string> awaited;
+  for (const std::string& name : spread.pending) {
+    if (members.Find(name)->state != member_state::kRemoved) {
+      awaited.push_back(name);
+    }
+  }
+  return awaited;
+}
+
+}  // namespace skylarkcroft
--- a/src/skylarkcroft/tables/skylarkcroft_table_editor.cc
+++ b/src/skylarkcroft/tables/skylarkcroft_table_editor.cc
@@ -42,6 +42,7 @@
   table_edit edit;
   table_set_ptr candidate;
   time_point resolve_until{};
+  time_point committed_at{};
   // False while no transaction of this edit may have reached the store.
   bool may_be_written = false;
   event_loop::handle_ptr timer;
@@ -124,7 +125,8 @@
 }
 
 void table_editor::Commit() {
-  const job& current = *jobs_.front();
+  job& current = *jobs_.front();
+  current.committed_at = clock_();
   store_.Write(EditWrites(current.edit),
                "edit-" + current.edit.edit_id + "-" +
                    std::to_string(current.edit.revision),
@@ -135,7 +137,7 @@
   job& current = *jobs_.front();
   switch (result.outcome) {
     case write_outcome::kCommitted: {
-      tables_.Adopt(current.candidate, clock_());
+      tables_.Adopt(current.candidate, current.committed_at);
       edit_result accepted;
       accepted.outcome = edit_outcome::kAccepted;
       accepted.revision = current.edit.revision;
--- a/src/skylarkcroft/tables/skylarkcroft_table_loader.cc
+++ b/src/skylarkcroft/tables/skylarkcroft_table_loader.cc
@@ -20,6 +20,7 @@
     return;
   }
   polling_ = true;
+  asked_at_ = clock_();
   const std::weak_ptr<bool> alive = store_reachable_;
   store_.Get(RevisionKey(), [this, alive](const read_result& result) {
     if (!alive.expired()) {
@@ -35,15 +36,17 @@
                                               : std::nullopt;
   if (!revision || *revision <= tables_.current()->revision) {
     if (revision) {
-      tables_.NoteLatest(*revision, clock_());
+      tables_.NoteLatest(*revision, asked_at_);
     }
     polling_ = false;
     return;
   }
+  tables_.NoteExists(*revision);
   LoadTables();
 }
 
 void table_loader::LoadTables() {
+  asked_at_ = clock_();
   const std::weak_ptr<bool> alive = store_reachable_;
   store_.Query({kTablesPartition, "", "", 1000},
                [this, alive](const query_result& result) {
@@ -61,11 +64,16 @@
   }
   const std::optional<table_documents> documents = DecodeTables(result.rows);
   if (!documents) {
-    Poll();
+    // A commit came between the rows; once more, then at the next poll.
+    torn_ = !torn_;
+    if (torn_) {
+      Poll();
+    }
     return;
   }
+  torn_ = false;
   try {
-    tables_.Adopt(MakeTableSet(*documents), clock_());
+    tables_.Adopt(MakeTableSet(*documents), asked_at_);
   } catch (const config_error& invalid) {
     on_invalid_(invalid.what());
   }
--- a/src/skylarkcroft/tables/skylarkcroft_table_loader.h
+++ b/src/skylarkcroft/tables/skylarkcroft_table_loader.h
@@ -37,6 +37,9 @@
   clock_fn clock_;
   invalid_fn on_invalid_;
   bool polling_ = false;
+  // Whether the rows read last were of different revisions.
+  bool torn_ = false;
+  time_point asked_at_{};
   // Outlives this object in the store's callbacks, which test it.
   std::shared_ptr<bool> store_reachable_ = std::make_shared<bool>(false);
 };
--- a/src/skylarkcroft/tables/skylarkcroft_tables_in_force.h
+++ b/src/skylarkcroft/tables/skylarkcroft_tables_in_force.h
@@ -22,12 +22,17 @@
   [[nodiscard]] const table_set_ptr& current() const { return current_; }
 
   /// Takes `candidate` into force when its revision is higher, and tells the
-  /// listeners. Returns whether it did.
-  bool Adopt(const table_set_ptr& candidate, time_point now);
-
-  /// Notes that at `now` the newest revision known to the store or to a live
-  /// peer was `revision`.
-  void NoteLatest(int64_t revision, time_point now);
+  /// listeners. Returns whether it did. `asked_at` is when the question was
+  /// sent that `candidate` answers.
+  bool Adopt(const table_set_ptr& candidate, time_point asked_at);
+
+  /// Notes that the store or a live peer, asked at `asked_at`, knew of
+  /// `revision` as the newest. An answer confirms the tables as of the time of
+  /// the question, so that one that waited through a pause confirms nothing.
+  void NoteLatest(int64_t revision, time_point asked_at);
+  /// Notes that `revision` exists. A higher one than that in force keeps the
+  /// tables from being confirmed until it is adopted.
+  void NoteExists(int64_t revision);
 
   /// True when a table is in force and its currency was confirmed within
   /// `staleness_bound`.
@@ -38,6 +43,8 @@
 
  private:
   table_set_ptr current_;
+  /// Highest revision heard of.
+  int64_t newest_ = 0;
   std::optional<time_point> confirmed_at_;
   std::vector<change_fn> listeners_;
 };
--- a/tests/node/node_fixture.h
+++ b/tests/node/node_fixture.h
@@ -55,7 +55,11 @@
     config.platform.hosts = platform_.address();
     config.platform.cloud = platform_.address();
     config.platform.weights = platform_.address();
-    config.tables.poll_period = milliseconds(50);
+    config.tables = tables;
+    config.mesh_key = "shared";
+    if (!nodes.empty()) {
+      config.peers = {nodes.front()->mesh_address()};
+    }
     config.shutdown.settle = milliseconds(50);
     nodes.push_back(std::make_unique<node>(loop, config, log_));
     return *nodes.back();
@@ -249,6 +253,8 @@
   event_loop loop;
   std::vector<std::unique_ptr<standin::plain_service_standin>> services;
   bool outcomes_readable = false;
+  /// Of the nodes added from now on.
+  table_settings tables{milliseconds(50), milliseconds(3000)};
 
  private:
   standin::platform_standin platform_;
--- a/tests/tables/tables_in_force_test.cc
+++ b/tests/tables/tables_in_force_test.cc
@@ -38,6 +38,28 @@
     tables.NoteLatest(5, start + kBound);
     CHECK(tables.MayServe(start + 2 * kBound, kBound));
   }
+  SECTION("an answer confirms as of the question") {
+    tables.NoteLatest(5, start + milliseconds(100));
+    CHECK(tables.MayServe(start + kBound + milliseconds(100), kBound));
+    CHECK_FALSE(tables.MayServe(start + kBound + milliseconds(101), kBound));
+  }
+  SECTION("an answer that waited through a pause confirms nothing") {
+    const time_point woken = start + 10 * kBound;
+    tables.NoteLatest(5, start + milliseconds(10));
+    CHECK_FALSE(tables.MayServe(woken, kBound));
+  }
+  SECTION("an earlier question does not take a confirmation back") {
+    tables.NoteLatest(5, start + kBound);
+    tables.NoteLatest(5, start);
+    CHECK(tables.MayServe(start + 2 * kBound, kBound));
+  }
+  SECTION("nothing confirms once a higher revision is known to exist") {
+    tables.NoteExists(6);
+    tables.NoteLatest(5, start + kBound);
+    CHECK_FALSE(tables.MayServe(start + 2 * kBound, kBound));
+    tables.Adopt(AtRevision(6), start + kBound);
+    CHECK(tables.MayServe(start + 2 * kBound, kBound));
+  }
   SECTION("a higher revision heard of does not confirm") {
     tables.NoteLatest(6, start + kBound);
     CHECK_FALSE(tables.MayServe(start + 2 * kBound, kBound));
