Answers readable through any node, and handover of what a leaving node cannot finish

Change: a read of an unknown id is passed on to the node in the id, or to the node that took its requests over; near the end of its time a leaving node stops its streams at an offset, gives them to another node (another availability zone first) under a signature, names its successor in the mesh, and ends its callers' streams with continue_at. Found on the way: the HTTP server closed its descriptors before it dropped its own references to them, so that events were removed from closed descriptors; it drops them first now.

--- a/src/skylarkcroft/attempt/skylarkcroft_accepted_request.cc
+++ b/src/skylarkcroft/attempt/skylarkcroft_accepted_request.cc
@@ -6,6 +6,29 @@
   return completion ? completion->PromptTokens() + completion->max_tokens : 1;
 }
 
+accepted_request MakeAcceptedRequest(const http_request& original,
+                                     const caller& from, const route& via,
+                                     const table_set_ptr& tables,
+                                     time_point now) {
+  accepted_request request;
+  request.tables = tables;
+  request.from = from;
+  request.via = via;
+  request.target = *tables->pools.Find(via.pool);
+  request.arrived = now;
+  request.deadline = now + via.deadline.value_or(
+                               tables->routes.PolicyOf(via.work_rank).deadline);
+  request.original = original;
+  request.idempotency_key = original.headers.Get("Idempotency-Key");
+  const bool is_completion = request.target.kind == pool_kind::kEngine;
+  if (is_completion) {
+    request.completion =
+        ParseCompletionRequest(original.path(), original.body, via.work_rank);
+  }
+  request.idempotent = IsIdempotent(via, original.method, is_completion);
+  return request;
+}
+
 bool IsIdempotent(const route& via, const std::string& method,
                   bool is_completion) {
   switch (via.repeat) {
--- a/src/skylarkcroft/attempt/skylarkcroft_accepted_request.h
+++ b/src/skylarkcroft/attempt/skylarkcroft_accepted_request.h
@@ -34,6 +34,13 @@
   [[nodiscard]] int64_t EstimatedTokens() const;
 };
 
+/// Fills in what depends on the route. Throws config_error for a body that the
+/// pool's engines could not read.
+accepted_request MakeAcceptedRequest(const http_request& original,
+                                     const caller& from, const route& via,
+                                     const table_set_ptr& tables,
+                                     time_point now);
+
 /// True when RFC 9110 or the route allows sending the request more than once.
 bool IsIdempotent(const route& via, const std::string& method,
                   bool is_completion);
--- a/src/skylarkcroft/attempt/skylarkcroft_answer.cc
+++ b/src/skylarkcroft/attempt/skylarkcroft_answer.cc
@@ -26,6 +26,11 @@
   }
 }
 
+void answer::Preload(std::vector<std::string> tokens) {
+  tokens_ = std::move(tokens);
+  Notify();
+}
+
 void answer::Complete() {
   if (ended()) {
     return;
--- a/src/skylarkcroft/attempt/skylarkcroft_answer.h
+++ b/src/skylarkcroft/attempt/skylarkcroft_answer.h
@@ -34,6 +34,8 @@
   /// Token `tokens().size() + 1` of the stream: its event's data.
   void AppendToken(std::string data);
   void SetUsage(std::string data);
+  /// Starts the answer with the tokens that another node had.
+  void Preload(std::vector<std::string> tokens);
   void Complete();
   /// A plain service's whole answer.
   void CompleteWith(http_response response);
--- /dev/null
+++ b/src/skylarkcroft/handover/skylarkcroft_handover_sender.cc
@@ -0,0 +1,56 @@
+#include "skylarkcroft/handover/skylarkcroft_handover_sender.h"
+
+#include <utility>
+
+#include "skylarkcroft/handover/skylarkcroft_peer_signature.h"
+
+namespace skylarkcroft {
+namespace {
+
+constexpr milliseconds kTryTimeout{1000};
+
+}  // namespace
+
+handover_sender::handover_sender(http_client& client, std::string peer_key,
+                                 wall_clock_fn wall_clock)
+    : client_(client),
+      peer_key_(std::move(peer_key)),
+      wall_clock_(std::move(wall_clock)) {}
+
+void handover_sender::Send(const std::vector<handover_record>& records,
+                           std::vector<handover_target> targets, done_fn done) {
+  body_ = EncodeHandover(records);
+  targets_ = std::move(targets);
+  next_ = 0;
+  done_ = std::move(done);
+  TryNext();
+}
+
+void handover_sender::TryNext() {
+  if (next_ >= targets_.size()) {
+    const done_fn done = std::move(done_);
+    done("");
+    return;
+  }
+  const handover_target target = targets_[next_++];
+  http_request request;
+  request.method = "POST";
+  request.target = "/peer/handover";
+  request.headers.Add(kPeerSignatureHeader,
+                      SignForPeer(peer_key_, body_, wall_clock_()));
+  request.body = body_;
+  http_call_options options;
+  options.progress_timeout = kTryTimeout;
+  options.reuse_connection = false;
+  call_ = client_.Send(target.address, request, options,
+                       {{}, {}, [this, target](const http_result& result) {
+                          if (!result.Ok()) {
+                            TryNext();
+                            return;
+                          }
+                          const done_fn done = std::move(done_);
+                          done(target.name);
+                        }});
+}
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/src/skylarkcroft/handover/skylarkcroft_successors.cc
@@ -0,0 +1,52 @@
+#include "skylarkcroft/handover/skylarkcroft_successors.h"
+
+#include <nlohmann/json.hpp>
+
+namespace skylarkcroft {
+namespace {
+
+constexpr size_t kMaxOwners = 4096;
+
+}  // namespace
+
+std::string EncodeDrain(const drain_notice& notice) {
+  return nlohmann::json(
+             {{"owners", notice.owners}, {"successor", notice.successor}})
+      .dump();
+}
+
+std::optional<drain_notice> DecodeDrain(const std::string& payload) {
+  const nlohmann::json document =
+      nlohmann::json::parse(payload, nullptr, false);
+  if (!document.is_object()) {
+    return std::nullopt;
+  }
+  try {
+    return drain_notice{document.at("owners").get<std::vector<std::string>>(),
+                        document.at("successor").get<std::string>()};
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;
+  }
+}
+
+void successors::Note(const drain_notice& notice) {
+  for (const std::string& owner : notice.owners) {
+    const bool is_new =
+        holders_.insert_or_assign(owner, notice.successor).second;
+    if (!is_new) {
+      continue;
+    }
+    order_.push_back(owner);
+    if (order_.size() > kMaxOwners) {
+      holders_.erase(order_.front());
+      order_.pop_front();
+    }
+  }
+}
+
+std::string successors::HolderOf(const std::string& owner) const {
+  const auto found = holders_.find(owner);
+  return found == holders_.end() ? std::string() : found->second;
+}
+
+}  // namespace skylarkcroft
--- a/src/skylarkcroft/http/skylarkcroft_http_server.cc
+++ b/src/skylarkcroft/http/skylarkcroft_http_server.cc
@@ -308,9 +308,10 @@
     address_.port = BoundPort(bound_);
   }
   ~impl() {
-    evhttp_free(http_);
-    // Exchanges that are still held share the state and may outlive the loop.
+    // Its references must go first: evhttp closes the descriptors, and an event
+    // removed after that would be removed from the next owner of the number.
     state_->connections.Clear();
+    evhttp_free(http_);
   }
   impl(const impl&) = delete;
   impl& operator=(const impl&) = delete;
--- a/src/skylarkcroft/http/skylarkcroft_problem.cc
+++ b/src/skylarkcroft/http/skylarkcroft_problem.cc
@@ -40,6 +40,10 @@
     body["request_id"] = failure.request_id;
     response.headers.Add("X-Request-Id", failure.request_id);
   }
+  if (!failure.continue_at.empty()) {
+    body["continue_at"] = failure.continue_at;
+    response.headers.Add("Location", failure.continue_at);
+  }
   response.headers.Add("Content-Type", "application/problem+json");
   if (failure.retry_after.has_value()) {
     response.headers.Add("Retry-After",
--- a/src/skylarkcroft/http/skylarkcroft_problem.h
+++ b/src/skylarkcroft/http/skylarkcroft_problem.h
@@ -29,6 +29,8 @@
   run_state run = run_state::kUnknown;
   std::optional<std::chrono::seconds> retry_after{};
   std::string request_id{};
+  /// Path at which any node gives the rest of the answer; empty for none.
+  std::string continue_at{};
 
   bool operator==(const problem&) const = default;
 };
@@ -38,8 +40,8 @@
                     std::string request_id);
 
 /// The application/problem+json response: members `type`, `title`, `status`,
-/// `detail`, `reason`, `run_state` and `request_id`, with the headers
-/// `X-Request-Id` and, where it is known, `Retry-After`.
+/// `detail`, `reason`, `run_state`, `request_id` and `continue_at`, with the
+/// headers `X-Request-Id` and, where it is known, `Retry-After`.
 http_response ToResponse(const problem& failure);
 
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/node/skylarkcroft_front.cc
+++ b/src/skylarkcroft/node/skylarkcroft_front.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <utility>
 
+#include "skylarkcroft/handover/skylarkcroft_peer_reader.h"
 #include "skylarkcroft/internal/skylarkcroft_digest.h"
 #include "skylarkcroft/internal/skylarkcroft_error.h"
 #include "skylarkcroft/log/skylarkcroft_logger.h"
@@ -62,30 +63,6 @@
   return item;
 }
 
-// Fills in what depends on the route. Throws config_error for a body that the
-// pool's engines could not read.
-accepted_request Build(const http_request& original, const caller& from,
-                       const route& via, const table_set_ptr& tables,
-                       time_point now) {
-  accepted_request request;
-  request.tables = tables;
-  request.from = from;
-  request.via = via;
-  request.target = *tables->pools.Find(via.pool);
-  request.arrived = now;
-  request.deadline = now + via.deadline.value_or(
-                               tables->routes.PolicyOf(via.work_rank).deadline);
-  request.original = original;
-  request.idempotency_key = original.headers.Get("Idempotency-Key");
-  const bool is_completion = request.target.kind == pool_kind::kEngine;
-  if (is_completion) {
-    request.completion =
-        ParseCompletionRequest(original.path(), original.body, via.work_rank);
-  }
-  request.idempotent = IsIdempotent(via, original.method, is_completion);
-  return request;
-}
-
 }  // namespace
 
 front::front(front_environment environment)
@@ -182,7 +159,8 @@
     return;
   }
   try {
-    Accept(exchange, Build(request, *from, *match.found, tables, now), now);
+    Accept(exchange,
+           MakeAcceptedRequest(request, *from, *match.found, tables, now), now);
   } catch (const config_error& invalid) {
     Refuse(exchange, NotRun(refusal_reason::kBadRequest, invalid.what()));
   }
@@ -198,6 +176,21 @@
   }
   request.id = NextId();
   environment_.metrics.CountRequest(request.via.work_rank);
+  const work_item item = ItemOf(request);
+  const bool needs_claim =
+      !request.idempotent && !request.idempotency_key.empty();
+  request_entry& entry =
+      environment_.registry.Add(MakeEntry(std::move(request), now));
+  request_run& run = *entry.run;
+  Attach(exchange, entry, entry.form);
+  if (needs_claim) {
+    run.TakeClaim([this, item] { Submit(item); });
+  } else {
+    Submit(item);
+  }
+}
+
+request_entry front::MakeEntry(accepted_request request, time_point now) {
   request_entry entry;
   entry.id = request.id;
   entry.caller_name = request.from.name;
@@ -208,20 +201,37 @@
   entry.form = FormOf(request);
   entry.arrived = now;
   entry.unread_since = now;
-  const std::string id = request.id;
-  const work_item item = ItemOf(request);
-  const bool needs_claim =
-      !request.idempotent && !request.idempotency_key.empty();
   entry.run = std::make_unique<request_run>(
       environment_.runs, std::move(request),
-      [this, id](int64_t actual_tokens) { OnRunEnd(id, actual_tokens); });
+      [this, id = entry.id](int64_t actual_tokens) {
+        OnRunEnd(id, actual_tokens);
+      });
   entry.result = entry.run->result();
-  request_run& run = *entry.run;
-  Attach(exchange, environment_.registry.Add(std::move(entry)), 0);
-  if (needs_claim) {
-    run.TakeClaim([this, item] { Submit(item); });
-  } else {
-    Submit(item);
+  return entry;
+}
+
+bool front::Adopt(const handover_record& record) {
+  const time_point now = environment_.clock();
+  const table_set_ptr tables = environment_.tables.current();
+  const caller* from = tables->routes.FindCaller(record.caller_name);
+  const route* via = tables->routes.FindRoute(record.route_name);
+  if (from == nullptr || via == nullptr) {
+    return false;
+  }
+  try {
+    accepted_request request =
+        MakeAcceptedRequest(record.original, *from, *via, tables, now);
+    request.id = record.id;
+    request.deadline = now + milliseconds(record.deadline_left_ms);
+    request_entry& entry =
+        environment_.registry.Add(MakeEntry(std::move(request), now));
+    entry.result->Preload(record.tokens);
+    entry.result->SetUsage(record.usage);
+    // It was admitted once; it does not queue again behind new requests.
+    entry.run->Begin(now);
+    return true;
+  } catch (const config_error&) {
+    return false;
   }
 }
 
@@ -237,10 +247,8 @@
   DispatchNow();
 }
 
-void front::Attach(const http_exchange_ptr& exchange, request_entry& entry,
-                   int64_t after_offset) {
-  answer_form form = entry.form;
-  form.after_offset = after_offset;
+void front::Attach(const http_exchange_ptr& exchange,
+                   const request_entry& entry, const answer_form& form) {
   writers_.emplace_back();
   const auto place = std::prev(writers_.end());
   const std::string id = entry.id;
@@ -311,10 +319,17 @@
     return;
   }
   std::string id = exchange->request().path().substr(kRequestsPrefix.size());
-  if (id.ends_with(kStreamSuffix)) {
+  const bool as_stream = id.ends_with(kStreamSuffix);
+  if (as_stream) {
     id.resize(id.size() - kStreamSuffix.size());
   }
   request_entry* entry = environment_.registry.Find(id);
+  const bool moved = entry != nullptr && entry->moved;
+  if ((entry == nullptr || moved) &&
+      !exchange->request().headers.Has(kForwardedHeader) &&
+      environment_.read_elsewhere(exchange, id)) {
+    return;
+  }
   if (entry == nullptr || entry->caller_name != from->name) {
     Refuse(exchange,
            MakeProblem(refusal_reason::kNotFound, run_state::kUnknown,
@@ -322,8 +337,13 @@
     return;
   }
   entry->unread_since = now;
-  Attach(exchange, *entry,
-         ParseLastEventId(exchange->request().headers.Get("Last-Event-ID")));
+  answer_form form = entry->form;
+  form.after_offset =
+      ParseLastEventId(exchange->request().headers.Get("Last-Event-ID"));
+  if (as_stream && form.what == answer_form::kind::kCompletion) {
+    form.what = answer_form::kind::kEventStream;
+  }
+  Attach(exchange, *entry, form);
 }
 
 void front::Refuse(const http_exchange_ptr& exchange, const problem& why) {
--- a/src/skylarkcroft/node/skylarkcroft_front.h
+++ b/src/skylarkcroft/node/skylarkcroft_front.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "skylarkcroft/admission/skylarkcroft_admission.h"
+#include "skylarkcroft/handover/skylarkcroft_handover_record.h"
 #include "skylarkcroft/http/skylarkcroft_http_server.h"
 #include "skylarkcroft/http/skylarkcroft_problem.h"
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
@@ -37,6 +38,11 @@
   clock_fn clock;
   /// Text that differs for each start of the process.
   std::string incarnation;
+  /// Passes a read of a request that is not here on to the node that has it;
+  /// false when none is known to.
+  std::function<bool(const http_exchange_ptr& exchange,
+                     const std::string& request_id)>
+      read_elsewhere;
 };
 
 /// Takes callers' requests: names them, checks the caller and the route, passes
@@ -50,6 +56,10 @@
 
   void OnRequest(const http_exchange_ptr& exchange);
 
+  /// Goes on with a request that a leaving node handed over. False when the
+  /// tables in force have no such caller, route or pool.
+  bool Adopt(const handover_record& record);
+
   /// Refuses new requests from now on; those accepted go on.
   void RefuseNew();
   /// True while the node takes requests and its tables are current.
@@ -61,12 +71,13 @@
  private:
   void OnNew(const http_exchange_ptr& exchange, time_point now);
   void OnRead(const http_exchange_ptr& exchange, time_point now);
+  request_entry MakeEntry(accepted_request request, time_point now);
   void Accept(const http_exchange_ptr& exchange, accepted_request request,
               time_point now);
   /// Passes a request through admission.
   void Submit(const work_item& item);
-  void Attach(const http_exchange_ptr& exchange, request_entry& entry,
-              int64_t after_offset);
+  void Attach(const http_exchange_ptr& exchange, const request_entry& entry,
+              const answer_form& form);
   void OnWriterEnd(const std::string& id, bool delivered);
   void OnRunEnd(const std::string& id, int64_t actual_tokens);
   void DispatchNow();
--- a/src/skylarkcroft/node/skylarkcroft_node.cc
+++ b/src/skylarkcroft/node/skylarkcroft_node.cc
@@ -1,5 +1,6 @@
 #include "skylarkcroft/node/skylarkcroft_node.h"
 
+#include <algorithm>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -15,6 +16,7 @@
 #include "skylarkcroft/log/skylarkcroft_logger.h"
 #include "skylarkcroft/metrics/skylarkcroft_metrics_registry.h"
 #include "skylarkcroft/node/skylarkcroft_front.h"
+#include "skylarkcroft/node/skylarkcroft_node_handover.h"
 #include "skylarkcroft/node/skylarkcroft_node_mesh.h"
 #include "skylarkcroft/node/skylarkcroft_node_metrics.h"
 #include "skylarkcroft/node/skylarkcroft_operators_api.h"
@@ -34,6 +36,8 @@
 
 constexpr milliseconds kLoadPollPeriod{250};
 constexpr milliseconds kDrainPollPeriod{50};
+// Time before the end of a shutdown at which what is unfinished is moved.
+constexpr milliseconds kHandoverMargin{3000};
 constexpr size_t kMaxQueuedPerPool = 10000;
 constexpr size_t kIncarnationBytes = 4;
 constexpr size_t kTrackedBlocksPerUpstream = 8192;
@@ -73,7 +77,11 @@
             kMaxQueuedPerPool)),
         runs_(MakeRunEnvironment()),
         front_({loop, config_, tables_, *admission_, registry_, runs_,
-                node_metrics_, log_, SteadyNow, incarnation_}),
+                node_metrics_, log_, SteadyNow, incarnation_,
+                [this](const http_exchange_ptr& exchange,
+                       const std::string& request_id) {
+                  return handover_->ReadElsewhere(exchange, request_id);
+                }}),
         operators_(MakeOperatorsEnvironment()),
         poller_(loop, client_, directory_, kLoadPollPeriod, SteadyNow),
         callers_server_(loop, config_.callers_address, config_.http,
@@ -82,7 +90,7 @@
                         }),
         operators_server_(loop, config_.operators_address, config_.http,
                           [this](const http_exchange_ptr& exchange) {
-                            operators_.OnRequest(exchange);
+                            OnOperatorsRequest(exchange);
                           }),
         poll_timer_(loop.Every(config_.tables.poll_period,
                                [this] { loader_.Poll(); })) {
@@ -99,6 +107,9 @@
     mesh_ = std::make_unique<node_mesh>(node_mesh_environment{
         loop, config_, tables_, metrics_, log_, callers_server_.address(),
         operators_server_.address(), [this] { loader_.Poll(); }, random_()});
+    handover_ = std::make_unique<node_handover>(node_handover_environment{
+        loop, client_, config_, registry_, front_, *mesh_,
+        config_.name + "." + incarnation_, SteadyNow, WallNowMs});
     loader_.Poll();
   }
 
@@ -111,9 +122,13 @@
     log_.Log({log_level::kInfo, "shutting down", "", "", "", "", {}});
     front_.SetReady(false);
     mesh_->part().PublishLeaving();
-    settle_timer_ = loop_.After(config_.shutdown.settle, [this] { Drain(); });
-    limit_timer_ = loop_.After(config_.shutdown.settle + config_.shutdown.limit,
-                               [this] { loop_.Stop(); });
+    const milliseconds settle = config_.shutdown.settle;
+    const milliseconds limit = config_.shutdown.limit;
+    settle_timer_ = loop_.After(settle, [this] { Drain(); });
+    handover_timer_ =
+        loop_.After(settle + limit - std::min(kHandoverMargin, limit / 2),
+                    [this] { handover_->HandOver([](bool /*taken*/) {}); });
+    limit_timer_ = loop_.After(settle + limit, [this] { loop_.Stop(); });
   }
 
   const endpoint& callers_address() const { return callers_server_.address(); }
@@ -123,6 +138,14 @@
   const endpoint& mesh_address() const { return mesh_->address(); }
 
  private:
+  void OnOperatorsRequest(const http_exchange_ptr& exchange) {
+    if (exchange->request().path() == "/peer/handover") {
+      handover_->OnHandover(exchange);
+      return;
+    }
+    operators_.OnRequest(exchange);
+  }
+
   run_environment MakeRunEnvironment() {
     return {
         loop_,
@@ -189,6 +212,7 @@
     callers_server_.StopAccepting();
     drain_timer_ = loop_.Every(kDrainPollPeriod, [this] {
       if (registry_.active() == 0 && front_.open_writers() == 0 &&
+          handover_->active_reads() == 0 &&
           callers_server_.open_exchanges() == 0) {
         log_.Log({log_level::kInfo, "drained", "", "", "", "", {}});
         loop_.Stop();
@@ -221,9 +245,11 @@
   http_server callers_server_;
   http_server operators_server_;
   std::unique_ptr<node_mesh> mesh_;
+  std::unique_ptr<node_handover> handover_;
   event_loop::handle_ptr poll_timer_;
   event_loop::handle_ptr settle_timer_;
   event_loop::handle_ptr drain_timer_;
+  event_loop::handle_ptr handover_timer_;
   event_loop::handle_ptr limit_timer_;
   bool shutdown_requested_ = false;
 };
--- a/src/skylarkcroft/node/skylarkcroft_request_registry.h
+++ b/src/skylarkcroft/node/skylarkcroft_request_registry.h
@@ -25,6 +25,8 @@
   time_point arrived{};
   std::shared_ptr<answer> result;
   std::unique_ptr<request_run> run;
+  /// True once another node has taken the request over.
+  bool moved = false;
   /// When the answer ended, or when the last reader left.
   time_point unread_since{};
 };
--- a/src/skylarkcroft/node/skylarkcroft_request_run.cc
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.cc
@@ -130,6 +130,15 @@
   DropTry(attempt_outcome::kComplete, now);
 }
 
+void request_run::MoveAway() {
+  problem why =
+      MakeProblem(refusal_reason::kShuttingDown, run_state::kRan,
+                  "this node is leaving; any node gives the rest", request_.id);
+  why.continue_at = "/v1/requests/" + request_.id + "/stream";
+  why.retry_after = kRetryAfter;
+  FailWith(why);
+}
+
 choice_query request_run::MakeQuery() const {
   choice_query query;
   query.pool = request_.target.name;
--- a/src/skylarkcroft/node/skylarkcroft_request_run.h
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.h
@@ -73,6 +73,9 @@
   /// Stops the current try so that another request can have its place. The
   /// answer stays as it is. Only for idempotent requests.
   void Pause(time_point now);
+  /// Ends the answer here, since another node goes on with it; tells readers
+  /// where.
+  void MoveAway();
   /// Ends the answer as failed and stops the current try.
   void Fail(refusal_reason reason, const std::string& detail,
             std::optional<std::chrono::seconds> retry_after);
--- a/src/skylarkcroft/tables/skylarkcroft_routes_table.cc
+++ b/src/skylarkcroft/tables/skylarkcroft_routes_table.cc
@@ -231,6 +231,15 @@
   return found == by_name_.end() ? nullptr : &callers_[found->second];
 }
 
+const route* routes_table::FindRoute(const std::string& name) const {
+  for (const route& candidate : routes_) {
+    if (candidate.name == name) {
+      return &candidate;
+    }
+  }
+  return nullptr;
+}
+
 route_match routes_table::Match(const route_query& query) const {
   bool wrong_method = false;
   for (const route& candidate : routes_) {
--- a/src/skylarkcroft/tables/skylarkcroft_routes_table.h
+++ b/src/skylarkcroft/tables/skylarkcroft_routes_table.h
@@ -97,6 +97,8 @@
   [[nodiscard]] const caller* FindByKeyDigest(const std::string& digest) const;
   /// The caller called `name`, or null.
   [[nodiscard]] const caller* FindCaller(const std::string& name) const;
+  /// The route called `name`, or null.
+  [[nodiscard]] const route* FindRoute(const std::string& name) const;
   /// The first route in table order that fits.
   [[nodiscard]] route_match Match(const route_query& query) const;
 
--- /dev/null
+++ b/tests/handover/handover_record_test.cc
@@ -0,0 +1,63 @@
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "skylarkcroft/handover/skylarkcroft_handover_record.h"
+#include "skylarkcroft/handover/skylarkcroft_peer_signature.h"
+#include "skylarkcroft/handover/skylarkcroft_successors.h"
+
+namespace skylarkcroft {
+namespace {
+
+constexpr int64_t kNow = 1700000000000;
+
+TEST_CASE("a handed over request is read as it was written", "[handover]") {
+  handover_record record;
+  record.id = "n1.ab.7";
+  record.caller_name = "dispatch";
+  record.route_name = "ask";
+  record.original.method = "POST";
+  record.original.target = "/v1/completions";
+  record.original.body = R"({"prompt":"a"})";
+  record.tokens = {"one", "two"};
+  record.usage = "{}";
+  record.deadline_left_ms = 900;
+  const auto read = DecodeHandover(EncodeHandover({record, record}));
+  REQUIRE(read.has_value());
+  CHECK(*read == std::vector<handover_record>{record, record});
+  CHECK_FALSE(DecodeHandover("{}").has_value());
+  CHECK_FALSE(DecodeHandover("[{}]").has_value());
+}
+
+TEST_CASE("only a fresh signature under the shared key is accepted",
+          "[handover][hostile]") {
+  const std::string signature = SignForPeer("key", "body", kNow);
+  CHECK(VerifyPeer("key", "body", signature, kNow));
+  CHECK_FALSE(VerifyPeer("other", "body", signature, kNow));
+  CHECK_FALSE(VerifyPeer("key", "bodY", signature, kNow));
+  CHECK_FALSE(VerifyPeer("key", "body", signature, kNow + 31000));
+  CHECK_FALSE(VerifyPeer("key", "body", "", kNow));
+}
+
+TEST_CASE("the owner of a request is its id without the number", "[handover]") {
+  CHECK(OwnerOf("n1.ab.7") == "n1.ab");
+  CHECK(OwnerOf("n1.7").empty());
+  CHECK(OwnerOf("x").empty());
+  CHECK(NodeNameOf("n1.ab") == "n1");
+}
+
+TEST_CASE("requests of nodes that left in turn are found at the last",
+          "[handover]") {
+  successors known;
+  known.Note({{"n1.a"}, "n2"});
+  known.Note({{"n2.b", "n1.a"}, "n3"});
+  CHECK(known.HolderOf("n1.a") == "n3");
+  CHECK(known.HolderOf("n2.b") == "n3");
+  CHECK(known.HolderOf("n3.c").empty());
+  const auto read = DecodeDrain(EncodeDrain({{"n1.a"}, "n2"}));
+  REQUIRE(read.has_value());
+  CHECK(read->successor == "n2");
+  CHECK_FALSE(DecodeDrain("7").has_value());
+}
+
+}  // namespace
+}  // namespace skylarkcroft
--- /dev/null
+++ b/tests/node/handover_test.cc
@@ -0,0 +1,169 @@
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+#include "skylarkcroft/attempt/skylarkcroft_sse_parser.h"
+#include "standins/engine/completion_text.h"
+#include "tests/node/node_fixture.h"
+
+namespace skylarkcroft {
+namespace {
+
+constexpr size_t kEventBound = 1 << 20;
+constexpr int kTokens = 300;
+const std::string kPrompt = "a long answer";
+
+struct stream_part {
+  std::string request_id;
+  std::string text;
+  int64_t last_offset = 0;
+  bool done = false;
+  std::string continue_at;
+};
+
+stream_part ReadPart(const http_response& reply) {
+  stream_part part;
+  part.request_id = reply.headers.Get("X-Request-Id");
+  sse_parser parser(kEventBound, [&](const sse_event& event) {
+    if (event.data == "[DONE]") {
+      part.done = true;
+      return;
+    }
+    const nlohmann::json data = nlohmann::json::parse(event.data);
+    if (event.event == "error") {
+      part.continue_at = data.value("continue_at", "");
+      return;
+    }
+    if (data.at("choices").empty()) {
+      return;
+    }
+    part.last_offset = std::stoll(event.id);
+    part.text += data.at("choices").at(0).at("text").get<std::string>();
+  });
+  parser.Feed(reply.body);
+  return part;
+}
+
+http_request ReadRest(const std::string& path, int64_t after) {
+  http_request request;
+  request.target = path;
+  request.headers.Add("Authorization", std::string("Bearer ") + kTestKey);
+  request.headers.Add("Last-Event-ID", std::to_string(after));
+  return request;
+}
+
+// Nodes that know each other, with a short time for leaving.
+struct leaving_fixture : node_fixture {
+  explicit leaving_fixture(size_t node_count) : node_fixture(0) {
+    shutdown.limit = milliseconds(600);
+    for (size_t index = 0; index < node_count; ++index) {
+      AddNode();
+    }
+    PutTables();
+    REQUIRE(Until([&] { return AllKnown(); }));
+  }
+
+  bool AllKnown() {
+    for (const auto& one : nodes) {
+      const nlohmann::json status = nlohmann::json::parse(
+          Get(one->operators_address(), "/operators/status").body);
+      if (status.at("members").size() + 1 < nodes.size()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  // Starts a long stream through `entry`; it has begun on return.
+  void StartStream(const node& entry) {
+    call = client.Send(entry.callers_address(),
+                       node_fixture::Completion(kPrompt, kTokens, true), {},
+                       {[this](int, const http_headers&) { begun = true; },
+                        {},
+                        [this](const http_result& result) { ended = result; }});
+    REQUIRE(Until([&] { return begun; }));
+  }
+
+  bool begun = false;
+  std::optional<http_result> ended;
+  http_call_ptr call;
+};
+
+std::string WholeText() {
+  return standin::CompletionText("m", kPrompt, 1, kTokens);
+}
+
+TEST_CASE("any node gives the rest of an answer that another node has",
+          "[node][resume]") {
+  leaving_fixture fixture(3);
+  fixture.StartStream(*fixture.nodes[0]);
+  REQUIRE(fixture.Until([&] { return fixture.ended.has_value(); }));
+  const stream_part first = ReadPart(fixture.ended->response);
+  REQUIRE(first.done);
+  const stream_part rest = ReadPart(fixture.Call(
+      fixture.nodes[2]->callers_address(),
+      ReadRest("/v1/requests/" + first.request_id + "/stream", 290)));
+  CHECK(rest.done);
+  CHECK(rest.text == standin::CompletionText("m", kPrompt, 291, kTokens));
+}
+
+TEST_CASE("what a leaving node cannot finish goes on at another, whole",
+          "[node][handover]") {
+  leaving_fixture fixture(2);
+  fixture.StartStream(*fixture.nodes[0]);
+  fixture.nodes[0]->Shutdown();
+  REQUIRE(fixture.Until([&] { return fixture.ended.has_value(); }));
+  const stream_part first = ReadPart(fixture.ended->response);
+  CHECK_FALSE(first.done);
+  REQUIRE(first.last_offset > 0);
+  REQUIRE_FALSE(first.continue_at.empty());
+  fixture.nodes.erase(fixture.nodes.begin());
+  const stream_part rest =
+      ReadPart(fixture.Call(fixture.nodes[0]->callers_address(),
+                            ReadRest(first.continue_at, first.last_offset)));
+  CHECK(rest.done);
+  CHECK(first.text + rest.text == WholeText());
+}
+
+TEST_CASE("an answer is found after two nodes have left in turn",
+          "[node][handover]") {
+  leaving_fixture fixture(3);
+  fixture.StartStream(*fixture.nodes[0]);
+  // The second can only be the successor once it is the one that is left.
+  fixture.nodes[2]->Shutdown();
+  fixture.nodes[0]->Shutdown();
+  REQUIRE(fixture.Until([&] { return fixture.ended.has_value(); }));
+  const stream_part first = ReadPart(fixture.ended->response);
+  REQUIRE_FALSE(first.continue_at.empty());
+  const stream_part rest =
+      ReadPart(fixture.Call(fixture.nodes[0]->callers_address(),
+                            ReadRest(first.continue_at, first.last_offset)));
+  CHECK(rest.done);
+  CHECK(first.text + rest.text == WholeText());
+}
+
+TEST_CASE("a node with no other to turn to finishes by itself as far as it can",
+          "[node][handover]") {
+  leaving_fixture fixture(1);
+  fixture.StartStream(*fixture.nodes[0]);
+  fixture.nodes[0]->Shutdown();
+  REQUIRE(fixture.Until([&] { return fixture.ended.has_value(); }));
+  const stream_part first = ReadPart(fixture.ended->response);
+  CHECK(first.continue_at.empty());
+  CHECK(first.text == WholeText().substr(0, first.text.size()));
+}
+
+TEST_CASE("a handover without a valid signature is refused",
+          "[node][handover][hostile]") {
+  leaving_fixture fixture(1);
+  http_request forged;
+  forged.method = "POST";
+  forged.target = "/peer/handover";
+  forged.body = "[]";
+  CHECK(fixture.Call(fixture.nodes[0]->operators_address(), forged).status ==
+        401);
+}
+
+}  // namespace
+}  // namespace skylarkcroft
--- a/tests/node/node_fixture.h
+++ b/tests/node/node_fixture.h
@@ -60,7 +60,7 @@
     if (!nodes.empty()) {
       config.peers = {nodes.front()->mesh_address()};
     }
-    config.shutdown.settle = milliseconds(50);
+    config.shutdown = shutdown;
     nodes.push_back(std::make_unique<node>(loop, config, log_));
     return *nodes.back();
   }
@@ -202,11 +202,10 @@
   http_response Call(const endpoint& address, const http_request& request) {
     std::optional<http_result> ended;
     const http_call_ptr call = client.Send(
-        address, request, {}, {{}, {}, [&](const http_result& result) {
-                                 ended = result;
-                                 loop.Stop();
-                               }});
-    loop.RunFor(kWaitLimit);
+        address, request, {},
+        {{}, {}, [&](const http_result& result) { ended = result; }});
+    // A node that has drained stops the loop that it shares with the test.
+    static_cast<void>(Until([&] { return ended.has_value(); }));
     if (!ended || ended->outcome != http_outcome::kComplete) {
       return {};
     }
@@ -253,6 +252,8 @@
   event_loop loop;
   std::vector<std::unique_ptr<standin::plain_service_standin>> services;
   bool outcomes_readable = false;
+  /// Of nodes that are added from now on.
+  shutdown_settings shutdown{milliseconds(50), milliseconds(120000)};
   /// Of the nodes added from now on.
   table_settings tables{milliseconds(50), milliseconds(3000)};
 
