Leases of pools: decisions, settling of lost answers, keeper

Cause: what a node does for a whole pool needs one holder at a time. Change: one row a pool; takeover only after the row's version stood still for the lease time and a margin by the waiter's own clock, raising the fence in one compare-and-set; the holder acts by the time its last renewal was sent; lost answers are read back; spread by rendezvous.

--- /dev/null
+++ b/src/skylarkcroft/control/skylarkcroft_lease_keeper.h
@@ -0,0 +1,85 @@
+#ifndef SKYLARKCROFT_CONTROL_SKYLARKCROFT_LEASE_KEEPER_H_
+#define SKYLARKCROFT_CONTROL_SKYLARKCROFT_LEASE_KEEPER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "skylarkcroft/control/skylarkcroft_pool_lease.h"
+#include "skylarkcroft/internal/skylarkcroft_event_loop.h"
+#include "skylarkcroft/internal/skylarkcroft_time.h"
+#include "skylarkcroft/platform/skylarkcroft_group_commit.h"
+#include "skylarkcroft/platform/skylarkcroft_table_service.h"
+
+namespace skylarkcroft {
+
+/// What a lease keeper works with; all outlive it.
+struct lease_environment {
+  event_loop& loop;
+  table_service& store;
+  group_commit& commits;
+  /// Names of the live members.
+  std::function<std::vector<std::string>()> members;
+  /// Names of the pools that are to be controlled.
+  std::function<std::vector<std::string>()> pools;
+  clock_fn clock;
+};
+
+/// Counts since the start of the process.
+struct lease_counts {
+  uint64_t reads = 0;
+  uint64_t writes = 0;
+  uint64_t takeovers = 0;  ///< Acquisitions included.
+  uint64_t read_backs = 0;
+
+  bool operator==(const lease_counts&) const = default;
+};
+
+/// Acquires, renews, watches and releases the leases of this node's pools.
+/// Without the store the leases run out and nothing else happens.
+class lease_keeper {
+ public:
+  lease_keeper(lease_environment environment, lease_member self,
+               const lease_terms& terms);
+  ~lease_keeper();
+  lease_keeper(const lease_keeper&) = delete;
+  lease_keeper& operator=(const lease_keeper&) = delete;
+
+  /// Looks after every pool once; also runs by itself every kTickPeriod.
+  void Tick();
+  /// Gives back what is held and takes no more.
+  void ReleaseAll();
+
+  /// The lease of `pool_name`, or null when it is not looked after.
+  [[nodiscard]] const pool_lease* Find(const std::string& pool_name) const;
+  [[nodiscard]] const lease_counts& counts() const { return counts_; }
+  [[nodiscard]] const lease_member& self() const { return self_; }
+
+  static constexpr milliseconds kTickPeriod{500};
+
+ private:
+  struct watched;
+  using watched_ptr = std::shared_ptr<watched>;
+
+  void Look(const watched_ptr& one);
+  void Read(const watched_ptr& one);
+  void Write(const watched_ptr& one, lease_step step);
+  void AddAndRemove();
+
+  lease_environment environment_;
+  lease_member self_;
+  lease_terms terms_;
+  std::map<std::string, watched_ptr> leases_;
+  lease_counts counts_;
+  bool releasing_ = false;
+  event_loop::handle_ptr timer_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace skylarkcroft
+
+#endif  // SKYLARKCROFT_CONTROL_SKYLARKCROFT_LEASE_KEEPER_H_
