Table rows: a stored document that is no text counts as empty

Cause: DecodeTables read the member with json::value, which throws a type_error when the member has another type, inside a callback of the loop. Change: a checked read.

--- a/src/skylarkcroft/tables/skylarkcroft_table_rows.cc
+++ b/src/skylarkcroft/tables/skylarkcroft_table_rows.cc
@@ -21,6 +21,13 @@
   return parsed.is_object() ? parsed : nlohmann::json::object();
 }
 
+/// Empty object when the member is missing or no string.
+std::string DocumentOf(const nlohmann::json& row) {
+  const auto found = row.find("document");
+  return found != row.end() && found->is_string() ? found->get<std::string>()
+                                                  : "{}";
+}
+
 row_write Put(row_key key, int64_t version, const nlohmann::json& document) {
   row_write write;
   write.row = {std::move(key), version, document.dump()};
@@ -84,10 +91,10 @@
     }
     const nlohmann::json parsed = ParseObject(row.document);
     if (row.key == TableKey(table_kind::kRoutes)) {
-      documents.routes = parsed.value("document", "{}");
+      documents.routes = DocumentOf(parsed);
       documents.routes_revision = *revision;
     } else if (row.key == TableKey(table_kind::kPools)) {
-      documents.pools = parsed.value("document", "{}");
+      documents.pools = DocumentOf(parsed);
       documents.pools_revision = *revision;
     }
   }
