Operators' interface: refuse a log level that is no text, show the newest edits

Cause: PUT /operators/loglevel with {"level":5} threw a type_error inside an HTTP callback; the history asked for the first 1000 rows of the log of edits, oldest first, so that later edits never showed. Change: a checked read of the level; the history starts 900 revisions before the one in force.

--- a/src/skylarkcroft/node/skylarkcroft_operators_api.cc
+++ b/src/skylarkcroft/node/skylarkcroft_operators_api.cc
@@ -1,5 +1,6 @@
 #include "skylarkcroft/node/skylarkcroft_operators_api.h"
 
+#include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -20,7 +21,10 @@
 constexpr int kConflict = 409;
 constexpr int kUnprocessable = 422;
 constexpr int kUnavailable = 503;
-constexpr size_t kMaxHistory = 1000;
+// Revisions that the history reaches back, and room for edits that this node
+// does not serve under yet.
+constexpr int64_t kHistoryRevisions = 900;
+constexpr size_t kMaxHistoryRows = 1000;
 constexpr size_t kEditIdBytes = 8;
 
 void ReplyJson(const http_exchange_ptr& exchange, int status,
@@ -43,6 +47,17 @@
   return revision;
 }
 
+/// Empty when `document` is no object or the member no string.
+std::string StringMember(const nlohmann::json& document, const char* name) {
+  if (!document.is_object()) {
+    return "";
+  }
+  const auto found = document.find(name);
+  return found != document.end() && found->is_string()
+             ? found->get<std::string>()
+             : "";
+}
+
 int StatusOfEdit(edit_outcome outcome) {
   switch (outcome) {
     case edit_outcome::kAccepted:
@@ -210,8 +225,10 @@
 
 void operators_api::OnHistory(const http_exchange_ptr& exchange,
                               table_kind table) {
+  const int64_t before = std::max<int64_t>(
+      0, environment_.tables.current()->revision - kHistoryRevisions);
   environment_.store.Query(
-      {kEditsPartition, "", "", kMaxHistory},
+      {kEditsPartition, "", EditKey(before).sort, kMaxHistoryRows},
       [exchange, table](const query_result& result) {
         if (!result.available) {
           ReplyJson(exchange, kUnavailable,
@@ -255,7 +272,7 @@
 void operators_api::OnLogLevel(const http_exchange_ptr& exchange) {
   const nlohmann::json body =
       nlohmann::json::parse(exchange->request().body, nullptr, false);
-  const std::string name = body.is_object() ? body.value("level", "") : "";
+  const std::string name = StringMember(body, "level");
   const std::optional<log_level> level = ParseLogLevel(name);
   if (!level) {
     ReplyJson(exchange, kBadRequest,
--- a/tests/node/node_fixture.h
+++ b/tests/node/node_fixture.h
@@ -131,6 +131,9 @@
     request.body = fault.dump();
     static_cast<void>(Call(standin, request));
   }
+  [[nodiscard]] const endpoint& platform_address() const {
+    return platform_.address();
+  }
   void SetPlatformFault(const nlohmann::json& fault) {
     SetFault(platform_.address(), fault);
   }
