--- a/tests/node/node_fixture.h
+++ b/tests/node/node_fixture.h
@@ -22,6 +22,7 @@
 
 inline constexpr const char* kTestKey = "key-of-dispatch";
 inline constexpr milliseconds kWaitLimit{20000};
+inline constexpr size_t kServiceCount = 2;
 inline const endpoint kFreePort{"127.0.0.1", 0};
 
 /// Real nodes, engines and the platform's services in one process, on one loop.
@@ -236,7 +237,8 @@
 
   std::vector<std::unique_ptr<standin::plain_service_standin>> MakeServices() {
     std::vector<std::unique_ptr<standin::plain_service_standin>> made;
-    for (int index = 0; index < 2; ++index) {
+    made.reserve(kServiceCount);
+    for (size_t index = 0; index < kServiceCount; ++index) {
       made.push_back(std::make_unique<standin::plain_service_standin>(
           loop, standin::plain_service_options{}, SteadyNow));
     }
