Ranked admission: guaranteed shares, fair queueing, preemption, windows

Cause: the node ran first come, first served over all ranks and callers, and each node took all of a pool's slots for its own. Change: ranked admission with guaranteed shares of a pool's slots, start-time fair queueing over callers by tokens, preemption of the running request that loses least, early refusal by the measured rate, bounded queues that refuse the caller furthest over its share, and a window on each node's concurrency fed by the engines' load reports. Strict priority as a second baseline. Running, queued and preemption counts by pool and rank in status and metrics.

--- a/src/skylarkcroft/admission/skylarkcroft_admission.h
+++ b/src/skylarkcroft/admission/skylarkcroft_admission.h
@@ -1,6 +1,7 @@
 #ifndef SKYLARKCROFT_ADMISSION_SKYLARKCROFT_ADMISSION_H_
 #define SKYLARKCROFT_ADMISSION_SKYLARKCROFT_ADMISSION_H_
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -23,6 +24,10 @@
   rank work_rank = rank::kNormal;
   /// Prompt tokens and expected output together; 1 for a plain service.
   int64_t estimated_tokens = 1;
+  /// Part of `estimated_tokens` that is prompt.
+  int64_t prompt_tokens = 0;
+  /// True when it may be stopped and go on later from the tokens delivered.
+  bool preemptible = false;
   time_point deadline{};
 
   bool operator==(const work_item&) const = default;
@@ -56,6 +61,26 @@
   bool operator==(const dispatch_decision&) const = default;
 };
 
+/// One rank's part in a pool.
+struct rank_counts {
+  int64_t running = 0;
+  int64_t queued = 0;
+  /// Preemptions since the start.
+  int64_t preempted = 0;
+
+  bool operator==(const rank_counts&) const = default;
+};
+
+/// What runs and waits in a pool.
+struct pool_counts {
+  std::array<rank_counts, kRankCount> ranks;
+
+  [[nodiscard]] int64_t running() const;
+  [[nodiscard]] int64_t queued() const;
+
+  bool operator==(const pool_counts&) const = default;
+};
+
 /// Decides which requests run, wait, or are refused on this node.
 class admission {
  public:
@@ -71,8 +96,14 @@
   /// Decides what starts now. Called after every Submit and Finish, and at
   /// least every kDispatchPeriod.
   virtual dispatch_decision Dispatch(time_point now) = 0;
-  [[nodiscard]] virtual int64_t Running(const std::string& pool) const = 0;
-  [[nodiscard]] virtual int64_t Queued(const std::string& pool) const = 0;
+  /// All zero for an unknown pool.
+  [[nodiscard]] virtual pool_counts Counts(const std::string& pool) const = 0;
+  [[nodiscard]] int64_t Running(const std::string& pool) const {
+    return Counts(pool).running();
+  }
+  [[nodiscard]] int64_t Queued(const std::string& pool) const {
+    return Counts(pool).queued();
+  }
 };
 
 /// Longest time between two calls of Dispatch().
@@ -82,6 +113,28 @@
 using pool_capacity_fn =
     std::function<int64_t(const std::string& pool, time_point now)>;
 
+using rank_policies = std::array<rank_policy, kRankCount>;
+
+/// What ranked admission asks of its surroundings.
+struct ranked_hooks {
+  pool_capacity_fn capacity;
+  /// Policies of the ranks in the routes table in force.
+  std::function<rank_policies()> policies;
+  /// Tokens of a running request that its caller has got so far.
+  std::function<int64_t(const std::string& request_id)> delivered_tokens;
+};
+
+/// Guaranteed shares of the ranks, fair queueing over callers within a rank,
+/// preemption, and refusal of work that cannot be served in time.
+/// `max_queued` bounds the queue of each rank in each pool.
+std::unique_ptr<admission> MakeRankedAdmission(ranked_hooks hooks,
+                                               size_t max_queued);
+
+/// The most urgent rank first, in order of arrival, without shares and without
+/// preemption; a baseline.
+std::unique_ptr<admission> MakeStrictAdmission(pool_capacity_fn capacity,
+                                               size_t max_queued);
+
 /// First come, first served over all ranks and callers, with one bounded queue
 /// a pool; the baseline.
 std::unique_ptr<admission> MakeFifoAdmission(pool_capacity_fn capacity,
--- a/src/skylarkcroft/admission/skylarkcroft_fifo_admission.cc
+++ b/src/skylarkcroft/admission/skylarkcroft_fifo_admission.cc
@@ -21,6 +21,7 @@
       return refusal{refusal_reason::kQueueFull, kRetryAfter};
     }
     queue.waiting.push_back(item);
+    ++queue.Of(item).queued;
     return std::nullopt;
   }
 
@@ -28,13 +29,15 @@
               time_point /*now*/) override {
     const auto found = running_.find(request_id);
     if (found != running_.end()) {
-      --pools_[found->second].running;
+      --pools_[found->second.pool].Of(found->second).running;
       running_.erase(found);
       return;
     }
     for (auto& [name, queue] : pools_) {
       std::erase_if(queue.waiting, [&](const work_item& item) {
-        return item.request_id == request_id;
+        const bool ended = item.request_id == request_id;
+        queue.Of(item).queued -= ended ? 1 : 0;
+        return ended;
       });
     }
   }
@@ -43,48 +46,46 @@
     dispatch_decision decision;
     for (auto& [name, queue] : pools_) {
       const int64_t capacity = capacity_(name, now);
-      while (!queue.waiting.empty() && queue.running < capacity) {
+      while (!queue.waiting.empty() && queue.counts.running() < capacity) {
         Take(queue, decision, now);
       }
     }
     return decision;
   }
 
-  int64_t Running(const std::string& pool) const override {
+  pool_counts Counts(const std::string& pool) const override {
     const auto found = pools_.find(pool);
-    return found == pools_.end() ? 0 : found->second.running;
-  }
-
-  int64_t Queued(const std::string& pool) const override {
-    const auto found = pools_.find(pool);
-    return found == pools_.end()
-               ? 0
-               : static_cast<int64_t>(found->second.waiting.size());
+    return found == pools_.end() ? pool_counts{} : found->second.counts;
   }
 
  private:
   struct pool_queue {
     std::deque<work_item> waiting;
-    int64_t running = 0;
+    pool_counts counts;
+
+    rank_counts& Of(const work_item& item) {
+      return counts.ranks[IndexOf(item.work_rank)];
+    }
   };
 
   void Take(pool_queue& queue, dispatch_decision& decision, time_point now) {
     const work_item item = std::move(queue.waiting.front());
     queue.waiting.pop_front();
+    --queue.Of(item).queued;
     if (item.deadline <= now) {
       decision.refused.push_back(
           {item.request_id, {refusal_reason::kDeadlineUnreachable, {}}});
       return;
     }
-    ++queue.running;
-    running_.emplace(item.request_id, item.pool);
+    ++queue.Of(item).running;
+    running_.emplace(item.request_id, item);
     decision.start.push_back(item.request_id);
   }
 
   pool_capacity_fn capacity_;
   size_t max_queued_;
   std::map<std::string, pool_queue> pools_;
-  std::unordered_map<std::string, std::string> running_;
+  std::unordered_map<std::string, work_item> running_;
 };
 
 }  // namespace
--- a/src/skylarkcroft/node/skylarkcroft_front.cc
+++ b/src/skylarkcroft/node/skylarkcroft_front.cc
@@ -59,6 +59,9 @@
   item.pool = request.target.name;
   item.work_rank = request.via.work_rank;
   item.estimated_tokens = request.EstimatedTokens();
+  item.prompt_tokens =
+      request.completion ? request.completion->PromptTokens() : 0;
+  item.preemptible = request.completion && request.idempotent;
   item.deadline = request.deadline;
   return item;
 }
--- a/src/skylarkcroft/node/skylarkcroft_node.cc
+++ b/src/skylarkcroft/node/skylarkcroft_node.cc
@@ -20,6 +20,7 @@
 #include "skylarkcroft/node/skylarkcroft_node_mesh.h"
 #include "skylarkcroft/node/skylarkcroft_node_metrics.h"
 #include "skylarkcroft/node/skylarkcroft_operators_api.h"
+#include "skylarkcroft/node/skylarkcroft_pool_windows.h"
 #include "skylarkcroft/node/skylarkcroft_request_registry.h"
 #include "skylarkcroft/node/skylarkcroft_status_report.h"
 #include "skylarkcroft/platform/skylarkcroft_group_commit.h"
@@ -39,6 +40,7 @@
 // Time before the end of a shutdown at which what is unfinished is moved.
 constexpr milliseconds kHandoverMargin{3000};
 constexpr size_t kMaxQueuedPerPool = 10000;
+constexpr size_t kMaxQueuedPerRank = 2000;
 constexpr size_t kIncarnationBytes = 4;
 constexpr size_t kTrackedBlocksPerUpstream = 8192;
 
@@ -70,11 +72,8 @@
                  SteadyNow),
         claims_(loop, *store_, commits_, SteadyNow, WallNowMs),
         node_metrics_(metrics_),
-        admission_(MakeFifoAdmission(
-            [this](const std::string& pool, time_point now) {
-              return directory_.OpenSlots(pool, now);
-            },
-            kMaxQueuedPerPool)),
+        windows_(directory_, [this] { return LiveNodes(); }),
+        admission_(MakeAdmission()),
         runs_(MakeRunEnvironment()),
         front_({loop, config_, tables_, *admission_, registry_, runs_,
                 node_metrics_, log_, SteadyNow, incarnation_,
@@ -92,8 +91,9 @@
                           [this](const http_exchange_ptr& exchange) {
                             OnOperatorsRequest(exchange);
                           }),
-        poll_timer_(loop.Every(config_.tables.poll_period,
-                               [this] { loader_.Poll(); })) {
+        poll_timer_(
+            loop.Every(config_.tables.poll_period, [this] { loader_.Poll(); })),
+        sample_timer_(loop.Every(kSamplePeriod, [this] { SamplePools(); })) {
     tables_.OnChange([this](const table_set_ptr& tables) {
       directory_.SetPools(tables->pools, SteadyNow());
       log_.Log({log_level::kInfo,
@@ -146,6 +146,47 @@
     operators_.OnRequest(exchange);
   }
 
+  int64_t LiveNodes() const {
+    // The mesh starts after the pools, and counts only the others.
+    const size_t others =
+        mesh_ == nullptr ? 0 : mesh_->part().members().counted();
+    return static_cast<int64_t>(others) + 1;
+  }
+
+  std::unique_ptr<admission> MakeAdmission() {
+    if (config_.policy.admission == "fifo") {
+      return MakeFifoAdmission(
+          [this](const std::string& pool, time_point now) {
+            return directory_.OpenSlots(pool, now);
+          },
+          kMaxQueuedPerPool);
+    }
+    ranked_hooks hooks;
+    hooks.capacity = [this](const std::string& pool, time_point now) {
+      return windows_.CapacityOf(pool, now);
+    };
+    if (config_.policy.admission == "strict") {
+      return MakeStrictAdmission(hooks.capacity, kMaxQueuedPerRank);
+    }
+    hooks.policies = [this] { return tables_.current()->routes.policies(); };
+    hooks.delivered_tokens = [this](const std::string& request_id) {
+      const request_entry* entry = registry_.Find(request_id);
+      return entry == nullptr
+                 ? int64_t{0}
+                 : static_cast<int64_t>(entry->result->tokens().size());
+    };
+    return MakeRankedAdmission(hooks, kMaxQueuedPerRank);
+  }
+
+  void SamplePools() {
+    const time_point now = SteadyNow();
+    windows_.Update(*admission_, now);
+    for (const std::string& pool : directory_.PoolNames()) {
+      node_metrics_.SetPool(pool, windows_.CapacityOf(pool, now),
+                            admission_->Counts(pool));
+    }
+  }
+
   run_environment MakeRunEnvironment() {
     return {
         loop_,
@@ -182,8 +223,8 @@
   nlohmann::json Status() const {
     const time_point now = SteadyNow();
     nlohmann::json document =
-        DescribeNode({config_, tables_, directory_, *admission_, registry_,
-                      loader_.store_reachable(), front_.Ready(now)},
+        DescribeNode({config_, tables_, directory_, *admission_, windows_,
+                      registry_, loader_.store_reachable(), front_.Ready(now)},
                      now);
     document["members"] = mesh_->Describe(now);
     return document;
@@ -236,6 +277,7 @@
   node_metrics node_metrics_;
   upstream_directory directory_;
   std::map<std::string, retry_budget> budgets_;
+  pool_windows windows_;
   std::unique_ptr<admission> admission_;
   request_registry registry_;
   run_environment runs_;
@@ -247,6 +289,7 @@
   std::unique_ptr<node_mesh> mesh_;
   std::unique_ptr<node_handover> handover_;
   event_loop::handle_ptr poll_timer_;
+  event_loop::handle_ptr sample_timer_;
   event_loop::handle_ptr settle_timer_;
   event_loop::handle_ptr drain_timer_;
   event_loop::handle_ptr handover_timer_;
--- a/src/skylarkcroft/node/skylarkcroft_node_metrics.cc
+++ b/src/skylarkcroft/node/skylarkcroft_node_metrics.cc
@@ -44,6 +44,31 @@
       .Increment();
 }
 
+void node_metrics::SetPool(const std::string& pool, int64_t capacity,
+                           const pool_counts& counts) {
+  registry_
+      .Gauge({"skylarkcroft_pool_capacity",
+              "Requests that this node may have running in a pool.",
+              {{"pool", pool}}})
+      .Set(static_cast<double>(capacity));
+  for (const rank value : kAllRanks) {
+    const rank_counts& one = counts.ranks[IndexOf(value)];
+    const std::vector<metric_label> labels = {
+        {"pool", pool}, {"rank", std::string(ToString(value))}};
+    registry_
+        .Gauge({"skylarkcroft_running", "Requests started, not ended.", labels})
+        .Set(static_cast<double>(one.running));
+    registry_
+        .Gauge({"skylarkcroft_queued", "Requests that wait to start.", labels})
+        .Set(static_cast<double>(one.queued));
+    counter& preempted =
+        registry_.Counter({"skylarkcroft_preemptions_total",
+                           "Running requests stopped to go on later.", labels});
+    preempted.Increment(static_cast<uint64_t>(one.preempted) -
+                        preempted.value());
+  }
+}
+
 void node_metrics::RecordFirstToken(rank work_rank, duration elapsed) {
   first_token_[IndexOf(work_rank)]->Record(elapsed);
 }
--- a/src/skylarkcroft/node/skylarkcroft_node_metrics.h
+++ b/src/skylarkcroft/node/skylarkcroft_node_metrics.h
@@ -2,8 +2,11 @@
 #define SKYLARKCROFT_NODE_SKYLARKCROFT_NODE_METRICS_H_
 
 #include <array>
+#include <cstdint>
+#include <string>
 #include <string_view>
 
+#include "skylarkcroft/admission/skylarkcroft_admission.h"
 #include "skylarkcroft/http/skylarkcroft_refusal_reason.h"
 #include "skylarkcroft/internal/skylarkcroft_time.h"
 #include "skylarkcroft/metrics/skylarkcroft_metrics_registry.h"
@@ -22,6 +25,9 @@
   void CountRetry(std::string_view reason);
   void RecordFirstToken(rank work_rank, duration elapsed);
   void RecordAnswer(rank work_rank, duration elapsed);
+  /// Sets what a pool has running and queued, by rank.
+  void SetPool(const std::string& pool, int64_t capacity,
+               const pool_counts& counts);
 
  private:
   metrics_registry& registry_;
--- a/src/skylarkcroft/node/skylarkcroft_request_run.cc
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.cc
@@ -127,6 +127,7 @@
 void request_run::Pause(time_point now) {
   started_ = false;
   timer_.reset();
+  paused_tries_ += try_ == nullptr ? 0 : 1;
   DropTry(attempt_outcome::kComplete, now);
 }
 
@@ -273,7 +274,7 @@
 
 bool request_run::MayRetry(const attempt_result& result, time_point now) const {
   if (now >= request_.deadline ||
-      tries_ >= request_.target.retry.max_attempts) {
+      tries_ - paused_tries_ >= request_.target.retry.max_attempts) {
     return false;
   }
   return request_.idempotent || !result.may_have_run;
--- a/src/skylarkcroft/node/skylarkcroft_request_run.h
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.h
@@ -123,6 +123,8 @@
   std::string last_zone_;
   std::vector<std::string> tried_;
   int64_t tries_ = 0;
+  /// Tries that Pause() stopped; they do not count as failed.
+  int64_t paused_tries_ = 0;
   bool started_ = false;
   bool may_have_run_ = false;
   bool ended_ = false;
--- a/src/skylarkcroft/node/skylarkcroft_settings.cc
+++ b/src/skylarkcroft/node/skylarkcroft_settings.cc
@@ -110,8 +110,8 @@
   }
   const json_reader reader(root.Member("policy"), root.PathOf("policy"),
                            {"admission", "routing"});
-  parsed.policy.admission =
-      reader.ChoiceOr("admission", {"ranked", "fifo"}, parsed.policy.admission);
+  parsed.policy.admission = reader.ChoiceOr(
+      "admission", {"ranked", "strict", "fifo"}, parsed.policy.admission);
   parsed.policy.routing = reader.ChoiceOr(
       "routing", {"scored", "least_loaded", "random"}, parsed.policy.routing);
 }
--- a/src/skylarkcroft/node/skylarkcroft_status_report.cc
+++ b/src/skylarkcroft/node/skylarkcroft_status_report.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "skylarkcroft/admission/skylarkcroft_admission.h"
+#include "skylarkcroft/node/skylarkcroft_pool_windows.h"
 #include "skylarkcroft/node/skylarkcroft_request_registry.h"
 #include "skylarkcroft/node/skylarkcroft_settings.h"
 #include "skylarkcroft/routing/skylarkcroft_upstream_directory.h"
@@ -34,6 +35,18 @@
   return document;
 }
 
+nlohmann::json DescribeRanks(const pool_counts& counts) {
+  nlohmann::json ranks = nlohmann::json::array();
+  for (const rank value : kAllRanks) {
+    const rank_counts& one = counts.ranks[IndexOf(value)];
+    ranks.push_back({{"name", ToString(value)},
+                     {"running", one.running},
+                     {"queued", one.queued},
+                     {"preempted", one.preempted}});
+  }
+  return ranks;
+}
+
 }  // namespace
 
 nlohmann::json DescribeNode(const status_source& source, time_point now) {
@@ -46,6 +59,8 @@
     pools.push_back({{"name", name},
                      {"running", source.admit.Running(name)},
                      {"queued", source.admit.Queued(name)},
+                     {"capacity", source.windows.CapacityOf(name, now)},
+                     {"ranks", DescribeRanks(source.admit.Counts(name))},
                      {"upstreams", upstreams}});
   }
   return {{"name", source.config.name},
--- a/src/skylarkcroft/node/skylarkcroft_status_report.h
+++ b/src/skylarkcroft/node/skylarkcroft_status_report.h
@@ -8,6 +8,7 @@
 namespace skylarkcroft {
 
 class admission;
+class pool_windows;
 class request_registry;
 class tables_in_force;
 class upstream_directory;
@@ -19,6 +20,7 @@
   const tables_in_force& tables;
   const upstream_directory& directory;
   const admission& admit;
+  const pool_windows& windows;
   const request_registry& registry;
   bool store_reachable = false;
   bool ready = false;
--- a/src/skylarkcroft/tables/skylarkcroft_routes_table.h
+++ b/src/skylarkcroft/tables/skylarkcroft_routes_table.h
@@ -90,6 +90,9 @@
   [[nodiscard]] const rank_policy& PolicyOf(rank value) const {
     return ranks_[IndexOf(value)];
   }
+  [[nodiscard]] const std::array<rank_policy, kRankCount>& policies() const {
+    return ranks_;
+  }
   [[nodiscard]] const std::vector<caller>& callers() const { return callers_; }
   [[nodiscard]] const std::vector<route>& routes() const { return routes_; }
 
