Deferred requests: stored before they are accepted, finished by any node

Cause: night work and coding runs need an answer that survives the node that took it; a request was lost with its node. Change: Prefer: respond-async is answered 202 once the request's row is stored; the accepting node runs it, tries again what may pass until the deadline, and closes the open row and records the outcome in one transaction; a worker whose heartbeat row stands still for the lease is taken over by compare-and-set by the node that looks after the shard; results are read by id from any node; requests that may run only once are claimed like any other.

--- /dev/null
+++ b/src/skylarkcroft/attempt/skylarkcroft_completion_document.cc
@@ -0,0 +1,71 @@
+#include "skylarkcroft/attempt/skylarkcroft_completion_document.h"
+
+#include <nlohmann/json.hpp>
+
+#include "skylarkcroft/attempt/skylarkcroft_answer.h"
+
+namespace skylarkcroft {
+namespace {
+
+nlohmann::json ParseObject(const std::string& text) {
+  nlohmann::json parsed = nlohmann::json::parse(text, nullptr, false);
+  return parsed.is_object() ? parsed : nlohmann::json::object();
+}
+
+// The first choice of a streamed event; null when there is none.
+const nlohmann::json* FirstChoice(const nlohmann::json& event) {
+  const auto choices = event.find("choices");
+  if (choices == event.end() || !choices->is_array() || choices->empty()) {
+    return nullptr;
+  }
+  return &choices->front();
+}
+
+std::string TextOf(const nlohmann::json& choice, bool chat) {
+  if (!chat) {
+    return choice.value("text", "");
+  }
+  const auto delta = choice.find("delta");
+  return delta != choice.end() && delta->is_object()
+             ? delta->value("content", "")
+             : std::string();
+}
+
+}  // namespace
+
+std::string CompletionDocument(const answer& source,
+                               const completion_name& form) {
+  std::string text;
+  nlohmann::json finish_reason = "stop";
+  nlohmann::json created = 0;
+  for (const std::string& data : source.tokens()) {
+    const nlohmann::json event = ParseObject(data);
+    const nlohmann::json* choice = FirstChoice(event);
+    if (choice == nullptr) {
+      continue;
+    }
+    text += TextOf(*choice, form.chat);
+    created = event.value("created", created);
+    if (choice->contains("finish_reason") &&
+        choice->at("finish_reason").is_string()) {
+      finish_reason = choice->at("finish_reason");
+    }
+  }
+  nlohmann::json choice = {{"index", 0}, {"finish_reason", finish_reason}};
+  if (form.chat) {
+    choice["message"] = {{"role", "assistant"}, {"content", text}};
+  } else {
+    choice["text"] = text;
+  }
+  const nlohmann::json usage = ParseObject(source.usage());
+  const nlohmann::json whole = {
+      {"id", form.request_id},
+      {"object", form.chat ? "chat.completion" : "text_completion"},
+      {"created", created},
+      {"model", form.model},
+      {"choices", nlohmann::json::array({choice})},
+      {"usage", usage.value("usage", nlohmann::json::object())}};
+  return whole.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+}  // namespace skylarkcroft
--- a/src/skylarkcroft/node/skylarkcroft_answer_writer.cc
+++ b/src/skylarkcroft/node/skylarkcroft_answer_writer.cc
@@ -1,9 +1,9 @@
 #include "skylarkcroft/node/skylarkcroft_answer_writer.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
+#include "skylarkcroft/attempt/skylarkcroft_completion_document.h"
 #include "skylarkcroft/attempt/skylarkcroft_sse_parser.h"
 
 namespace skylarkcroft {
@@ -24,64 +24,6 @@
   return false;
 }
 
-nlohmann::json ParseObject(const std::string& text) {
-  nlohmann::json parsed = nlohmann::json::parse(text, nullptr, false);
-  return parsed.is_object() ? parsed : nlohmann::json::object();
-}
-
-// The first choice of a streamed event; null when there is none.
-const nlohmann::json* FirstChoice(const nlohmann::json& event) {
-  const auto choices = event.find("choices");
-  if (choices == event.end() || !choices->is_array() || choices->empty()) {
-    return nullptr;
-  }
-  return &choices->front();
-}
-
-std::string TextOf(const nlohmann::json& choice, bool chat) {
-  if (!chat) {
-    return choice.value("text", "");
-  }
-  const auto delta = choice.find("delta");
-  return delta != choice.end() && delta->is_object()
-             ? delta->value("content", "")
-             : std::string();
-}
-
-std::string WholeCompletion(const answer& source, const answer_form& form) {
-  std::string text;
-  nlohmann::json finish_reason = "stop";
-  nlohmann::json created = 0;
-  for (const std::string& data : source.tokens()) {
-    const nlohmann::json event = ParseObject(data);
-    const nlohmann::json* choice = FirstChoice(event);
-    if (choice == nullptr) {
-      continue;
-    }
-    text += TextOf(*choice, form.chat);
-    created = event.value("created", created);
-    if (choice->contains("finish_reason") &&
-        choice->at("finish_reason").is_string()) {
-      finish_reason = choice->at("finish_reason");
-    }
-  }
-  nlohmann::json choice = {{"index", 0}, {"finish_reason", finish_reason}};
-  if (form.chat) {
-    choice["message"] = {{"role", "assistant"}, {"content", text}};
-  } else {
-    choice["text"] = text;
-  }
-  const nlohmann::json usage = ParseObject(source.usage());
-  const nlohmann::json whole = {
-      {"id", form.request_id},
-      {"object", form.chat ? "chat.completion" : "text_completion"},
-      {"created", created},
-      {"model", form.model},
-      {"choices", nlohmann::json::array({choice})},
-      {"usage", usage.value("usage", nlohmann::json::object())}};
-  return whole.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
 }  // namespace
 
 answer_writer::answer_writer(std::shared_ptr<answer> source,
@@ -168,7 +110,8 @@
     exchange_->Reply({kOk,
                       {{kRequestIdHeader, form_.request_id},
                        {"Content-Type", "application/json"}},
-                      WholeCompletion(*source_, form_)});
+                      CompletionDocument(*source_, {form_.request_id,
+                                                    form_.model, form_.chat})});
     End(true);
     return;
   }
--- a/src/skylarkcroft/node/skylarkcroft_front.cc
+++ b/src/skylarkcroft/node/skylarkcroft_front.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <utility>
 
+#include "skylarkcroft/attempt/skylarkcroft_completion_document.h"
 #include "skylarkcroft/handover/skylarkcroft_peer_reader.h"
 #include "skylarkcroft/internal/skylarkcroft_digest.h"
 #include "skylarkcroft/internal/skylarkcroft_error.h"
@@ -17,6 +18,7 @@
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 constexpr milliseconds kSweepPeriod{1000};
+constexpr size_t kMaxDeferredBody = 128 * 1024;
 constexpr std::chrono::seconds kRetrySoon{1};
 constexpr std::string_view kRequestsPrefix = "/v1/requests/";
 constexpr std::string_view kStreamSuffix = "/stream";
@@ -66,6 +68,45 @@
   return item;
 }
 
+bool PrefersAsync(const http_request& request) {
+  return request.headers.Get("Prefer").find("respond-async") !=
+         std::string::npos;
+}
+
+// The answer to a deferred request that has no outcome yet.
+http_response OpenReply(const std::string& id) {
+  constexpr int kAccepted = 202;
+  return {kAccepted,
+          {{"X-Request-Id", id},
+           {"Location", std::string(kRequestsPrefix) + id},
+           {"Retry-After", std::to_string(kRetrySoon.count())},
+           {"Preference-Applied", "respond-async"},
+           {"Content-Type", "application/json"}},
+          R"({"id":")" + id + R"(","status":"open"})"};
+}
+
+deferred_run_result DeferredResult(const answer& ended,
+                                   const answer_form& form) {
+  if (ended.failure()) {
+    return {{}, ended.failure()};
+  }
+  if (ended.response()) {
+    http_response response = *ended.response();
+    response.headers = {{"X-Request-Id", form.request_id}};
+    if (ended.response()->headers.Has("Content-Type")) {
+      response.headers.Add("Content-Type",
+                           ended.response()->headers.Get("Content-Type"));
+    }
+    return {response, {}};
+  }
+  return {http_response{kOk,
+                        {{"X-Request-Id", form.request_id},
+                         {"Content-Type", "application/json"}},
+                        CompletionDocument(
+                            ended, {form.request_id, form.model, form.chat})},
+          {}};
+}
+
 }  // namespace
 
 front::front(front_environment environment)
@@ -177,6 +218,10 @@
                             "send an Idempotency-Key on this route"));
     return;
   }
+  if (PrefersAsync(request.original)) {
+    Defer(exchange, request, now);
+    return;
+  }
   request.id = NextId();
   environment_.metrics.CountRequest(request.via.work_rank);
   const work_item item = ItemOf(request);
@@ -186,6 +231,11 @@
       environment_.registry.Add(MakeEntry(std::move(request), now));
   request_run& run = *entry.run;
   Attach(exchange, entry, entry.form);
+  StartRun(run, item, needs_claim);
+}
+
+void front::StartRun(request_run& run, const work_item& item,
+                     bool needs_claim) {
   if (needs_claim) {
     run.TakeClaim([this, item] { Submit(item); });
   } else {
@@ -193,6 +243,120 @@
   }
 }
 
+void front::Defer(const http_exchange_ptr& exchange,
+                  const accepted_request& request, time_point now) {
+  if (request.original.body.size() > kMaxDeferredBody) {
+    Refuse(exchange, NotRun(refusal_reason::kBodyTooLarge,
+                            "a deferred request has at most 128 KiB"));
+    return;
+  }
+  deferred_request stored;
+  stored.id =
+      MakeDeferredId(environment_.config.name + "." + environment_.incarnation,
+                     next_number_++);
+  stored.caller_name = request.from.name;
+  stored.route_name = request.via.name;
+  stored.original.method = request.original.method;
+  stored.original.target = request.original.target;
+  stored.original.body = request.original.body;
+  for (const char* name : {"Content-Type", "Idempotency-Key"}) {
+    if (request.original.headers.Has(name)) {
+      stored.original.headers.Add(name, request.original.headers.Get(name));
+    }
+  }
+  stored.deadline_ms =
+      environment_.wall_clock() + ElapsedMs(now, request.deadline);
+  environment_.metrics.CountRequest(request.via.work_rank);
+  environment_.deferred().Accept(
+      stored, [this, exchange, id = stored.id](accept_outcome outcome) {
+        if (outcome == accept_outcome::kStored) {
+          exchange->Reply(OpenReply(id));
+          return;
+        }
+        const bool unknown = outcome == accept_outcome::kUnknown;
+        problem why = MakeProblem(
+            refusal_reason::kStoreUnavailable,
+            unknown ? run_state::kUnknown : run_state::kNotRun,
+            unknown ? "it may have been stored; ask for it by its id"
+                    : "it could not be stored; send it again",
+            id);
+        why.retry_after = kRetrySoon;
+        Refuse(exchange, why);
+      });
+}
+
+void front::RunDeferred(const deferred_request& stored,
+                        std::function<void(const deferred_run_result&)> done) {
+  const time_point now = environment_.clock();
+  const table_set_ptr tables = environment_.tables.current();
+  const caller* from = tables->routes.FindCaller(stored.caller_name);
+  const route* via = tables->routes.FindRoute(stored.route_name);
+  const auto fail = [&](refusal_reason reason, const std::string& detail) {
+    done({{}, MakeProblem(reason, run_state::kNotRun, detail, stored.id)});
+  };
+  if (from == nullptr || via == nullptr) {
+    fail(refusal_reason::kNoRoute, "its caller or route is no longer there");
+    return;
+  }
+  const int64_t left_ms = stored.deadline_ms - environment_.wall_clock();
+  if (left_ms <= 0) {
+    fail(refusal_reason::kDeadlineUnreachable, "its deadline has passed");
+    return;
+  }
+  accepted_request request;
+  try {
+    request = MakeAcceptedRequest(stored.original, *from, *via, tables, now);
+  } catch (const config_error& invalid) {
+    fail(refusal_reason::kBadRequest, invalid.what());
+    return;
+  }
+  request.id = stored.id;
+  request.deadline = now + milliseconds(left_ms);
+  if (!request.idempotent && request.idempotency_key.empty()) {
+    request.idempotency_key = stored.id;
+  }
+  const bool needs_claim = !request.idempotent;
+  const work_item item = ItemOf(request);
+  request_entry made = MakeEntry(std::move(request), now);
+  made.deferred = true;
+  request_entry& entry = environment_.registry.Add(std::move(made));
+  const std::shared_ptr<answer> result = entry.result;
+  result->AddReader([result = std::weak_ptr<answer>(result), form = entry.form,
+                     done = std::move(done)] {
+    const std::shared_ptr<answer> ended = result.lock();
+    if (ended->ended()) {
+      done(DeferredResult(*ended, form));
+    }
+  });
+  StartRun(*entry.run, item, needs_claim);
+}
+
+void front::ReadDeferred(const http_exchange_ptr& exchange,
+                         const std::string& id,
+                         const std::string& caller_name) {
+  environment_.deferred().Find(
+      id, [this, exchange, id, caller_name](const deferred_status& found) {
+        if (found.what == deferred_status::kind::kUnavailable) {
+          problem why = MakeProblem(refusal_reason::kStoreUnavailable,
+                                    run_state::kUnknown,
+                                    "its state cannot be read; ask again", id);
+          why.retry_after = kRetrySoon;
+          Refuse(exchange, why);
+          return;
+        }
+        if (found.what == deferred_status::kind::kMissing ||
+            found.caller_name != caller_name) {
+          Refuse(exchange,
+                 MakeProblem(refusal_reason::kNotFound, run_state::kUnknown,
+                             "no request of this caller has this id", id));
+          return;
+        }
+        exchange->Reply(found.what == deferred_status::kind::kOpen
+                            ? OpenReply(id)
+                            : found.response);
+      });
+}
+
 request_entry front::MakeEntry(accepted_request request, time_point now) {
   request_entry entry;
   entry.id = request.id;
@@ -326,6 +490,10 @@
   if (as_stream) {
     id.resize(id.size() - kStreamSuffix.size());
   }
+  if (IsDeferredId(id)) {
+    ReadDeferred(exchange, id, from->name);
+    return;
+  }
   request_entry* entry = environment_.registry.Find(id);
   const bool moved = entry != nullptr && entry->moved;
   if ((entry == nullptr || moved) &&
--- a/src/skylarkcroft/node/skylarkcroft_front.h
+++ b/src/skylarkcroft/node/skylarkcroft_front.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "skylarkcroft/admission/skylarkcroft_admission.h"
+#include "skylarkcroft/deferred/skylarkcroft_deferred_worker.h"
 #include "skylarkcroft/handover/skylarkcroft_handover_record.h"
 #include "skylarkcroft/http/skylarkcroft_http_server.h"
 #include "skylarkcroft/http/skylarkcroft_problem.h"
@@ -36,6 +37,7 @@
   node_metrics& metrics;
   logger& log;
   clock_fn clock;
+  wall_clock_fn wall_clock;
   /// Text that differs for each start of the process.
   std::string incarnation;
   /// Passes a read of a request that is not here on to the node that has it;
@@ -43,6 +45,8 @@
   std::function<bool(const http_exchange_ptr& exchange,
                      const std::string& request_id)>
       read_elsewhere;
+  /// The deferred work of this node.
+  std::function<deferred_worker&()> deferred;
 };
 
 /// Takes callers' requests: names them, checks the caller and the route, passes
@@ -60,6 +64,10 @@
   /// tables in force have no such caller, route or pool.
   bool Adopt(const handover_record& record);
 
+  /// Runs a stored request; `done` gets how it ended.
+  void RunDeferred(const deferred_request& request,
+                   std::function<void(const deferred_run_result&)> done);
+
   /// Refuses new requests from now on; those accepted go on.
   void RefuseNew();
   /// True while the node takes requests and its tables are current.
@@ -71,6 +79,11 @@
  private:
   void OnNew(const http_exchange_ptr& exchange, time_point now);
   void OnRead(const http_exchange_ptr& exchange, time_point now);
+  void Defer(const http_exchange_ptr& exchange, const accepted_request& request,
+             time_point now);
+  void ReadDeferred(const http_exchange_ptr& exchange, const std::string& id,
+                    const std::string& caller_name);
+  void StartRun(request_run& run, const work_item& item, bool needs_claim);
   request_entry MakeEntry(accepted_request request, time_point now);
   void Accept(const http_exchange_ptr& exchange, accepted_request request,
               time_point now);
--- a/src/skylarkcroft/node/skylarkcroft_node.cc
+++ b/src/skylarkcroft/node/skylarkcroft_node.cc
@@ -10,6 +10,7 @@
 #include "skylarkcroft/admission/skylarkcroft_admission.h"
 #include "skylarkcroft/attempt/skylarkcroft_retry_budget.h"
 #include "skylarkcroft/claims/skylarkcroft_claim_keeper.h"
+#include "skylarkcroft/deferred/skylarkcroft_deferred_worker.h"
 #include "skylarkcroft/http/skylarkcroft_http_client.h"
 #include "skylarkcroft/internal/skylarkcroft_digest.h"
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
@@ -76,11 +77,13 @@
         admission_(MakeAdmission()),
         runs_(MakeRunEnvironment()),
         front_({loop, config_, tables_, *admission_, registry_, runs_,
-                node_metrics_, log_, SteadyNow, incarnation_,
+                node_metrics_, log_, SteadyNow, WallNowMs, incarnation_,
                 [this](const http_exchange_ptr& exchange,
                        const std::string& request_id) {
                   return handover_->ReadElsewhere(exchange, request_id);
-                }}),
+                },
+                [this]() -> deferred_worker& { return deferred_; }}),
+        deferred_(MakeDeferredEnvironment(), config_.deferred),
         operators_(MakeOperatorsEnvironment()),
         poller_(loop, client_, directory_, kLoadPollPeriod, SteadyNow),
         callers_server_(loop, config_.callers_address, config_.http,
@@ -206,6 +209,30 @@
         SteadyNow};
   }
 
+  deferred_environment MakeDeferredEnvironment() {
+    return {loop_,
+            *store_,
+            commits_,
+            config_.name + "." + incarnation_,
+            [this](const deferred_request& request,
+                   std::function<void(const deferred_run_result&)> done) {
+              front_.RunDeferred(request, std::move(done));
+            },
+            [this] { return OwnShards(); },
+            SteadyNow,
+            WallNowMs};
+  }
+
+  std::vector<size_t> OwnShards() const {
+    std::vector<std::string> names = {config_.name};
+    for (const auto& [name, one] : mesh_->part().members().all()) {
+      if (one.usable()) {
+        names.push_back(name);
+      }
+    }
+    return ShardsOf(config_.name, names);
+  }
+
   operators_environment MakeOperatorsEnvironment() {
     return {tables_,
             editor_,
@@ -250,9 +277,11 @@
 
   void Drain() {
     front_.RefuseNew();
+    // Others take over what is stored.
+    deferred_.Stop();
     callers_server_.StopAccepting();
     drain_timer_ = loop_.Every(kDrainPollPeriod, [this] {
-      if (registry_.active() == 0 && front_.open_writers() == 0 &&
+      if (registry_.active_read() == 0 && front_.open_writers() == 0 &&
           handover_->active_reads() == 0 &&
           callers_server_.open_exchanges() == 0) {
         log_.Log({log_level::kInfo, "drained", "", "", "", "", {}});
@@ -282,6 +311,7 @@
   request_registry registry_;
   run_environment runs_;
   front front_;
+  deferred_worker deferred_;
   operators_api operators_;
   load_poller poller_;
   http_server callers_server_;
--- a/src/skylarkcroft/node/skylarkcroft_node_handover.cc
+++ b/src/skylarkcroft/node/skylarkcroft_node_handover.cc
@@ -17,7 +17,8 @@
 constexpr int kOk = 200;
 
 bool CanMove(const request_entry& entry) {
-  if (entry.moved || entry.form.what == answer_form::kind::kPlain) {
+  if (entry.moved || entry.deferred ||
+      entry.form.what == answer_form::kind::kPlain) {
     return false;
   }
   return entry.run != nullptr &&
--- a/src/skylarkcroft/node/skylarkcroft_request_registry.cc
+++ b/src/skylarkcroft/node/skylarkcroft_request_registry.cc
@@ -31,7 +31,7 @@
   std::vector<std::string> ids;
   for (const auto& [id, entry] : entries_) {
     if (entry.result->ended() || entry.result->HasReaders() ||
-        !entry.idempotent) {
+        !entry.idempotent || entry.deferred) {
       continue;
     }
     if (now - entry.unread_since > limit) {
@@ -47,4 +47,11 @@
       [](const auto& item) { return !item.second.result->ended(); }));
 }
 
+size_t request_registry::active_read() const {
+  return static_cast<size_t>(
+      std::count_if(entries_.begin(), entries_.end(), [](const auto& item) {
+        return !item.second.result->ended() && !item.second.deferred;
+      }));
+}
+
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/node/skylarkcroft_request_registry.h
+++ b/src/skylarkcroft/node/skylarkcroft_request_registry.h
@@ -25,6 +25,8 @@
   time_point arrived{};
   std::shared_ptr<answer> result;
   std::unique_ptr<request_run> run;
+  /// True for a run whose outcome is recorded instead of being read here.
+  bool deferred = false;
   /// True once another node has taken the request over.
   bool moved = false;
   /// When the answer ended, or when the last reader left.
@@ -47,6 +49,8 @@
                                                    duration limit) const;
   /// Requests whose answer has not ended.
   [[nodiscard]] size_t active() const;
+  /// Those of them that are not deferred.
+  [[nodiscard]] size_t active_read() const;
   [[nodiscard]] const std::unordered_map<std::string, request_entry>& entries()
       const {
     return entries_;
--- a/src/skylarkcroft/node/skylarkcroft_settings.cc
+++ b/src/skylarkcroft/node/skylarkcroft_settings.cc
@@ -138,6 +138,24 @@
   parsed.shutdown.limit = ReadMs(reader, "limit_ms", parsed.shutdown.limit);
 }
 
+void ReadDeferred(const json_reader& root, settings& parsed) {
+  if (!root.Has("deferred")) {
+    return;
+  }
+  const json_reader reader(root.Member("deferred"), root.PathOf("deferred"),
+                           {"heartbeat_ms", "lease_ms", "scan_ms", "retry_ms"});
+  deferred_options& deferred = parsed.deferred;
+  deferred.heartbeat_period =
+      ReadMs(reader, "heartbeat_ms", deferred.heartbeat_period);
+  deferred.lease = ReadMs(reader, "lease_ms", deferred.lease);
+  deferred.scan_period = ReadMs(reader, "scan_ms", deferred.scan_period);
+  deferred.retry_delay = ReadMs(reader, "retry_ms", deferred.retry_delay);
+  if (deferred.lease <= 2 * deferred.heartbeat_period) {
+    throw config_error(reader.PathOf("lease_ms"), "is not above two heartbeats",
+                       "raise lease_ms or lower heartbeat_ms");
+  }
+}
+
 void ReadLog(const json_reader& root, settings& parsed) {
   if (!root.Has("log")) {
     return;
@@ -153,7 +171,7 @@
   const json_reader root(
       document, "$",
       {"node", "listen", "platform", "peers", "operator_key_sha256", "mesh_key",
-       "http", "tables", "policy", "answers", "shutdown", "log"});
+       "http", "tables", "policy", "answers", "shutdown", "deferred", "log"});
   settings parsed;
   ReadNode(root, parsed);
   ReadListen(root, parsed);
@@ -166,6 +184,7 @@
   ReadPolicy(root, parsed);
   ReadAnswers(root, parsed);
   ReadShutdown(root, parsed);
+  ReadDeferred(root, parsed);
   ReadLog(root, parsed);
   return parsed;
 }
--- a/src/skylarkcroft/node/skylarkcroft_settings.h
+++ b/src/skylarkcroft/node/skylarkcroft_settings.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "skylarkcroft/deferred/skylarkcroft_deferred_worker.h"
 #include "skylarkcroft/http/skylarkcroft_http_server.h"
 #include "skylarkcroft/internal/skylarkcroft_endpoint.h"
 #include "skylarkcroft/internal/skylarkcroft_time.h"
@@ -79,6 +80,7 @@
   policy_settings policy;
   answer_settings answers;
   shutdown_settings shutdown;
+  deferred_options deferred;
   std::string log_level = "info";
 };
 
--- a/tests/node/node_fixture.h
+++ b/tests/node/node_fixture.h
@@ -62,6 +62,7 @@
       config.peers = {nodes.front()->mesh_address()};
     }
     config.shutdown = shutdown;
+    config.deferred = deferred;
     nodes.push_back(std::make_unique<node>(loop, config, log_));
     return *nodes.back();
   }
@@ -259,6 +260,8 @@
   bool outcomes_readable = false;
   /// Of nodes that are added from now on.
   shutdown_settings shutdown{milliseconds(50), milliseconds(120000)};
+  deferred_options deferred{milliseconds(50), milliseconds(400),
+                            milliseconds(50), milliseconds(50)};
   /// Of the nodes added from now on.
   table_settings tables{milliseconds(50), milliseconds(3000)};
 
