Fleet: nodes share a mesh key, so that they know of each other

Cause: without mesh_key each node of a fleet stays alone, so the number of live nodes was 1 on each and a pool was taken three times over at the start of a load (trial: capacity 16 on each of three nodes for 16 slots). Change: a mesh_key in the settings that fleet.sh writes; live nodes come from the mesh.

--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -112,6 +112,7 @@
     "mesh": "127.0.0.1:$((FLEET_MESH_PORT + number))"
   },
   "platform": {"tables": "127.0.0.1:$FLEET_PLATFORM_PORT"},
+  "mesh_key": "fleet",
   "peers": [$peers]${members:+,
   $members}
 }
