Choice of upstream: balance over a longer time, cache events

Cause: the bound on load looked only at requests under way, which are few and noisy, so prompts were sent away from their cached prefix without need. What another node had placed was unknown.

Change: a decayed count of the tokens sent to each upstream is bounded to 1.15 of its mean; requests under way are bounded only beyond half the slots. A prompt that nobody has cached goes to the one of its two rendezvous upstreams with the lower recent share. GET /events is polled; lost events drop as many of the beliefs that are least recently used, and numbers that start again drop all.

--- a/src/skylarkcroft/node/skylarkcroft_node.cc
+++ b/src/skylarkcroft/node/skylarkcroft_node.cc
@@ -26,6 +26,7 @@
 #include "skylarkcroft/node/skylarkcroft_status_report.h"
 #include "skylarkcroft/platform/skylarkcroft_group_commit.h"
 #include "skylarkcroft/platform/skylarkcroft_table_service.h"
+#include "skylarkcroft/routing/skylarkcroft_cache_event_poller.h"
 #include "skylarkcroft/routing/skylarkcroft_load_poller.h"
 #include "skylarkcroft/routing/skylarkcroft_scored_choice.h"
 #include "skylarkcroft/routing/skylarkcroft_upstream_directory.h"
@@ -37,6 +38,7 @@
 namespace {
 
 constexpr milliseconds kLoadPollPeriod{250};
+constexpr milliseconds kCacheEventPollPeriod{250};
 constexpr milliseconds kDrainPollPeriod{50};
 // Time before the end of a shutdown at which what is unfinished is moved.
 constexpr milliseconds kHandoverMargin{3000};
@@ -86,6 +88,8 @@
         deferred_(MakeDeferredEnvironment(), config_.deferred),
         operators_(MakeOperatorsEnvironment()),
         poller_(loop, client_, directory_, kLoadPollPeriod, SteadyNow),
+        cache_poller_(loop, client_, directory_, prefixes_,
+                      kCacheEventPollPeriod),
         callers_server_(loop, config_.callers_address, config_.http,
                         [this](const http_exchange_ptr& exchange) {
                           front_.OnRequest(exchange);
@@ -264,9 +268,7 @@
     if (config_.policy.routing == "least_loaded") {
       return MakeLeastLoadedChoice(random_());
     }
-    return MakeScoredChoice(
-        std::make_shared<prefix_tracker>(kTrackedBlocksPerUpstream), {},
-        random_());
+    return MakeScoredChoice(prefixes_, {}, random_());
   }
 
   retry_budget& BudgetOf(const std::string& pool_name) {
@@ -305,6 +307,8 @@
   metrics_registry metrics_;
   node_metrics node_metrics_;
   upstream_directory directory_;
+  std::shared_ptr<prefix_tracker> prefixes_ =
+      std::make_shared<prefix_tracker>(kTrackedBlocksPerUpstream);
   std::map<std::string, retry_budget> budgets_;
   pool_windows windows_;
   std::unique_ptr<admission> admission_;
@@ -314,6 +318,7 @@
   deferred_worker deferred_;
   operators_api operators_;
   load_poller poller_;
+  cache_event_poller cache_poller_;
   http_server callers_server_;
   http_server operators_server_;
   std::unique_ptr<node_mesh> mesh_;
--- a/src/skylarkcroft/routing/skylarkcroft_prefix_tracker.cc
+++ b/src/skylarkcroft/routing/skylarkcroft_prefix_tracker.cc
@@ -48,6 +48,18 @@
   blocks.places.erase(found);
 }
 
+void prefix_tracker::NoteLost(const upstream_key& target, int64_t count) {
+  const auto owner = upstreams_.find(target);
+  if (owner == upstreams_.end()) {
+    return;
+  }
+  block_set& blocks = owner->second;
+  for (int64_t lost = 0; lost < count && !blocks.order.empty(); ++lost) {
+    blocks.places.erase(blocks.order.back());
+    blocks.order.pop_back();
+  }
+}
+
 void prefix_tracker::Forget(const upstream_key& target) {
   upstreams_.erase(target);
 }
--- a/src/skylarkcroft/routing/skylarkcroft_prefix_tracker.h
+++ b/src/skylarkcroft/routing/skylarkcroft_prefix_tracker.h
@@ -5,21 +5,13 @@
 #include <cstdint>
 #include <list>
 #include <map>
-#include <string>
 #include <unordered_map>
 
 #include "skylarkcroft/routing/skylarkcroft_prompt_prefix.h"
+#include "skylarkcroft/routing/skylarkcroft_upstream_key.h"
 
 namespace skylarkcroft {
 
-/// Names one upstream of one pool.
-struct upstream_key {
-  std::string pool;
-  std::string upstream;
-
-  auto operator<=>(const upstream_key&) const = default;
-};
-
 /// Which prompt prefixes each upstream is believed to have cached. Learns from
 /// what this node sent and from the upstreams' cache events; since events come
 /// late and with gaps, a belief may be wrong, and only costs a prefill then.
@@ -32,6 +24,10 @@
   void NoteSent(const upstream_key& target, const prompt_prefix& prefix);
   void NoteStored(const upstream_key& target, uint64_t block_hash);
   void NoteEvicted(const upstream_key& target, uint64_t block_hash);
+  /// Notes that `count` cache events were lost. Each may have been an eviction,
+  /// and an engine evicts what it used longest ago, so as many blocks, the
+  /// least recently used, are believed no longer.
+  void NoteLost(const upstream_key& target, int64_t count);
   /// Forgets an upstream that has left or lost its cache.
   void Forget(const upstream_key& target);
 
--- a/src/skylarkcroft/routing/skylarkcroft_scored_choice.cc
+++ b/src/skylarkcroft/routing/skylarkcroft_scored_choice.cc
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <utility>
 
+#include "skylarkcroft/routing/skylarkcroft_recent_share.h"
+
 namespace skylarkcroft {
 namespace {
 
@@ -12,6 +15,10 @@
   double slots = 1;
   /// Requests for each slot.
   double load = 0;
+  /// Tokens sent lately for each slot.
+  double share = 0;
+  /// Tokens of the prompt that are believed to be cached.
+  int64_t cached = 0;
   double score = 0;
 };
 using candidate_list = std::vector<candidate>;
@@ -49,7 +56,7 @@
       continue;
     }
     const double slots = OpenSlots(state, options, now);
-    const candidate one{&state, slots, RequestsOn(state) / slots, 0};
+    const candidate one{&state, slots, RequestsOn(state) / slots, 0, 0, 0};
     open.push_back(one);
     if (!WasTried(query, state)) {
       untried.push_back(one);
@@ -58,28 +65,35 @@
   return untried.empty() ? open : untried;
 }
 
-// Drops those above the bound; the least loaded always stays. The slack keeps
-// small numbers of requests from counting as imbalance.
-candidate_list WithinBound(candidate_list candidates,
-                           const score_options& options) {
+// A measure of how busy a candidate is, for each of its slots.
+using busyness = double candidate::*;
+
+// Drops those whose `measure` is above `bound` times the mean and `slack` more;
+// the lowest always stays.
+candidate_list WithinBound(candidate_list candidates, busyness measure,
+                           double bound, double slack) {
   double total = 0;
   double slots = 0;
+  double lowest = std::numeric_limits<double>::max();
   for (const candidate& one : candidates) {
-    total += one.load * one.slots;
+    total += one.*measure * one.slots;
     slots += one.slots;
+    lowest = std::min(lowest, one.*measure);
   }
-  const double mean = total / slots;
-  const auto least = std::min_element(
-      candidates.begin(), candidates.end(),
-      [](const candidate& a, const candidate& b) { return a.load < b.load; });
-  const double least_load = least->load;
-  std::erase_if(candidates, [&](const candidate& one) {
-    const double slack = options.load_slack_requests / one.slots;
-    return one.load > std::max(options.load_bound * mean + slack, least_load);
-  });
+  const double limit = std::max(bound * total / slots + slack, lowest);
+  std::erase_if(candidates,
+                [&](const candidate& one) { return one.*measure > limit; });
   return candidates;
 }
 
+double MeanSlots(const candidate_list& candidates) {
+  double slots = 0;
+  for (const candidate& one : candidates) {
+    slots += one.slots;
+  }
+  return slots / static_cast<double>(candidates.size());
+}
+
 double WaitMs(const candidate& one, const score_options& options) {
   if (one.load <= 1) {
     return one.load * options.full_batch_ms;
@@ -100,35 +114,52 @@
  public:
   scored_choice(std::shared_ptr<prefix_tracker> prefixes,
                 const score_options& options, uint64_t seed)
-      : prefixes_(std::move(prefixes)), options_(options), random_(seed) {}
+      : prefixes_(std::move(prefixes)),
+        options_(options),
+        shares_(options.share_decay),
+        random_(seed) {}
 
   std::optional<std::string> Choose(const choice_query& query,
                                     const std::vector<upstream_state>& members,
                                     time_point now) {
+    const prompt_prefix prefix = HashPrompt(query.prompt);
+    const auto tokens =
+        static_cast<double>(1 + prefix.tokens + query.expected_tokens);
     candidate_list candidates = OpenCandidates(query, members, options_, now);
     if (candidates.empty()) {
       return std::nullopt;
     }
-    candidates = WithinBound(std::move(candidates), options_);
-    const prompt_prefix prefix = HashPrompt(query.prompt);
     for (candidate& one : candidates) {
+      const upstream_key key{query.pool, one.state->spec.name};
+      one.share = shares_.TokensOn(key, now) / one.slots;
+      one.cached = prefixes_->CachedTokens(key, prefix);
       one.score = Score(query, prefix, one);
     }
+    candidates = WithinBounds(std::move(candidates), tokens);
     const candidate* chosen = prefix.block_hashes.empty()
                                   ? BetterOfTwo(candidates)
                                   : Best(candidates, prefix);
-    prefixes_->NoteSent({query.pool, chosen->state->spec.name}, prefix);
-    return chosen->state->spec.name;
+    const upstream_key key{query.pool, chosen->state->spec.name};
+    prefixes_->NoteSent(key, prefix);
+    shares_.NoteSent(key, tokens, now);
+    return key.upstream;
   }
 
  private:
+  candidate_list WithinBounds(candidate_list candidates, double tokens) const {
+    candidates = WithinBound(std::move(candidates), &candidate::load,
+                             options_.load_bound, options_.load_slack_slots);
+    const double slack =
+        options_.share_slack_requests * tokens / MeanSlots(candidates);
+    return WithinBound(std::move(candidates), &candidate::share,
+                       options_.share_bound, slack);
+  }
+
   double Score(const choice_query& query, const prompt_prefix& prefix,
                const candidate& one) const {
     const upstream& spec = one.state->spec;
-    const int64_t cached =
-        prefixes_->CachedTokens({query.pool, spec.name}, prefix);
     double score = WaitMs(one, options_);
-    score += static_cast<double>(prefix.tokens - cached) *
+    score += static_cast<double>(prefix.tokens - one.cached) *
              options_.prefill_ms_per_token;
     score += spec.price_per_hour * options_.price_ms;
     if (spec.reclaimable) {
@@ -149,34 +180,48 @@
     return second->score < first->score ? second : first;
   }
 
-  // The lowest score; where the scores are near each other, the one that every
-  // node would take.
-  const candidate* Best(const candidate_list& candidates,
-                        const prompt_prefix& prefix) const {
-    constexpr double kNearMs = 5;
+  // The lowest score; where none has the prompt's beginning cached, one of the
+  // two that every node would take.
+  static const candidate* Best(const candidate_list& candidates,
+                               const prompt_prefix& prefix) {
     const auto lowest =
         std::min_element(candidates.begin(), candidates.end(),
                          [](const candidate& a, const candidate& b) {
                            return a.score < b.score;
                          });
-    const candidate* best = &*lowest;
-    uint64_t best_weight = 0;
+    return lowest->cached > 0 ? &*lowest
+                              : Place(candidates, prefix, lowest->score);
+  }
+
+  // Of the two highest rendezvous weights among those near the lowest score,
+  // the one with the lower recent share.
+  static const candidate* Place(const candidate_list& candidates,
+                                const prompt_prefix& prefix, double lowest) {
+    constexpr double kNearMs = 20;
+    const candidate* first = nullptr;
+    const candidate* second = nullptr;
+    uint64_t first_weight = 0;
+    uint64_t second_weight = 0;
     for (const candidate& one : candidates) {
-      if (one.score > lowest->score + kNearMs) {
+      if (one.score > lowest + kNearMs) {
         continue;
       }
       const uint64_t weight =
           RendezvousWeight(prefix.block_hashes.front(), one.state->spec.name);
-      if (weight >= best_weight) {
-        best_weight = weight;
-        best = &one;
+      if (first == nullptr || weight > first_weight) {
+        second = std::exchange(first, &one);
+        second_weight = std::exchange(first_weight, weight);
+      } else if (second == nullptr || weight > second_weight) {
+        second = &one;
+        second_weight = weight;
       }
     }
-    return best;
+    return second != nullptr && second->share < first->share ? second : first;
   }
 
   std::shared_ptr<prefix_tracker> prefixes_;
   score_options options_;
+  recent_share shares_;
   std::mt19937_64 random_;
 };
 
--- a/src/skylarkcroft/routing/skylarkcroft_scored_choice.h
+++ b/src/skylarkcroft/routing/skylarkcroft_scored_choice.h
@@ -16,17 +16,25 @@
   /// Milliseconds that a request waits for each request beyond the slots.
   double queued_request_ms = 500;
   /// Milliseconds that a full upstream is slower than an idle one.
-  double full_batch_ms = 60;
+  double full_batch_ms = 16;
   /// Milliseconds for being in the availability zone of the last failure.
   double failed_zone_ms = 200;
   /// Milliseconds for each unit of price an hour.
   double price_ms = 1;
   /// Milliseconds for each token at stake on a reclaimable host.
   double reclaim_ms_per_token = 0.01;
-  /// An upstream whose load is above this multiple of the mean is passed over.
+  /// An upstream whose requests under way are above this multiple of the mean
+  /// is passed over.
   double load_bound = 1.25;
-  /// Requests that an upstream may be above that bound.
-  double load_slack_requests = 2;
+  /// Part of its slots that an upstream may be above that bound.
+  double load_slack_slots = 0.5;
+  /// An upstream whose recent share of the tokens sent is above this multiple
+  /// of the mean is passed over.
+  double share_bound = 1.15;
+  /// Requests of the present size that an upstream may be above that bound.
+  double share_slack_requests = 2;
+  /// Time after which a token sent counts 1/e in the recent share.
+  milliseconds share_decay{30000};
   /// Time over which a new upstream's share grows to its full size.
   milliseconds slow_start{10000};
 
@@ -35,10 +43,11 @@
 
 /// Prefers the upstream with the lowest expected time to the first token:
 /// waiting, prefill of what is not cached, zone, price, and the chance of a
-/// reclaim times the tokens at stake. Loads above the bound are passed over, a
-/// prompt that nobody has cached goes to the same upstream from every node, and
-/// prompts without a shared prefix are spread by two random choices. Records
-/// what it chose in `prefixes`.
+/// reclaim times the tokens at stake. Upstreams above the bounds on requests
+/// under way and on the recent share are passed over. A prompt that nobody has
+/// cached goes to the one with the lower recent share of the two that its
+/// rendezvous hash names on every node, and prompts without a whole block are
+/// spread by two random choices. Records what it chose in `prefixes`.
 choose_fn MakeScoredChoice(std::shared_ptr<prefix_tracker> prefixes,
                            const score_options& options, uint64_t seed);
 
--- a/src/skylarkcroft/routing/skylarkcroft_upstream_directory.cc
+++ b/src/skylarkcroft/routing/skylarkcroft_upstream_directory.cc
@@ -47,7 +47,9 @@
 
 void upstream_directory::SetPools(const pools_table& pools, time_point now) {
   std::map<std::string, std::vector<upstream_state>> next;
+  kinds_.clear();
   for (const pool& one : pools.pools()) {
+    kinds_[one.name] = one.kind;
     const std::vector<upstream_state>& old = InPool(one.name);
     std::vector<upstream_state>& members = next[one.name];
     for (const upstream& spec : one.upstreams) {
@@ -72,6 +74,11 @@
   return names;
 }
 
+pool_kind upstream_directory::KindOf(const std::string& pool_name) const {
+  const auto found = kinds_.find(pool_name);
+  return found == kinds_.end() ? pool_kind::kService : found->second;
+}
+
 upstream_state* upstream_directory::Find(const std::string& pool_name,
                                          const std::string& upstream_name) {
   const auto found = pools_.find(pool_name);
--- a/src/skylarkcroft/routing/skylarkcroft_upstream_directory.h
+++ b/src/skylarkcroft/routing/skylarkcroft_upstream_directory.h
@@ -54,6 +54,8 @@
   [[nodiscard]] const std::vector<upstream_state>& InPool(
       const std::string& pool_name) const;
   [[nodiscard]] std::vector<std::string> PoolNames() const;
+  /// kService for an unknown pool.
+  [[nodiscard]] pool_kind KindOf(const std::string& pool_name) const;
 
   void NoteSent(const std::string& pool_name, const std::string& upstream_name,
                 time_point now);
@@ -73,6 +75,7 @@
                        const std::string& upstream_name);
 
   std::map<std::string, std::vector<upstream_state>> pools_;
+  std::map<std::string, pool_kind> kinds_;
 };
 
 /// True when `state` may get a new request at `now`.
--- a/tests/routing/scored_choice_test.cc
+++ b/tests/routing/scored_choice_test.cc
@@ -105,6 +105,23 @@
   }
 }
 
+TEST_CASE("a cached prefix does not draw a lasting share beyond the bound",
+          "[routing][prefix]") {
+  const std::vector<upstream_state> members = {State("a"), State("b"),
+                                               State("c"), State("d")};
+  const choose_fn choose = Scored();
+  choice_query query;
+  query.prompt = LongPrompt("hot");
+  std::map<std::string, int64_t> counts;
+  // Each request has ended before the next one, so no load shows.
+  for (int index = 0; index < 400; ++index) {
+    ++counts[*choose(query, members, kNow + milliseconds(50 * index))];
+  }
+  for (const auto& [name, count] : counts) {
+    CHECK(static_cast<double>(count) <= 1.25 * 100);
+  }
+}
+
 TEST_CASE("a new upstream gets a small share at first", "[routing]") {
   std::vector<upstream_state> members = {State("old"), State("new")};
   members[1].known_since = kNow;
