Ejection with a floor and probes; requests fail early without an upstream

Cause: three failures of any kind in a row ejected an upstream for a fixed time, and when all failed all were ejected at once, so requests waited for an upstream until their deadline.

Change: answers that are failures and connections that fail count apart; refusals and tries that this node gave up count as neither. Two failed connections ask for GET /health on a new connection and close the kept ones; only a failed probe ejects, or four more failures. At most half of a pool is ejected at once. The time doubles from 5 s to 60 s and ends with a passed probe. A pool that has had no upstream for 2 s refuses what waits for it as no_upstream, also from admission's queue. Events are counted (skylarkcroft_upstream_events_total, skylarkcroft_run_events_total), status shows the evidence.

--- a/src/skylarkcroft/attempt/skylarkcroft_attempt_result.cc
+++ b/src/skylarkcroft/attempt/skylarkcroft_attempt_result.cc
@@ -20,6 +20,8 @@
       return "timed_out";
     case attempt_outcome::kMalformed:
       return "malformed";
+    case attempt_outcome::kCancelled:
+      return "cancelled";
   }
   return "unknown";
 }
--- a/src/skylarkcroft/attempt/skylarkcroft_attempt_result.h
+++ b/src/skylarkcroft/attempt/skylarkcroft_attempt_result.h
@@ -19,6 +19,7 @@
   kBroken,         ///< The connection or stream failed part of the way.
   kTimedOut,       ///< No progress for the pool's progress timeout.
   kMalformed,      ///< The answer breaks the upstream protocol.
+  kCancelled,      ///< This node gave it up; says nothing of the upstream.
 };
 
 /// Lower-case name of `outcome`, for logs and counters.
--- a/src/skylarkcroft/node/skylarkcroft_node.cc
+++ b/src/skylarkcroft/node/skylarkcroft_node.cc
@@ -27,6 +27,7 @@
 #include "skylarkcroft/platform/skylarkcroft_group_commit.h"
 #include "skylarkcroft/platform/skylarkcroft_table_service.h"
 #include "skylarkcroft/routing/skylarkcroft_cache_event_poller.h"
+#include "skylarkcroft/routing/skylarkcroft_health_prober.h"
 #include "skylarkcroft/routing/skylarkcroft_load_poller.h"
 #include "skylarkcroft/routing/skylarkcroft_scored_choice.h"
 #include "skylarkcroft/routing/skylarkcroft_upstream_directory.h"
@@ -39,6 +40,7 @@
 
 constexpr milliseconds kLoadPollPeriod{250};
 constexpr milliseconds kCacheEventPollPeriod{250};
+constexpr milliseconds kProbePeriod{100};
 constexpr milliseconds kDrainPollPeriod{50};
 // Time before the end of a shutdown at which what is unfinished is moved.
 constexpr milliseconds kHandoverMargin{3000};
@@ -90,6 +92,7 @@
         poller_(loop, client_, directory_, kLoadPollPeriod, SteadyNow),
         cache_poller_(loop, client_, directory_, prefixes_,
                       kCacheEventPollPeriod),
+        prober_(loop, client_, directory_, kProbePeriod, SteadyNow),
         callers_server_(loop, config_.callers_address, config_.http,
                         [this](const http_exchange_ptr& exchange) {
                           front_.OnRequest(exchange);
@@ -117,6 +120,9 @@
     handover_ = std::make_unique<node_handover>(node_handover_environment{
         loop, client_, config_, registry_, front_, *mesh_,
         config_.name + "." + incarnation_, SteadyNow, WallNowMs});
+    directory_.OnEvent([this](upstream_event event) {
+      node_metrics_.CountUpstreamEvent(ToString(event));
+    });
     loader_.Poll();
   }
 
@@ -164,7 +170,7 @@
     if (config_.policy.admission == "fifo") {
       return MakeFifoAdmission(
           [this](const std::string& pool, time_point now) {
-            return directory_.OpenSlots(pool, now);
+            return directory_.AdmissibleSlots(pool, now);
           },
           kMaxQueuedPerPool);
     }
@@ -204,6 +210,7 @@
         [this](const std::string& pool) { BudgetOf(pool).NoteFirstTry(); },
         [this](const std::string& pool) { return BudgetOf(pool).TryRetry(); },
         [this](std::string_view reason) { node_metrics_.CountRetry(reason); },
+        [this](std::string_view event) { node_metrics_.CountRunEvent(event); },
         [this](rank work_rank, duration elapsed) {
           node_metrics_.RecordFirstToken(work_rank, elapsed);
         },
@@ -319,6 +326,7 @@
   operators_api operators_;
   load_poller poller_;
   cache_event_poller cache_poller_;
+  health_prober prober_;
   http_server callers_server_;
   http_server operators_server_;
   std::unique_ptr<node_mesh> mesh_;
--- a/src/skylarkcroft/node/skylarkcroft_node_metrics.cc
+++ b/src/skylarkcroft/node/skylarkcroft_node_metrics.cc
@@ -69,6 +69,22 @@
   }
 }
 
+void node_metrics::CountRunEvent(std::string_view event) {
+  registry_
+      .Counter({"skylarkcroft_run_events_total",
+                "Resumed streams, hedges and spent retry budgets, by kind.",
+                {{"event", std::string(event)}}})
+      .Increment();
+}
+
+void node_metrics::CountUpstreamEvent(std::string_view event) {
+  registry_
+      .Counter({"skylarkcroft_upstream_events_total",
+                "Ejections and probes of upstreams, by kind.",
+                {{"event", std::string(event)}}})
+      .Increment();
+}
+
 void node_metrics::RecordFirstToken(rank work_rank, duration elapsed) {
   first_token_[IndexOf(work_rank)]->Record(elapsed);
 }
--- a/src/skylarkcroft/node/skylarkcroft_node_metrics.h
+++ b/src/skylarkcroft/node/skylarkcroft_node_metrics.h
@@ -23,6 +23,8 @@
   void CountRefusal(refusal_reason reason);
   /// `reason` is the outcome of the try before the retry.
   void CountRetry(std::string_view reason);
+  void CountRunEvent(std::string_view event);
+  void CountUpstreamEvent(std::string_view event);
   void RecordFirstToken(rank work_rank, duration elapsed);
   void RecordAnswer(rank work_rank, duration elapsed);
   /// Sets what a pool has running and queued, by rank.
--- a/src/skylarkcroft/node/skylarkcroft_pool_windows.cc
+++ b/src/skylarkcroft/node/skylarkcroft_pool_windows.cc
@@ -14,6 +14,9 @@
 
 int64_t pool_windows::CapacityOf(const std::string& pool,
                                  time_point now) const {
+  if (directory_.ClosedFor(pool, kClosedLimit, now)) {
+    return directory_.AdmissibleSlots(pool, now);
+  }
   const int64_t slots = directory_.OpenSlots(pool, now);
   const auto found = windows_.find(pool);
   if (found != windows_.end()) {
--- a/src/skylarkcroft/node/skylarkcroft_request_run.cc
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.cc
@@ -128,7 +128,7 @@
   started_ = false;
   timer_.reset();
   paused_tries_ += try_ == nullptr ? 0 : 1;
-  DropTry(attempt_outcome::kComplete, now);
+  DropTry(attempt_outcome::kCancelled, now);
 }
 
 void request_run::MoveAway() {
@@ -161,6 +161,13 @@
       environment_.choose(MakeQuery(), members, now);
   const upstream* found = chosen ? FindUpstream(members, *chosen) : nullptr;
   if (found == nullptr) {
+    if (environment_.directory.ClosedFor(request_.target.name, kClosedLimit,
+                                         now)) {
+      environment_.count_event("no_upstream");
+      Fail(refusal_reason::kNoUpstream, "no upstream takes requests",
+           kRetryAfter);
+      return;
+    }
     timer_ = environment_.loop.After(
         kNoUpstreamDelay, [this] { StartTry(environment_.clock()); });
     return;
@@ -282,12 +289,19 @@
 
 void request_run::RetryOrFail(const attempt_result& result,
                               const upstream& from, time_point now) {
-  if (!MayRetry(result, now) ||
-      !environment_.take_retry(request_.target.name)) {
+  if (!MayRetry(result, now)) {
+    FailAfter(result, from);
+    return;
+  }
+  if (!environment_.take_retry(request_.target.name)) {
+    environment_.count_event("budget_used_up");
     FailAfter(result, from);
     return;
   }
   environment_.count_retry(ToString(result.outcome));
+  if (!answer_->tokens().empty()) {
+    environment_.count_event("resumed");
+  }
   ScheduleRetry();
 }
 
@@ -414,7 +428,7 @@
   deadline_timer_.reset();
   environment_.loop.Defer(
       [ended = std::shared_ptr<outcome_query>(std::move(outcome_query_))] {});
-  DropTry(attempt_outcome::kComplete, environment_.clock());
+  DropTry(attempt_outcome::kCancelled, environment_.clock());
 }
 
 void request_run::Publish(const std::function<void()>& end_answer) {
--- a/src/skylarkcroft/node/skylarkcroft_request_run.h
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.h
@@ -37,6 +37,8 @@
   std::function<bool(const std::string& pool)> take_retry;
   /// Counts a retry by the outcome of the try before it.
   std::function<void(std::string_view reason)> count_retry;
+  /// Counts what happened to a run, by its lower-case name.
+  std::function<void(std::string_view event)> count_event;
   std::function<void(rank work_rank, duration elapsed)> note_first_token;
   /// Uniform in [0, 1), for backoff.
   std::function<double()> random;
--- a/src/skylarkcroft/node/skylarkcroft_status_report.cc
+++ b/src/skylarkcroft/node/skylarkcroft_status_report.cc
@@ -1,5 +1,6 @@
 #include "skylarkcroft/node/skylarkcroft_status_report.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "skylarkcroft/admission/skylarkcroft_admission.h"
@@ -26,7 +27,15 @@
       {"availability_zone", state.spec.availability_zone},
       {"state", StateOf(state, now)},
       {"in_flight", state.in_flight},
-      {"slots", state.spec.slots}};
+      {"slots", state.spec.slots},
+      {"suspect", state.suspect},
+      {"failed_answers", state.failed_answers},
+      {"failed_connections", state.failed_connections},
+      {"ejections", state.ejections}};
+  if (state.needs_probe) {
+    document["ejected_for_ms"] =
+        std::max<int64_t>(0, ElapsedMs(now, *state.ejected_until));
+  }
   if (state.report) {
     document["running"] = state.report->running;
     document["waiting"] = state.report->waiting;
--- a/src/skylarkcroft/routing/skylarkcroft_scored_choice.cc
+++ b/src/skylarkcroft/routing/skylarkcroft_scored_choice.cc
@@ -133,7 +133,7 @@
       const upstream_key key{query.pool, one.state->spec.name};
       one.share = shares_.TokensOn(key, now) / one.slots;
       one.cached = prefixes_->CachedTokens(key, prefix);
-      one.score = Score(query, prefix, one);
+      one.score = Score(query, prefix, one, now);
     }
     candidates = WithinBounds(std::move(candidates), tokens);
     const candidate* chosen = prefix.block_hashes.empty()
@@ -156,7 +156,7 @@
   }
 
   double Score(const choice_query& query, const prompt_prefix& prefix,
-               const candidate& one) const {
+               const candidate& one, time_point now) const {
     const upstream& spec = one.state->spec;
     double score = WaitMs(one, options_);
     score += static_cast<double>(prefix.tokens - one.cached) *
@@ -166,6 +166,10 @@
       score += static_cast<double>(prefix.tokens + query.expected_tokens) *
                options_.reclaim_ms_per_token;
     }
+    const std::optional<time_point>& refused = one.state->refused_at;
+    if (refused && now - *refused < options_.refusal_memory) {
+      score += options_.refused_ms;
+    }
     if (!query.avoid_zone.empty() &&
         spec.availability_zone == query.avoid_zone) {
       score += options_.failed_zone_ms;
--- a/src/skylarkcroft/routing/skylarkcroft_scored_choice.h
+++ b/src/skylarkcroft/routing/skylarkcroft_scored_choice.h
@@ -19,6 +19,9 @@
   double full_batch_ms = 16;
   /// Milliseconds for being in the availability zone of the last failure.
   double failed_zone_ms = 200;
+  /// Milliseconds for having refused a request within `refusal_memory`.
+  double refused_ms = 200;
+  milliseconds refusal_memory{1000};
   /// Milliseconds for each unit of price an hour.
   double price_ms = 1;
   /// Milliseconds for each token at stake on a reclaimable host.
--- a/src/skylarkcroft/routing/skylarkcroft_upstream_directory.cc
+++ b/src/skylarkcroft/routing/skylarkcroft_upstream_directory.cc
@@ -6,20 +6,46 @@
 namespace skylarkcroft {
 namespace {
 
-constexpr int64_t kFailuresBeforeEjection = 3;
-constexpr milliseconds kEjectionTime{5000};
+constexpr int64_t kFailedAnswersToEject = 5;
+constexpr int64_t kFailedConnectionsToProbe = 2;
+// Where probes pass and requests still get no answer.
+constexpr int64_t kFailedConnectionsToEject = 6;
+constexpr double kMaxEjectedShare = 0.5;
+constexpr milliseconds kFirstEjection{5000};
+constexpr milliseconds kLongestEjection{60000};
+// Time after an ejection in which another counts as following it.
+constexpr milliseconds kEjectionMemory{60000};
 
-bool CountsAsFailure(attempt_outcome outcome) {
+enum class evidence { kGood, kFailedAnswer, kFailedConnection, kNone };
+
+evidence EvidenceOf(attempt_outcome outcome) {
   switch (outcome) {
+    case attempt_outcome::kComplete:
+    case attempt_outcome::kRejected:
+      return evidence::kGood;
     case attempt_outcome::kFailed:
+    case attempt_outcome::kMalformed:
+      return evidence::kFailedAnswer;
     case attempt_outcome::kConnectFailed:
     case attempt_outcome::kBroken:
     case attempt_outcome::kTimedOut:
-    case attempt_outcome::kMalformed:
-      return true;
-    default:
-      return false;
+      return evidence::kFailedConnection;
+    case attempt_outcome::kRefused:
+    case attempt_outcome::kCancelled:
+      return evidence::kNone;
   }
+  return evidence::kNone;
+}
+
+bool IsEjected(const upstream_state& state, time_point now) {
+  return state.needs_probe ||
+         (state.ejected_until && now < *state.ejected_until);
+}
+
+milliseconds EjectionTime(int64_t ejections) {
+  constexpr int64_t kMostDoublings = 10;
+  const int64_t doublings = std::min(ejections - 1, kMostDoublings);
+  return std::min(kFirstEjection * (int64_t{1} << doublings), kLongestEjection);
 }
 
 upstream_state Carry(const std::vector<upstream_state>& old,
@@ -40,9 +66,24 @@
 
 }  // namespace
 
+std::string_view ToString(upstream_event event) {
+  switch (event) {
+    case upstream_event::kEjected:
+      return "ejected";
+    case upstream_event::kEjectionWithheld:
+      return "ejection_withheld";
+    case upstream_event::kProbePassed:
+      return "probe_passed";
+    case upstream_event::kProbeFailed:
+      return "probe_failed";
+    case upstream_event::kTakenBack:
+      return "taken_back";
+  }
+  return "unknown";
+}
+
 bool TakesRequests(const upstream_state& state, time_point now) {
-  const bool ejected = state.ejected_until && now < *state.ejected_until;
-  return !state.leaving && !ejected;
+  return !state.leaving && !IsEjected(state, now);
 }
 
 void upstream_directory::SetPools(const pools_table& pools, time_point now) {
@@ -112,15 +153,140 @@
     return;
   }
   state->in_flight = std::max<int64_t>(0, state->in_flight - 1);
-  if (!CountsAsFailure(outcome)) {
-    state->consecutive_failures = 0;
+  switch (EvidenceOf(outcome)) {
+    case evidence::kGood:
+      state->failed_answers = 0;
+      state->failed_connections = 0;
+      state->suspect = false;
+      return;
+    case evidence::kFailedAnswer:
+      ++state->failed_answers;
+      break;
+    case evidence::kFailedConnection:
+      ++state->failed_connections;
+      state->suspect = state->suspect ||
+                       state->failed_connections == kFailedConnectionsToProbe;
+      break;
+    case evidence::kNone:
+      if (outcome == attempt_outcome::kRefused) {
+        state->refused_at = now;
+      }
+      return;
+  }
+  if (state->failed_answers >= kFailedAnswersToEject ||
+      state->failed_connections >= kFailedConnectionsToEject) {
+    Eject(pool_name, *state, now);
+  }
+}
+
+bool upstream_directory::MayEject(const std::string& pool_name) const {
+  int64_t ejected = 0;
+  int64_t members = 0;
+  for (const upstream_state& state : InPool(pool_name)) {
+    if (state.leaving) {
+      continue;
+    }
+    ++members;
+    ejected += state.needs_probe ? 1 : 0;
+  }
+  return static_cast<double>(ejected + 1) <=
+         kMaxEjectedShare * static_cast<double>(members);
+}
+
+void upstream_directory::Eject(const std::string& pool_name,
+                               upstream_state& state, time_point now) {
+  if (state.needs_probe || state.leaving) {
+    return;
+  }
+  state.failed_answers = 0;
+  state.failed_connections = 0;
+  state.suspect = false;
+  if (!MayEject(pool_name)) {
+    Tell(upstream_event::kEjectionWithheld);
+    return;
+  }
+  if (state.ejected_until && now - *state.ejected_until > kEjectionMemory) {
+    state.ejections = 0;
+  }
+  ++state.ejections;
+  state.ejected_until = now + EjectionTime(state.ejections);
+  state.needs_probe = true;
+  Tell(upstream_event::kEjected);
+}
+
+std::vector<probe_target> upstream_directory::ProbesDue(time_point now) const {
+  std::vector<probe_target> due;
+  for (const auto& [pool_name, members] : pools_) {
+    for (const upstream_state& state : members) {
+      const bool time_over = state.needs_probe && now >= *state.ejected_until;
+      if (!state.leaving && (state.suspect || time_over)) {
+        due.push_back({{pool_name, state.spec.name}, state.spec.address});
+      }
+    }
+  }
+  return due;
+}
+
+void upstream_directory::NoteProbe(const upstream_key& key, bool passed,
+                                   time_point now) {
+  upstream_state* state = Find(key.pool, key.upstream);
+  if (state == nullptr) {
     return;
   }
-  ++state->consecutive_failures;
-  if (state->consecutive_failures >= kFailuresBeforeEjection) {
-    state->ejected_until = now + kEjectionTime;
-    state->consecutive_failures = 0;
+  Tell(passed ? upstream_event::kProbePassed : upstream_event::kProbeFailed);
+  if (!state->needs_probe) {
+    const bool blamed = state->suspect && !passed;
+    state->suspect = false;
+    if (blamed) {
+      Eject(key.pool, *state, now);
+    }
+    return;
   }
+  if (now < *state->ejected_until) {
+    return;
+  }
+  if (passed) {
+    state->needs_probe = false;
+    // It may have lost its caches, so its share grows slowly again.
+    state->known_since = now;
+    Tell(upstream_event::kTakenBack);
+    return;
+  }
+  ++state->ejections;
+  state->ejected_until = now + EjectionTime(state->ejections);
+}
+
+void upstream_directory::OnEvent(std::function<void(upstream_event)> call) {
+  on_event_ = std::move(call);
+}
+
+void upstream_directory::Tell(upstream_event event) const {
+  if (on_event_) {
+    on_event_(event);
+  }
+}
+
+void upstream_directory::NoteTime(time_point now) {
+  std::erase_if(closed_since_, [this](const auto& entry) {
+    return pools_.count(entry.first) == 0;
+  });
+  for (const auto& [name, members] : pools_) {
+    const bool open = std::any_of(members.begin(), members.end(),
+                                  [now](const upstream_state& state) {
+                                    return TakesRequests(state, now);
+                                  });
+    if (open) {
+      closed_since_.erase(name);
+    } else {
+      closed_since_.try_emplace(name, now);
+    }
+  }
+}
+
+bool upstream_directory::ClosedFor(const std::string& pool_name, duration limit,
+                                   time_point now) const {
+  const auto found = closed_since_.find(pool_name);
+  return found != closed_since_.end() && now - found->second >= limit;
 }
 
 void upstream_directory::NoteLoad(const std::string& pool_name,
@@ -157,4 +323,16 @@
   return slots;
 }
 
+int64_t upstream_directory::AdmissibleSlots(const std::string& pool_name,
+                                            time_point now) const {
+  if (!ClosedFor(pool_name, kClosedLimit, now)) {
+    return OpenSlots(pool_name, now);
+  }
+  int64_t slots = 0;
+  for (const upstream_state& state : InPool(pool_name)) {
+    slots += state.spec.slots;
+  }
+  return std::max<int64_t>(1, slots);
+}
+
 }  // namespace skylarkcroft
