--- a/tests/history/skylarkcroft_history.h
+++ b/tests/history/skylarkcroft_history.h
@@ -13,12 +13,13 @@
 
 /// How a request ended for its caller.
 enum class request_outcome {
-  kAnswered,  ///< A whole answer, by the protocol's own end marker.
-  kNotRun,    ///< Refused with run_state `not_run`.
-  kRan,       ///< Refused with run_state `ran`.
-  kUnknown,   ///< Refused with run_state `unknown`.
-  kNotSent,   ///< No connection; no byte left the caller.
-  kNone,      ///< Broken, cut short or silent: the caller learned nothing.
+  kAnswered,       ///< A whole answer, by the protocol's own end marker.
+  kNotRun,         ///< Refused with run_state `not_run`.
+  kRan,            ///< Refused with run_state `ran`.
+  kUnknown,        ///< Refused with run_state `unknown`.
+  kUpstreamError,  ///< The upstream's own error answer, passed on.
+  kNotSent,        ///< No connection; no byte left the caller.
+  kNone,           ///< Broken, cut short or silent: the caller learned nothing.
 };
 
 /// One request as its caller saw it. Times are wall clock milliseconds, here
--- a/tests/history/skylarkcroft_history_json.cc
+++ b/tests/history/skylarkcroft_history_json.cc
@@ -14,6 +14,8 @@
                               {request_outcome::kNotRun, "not_run"},
                               {request_outcome::kRan, "ran"},
                               {request_outcome::kUnknown, "unknown"},
+                              {request_outcome::kUpstreamError,
+                               "upstream_error"},
                               {request_outcome::kNotSent, "not_sent"}})
 NLOHMANN_JSON_SERIALIZE_ENUM(edit_verdict,
                              {{edit_verdict::kUnknown, "unknown"},
