--- a/tests/history/history_run_test.cc
+++ b/tests/history/history_run_test.cc
@@ -42,7 +42,7 @@
     answered += request.outcome == request_outcome::kAnswered ? 1 : 0;
   }
   CHECK(answered > 0);
-  CHECK(recorded.runs.size() > 0);
+  CHECK_FALSE(recorded.runs.empty());
   for (const violation& one : CheckAll(recorded)) {
     FAIL_CHECK(one.check << " of " << one.subject << ": " << one.detail);
   }
