Shared limits of callers: parts by demand, told on the mesh

A caller's limits were read but not enforced. Each node now enforces a part of every limit. A part falls at once and rises only into what the published parts of the others leave free; a node that is cut off keeps an even part of all nodes known, which the others reserve for it. The front refuses what is over as over_caller_limit with Retry-After, before admission.

--- a/src/skylarkcroft/mesh/skylarkcroft_mesh.cc
+++ b/src/skylarkcroft/mesh/skylarkcroft_mesh.cc
@@ -11,6 +11,7 @@
 
 using json = nlohmann::json;
 
+constexpr milliseconds kJoinLimit{10000};
 constexpr uint64_t kSeekRounds = 4;
 constexpr size_t kDigestEntryBytes = 8;
 constexpr size_t kMaxSuspects = 64;
@@ -91,7 +92,16 @@
   Publish(kMemberTopic, EncodeMemberDetails(self_));
 }
 
+bool mesh::joining(time_point now) const {
+  const bool seeks =
+      std::any_of(options_.seeds.begin(), options_.seeds.end(),
+                  [this](const endpoint& seed) { return seed != self_.mesh; });
+  const bool early = !started_at_ || now - *started_at_ < kJoinLimit;
+  return seeks && !joined_ && early;
+}
+
 void mesh::Tick(const mesh_time& at) {
+  started_at_ = started_at_.value_or(at.now);
   ExpireExchanges(at.now);
   for (const std::string& name : members_.Tick(at.now)) {
     records_.DropPublisher(name);
--- a/src/skylarkcroft/mesh/skylarkcroft_mesh.h
+++ b/src/skylarkcroft/mesh/skylarkcroft_mesh.h
@@ -135,8 +135,9 @@
   [[nodiscard]] const mesh_counts& counts() const { return counts_; }
   [[nodiscard]] const std::string& name() const { return options_.name; }
   [[nodiscard]] const member_details& self() const { return self_; }
-  /// True once a member has answered, or when there is nobody to ask.
-  [[nodiscard]] bool joined() const { return joined_; }
+  /// True from the start until a member has answered, for a bounded time, when
+  /// there are addresses to seek members at.
+  [[nodiscard]] bool joining(time_point now) const;
 
  private:
   struct outstanding {
@@ -185,6 +186,7 @@
   std::map<std::string, size_t> misses_;
   std::map<std::string, mesh_record> accused_;
   std::vector<std::string> ring_;
+  std::optional<time_point> started_at_;
   std::optional<time_point> last_round_;
   std::optional<time_point> last_news_;
   std::optional<time_point> last_digest_;
--- a/src/skylarkcroft/node/skylarkcroft_front.cc
+++ b/src/skylarkcroft/node/skylarkcroft_front.cc
@@ -8,6 +8,7 @@
 #include "skylarkcroft/handover/skylarkcroft_peer_reader.h"
 #include "skylarkcroft/internal/skylarkcroft_digest.h"
 #include "skylarkcroft/internal/skylarkcroft_error.h"
+#include "skylarkcroft/limits/skylarkcroft_caller_limiter.h"
 #include "skylarkcroft/log/skylarkcroft_logger.h"
 #include "skylarkcroft/node/skylarkcroft_node_metrics.h"
 #include "skylarkcroft/tables/skylarkcroft_tables_in_force.h"
@@ -119,7 +120,7 @@
 front::~front() = default;
 
 bool front::Ready(time_point now) const {
-  return ready_ && !refusing_ &&
+  return ready_ && !refusing_ && environment_.limits.ready() &&
          environment_.tables.MayServe(
              now, environment_.config.tables.staleness_bound);
 }
@@ -222,6 +223,15 @@
     Defer(exchange, request, now);
     return;
   }
+  const std::optional<duration> wait = environment_.limits.Admit(
+      request.from.name, request.EstimatedTokens(), now);
+  if (wait) {
+    problem why = NotRun(refusal_reason::kOverCallerLimit,
+                         "this caller's limit is used up for now");
+    why.retry_after = std::chrono::ceil<std::chrono::seconds>(*wait);
+    Refuse(exchange, why);
+    return;
+  }
   request.id = NextId();
   environment_.metrics.CountRequest(request.via.work_rank);
   const work_item item = ItemOf(request);
@@ -229,6 +239,7 @@
       !request.idempotent && !request.idempotency_key.empty();
   request_entry& entry =
       environment_.registry.Add(MakeEntry(std::move(request), now));
+  entry.charged = true;
   request_run& run = *entry.run;
   Attach(exchange, entry, entry.form);
   StartRun(run, item, needs_claim);
@@ -310,6 +321,10 @@
     fail(refusal_reason::kBadRequest, invalid.what());
     return;
   }
+  if (environment_.limits.Admit(from->name, request.EstimatedTokens(), now)) {
+    fail(refusal_reason::kOverCallerLimit, "the caller's limit is used up");
+    return;
+  }
   request.id = stored.id;
   request.deadline = now + milliseconds(left_ms);
   if (!request.idempotent && request.idempotency_key.empty()) {
@@ -319,6 +334,7 @@
   const work_item item = ItemOf(request);
   request_entry made = MakeEntry(std::move(request), now);
   made.deferred = true;
+  made.charged = true;
   request_entry& entry = environment_.registry.Add(std::move(made));
   const std::shared_ptr<answer> result = entry.result;
   result->AddReader([result = std::weak_ptr<answer>(result), form = entry.form,
@@ -368,6 +384,7 @@
   entry.form = FormOf(request);
   entry.arrived = now;
   entry.unread_since = now;
+  entry.estimated_tokens = request.EstimatedTokens();
   entry.run = std::make_unique<request_run>(
       environment_.runs, std::move(request),
       [this, id = entry.id](int64_t actual_tokens) {
@@ -442,6 +459,10 @@
   if (entry == nullptr) {
     return;
   }
+  if (entry->charged) {
+    environment_.limits.Finish(entry->caller_name, entry->estimated_tokens,
+                               actual_tokens);
+  }
   environment_.metrics.RecordAnswer(entry->work_rank, now - entry->arrived);
   if (entry->result->failure()) {
     environment_.metrics.CountRefusal(entry->result->failure()->reason);
--- a/src/skylarkcroft/node/skylarkcroft_front.h
+++ b/src/skylarkcroft/node/skylarkcroft_front.h
@@ -22,6 +22,7 @@
 
 namespace skylarkcroft {
 
+class caller_limiter;
 class logger;
 class node_metrics;
 class tables_in_force;
@@ -36,6 +37,7 @@
   run_environment& runs;
   node_metrics& metrics;
   logger& log;
+  caller_limiter& limits;
   clock_fn clock;
   wall_clock_fn wall_clock;
   /// Text that differs for each start of the process.
--- a/src/skylarkcroft/node/skylarkcroft_node.cc
+++ b/src/skylarkcroft/node/skylarkcroft_node.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -14,6 +15,8 @@
 #include "skylarkcroft/http/skylarkcroft_http_client.h"
 #include "skylarkcroft/internal/skylarkcroft_digest.h"
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
+#include "skylarkcroft/limits/skylarkcroft_caller_limiter.h"
+#include "skylarkcroft/limits/skylarkcroft_peer_claims.h"
 #include "skylarkcroft/log/skylarkcroft_logger.h"
 #include "skylarkcroft/metrics/skylarkcroft_metrics_registry.h"
 #include "skylarkcroft/node/skylarkcroft_front.h"
@@ -44,6 +47,9 @@
 constexpr milliseconds kDrainPollPeriod{50};
 // Time before the end of a shutdown at which what is unfinished is moved.
 constexpr milliseconds kHandoverMargin{3000};
+constexpr milliseconds kLimitsPeriodPerMember{60};
+/// Up to this many members, claims do not wait for the next round.
+constexpr size_t kHurriedMembers = 16;
 constexpr size_t kMaxQueuedPerPool = 10000;
 constexpr size_t kMaxQueuedPerRank = 2000;
 constexpr size_t kIncarnationBytes = 4;
@@ -81,7 +87,8 @@
         admission_(MakeAdmission()),
         runs_(MakeRunEnvironment()),
         front_({loop, config_, tables_, *admission_, registry_, runs_,
-                node_metrics_, log_, SteadyNow, WallNowMs, incarnation_,
+                node_metrics_, log_, limits_, SteadyNow, WallNowMs,
+                incarnation_,
                 [this](const http_exchange_ptr& exchange,
                        const std::string& request_id) {
                   return handover_->ReadElsewhere(exchange, request_id);
@@ -105,6 +112,7 @@
             loop.Every(config_.tables.poll_period, [this] { loader_.Poll(); })),
         sample_timer_(loop.Every(kSamplePeriod, [this] { SamplePools(); })) {
     tables_.OnChange([this](const table_set_ptr& tables) {
+      limits_.SetCallers(tables->routes, SteadyNow());
       directory_.SetPools(tables->pools, SteadyNow());
       log_.Log({log_level::kInfo,
                 "tables in force",
@@ -123,6 +131,7 @@
     directory_.OnEvent([this](upstream_event event) {
       node_metrics_.CountUpstreamEvent(ToString(event));
     });
+    mesh_->OnTick([this](const mesh_time& at) { UpdateLimits(at.now); });
     loader_.Poll();
   }
 
@@ -284,7 +293,31 @@
     return budgets_.try_emplace(pool_name, share).first->second;
   }
 
+  void UpdateLimits(time_point now) {
+    mesh& part = mesh_->part();
+    const milliseconds period = std::max(
+        kLimitsPeriod, kLimitsPeriodPerMember *
+                           static_cast<int64_t>(part.members().counted()));
+    if (draining_ || (limits_updated_ && now - *limits_updated_ < period)) {
+      return;
+    }
+    limits_updated_ = now;
+    const std::optional<limit_peers> peers =
+        PeersOf(part, config_.peers.size(), now);
+    if (!peers) {
+      return;
+    }
+    part.Publish(kLimitsTopic, EncodeClaims(limits_.Update(*peers, now)));
+    if (part.members().counted() <= kHurriedMembers) {
+      part.HurryRound();
+    }
+  }
+
   void Drain() {
+    // The others may use this node's parts from now on.
+    draining_ = true;
+    mesh_->part().Publish(kLimitsTopic, EncodeClaims({}));
+    mesh_->part().HurryRound();
     front_.RefuseNew();
     // Others take over what is stored.
     deferred_.Stop();
@@ -312,6 +345,9 @@
   group_commit commits_;
   claim_keeper claims_;
   metrics_registry metrics_;
+  caller_limiter limits_;
+  std::optional<time_point> limits_updated_;
+  bool draining_ = false;
   node_metrics node_metrics_;
   upstream_directory directory_;
   std::shared_ptr<prefix_tracker> prefixes_ =
--- a/src/skylarkcroft/node/skylarkcroft_request_registry.h
+++ b/src/skylarkcroft/node/skylarkcroft_request_registry.h
@@ -16,6 +16,10 @@
 /// A request this node knows: its run while there is one, and its answer.
 struct request_entry {
   std::string id;
+  /// As charged to the caller's limits.
+  int64_t estimated_tokens = 0;
+  /// Whether it counts against the caller's limits on this node.
+  bool charged = false;
   std::string caller_name;
   std::string route_name;
   std::string pool_name;
