Fair queueing: a caller that seldom asks comes before those that always do

Cause: a caller that came back waited for up to a round of the large ones, and equal turns went by name. Change: a caller without recent demand has a credit of four mean requests in virtual time; equal turns go in order of arrival.

--- a/src/skylarkcroft/admission/skylarkcroft_caller_queue.cc
+++ b/src/skylarkcroft/admission/skylarkcroft_caller_queue.cc
@@ -8,16 +8,25 @@
 
 // Callers remembered without waiting work before idle ones are forgotten.
 constexpr size_t kMaxIdleCallers = 1024;
+// Requests that a caller without recent demand may have served ahead of others.
+constexpr double kCreditRequests = 4;
+constexpr double kNewestWeight = 0.01;
 constexpr double kMinWeight = 1e-6;
 
 }  // namespace
 
+double caller_queue::EarliestTag() const {
+  return virtual_time_ - kCreditRequests * mean_tokens_;
+}
+
 caller_queue::caller_state& caller_queue::Enter(const work_item& item) {
   caller_state& state = callers_[item.caller_name];
   state.weight = std::max(kMinWeight, item.caller_weight);
   if (state.waiting.empty()) {
-    // Time without demand earns no credit.
-    state.start_tag = std::max(state.start_tag, virtual_time_);
+    // Time without demand earns a bounded credit, so that a caller that seldom
+    // asks does not wait for a round of those that always do.
+    state.start_tag = std::max(state.start_tag, EarliestTag());
+    state.entered = ++entries_;
   }
   return state;
 }
@@ -26,16 +35,18 @@
   if (state.waiting.empty()) {
     return;
   }
-  by_start_.erase({state.start_tag, name});
-  by_backlog_.erase({static_cast<double>(state.tokens) / state.weight, name});
+  by_start_.erase({state.start_tag, state.entered, name});
+  by_backlog_.erase(
+      {static_cast<double>(state.tokens) / state.weight, 0, name});
 }
 
 void caller_queue::Link(const std::string& name, const caller_state& state) {
   if (state.waiting.empty()) {
     return;
   }
-  by_start_.insert({state.start_tag, name});
-  by_backlog_.insert({static_cast<double>(state.tokens) / state.weight, name});
+  by_start_.insert({state.start_tag, state.entered, name});
+  by_backlog_.insert(
+      {static_cast<double>(state.tokens) / state.weight, 0, name});
 }
 
 void caller_queue::Add(const waiting_item& added, bool in_front) {
@@ -57,6 +68,10 @@
 }
 
 void caller_queue::Push(const queued_item& entry) {
+  const auto tokens = static_cast<double>(entry.item.estimated_tokens);
+  mean_tokens_ = mean_tokens_ == 0
+                     ? tokens
+                     : mean_tokens_ + kNewestWeight * (tokens - mean_tokens_);
   Add({entry, false}, false);
   if (callers_.size() > by_start_.size() + kMaxIdleCallers) {
     ForgetIdle();
@@ -129,7 +144,7 @@
 }
 
 double caller_queue::TokensAhead(const work_item& item) const {
-  double tag = virtual_time_;
+  double tag = EarliestTag();
   const auto found = callers_.find(item.caller_name);
   if (found != callers_.end()) {
     tag = std::max(tag, found->second.start_tag + BacklogOf(item.caller_name));
--- a/src/skylarkcroft/admission/skylarkcroft_caller_queue.h
+++ b/src/skylarkcroft/admission/skylarkcroft_caller_queue.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <optional>
 #include <set>
 #include <string>
@@ -66,15 +67,20 @@
     double weight = 1.0;
     int64_t tokens = 0;
     /// Virtual time at which its next request starts.
-    double start_tag = 0;
+    double start_tag = std::numeric_limits<double>::lowest();
+    /// Rises with each time that it begins to wait; orders equal tags.
+    uint64_t entered = 0;
   };
   struct ordered_caller {
     double key = 0;
+    uint64_t order = 0;
     std::string name;
 
     auto operator<=>(const ordered_caller&) const = default;
   };
 
+  /// Start of a request whose caller has had nothing for long.
+  [[nodiscard]] double EarliestTag() const;
   caller_state& Enter(const work_item& item);
   /// Takes the caller out of the orders, so that its keys may change.
   void Unlink(const std::string& name, const caller_state& state);
@@ -87,6 +93,9 @@
   std::set<ordered_caller> by_start_;
   std::set<ordered_caller> by_backlog_;
   double virtual_time_ = 0;
+  /// Mean size of the requests of late.
+  double mean_tokens_ = 0;
+  uint64_t entries_ = 0;
   int64_t size_ = 0;
   int64_t tokens_ = 0;
 };
