Orders under the lease in the node, and the operators' page

Cause: the planner needed a holder that reads, orders and reads again. Change: order keeper and caller, an order cut off at the end of its flight; pool control in the node, shown under control in the status; leases given back at shutdown. Conclusion: two engines follow two deployments in turn and one of them serves throughout; live members are each node's own name until the mesh supplies them.

--- /dev/null
+++ b/src/skylarkcroft/control/skylarkcroft_order_keeper.h
@@ -0,0 +1,123 @@
+#ifndef SKYLARKCROFT_CONTROL_SKYLARKCROFT_ORDER_KEEPER_H_
+#define SKYLARKCROFT_CONTROL_SKYLARKCROFT_ORDER_KEEPER_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "skylarkcroft/control/skylarkcroft_load_pacer.h"
+#include "skylarkcroft/control/skylarkcroft_order_caller.h"
+#include "skylarkcroft/control/skylarkcroft_order_plan.h"
+#include "skylarkcroft/control/skylarkcroft_pool_lease.h"
+#include "skylarkcroft/internal/skylarkcroft_event_loop.h"
+#include "skylarkcroft/internal/skylarkcroft_time.h"
+#include "skylarkcroft/platform/skylarkcroft_weight_store.h"
+#include "skylarkcroft/tables/skylarkcroft_pools_table.h"
+
+namespace skylarkcroft {
+
+/// A pool to be controlled and the revision of the table it comes from.
+struct controlled_pool {
+  pool spec;
+  int64_t revision = 0;
+
+  bool operator==(const controlled_pool&) const = default;
+};
+
+/// What an order keeper works with; all outlive it.
+struct order_environment {
+  event_loop& loop;
+  order_caller& caller;
+  weight_store& weights;
+  /// Pools of the table in force that have a deployment.
+  std::function<std::vector<controlled_pool>()> pools;
+  /// The lease of a pool, or null.
+  std::function<const pool_lease*(const std::string& pool)> lease;
+  /// Requests that run on an upstream; negative when that is not known.
+  std::function<int64_t(const std::string& pool, const std::string& upstream)>
+      running;
+  /// True when the upstream's host is about to leave.
+  std::function<bool(const std::string& pool, const std::string& upstream)>
+      leaving;
+  clock_fn clock;
+};
+
+struct order_settings {
+  milliseconds read_period{2000};
+  /// Time after which a draining upstream is loaded although work runs on it.
+  milliseconds drain_limit{120000};
+  double max_out_share = 0.25;
+  load_pace pace;
+
+  bool operator==(const order_settings&) const = default;
+};
+
+/// One order of this process and what came of it.
+struct sent_order {
+  std::string upstream_name;
+  upstream_order order;
+  order_outcome outcome = order_outcome::kUnknown;
+  time_point sent_at{};
+
+  bool operator==(const sent_order&) const = default;
+};
+
+/// What this process last found and did in one pool.
+struct order_status {
+  order_plan plan;
+  std::deque<sent_order> last_orders;
+  uint64_t sent = 0;
+  uint64_t refused = 0;    ///< Stale fence.
+  uint64_t unknown = 0;    ///< No answer in time.
+  uint64_t throttled = 0;  ///< Weight fetches beyond the store's rate.
+};
+
+/// Keeps the engines of the pools whose leases this process holds at the
+/// deployment of the pools table: reads them all, orders what is missing, and
+/// reads them again, for as long as the lease lasts.
+class order_keeper {
+ public:
+  order_keeper(order_environment environment, std::string issuer,
+               const order_settings& settings);
+  ~order_keeper();
+  order_keeper(const order_keeper&) = delete;
+  order_keeper& operator=(const order_keeper&) = delete;
+
+  /// Starts a round in every pool where one is due; also runs by itself.
+  void Tick();
+
+  /// What is known of `pool_name`, or null.
+  [[nodiscard]] const order_status* Find(const std::string& pool_name) const;
+
+  static constexpr milliseconds kTickPeriod{500};
+
+ private:
+  struct controlled;
+  struct round;
+  using round_ptr = std::shared_ptr<round>;
+
+  [[nodiscard]] bool RoundDue(const controlled& one, const pool& spec,
+                              time_point now) const;
+  void StartRound(const controlled_pool& target);
+  void OnRead(const round_ptr& current);
+  void NoteDrains(const round_ptr& current);
+  void SendOrders(const round_ptr& current);
+  void FetchThenSend(const round_ptr& current, const planned_order& planned);
+  void Send(const round_ptr& current, const planned_order& planned);
+  void NoteOrder(const round_ptr& current, sent_order sent);
+
+  order_environment environment_;
+  std::string issuer_;
+  order_settings settings_;
+  std::map<std::string, std::shared_ptr<controlled>> pools_;
+  event_loop::handle_ptr timer_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace skylarkcroft
+
+#endif  // SKYLARKCROFT_CONTROL_SKYLARKCROFT_ORDER_KEEPER_H_
--- /dev/null
+++ b/src/skylarkcroft/control/skylarkcroft_pool_control.h
@@ -0,0 +1,68 @@
+#ifndef SKYLARKCROFT_CONTROL_SKYLARKCROFT_POOL_CONTROL_H_
+#define SKYLARKCROFT_CONTROL_SKYLARKCROFT_POOL_CONTROL_H_
+
+#include <functional>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+#include "skylarkcroft/control/skylarkcroft_lease_keeper.h"
+#include "skylarkcroft/control/skylarkcroft_order_caller.h"
+#include "skylarkcroft/control/skylarkcroft_order_keeper.h"
+#include "skylarkcroft/internal/skylarkcroft_time.h"
+
+namespace skylarkcroft {
+
+class event_loop;
+class group_commit;
+class http_client;
+class table_service;
+class tables_in_force;
+class upstream_directory;
+class weight_store;
+
+/// What pool control works with; all outlive it.
+struct pool_control_environment {
+  event_loop& loop;
+  http_client& client;
+  table_service& store;
+  group_commit& commits;
+  weight_store& weights;
+  const tables_in_force& tables;
+  const upstream_directory& directory;
+  /// Names of the live members, this one included.
+  std::function<std::vector<std::string>()> members;
+  clock_fn clock;
+};
+
+/// A node's part in the control of pools: the leases it holds and the orders
+/// it gives under them. Pools without a deployment are left alone.
+class pool_control {
+ public:
+  pool_control(pool_control_environment environment, const lease_member& self,
+               const lease_terms& terms, const order_settings& settings);
+
+  /// Gives the leases back; for a shutdown.
+  void Release() { leases_.ReleaseAll(); }
+
+  /// The member `control` of the status document, docs/control.md.
+  [[nodiscard]] nlohmann::json Describe(time_point now) const;
+
+ private:
+  [[nodiscard]] std::vector<controlled_pool> Pools() const;
+  [[nodiscard]] std::vector<std::string> PoolNames() const;
+  [[nodiscard]] order_environment MakeOrderEnvironment();
+  [[nodiscard]] int64_t RunningOn(const std::string& pool_name,
+                                  const std::string& upstream_name) const;
+  [[nodiscard]] bool Leaving(const std::string& pool_name,
+                             const std::string& upstream_name) const;
+
+  pool_control_environment environment_;
+  lease_keeper leases_;
+  order_caller caller_;
+  order_keeper orders_;
+};
+
+}  // namespace skylarkcroft
+
+#endif  // SKYLARKCROFT_CONTROL_SKYLARKCROFT_POOL_CONTROL_H_
--- a/src/skylarkcroft/control/skylarkcroft_pool_lease.cc
+++ b/src/skylarkcroft/control/skylarkcroft_pool_lease.cc
@@ -104,4 +104,8 @@
          now < *held_since_ + terms_.lease_time;
 }
 
+bool pool_lease::FlightsEnded(time_point now) const {
+  return acquired_at_ && now >= *acquired_at_ + terms_.order_flight;
+}
+
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/control/skylarkcroft_pool_lease.h
+++ b/src/skylarkcroft/control/skylarkcroft_pool_lease.h
@@ -38,6 +38,10 @@
   /// True when an order sent at `sent_at` may still be going on at `now`.
   [[nodiscard]] bool MayGoOn(time_point sent_at, time_point now) const;
 
+  /// True when nothing that the holder before sent, by the same terms, can
+  /// still be under way.
+  [[nodiscard]] bool FlightsEnded(time_point now) const;
+
   /// Number that orders under this lease carry.
   [[nodiscard]] int64_t fence() const { return view_.record.fence; }
   [[nodiscard]] const lease_view& view() const { return view_; }
--- a/src/skylarkcroft/node/skylarkcroft_node.cc
+++ b/src/skylarkcroft/node/skylarkcroft_node.cc
@@ -7,11 +7,13 @@
 #include <random>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "skylarkcroft/admission/skylarkcroft_admission.h"
 #include "skylarkcroft/attempt/skylarkcroft_retry_budget.h"
 #include "skylarkcroft/claims/skylarkcroft_claim_keeper.h"
 #include "skylarkcroft/deferred/skylarkcroft_deferred_worker.h"
+#include "skylarkcroft/control/skylarkcroft_pool_control.h"
 #include "skylarkcroft/http/skylarkcroft_http_client.h"
 #include "skylarkcroft/internal/skylarkcroft_digest.h"
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
@@ -31,6 +33,7 @@
 #include "skylarkcroft/platform/skylarkcroft_table_service.h"
 #include "skylarkcroft/routing/skylarkcroft_cache_event_poller.h"
 #include "skylarkcroft/routing/skylarkcroft_health_prober.h"
+#include "skylarkcroft/platform/skylarkcroft_weight_store.h"
 #include "skylarkcroft/routing/skylarkcroft_load_poller.h"
 #include "skylarkcroft/routing/skylarkcroft_scored_choice.h"
 #include "skylarkcroft/routing/skylarkcroft_upstream_directory.h"
@@ -100,6 +103,13 @@
         cache_poller_(loop, client_, directory_, prefixes_,
                       kCacheEventPollPeriod),
         prober_(loop, client_, directory_, kProbePeriod, SteadyNow),
+        weights_(MakeWeightStoreClient(client_, config_.platform.weights,
+                                       config_.platform.timeout)),
+        control_(
+            {loop, client_, *store_, commits_, *weights_, tables_, directory_,
+             [this] { return std::vector<std::string>{config_.name}; },
+             SteadyNow},
+            {config_.name, incarnation_}, {}, {}),
         callers_server_(loop, config_.callers_address, config_.http,
                         [this](const http_exchange_ptr& exchange) {
                           front_.OnRequest(exchange);
@@ -143,6 +153,7 @@
     shutdown_requested_ = true;
     log_.Log({log_level::kInfo, "shutting down", "", "", "", "", {}});
     front_.SetReady(false);
+    control_.Release();
     mesh_->part().PublishLeaving();
     const milliseconds settle = config_.shutdown.settle;
     const milliseconds limit = config_.shutdown.limit;
@@ -274,6 +285,7 @@
                       registry_, loader_.store_reachable(), front_.Ready(now)},
                      now);
     document["members"] = mesh_->Describe(now);
+    document["control"] = control_.Describe(now);
     return document;
   }
 
@@ -363,6 +375,8 @@
   load_poller poller_;
   cache_event_poller cache_poller_;
   health_prober prober_;
+  std::unique_ptr<weight_store> weights_;
+  pool_control control_;
   http_server callers_server_;
   http_server operators_server_;
   std::unique_ptr<node_mesh> mesh_;
--- /dev/null
+++ b/tests/control/control_node_test.cc
@@ -0,0 +1,76 @@
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "tests/node/node_fixture.h"
+
+namespace skylarkcroft {
+namespace {
+
+/// Puts a pools table that deploys `version` on the engines.
+http_response Deploy(node_fixture& fixture, const std::string& version) {
+  nlohmann::json document = fixture.PoolsDocument();
+  document["pools"][0]["deployment"] = {{"model", "m"}, {"version", version}};
+  return fixture.Put("pools", document);
+}
+
+nlohmann::json OrdersOf(node_fixture& fixture, size_t engine) {
+  const http_response reply =
+      fixture.Get(fixture.engines[engine]->address(), "/orders");
+  return nlohmann::json::parse(reply.body);
+}
+
+bool Serves(node_fixture& fixture, size_t engine, const std::string& version) {
+  const nlohmann::json orders = OrdersOf(fixture, engine);
+  return !orders.at("loading").get<bool>() &&
+         orders.at("actual").at("version") == version &&
+         !orders.at("actual").at("draining").get<bool>();
+}
+
+bool ServesAny(node_fixture& fixture, size_t engine) {
+  return Serves(fixture, engine, "1") || Serves(fixture, engine, "2");
+}
+
+bool AllServe(node_fixture& fixture, const std::string& version) {
+  for (size_t engine = 0; engine < fixture.engines.size(); ++engine) {
+    if (!Serves(fixture, engine, version)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+nlohmann::json ControlOf(node_fixture& fixture) {
+  const http_response reply = fixture.Get(
+      fixture.nodes.front()->operators_address(), "/operators/status");
+  return nlohmann::json::parse(reply.body).at("control");
+}
+
+}  // namespace
+
+TEST_CASE("A node brings the engines to the deployment of the pools table",
+          "[control][node]") {
+  node_fixture fixture;
+  fixture.PutTables();
+  CHECK(ControlOf(fixture).at("pools").empty());
+  REQUIRE(Deploy(fixture, "1").status == 200);
+  REQUIRE(fixture.Until([&] { return AllServe(fixture, "1"); }));
+  REQUIRE(Deploy(fixture, "2").status == 200);
+  bool one_served = true;
+  REQUIRE(fixture.Until([&] {
+    // The first is asked again, since it may take over between two answers.
+    one_served = one_served && (ServesAny(fixture, 0) ||
+                                ServesAny(fixture, 1) || ServesAny(fixture, 0));
+    return AllServe(fixture, "2");
+  }));
+  CHECK(one_served);
+  const nlohmann::json control = ControlOf(fixture);
+  REQUIRE(control.at("pools").size() == 1);
+  const nlohmann::json& pool = control.at("pools")[0];
+  CHECK(pool.at("holder") == "n1");
+  CHECK(pool.at("fence") == 1);
+  CHECK(pool.at("may_act") == true);
+  CHECK_FALSE(pool.at("orders").at("last_orders").empty());
+}
+
+}  // namespace skylarkcroft
--- a/tests/control/order_test.cc
+++ b/tests/control/order_test.cc
@@ -53,6 +53,7 @@
 TEST_CASE("A new version is drained in under a floor of capacity and loaded",
           "[control][orders]") {
   std::vector<observed_upstream> pool;
+  pool.reserve(8);
   for (int number = 0; number < 8; ++number) {
     pool.push_back(Read("e" + std::to_string(number), Serving("1"), 1));
   }
