Reclaims: streams move off leaving engines with their KV cache

Cause: engines on reclaimable hosts leave on short notice under streams. Change: each node watches notices and leaving marks and gives such an upstream nothing new; a pure planner says what stays, what is transferred and what is resumed; a mover carries it out by a small interface on the request run (hold, move to, resume elsewhere). Conclusion: the target of at most 20% recomputed holds in this test; it is not the experiment under load.

--- /dev/null
+++ b/src/skylarkcroft/control/skylarkcroft_bounded_caller.h
@@ -0,0 +1,52 @@
+#ifndef SKYLARKCROFT_CONTROL_SKYLARKCROFT_BOUNDED_CALLER_H_
+#define SKYLARKCROFT_CONTROL_SKYLARKCROFT_BOUNDED_CALLER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+
+#include "skylarkcroft/http/skylarkcroft_http_client.h"
+#include "skylarkcroft/internal/skylarkcroft_endpoint.h"
+#include "skylarkcroft/internal/skylarkcroft_event_loop.h"
+#include "skylarkcroft/internal/skylarkcroft_time.h"
+
+namespace skylarkcroft {
+
+/// Sends requests that are cut off, by closing their connection, when they are
+/// not answered in whole within a limit. Each has a connection to itself.
+class bounded_caller {
+ public:
+  using done_fn = std::function<void(const std::optional<http_response>&)>;
+
+  bounded_caller(event_loop& loop, http_client& client, milliseconds limit);
+  bounded_caller(const bounded_caller&) = delete;
+  bounded_caller& operator=(const bounded_caller&) = delete;
+
+  /// `done` gets nothing when there was no whole answer. It never runs inside
+  /// this call, nor after the caller was destroyed.
+  void Send(const endpoint& address, const http_request& request,
+            const done_fn& done);
+
+ private:
+  struct call {
+    http_call_ptr sent;
+    event_loop::handle_ptr limit;
+  };
+
+  /// Closes call `id` once the present callback has returned.
+  void Drop(uint64_t id);
+
+  event_loop& loop_;
+  http_client& client_;
+  milliseconds limit_;
+  uint64_t next_id_ = 0;
+  std::map<uint64_t, call> calls_;
+};
+
+/// True for an answer with a status from 200 to 299.
+bool Succeeded(const std::optional<http_response>& response);
+
+}  // namespace skylarkcroft
+
+#endif  // SKYLARKCROFT_CONTROL_SKYLARKCROFT_BOUNDED_CALLER_H_
--- /dev/null
+++ b/src/skylarkcroft/control/skylarkcroft_move_plan.cc
@@ -0,0 +1,59 @@
+#include "skylarkcroft/control/skylarkcroft_move_plan.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace skylarkcroft {
+namespace {
+
+// The age holds time in queues as well, so that the stream is taken for slower
+// than it is; it is moved rather than cut off.
+bool EndsWithin(const running_stream& stream, duration left) {
+  if (stream.delivered_tokens == 0) {
+    return false;
+  }
+  const int64_t remaining =
+      std::max<int64_t>(0, stream.max_tokens - stream.delivered_tokens);
+  const auto needed = stream.age / stream.delivered_tokens * remaining;
+  return needed <= left;
+}
+
+int64_t TokensSaved(const running_stream& stream) {
+  return stream.prompt_tokens + stream.delivered_tokens;
+}
+
+bool MovesBefore(const running_stream& left, const running_stream& right) {
+  return std::make_tuple(left.work_rank, -TokensSaved(left), left.request_id) <
+         std::make_tuple(right.work_rank, -TokensSaved(right),
+                         right.request_id);
+}
+
+}  // namespace
+
+std::vector<planned_move> PlanMoves(std::vector<running_stream> streams,
+                                    const move_terms& terms, time_point now,
+                                    time_point notice_end) {
+  const duration left = notice_end - now - duration(terms.reserve);
+  const auto rounds =
+      std::max<duration::rep>(0, left / duration(terms.transfer_time));
+  size_t room = static_cast<size_t>(rounds) * terms.parallel_transfers;
+  std::sort(streams.begin(), streams.end(), MovesBefore);
+  std::vector<planned_move> moves;
+  moves.reserve(streams.size());
+  for (const running_stream& stream : streams) {
+    const bool waits = stream.delivered_tokens == 0 && rounds > 1;
+    if (waits || EndsWithin(stream, left)) {
+      moves.push_back({stream.request_id, move_kind::kStay});
+      continue;
+    }
+    if (stream.delivered_tokens == 0 || room == 0) {
+      moves.push_back({stream.request_id, move_kind::kResume});
+      continue;
+    }
+    --room;
+    moves.push_back({stream.request_id, move_kind::kTransfer});
+  }
+  return moves;
+}
+
+}  // namespace skylarkcroft
--- a/src/skylarkcroft/control/skylarkcroft_order_caller.h
+++ b/src/skylarkcroft/control/skylarkcroft_order_caller.h
@@ -1,19 +1,19 @@
 #ifndef SKYLARKCROFT_CONTROL_SKYLARKCROFT_ORDER_CALLER_H_
 #define SKYLARKCROFT_CONTROL_SKYLARKCROFT_ORDER_CALLER_H_
 
-#include <cstdint>
 #include <functional>
-#include <map>
 #include <optional>
 
+#include "skylarkcroft/control/skylarkcroft_bounded_caller.h"
 #include "skylarkcroft/control/skylarkcroft_upstream_order.h"
-#include "skylarkcroft/http/skylarkcroft_http_client.h"
 #include "skylarkcroft/internal/skylarkcroft_endpoint.h"
-#include "skylarkcroft/internal/skylarkcroft_event_loop.h"
 #include "skylarkcroft/internal/skylarkcroft_time.h"
 
 namespace skylarkcroft {
 
+class event_loop;
+class http_client;
+
 enum class order_outcome {
   kApplied,
   kStaleFence,  ///< The upstream has seen a higher fence.
@@ -28,8 +28,6 @@
   using ordered_fn = std::function<void(order_outcome)>;
 
   order_caller(event_loop& loop, http_client& client, milliseconds flight);
-  order_caller(const order_caller&) = delete;
-  order_caller& operator=(const order_caller&) = delete;
 
   /// Empty when the upstream did not answer. Never answers from inside itself.
   void Read(const endpoint& address, report_fn done);
@@ -37,22 +35,7 @@
              ordered_fn done);
 
  private:
-  using ended_fn = std::function<void(const std::optional<http_response>&)>;
-  struct call {
-    http_call_ptr sent;
-    event_loop::handle_ptr limit;
-  };
-
-  void Send(const endpoint& address, const http_request& request,
-            ended_fn done);
-  /// Closes call `id` once the present callback has returned.
-  void Drop(uint64_t id);
-
-  event_loop& loop_;
-  http_client& client_;
-  milliseconds flight_;
-  uint64_t next_id_ = 0;
-  std::map<uint64_t, call> calls_;
+  bounded_caller calls_;
 };
 
 }  // namespace skylarkcroft
--- /dev/null
+++ b/src/skylarkcroft/control/skylarkcroft_reclaim_watch.h
@@ -0,0 +1,71 @@
+#ifndef SKYLARKCROFT_CONTROL_SKYLARKCROFT_RECLAIM_WATCH_H_
+#define SKYLARKCROFT_CONTROL_SKYLARKCROFT_RECLAIM_WATCH_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "skylarkcroft/internal/skylarkcroft_endpoint.h"
+#include "skylarkcroft/internal/skylarkcroft_event_loop.h"
+#include "skylarkcroft/internal/skylarkcroft_time.h"
+#include "skylarkcroft/platform/skylarkcroft_cloud_api.h"
+#include "skylarkcroft/platform/skylarkcroft_host_list.h"
+
+namespace skylarkcroft {
+
+/// What a reclaim watch works with; all outlive it.
+struct reclaim_environment {
+  event_loop& loop;
+  cloud_api& cloud;
+  host_list& hosts;
+  /// Uniform in [0, 1), so that the nodes do not ask in step.
+  std::function<double()> random;
+  clock_fn clock;
+  wall_clock_fn wall_clock;
+};
+
+/// Asks the cloud for reclaim notices and the host list for leaving hosts.
+/// A notice that comes twice, or from both, is one.
+class reclaim_watch {
+ public:
+  /// `on_leaving` runs after each poll for every host whose notice runs, also
+  /// when it did before.
+  using leaving_fn =
+      std::function<void(const endpoint& address, time_point notice_end)>;
+
+  reclaim_watch(reclaim_environment environment, leaving_fn on_leaving);
+  ~reclaim_watch();
+  reclaim_watch(const reclaim_watch&) = delete;
+  reclaim_watch& operator=(const reclaim_watch&) = delete;
+
+  [[nodiscard]] uint64_t notices() const { return notices_; }
+
+  static constexpr milliseconds kPeriod{1000};
+  /// Notice of a host of which only the list says that it leaves.
+  static constexpr milliseconds kAssumedNotice{10000};
+  /// Time after the end of a notice in which it is still repeated.
+  static constexpr milliseconds kGrace{30000};
+
+ private:
+  void Schedule();
+  void Poll();
+  void OnNotices(const notices_result& result);
+  void OnHosts(const host_list_result& result);
+  void Note(const endpoint& address, time_point notice_end);
+  void TellAll();
+
+  reclaim_environment environment_;
+  leaving_fn on_leaving_;
+  std::map<endpoint, time_point> leaving_;
+  int64_t last_seq_ = 0;
+  uint64_t notices_ = 0;
+  bool asking_cloud_ = false;
+  bool asking_hosts_ = false;
+  event_loop::handle_ptr timer_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace skylarkcroft
+
+#endif  // SKYLARKCROFT_CONTROL_SKYLARKCROFT_RECLAIM_WATCH_H_
--- /dev/null
+++ b/src/skylarkcroft/control/skylarkcroft_stream_mover.h
@@ -0,0 +1,85 @@
+#ifndef SKYLARKCROFT_CONTROL_SKYLARKCROFT_STREAM_MOVER_H_
+#define SKYLARKCROFT_CONTROL_SKYLARKCROFT_STREAM_MOVER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "skylarkcroft/control/skylarkcroft_bounded_caller.h"
+#include "skylarkcroft/control/skylarkcroft_movable_streams.h"
+#include "skylarkcroft/control/skylarkcroft_move_plan.h"
+#include "skylarkcroft/internal/skylarkcroft_endpoint.h"
+#include "skylarkcroft/internal/skylarkcroft_event_loop.h"
+#include "skylarkcroft/internal/skylarkcroft_time.h"
+
+namespace skylarkcroft {
+
+/// Counts since the start of the process. Tokens are of prompts and answers.
+struct move_counts {
+  uint64_t transferred = 0;
+  uint64_t resumed = 0;
+  int64_t recomputed_tokens = 0;
+  /// What would have been computed again, had every moved stream started from
+  /// scratch.
+  int64_t restart_tokens = 0;
+
+  bool operator==(const move_counts&) const = default;
+};
+
+/// Moves the streams of engines that are about to leave: KV cache exported at
+/// the old, imported at the chosen new engine, then resumed; where a step
+/// fails, resumed with a prefill.
+class stream_mover {
+ public:
+  stream_mover(event_loop& loop, http_client& client, movable_streams& streams,
+               const move_terms& terms, clock_fn clock);
+  ~stream_mover();
+  stream_mover(const stream_mover&) = delete;
+  stream_mover& operator=(const stream_mover&) = delete;
+
+  /// The engine at `address` ends at `notice_end`. May be told repeatedly.
+  void NoteLeaving(const endpoint& address, time_point notice_end);
+
+  [[nodiscard]] const move_counts& counts() const { return counts_; }
+
+  static constexpr milliseconds kPlanPeriod{250};
+
+ private:
+  struct transfer {
+    endpoint from;
+    running_stream stream;
+    std::string kv;
+    int64_t kv_tokens = 0;
+    endpoint target;
+  };
+  using transfer_ptr = std::shared_ptr<transfer>;
+
+  void PlanAll();
+  void PlanFor(const endpoint& address, time_point notice_end);
+  void Start(const endpoint& address, const running_stream& stream,
+             move_kind kind);
+  void OnExported(const transfer_ptr& moving,
+                  const std::optional<http_response>& response);
+  void OnImported(const transfer_ptr& moving, bool imported);
+  void Resume(const running_stream& stream);
+  void End(const endpoint& address, const std::string& request_id);
+
+  event_loop& loop_;
+  bounded_caller calls_;
+  movable_streams& streams_;
+  move_terms terms_;
+  clock_fn clock_;
+  std::map<endpoint, time_point> leaving_;
+  // Requests whose transfer is under way, by engine.
+  std::map<endpoint, std::set<std::string>> moving_;
+  move_counts counts_;
+  event_loop::handle_ptr timer_;
+};
+
+}  // namespace skylarkcroft
+
+#endif  // SKYLARKCROFT_CONTROL_SKYLARKCROFT_STREAM_MOVER_H_
--- a/src/skylarkcroft/node/skylarkcroft_node.cc
+++ b/src/skylarkcroft/node/skylarkcroft_node.cc
@@ -14,6 +14,8 @@
 #include "skylarkcroft/claims/skylarkcroft_claim_keeper.h"
 #include "skylarkcroft/deferred/skylarkcroft_deferred_worker.h"
 #include "skylarkcroft/control/skylarkcroft_pool_control.h"
+#include "skylarkcroft/control/skylarkcroft_reclaim_watch.h"
+#include "skylarkcroft/control/skylarkcroft_stream_mover.h"
 #include "skylarkcroft/http/skylarkcroft_http_client.h"
 #include "skylarkcroft/internal/skylarkcroft_digest.h"
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
@@ -27,9 +29,12 @@
 #include "skylarkcroft/node/skylarkcroft_node_metrics.h"
 #include "skylarkcroft/node/skylarkcroft_operators_api.h"
 #include "skylarkcroft/node/skylarkcroft_pool_windows.h"
+#include "skylarkcroft/node/skylarkcroft_registry_streams.h"
 #include "skylarkcroft/node/skylarkcroft_request_registry.h"
 #include "skylarkcroft/node/skylarkcroft_status_report.h"
+#include "skylarkcroft/platform/skylarkcroft_cloud_api.h"
 #include "skylarkcroft/platform/skylarkcroft_group_commit.h"
+#include "skylarkcroft/platform/skylarkcroft_host_list.h"
 #include "skylarkcroft/platform/skylarkcroft_table_service.h"
 #include "skylarkcroft/routing/skylarkcroft_cache_event_poller.h"
 #include "skylarkcroft/routing/skylarkcroft_health_prober.h"
@@ -110,6 +115,17 @@
              [this] { return std::vector<std::string>{config_.name}; },
              SteadyNow},
             {config_.name, incarnation_}, {}, {}),
+        cloud_(MakeCloudApiClient(client_, config_.platform.cloud,
+                                  config_.platform.timeout)),
+        hosts_(MakeHostListClient(client_, config_.platform.hosts,
+                                  config_.platform.timeout)),
+        streams_(registry_, directory_),
+        mover_(loop, client_, streams_, {}, SteadyNow),
+        reclaims_({loop, *cloud_, *hosts_, runs_.random, SteadyNow, WallNowMs},
+                  [this](const endpoint& address, time_point notice_end) {
+                    directory_.NoteLeaving(address);
+                    mover_.NoteLeaving(address, notice_end);
+                  }),
         callers_server_(loop, config_.callers_address, config_.http,
                         [this](const http_exchange_ptr& exchange) {
                           front_.OnRequest(exchange);
@@ -286,6 +302,12 @@
                      now);
     document["members"] = mesh_->Describe(now);
     document["control"] = control_.Describe(now);
+    document["reclaims"] = {
+        {"notices", reclaims_.notices()},
+        {"transferred", mover_.counts().transferred},
+        {"resumed", mover_.counts().resumed},
+        {"recomputed_tokens", mover_.counts().recomputed_tokens},
+        {"restart_tokens", mover_.counts().restart_tokens}};
     return document;
   }
 
@@ -377,6 +399,11 @@
   health_prober prober_;
   std::unique_ptr<weight_store> weights_;
   pool_control control_;
+  std::unique_ptr<cloud_api> cloud_;
+  std::unique_ptr<host_list> hosts_;
+  registry_streams streams_;
+  stream_mover mover_;
+  reclaim_watch reclaims_;
   http_server callers_server_;
   http_server operators_server_;
   std::unique_ptr<node_mesh> mesh_;
--- a/src/skylarkcroft/node/skylarkcroft_request_run.cc
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.cc
@@ -126,6 +126,7 @@
 
 void request_run::Pause(time_point now) {
   started_ = false;
+  held_for_move_ = false;
   timer_.reset();
   paused_tries_ += try_ == nullptr ? 0 : 1;
   DropTry(attempt_outcome::kCancelled, now);
@@ -140,6 +141,50 @@
   FailWith(why);
 }
 
+bool request_run::HoldForMove() {
+  if (ended_ || !started_ || !request_.completion || !request_.idempotent ||
+      try_ == nullptr) {
+    return false;
+  }
+  held_for_move_ = true;
+  return true;
+}
+
+const upstream* request_run::ChooseForMove(time_point now) const {
+  const std::vector<upstream_state>& members =
+      environment_.directory.InPool(request_.target.name);
+  const std::optional<std::string> chosen =
+      environment_.choose(MakeQuery(), members, now);
+  return chosen ? FindUpstream(members, *chosen) : nullptr;
+}
+
+bool request_run::LeaveTry(time_point now) {
+  if (ended_ || !held_for_move_) {
+    return false;
+  }
+  held_for_move_ = false;
+  // A move is no failed try.
+  ++paused_tries_;
+  DropTry(attempt_outcome::kComplete, now);
+  return true;
+}
+
+bool request_run::MoveTo(const upstream& target, time_point now) {
+  if (!LeaveTry(now)) {
+    return false;
+  }
+  Send(target, now);
+  return true;
+}
+
+bool request_run::ResumeElsewhere(time_point now) {
+  if (!LeaveTry(now)) {
+    return false;
+  }
+  StartTry(now);
+  return true;
+}
+
 choice_query request_run::MakeQuery() const {
   choice_query query;
   query.pool = request_.target.name;
@@ -276,6 +321,9 @@
     return;
   }
   tried_.push_back(from.name);
+  if (held_for_move_) {
+    return;
+  }
   RetryOrFail(result, from, now);
 }
 
--- a/src/skylarkcroft/node/skylarkcroft_request_run.h
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.h
@@ -78,6 +78,16 @@
   /// Ends the answer here, since another node goes on with it; tells readers
   /// where.
   void MoveAway();
+  /// Keeps the end of the current try from being retried, until MoveTo() or
+  /// ResumeElsewhere(). False when there is no try that could be moved.
+  bool HoldForMove();
+  /// Upstream that a move would go to; null when none takes requests.
+  [[nodiscard]] const upstream* ChooseForMove(time_point now) const;
+  /// Leaves the current try and goes on at `target`, from the offset that was
+  /// delivered. False when the request is not held for a move.
+  bool MoveTo(const upstream& target, time_point now);
+  /// Like MoveTo, at any upstream, once one takes requests.
+  bool ResumeElsewhere(time_point now);
   /// Ends the answer as failed and stops the current try.
   void Fail(refusal_reason reason, const std::string& detail,
             std::optional<std::chrono::seconds> retry_after);
@@ -103,6 +113,8 @@
   void CompleteEngine();
   void CompleteService(const http_response& response);
   void FailWith(problem why);
+  /// Ends the hold and the current try.
+  bool LeaveTry(time_point now);
   void DropTry(attempt_outcome outcome, time_point now);
   /// Stops all work; the answer is still open.
   void Stop();
@@ -129,6 +141,7 @@
   int64_t paused_tries_ = 0;
   bool started_ = false;
   bool may_have_run_ = false;
+  bool held_for_move_ = false;
   bool ended_ = false;
 };
 
--- /dev/null
+++ b/tests/control/reclaim_node_test.cc
@@ -0,0 +1,154 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "skylarkcroft/attempt/skylarkcroft_sse_parser.h"
+#include "standins/engine/completion_text.h"
+#include "tests/node/node_fixture.h"
+
+namespace skylarkcroft {
+namespace {
+
+constexpr size_t kEventBound = 1 << 20;
+constexpr int kTokens = 1000;
+constexpr int kNoticeMs = 3000;
+constexpr size_t kStreams = 16;
+constexpr size_t kLeavingEngines = 2;
+
+/// One caller's stream as it arrives.
+class caller_stream {
+ public:
+  caller_stream(node_fixture& fixture, std::string prompt)
+      : prompt_(std::move(prompt)),
+        parser_(kEventBound, [this](const sse_event& event) { Take(event); }) {
+    http_call_events events;
+    events.on_data = [this](std::string_view data) {
+      parser_.Feed(std::string(data));
+    };
+    events.on_done = [this](const http_result& result) { ended_ = result; };
+    call_ = fixture.client.Send(
+        fixture.nodes.front()->callers_address(),
+        node_fixture::Completion(prompt_, kTokens, true), {}, events);
+  }
+
+  [[nodiscard]] bool begun() const { return tokens_ > 0; }
+  [[nodiscard]] bool ended() const { return ended_.has_value(); }
+  /// Every token came once, in order, with the right text, to the end.
+  [[nodiscard]] bool whole() const {
+    return done_ && in_order_ && tokens_ == kTokens &&
+           text_ == standin::CompletionText("m", prompt_, 1, kTokens);
+  }
+
+ private:
+  void Take(const sse_event& event) {
+    if (event.data == "[DONE]") {
+      done_ = true;
+      return;
+    }
+    const nlohmann::json data = nlohmann::json::parse(event.data);
+    if (!data.contains("choices") || data.at("choices").empty()) {
+      return;
+    }
+    ++tokens_;
+    in_order_ = in_order_ && event.id == std::to_string(tokens_);
+    text_ += data.at("choices").at(0).at("text").get<std::string>();
+  }
+
+  std::string prompt_;
+  sse_parser parser_;
+  std::string text_;
+  int tokens_ = 0;
+  bool in_order_ = true;
+  bool done_ = false;
+  std::optional<http_result> ended_;
+  http_call_ptr call_;
+};
+
+/// Two engines in each of two zones, and the first zone's in the host list.
+void PutZones(node_fixture& fixture) {
+  nlohmann::json document = fixture.PoolsDocument();
+  nlohmann::json hosts = nlohmann::json::array();
+  nlohmann::json& upstreams = document["pools"][0]["upstreams"];
+  for (size_t index = 0; index < upstreams.size(); ++index) {
+    const bool leaves = index < kLeavingEngines;
+    upstreams[index]["availability_zone"] = leaves ? "cairo-a" : "cairo-b";
+    hosts.push_back({{"id", "h" + std::to_string(index)},
+                     {"kind", "upstream"},
+                     {"pool", "assistant"},
+                     {"address", upstreams[index]["address"]},
+                     {"availability_zone", leaves ? "cairo-a" : "cairo-b"},
+                     {"incarnation", 1},
+                     {"state", "live"}});
+  }
+  REQUIRE(fixture.Put("pools", document).status == 200);
+  fixture.PostPlatform("/admin/hosts", {{"hosts", hosts}});
+}
+
+void ReclaimZone(node_fixture& fixture) {
+  fixture.PostPlatform("/admin/reclaim", {{"availability_zone", "cairo-a"},
+                                          {"notice_ms", kNoticeMs}});
+  for (size_t index = 0; index < kLeavingEngines; ++index) {
+    http_request leave;
+    leave.method = "POST";
+    leave.target = "/admin/leave";
+    leave.body = nlohmann::json({{"notice_ms", kNoticeMs}}).dump();
+    static_cast<void>(fixture.Call(fixture.engines[index]->address(), leave));
+  }
+}
+
+int64_t PrefillTokens(const node_fixture& fixture) {
+  int64_t tokens = 0;
+  for (const auto& engine : fixture.engines) {
+    tokens += engine->stats().prefill_tokens;
+  }
+  return tokens;
+}
+
+}  // namespace
+
+TEST_CASE("Streams outlive a zone that leaves on notice",
+          "[control][reclaim]") {
+  node_fixture fixture(1, 4);
+  fixture.PutTables();
+  PutZones(fixture);
+  std::string words;
+  for (int word = 0; word < 64; ++word) {
+    words += " w" + std::to_string(word);
+  }
+  std::vector<std::unique_ptr<caller_stream>> streams;
+  streams.reserve(kStreams);
+  for (size_t index = 0; index < kStreams; ++index) {
+    streams.push_back(std::make_unique<caller_stream>(
+        fixture, "p" + std::to_string(index) + words));
+  }
+  const auto all = [&](bool (caller_stream::*holds)() const) {
+    return std::all_of(streams.begin(), streams.end(),
+                       [&](const auto& one) { return ((*one).*holds)(); });
+  };
+  REQUIRE(fixture.Until([&] { return all(&caller_stream::begun); }));
+  const int64_t prefill_before = PrefillTokens(fixture);
+  const int notices = GENERATE(1, 2);
+  for (int notice = 0; notice < notices; ++notice) {
+    ReclaimZone(fixture);
+  }
+  REQUIRE(fixture.Until([&] { return all(&caller_stream::ended); }));
+  CHECK(all(&caller_stream::whole));
+  const nlohmann::json reclaims =
+      nlohmann::json::parse(fixture
+                                .Get(fixture.nodes.front()->operators_address(),
+                                     "/operators/status")
+                                .body)
+          .at("reclaims");
+  WARN(reclaims.dump() << ", prefilled by engines after the notice "
+                       << PrefillTokens(fixture) - prefill_before);
+  CHECK(reclaims.at("notices") == kLeavingEngines);
+  CHECK(reclaims.at("transferred").get<int>() > 0);
+  CHECK(5 * reclaims.at("recomputed_tokens").get<int64_t>() <=
+        reclaims.at("restart_tokens").get<int64_t>());
+}
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/tests/control/reclaim_watch_test.cc
@@ -0,0 +1,87 @@
+#include <catch2/catch.hpp>
+#include <map>
+#include <utility>
+
+#include "skylarkcroft/control/skylarkcroft_reclaim_watch.h"
+
+namespace skylarkcroft {
+namespace {
+
+const time_point kStart{std::chrono::hours(1)};
+constexpr int64_t kWallMs = 5000000;
+
+class fixed_cloud : public cloud_api {
+ public:
+  explicit fixed_cloud(event_loop& loop) : loop_(loop) {}
+
+  void Prices(prices_done_fn /*done*/) override {}
+  void StartHost(const start_request& /*request*/,
+                 start_done_fn /*done*/) override {}
+  void EndHost(const std::string& /*id*/, end_done_fn /*done*/) override {}
+  void ListHosts(cloud_hosts_done_fn /*done*/) override {}
+  void Notices(int64_t after_seq, notices_done_fn done) override {
+    notices_result result{true, {}};
+    for (const reclaim_notice& notice : notices) {
+      if (notice.seq > after_seq) {
+        result.notices.push_back(notice);
+      }
+    }
+    loop_.Defer([result, done = std::move(done)] { done(result); });
+  }
+
+  std::vector<reclaim_notice> notices;
+
+ private:
+  event_loop& loop_;
+};
+
+class fixed_hosts : public host_list {
+ public:
+  explicit fixed_hosts(event_loop& loop) : loop_(loop) {}
+
+  void Fetch(host_list_done_fn done) override {
+    ++fetches;
+    loop_.Defer([this, done = std::move(done)] { done({true, 1, hosts}); });
+  }
+
+  std::vector<listed_host> hosts;
+  int fetches = 0;
+
+ private:
+  event_loop& loop_;
+};
+
+}  // namespace
+
+TEST_CASE("Notices and leaving marks are told once a poll, by their end",
+          "[control][reclaim]") {
+  event_loop loop;
+  fixed_cloud cloud(loop);
+  fixed_hosts hosts(loop);
+  const endpoint noticed{"10.0.0.1", 80};
+  const endpoint listed{"10.0.0.2", 80};
+  const endpoint old{"10.0.0.3", 80};
+  cloud.notices = {{1, "old", old, "a", kWallMs - 60000},
+                   {2, "h1", noticed, "a", kWallMs + 7000},
+                   {3, "h1", noticed, "a", kWallMs + 7000}};
+  hosts.hosts = {
+      {"h1", host_kind::kUpstream, "p", noticed, "a", 1, host_state::kLeaving},
+      {"h2", host_kind::kUpstream, "p", listed, "a", 1, host_state::kLeaving},
+      {"h3", host_kind::kUpstream, "p", old, "a", 2, host_state::kLive}};
+  std::map<endpoint, time_point> leaving;
+  const reclaim_watch watch(
+      {loop, cloud, hosts, [] { return 0.0; }, [] { return kStart; },
+       [] { return kWallMs; }},
+      [&](const endpoint& address, time_point notice_end) {
+        leaving[address] = notice_end;
+      });
+  for (int turn = 0; turn < 2000 && hosts.fetches < 2; ++turn) {
+    loop.RunFor(milliseconds(10));
+  }
+  CHECK(leaving == std::map<endpoint, time_point>{
+                       {noticed, kStart + milliseconds(7000)},
+                       {listed, kStart + reclaim_watch::kAssumedNotice}});
+  CHECK(watch.notices() == 2);
+}
+
+}  // namespace skylarkcroft
--- a/tests/node/node_fixture.h
+++ b/tests/node/node_fixture.h
@@ -136,6 +136,14 @@
   [[nodiscard]] const endpoint& platform_address() const {
     return platform_.address();
   }
+  /// An administration call of the platform's stand-in.
+  void PostPlatform(const std::string& target, const nlohmann::json& body) {
+    http_request request;
+    request.method = "POST";
+    request.target = target;
+    request.body = body.dump();
+    static_cast<void>(Call(platform_.address(), request));
+  }
   void SetPlatformFault(const nlohmann::json& fault) {
     SetFault(platform_.address(), fault);
   }
