Hosts: decisions on number, mix, starts and release

Cause: pools have to be served at the least cost that keeps the urgent rank through the loss of a zone. Change: demand to hosts with hysteresis, a mix by price and observed reclaims that leaves the urgent rank its hosts, refused starts that back off, starts under client tokens, replacements before drains. No node carries these decisions out yet.

--- /dev/null
+++ b/tests/control/host_plan_test.cc
@@ -0,0 +1,146 @@
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "skylarkcroft/control/skylarkcroft_host_plan.h"
+#include "skylarkcroft/control/skylarkcroft_reclaim_history.h"
+#include "skylarkcroft/control/skylarkcroft_start_ledger.h"
+
+namespace skylarkcroft {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+const time_point kStart{hours(1)};
+const host_offer kCheap{"a", "g1", true};
+const host_offer kOther{"b", "g1", true};
+const host_offer kOnDemand{"a", "g1", false};
+
+std::vector<priced_offer> Offers() {
+  return {
+      {kCheap, 1, 0, true}, {kOther, 1.5, 0, true}, {kOnDemand, 4, 0, true}};
+}
+
+}  // namespace
+
+TEST_CASE("Hosts follow demand by rank within the policy", "[control][hosts]") {
+  host_policy policy;
+  policy.min_hosts = 2;
+  policy.max_hosts = 6;
+  const host_demand demand{{13, 20, 5}};
+  CHECK(HostsNeeded(demand, policy, {}) == 3);
+  CHECK(UrgentHostsNeeded(demand, {}) == 2);
+  CHECK(HostsNeeded({}, policy, {}) == 2);
+  CHECK(HostsNeeded({{1000, 0, 0}}, policy, {}) == 6);
+}
+
+TEST_CASE("Enough is left for the urgent rank whichever zone goes",
+          "[control][hosts]") {
+  CHECK(PlanMix({6, 2, Offers(), {}, 0}, {}) ==
+        offer_counts{{kCheap, 4}, {kOther, 2}});
+  CHECK(PlanMix({6, 5, Offers(), {}, 0}, {}) ==
+        offer_counts{{kCheap, 1}, {kOther, 1}, {kOnDemand, 4}});
+  CHECK(PlanMix({6, 6, Offers(), {}, 0}, {}) == offer_counts{{kOnDemand, 6}});
+}
+
+TEST_CASE("Reclaims, refusals and the ceiling turn the choice",
+          "[control][hosts]") {
+  std::vector<priced_offer> offers = Offers();
+  SECTION("a cheap offer that is reclaimed often costs more") {
+    offers[0].reclaims_per_hour = 2;
+    CHECK(PlanMix({4, 0, offers, {}, 0}, {}) == offer_counts{{kOther, 4}});
+  }
+  SECTION("a refused offer falls through to the next") {
+    offers[0].available = false;
+    CHECK(PlanMix({4, 0, offers, {{kCheap, 1}}, 0}, {}) ==
+          offer_counts{{kCheap, 1}, {kOther, 3}});
+  }
+  SECTION("the ceiling bounds the spending") {
+    CHECK(PlanMix({4, 0, offers, {}, 2.5}, {}) == offer_counts{{kCheap, 2}});
+  }
+  SECTION("a small gain does not replace a host that runs") {
+    offers[1].price_per_hour = 1.1;
+    CHECK(PlanMix({2, 0, offers, {{kOther, 2}}, 0}, {}) ==
+          offer_counts{{kOther, 2}});
+    offers[1].price_per_hour = 1.5;
+    CHECK(PlanMix({2, 0, offers, {{kOther, 2}}, 0}, {}) ==
+          offer_counts{{kCheap, 2}});
+  }
+}
+
+TEST_CASE("The target rises at once and falls after a while",
+          "[control][hosts]") {
+  host_target target{host_terms{}};
+  CHECK(target.Update(5, kStart) == 5);
+  CHECK(target.Update(2, kStart + minutes(1)) == 5);
+  CHECK(target.Update(4, kStart + minutes(5)) == 5);
+  CHECK(target.Update(2, kStart + minutes(11)) == 4);
+  CHECK(target.Update(7, kStart + minutes(12)) == 7);
+}
+
+TEST_CASE("Replacements serve before what they replace is drained",
+          "[control][hosts]") {
+  const offer_counts wanted{{kCheap, 2}};
+  const offer_counts both{{kCheap, 2}, {kOther, 2}};
+  CHECK(ChangesTo(wanted, {{kOther, 2}}, {{kOther, 2}}, 2) ==
+        host_changes{{{kCheap, 2}}, {}});
+  CHECK(ChangesTo(wanted, both, {{kOther, 2}}, 2) == host_changes{});
+  CHECK(ChangesTo(wanted, both, {{kCheap, 1}, {kOther, 2}}, 2) ==
+        host_changes{{}, {{kOther, 1}}});
+  CHECK(ChangesTo(wanted, both, both, 2) == host_changes{{}, {{kOther, 2}}});
+}
+
+TEST_CASE("An ambiguous start is repeated under its own token",
+          "[control][hosts]") {
+  start_ledger ledger("assistant", "n1-7");
+  const start_request first = ledger.Begin(kCheap);
+  ledger.End(first.client_token, start_outcome::kUnknown, kStart);
+  CHECK(ledger.Open() == std::vector<start_request>{first});
+  CHECK(ledger.OpenCounts() == offer_counts{{kCheap, 1}});
+  SECTION("until it is answered") {
+    ledger.End(first.client_token, start_outcome::kStarted, kStart);
+    CHECK(ledger.Open().empty());
+  }
+  SECTION("or shows in the cloud's list") {
+    cloud_host host;
+    host.client_token = first.client_token;
+    ledger.NoteListed({host});
+    CHECK(ledger.Open().empty());
+  }
+  CHECK(ledger.Begin(kCheap).client_token != first.client_token);
+}
+
+TEST_CASE("Refused starts back off for their zone and class alone",
+          "[control][hosts]") {
+  start_ledger ledger("assistant", "n1-7");
+  time_point now = kStart;
+  for (const int wait : {30, 60, 120}) {
+    ledger.End(ledger.Begin(kCheap).client_token, start_outcome::kNoCapacity,
+               now);
+    CHECK_FALSE(ledger.Available(kCheap, now + seconds(wait - 1)));
+    CHECK(ledger.Available(kOther, now));
+    now += seconds(wait);
+    CHECK(ledger.Available(kCheap, now));
+  }
+  ledger.End(ledger.Begin(kCheap).client_token, start_outcome::kStarted, now);
+  ledger.End(ledger.Begin(kCheap).client_token, start_outcome::kRejected, now);
+  CHECK(ledger.Available(kCheap, now + seconds(30)));
+}
+
+TEST_CASE("Observed reclaims move the expectation and fade",
+          "[control][hosts]") {
+  reclaim_history history;
+  const double assumed = history.ReclaimsPerHour(kCheap, kStart);
+  history.Note(kCheap, 10, hours(1), 9, kStart);
+  const double after = history.ReclaimsPerHour(kCheap, kStart);
+  CHECK(after > 3 * assumed);
+  const double later = history.ReclaimsPerHour(kCheap, kStart + hours(24));
+  CHECK(later < after);
+  CHECK(later < 2 * assumed);
+  CHECK(history.ReclaimsPerHour(kOther, kStart) == assumed);
+  CHECK(history.ReclaimsPerHour(kOnDemand, kStart) == 0);
+}
+
+}  // namespace skylarkcroft
