Leases spread over the members that the mesh knows

Cause: each node took itself for the only member. Change: the live members' names come from the mesh.

--- a/src/skylarkcroft/node/skylarkcroft_node.cc
+++ b/src/skylarkcroft/node/skylarkcroft_node.cc
@@ -110,11 +110,9 @@
         prober_(loop, client_, directory_, kProbePeriod, SteadyNow),
         weights_(MakeWeightStoreClient(client_, config_.platform.weights,
                                        config_.platform.timeout)),
-        control_(
-            {loop, client_, *store_, commits_, *weights_, tables_, directory_,
-             [this] { return std::vector<std::string>{config_.name}; },
-             SteadyNow},
-            {config_.name, incarnation_}, {}, {}),
+        control_({loop, client_, *store_, commits_, *weights_, tables_,
+                  directory_, [this] { return LiveNames(); }, SteadyNow},
+                 {config_.name, incarnation_}, {}, {}),
         cloud_(MakeCloudApiClient(client_, config_.platform.cloud,
                                   config_.platform.timeout)),
         hosts_(MakeHostListClient(client_, config_.platform.hosts,
@@ -202,6 +200,19 @@
     return static_cast<int64_t>(others) + 1;
   }
 
+  std::vector<std::string> LiveNames() const {
+    std::vector<std::string> names{config_.name};
+    if (mesh_ == nullptr) {
+      return names;
+    }
+    for (const auto& [name, other] : mesh_->part().members().all()) {
+      if (other.state != member_state::kRemoved && !other.details.leaving) {
+        names.push_back(name);
+      }
+    }
+    return names;
+  }
+
   std::unique_ptr<admission> MakeAdmission() {
     if (config_.policy.admission == "fifo") {
       return MakeFifoAdmission(
--- a/tests/control/control_node_test.cc
+++ b/tests/control/control_node_test.cc
@@ -40,9 +40,9 @@
   return true;
 }
 
-nlohmann::json ControlOf(node_fixture& fixture) {
+nlohmann::json ControlOf(node_fixture& fixture, size_t index = 0) {
   const http_response reply = fixture.Get(
-      fixture.nodes.front()->operators_address(), "/operators/status");
+      fixture.nodes[index]->operators_address(), "/operators/status");
   return nlohmann::json::parse(reply.body).at("control");
 }
 
@@ -73,4 +73,24 @@
   CHECK_FALSE(pool.at("orders").at("last_orders").empty());
 }
 
+TEST_CASE("A node that shuts down gives its lease to another",
+          "[control][node]") {
+  node_fixture fixture(2);
+  fixture.PutTables();
+  REQUIRE(Deploy(fixture, "1").status == 200);
+  const auto acts = [&](size_t index) {
+    const nlohmann::json control = ControlOf(fixture, index);
+    return !control.at("pools").empty() &&
+           control.at("pools")[0].at("may_act").get<bool>();
+  };
+  REQUIRE(fixture.Until([&] { return acts(0) || acts(1); }));
+  const size_t holder = acts(0) ? 0 : 1;
+  const size_t other = 1 - holder;
+  CHECK_FALSE(acts(other));
+  fixture.nodes[holder]->Shutdown();
+  REQUIRE(fixture.Until([&] { return acts(other); }));
+  CHECK(ControlOf(fixture, other).at("pools")[0].at("fence") == 2);
+  REQUIRE(fixture.Until([&] { return AllServe(fixture, "1"); }));
+}
+
 }  // namespace skylarkcroft
