--- a/src/skylarkcroft/node/skylarkcroft_node.cc
+++ b/src/skylarkcroft/node/skylarkcroft_node.cc
@@ -12,10 +12,10 @@
 #include "skylarkcroft/admission/skylarkcroft_admission.h"
 #include "skylarkcroft/attempt/skylarkcroft_retry_budget.h"
 #include "skylarkcroft/claims/skylarkcroft_claim_keeper.h"
-#include "skylarkcroft/deferred/skylarkcroft_deferred_worker.h"
 #include "skylarkcroft/control/skylarkcroft_pool_control.h"
 #include "skylarkcroft/control/skylarkcroft_reclaim_watch.h"
 #include "skylarkcroft/control/skylarkcroft_stream_mover.h"
+#include "skylarkcroft/deferred/skylarkcroft_deferred_worker.h"
 #include "skylarkcroft/http/skylarkcroft_http_client.h"
 #include "skylarkcroft/internal/skylarkcroft_digest.h"
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
@@ -36,9 +36,9 @@
 #include "skylarkcroft/platform/skylarkcroft_group_commit.h"
 #include "skylarkcroft/platform/skylarkcroft_host_list.h"
 #include "skylarkcroft/platform/skylarkcroft_table_service.h"
+#include "skylarkcroft/platform/skylarkcroft_weight_store.h"
 #include "skylarkcroft/routing/skylarkcroft_cache_event_poller.h"
 #include "skylarkcroft/routing/skylarkcroft_health_prober.h"
-#include "skylarkcroft/platform/skylarkcroft_weight_store.h"
 #include "skylarkcroft/routing/skylarkcroft_load_poller.h"
 #include "skylarkcroft/routing/skylarkcroft_scored_choice.h"
 #include "skylarkcroft/routing/skylarkcroft_upstream_directory.h"
@@ -282,13 +282,7 @@
   }
 
   std::vector<size_t> OwnShards() const {
-    std::vector<std::string> names = {config_.name};
-    for (const auto& [name, one] : mesh_->part().members().all()) {
-      if (one.usable()) {
-        names.push_back(name);
-      }
-    }
-    return ShardsOf(config_.name, names);
+    return ShardsOf(config_.name, LiveNames());
   }
 
   operators_environment MakeOperatorsEnvironment() {
