Mesh: members from the platform's host list; asks a silent member again at once

A node found others only through its settings. It now reads the host list every 2 s, seeks the nodes in it, and counts a removed member as gone once the list, which had it, drops it: its part of the limits is free and edits no longer list it as pending.

--- a/src/skylarkcroft/limits/skylarkcroft_peer_claims.cc
+++ b/src/skylarkcroft/limits/skylarkcroft_peer_claims.cc
@@ -28,6 +28,9 @@
       last_heard =
           std::max(last_heard.value_or(*known.heard_at), *known.heard_at);
     }
+    if (known.gone()) {
+      continue;
+    }
     // While it drains it still holds what it claims.
     if (known.details.leaving && known.state != member_state::kAlive) {
       continue;
--- a/src/skylarkcroft/mesh/skylarkcroft_member.h
+++ b/src/skylarkcroft/mesh/skylarkcroft_member.h
@@ -49,7 +49,13 @@
   std::optional<time_point> heard_at;
   /// Highest revision of the tables it said were in force.
   int64_t revision = 0;
+  /// Whether the platform has ended its host.
+  bool ended = false;
 
+  /// True when it cannot be serving anywhere, also out of reach.
+  [[nodiscard]] bool gone() const {
+    return state == member_state::kRemoved && (details.leaving || ended);
+  }
   /// True when work may be given to it.
   [[nodiscard]] bool usable() const {
     return state == member_state::kAlive && !details.leaving;
--- a/src/skylarkcroft/mesh/skylarkcroft_member_list.cc
+++ b/src/skylarkcroft/mesh/skylarkcroft_member_list.cc
@@ -18,6 +18,7 @@
   if (first || known.state != member_state::kAlive) {
     known.state = member_state::kAlive;
     known.since = now;
+    known.ended = false;
   }
 }
 
@@ -47,6 +48,14 @@
   return true;
 }
 
+void member_list::NoteEnded(const std::string& name) {
+  const auto known = members_.find(name);
+  if (known != members_.end() &&
+      known->second.state == member_state::kRemoved) {
+    known->second.ended = true;
+  }
+}
+
 std::vector<std::string> member_list::Tick(time_point now) {
   std::vector<std::string> forgotten;
   for (auto& [name, known] : members_) {
--- a/src/skylarkcroft/mesh/skylarkcroft_member_list.h
+++ b/src/skylarkcroft/mesh/skylarkcroft_member_list.h
@@ -37,6 +37,8 @@
   /// whether that is news.
   bool Suspect(const std::string& name, int64_t incarnation, int64_t version,
                time_point now);
+  /// Notes that the platform has ended the host of a removed member.
+  void NoteEnded(const std::string& name);
   /// Applies the timeouts. Returns the names that were forgotten.
   std::vector<std::string> Tick(time_point now);
 
--- a/src/skylarkcroft/mesh/skylarkcroft_mesh.cc
+++ b/src/skylarkcroft/mesh/skylarkcroft_mesh.cc
@@ -64,6 +64,18 @@
   options_.seeds = std::move(seeds);
 }
 
+void mesh::NoteHostEnded(const endpoint& address) {
+  std::vector<std::string> ended;
+  for (const auto& [name, known] : members_.all()) {
+    if (known.details.mesh == address) {
+      ended.push_back(name);
+    }
+  }
+  for (const std::string& name : ended) {
+    members_.NoteEnded(name);
+  }
+}
+
 size_t mesh::SendsOfChange() const {
   return std::min(options_.change_sends,
                   std::max<size_t>(1, members_.counted()));
@@ -102,7 +114,7 @@
 
 void mesh::Tick(const mesh_time& at) {
   started_at_ = started_at_.value_or(at.now);
-  ExpireExchanges(at.now);
+  ExpireExchanges(at);
   for (const std::string& name : members_.Tick(at.now)) {
     records_.DropPublisher(name);
     guard_.Forget(name);
@@ -277,39 +289,46 @@
   counts_.bytes_sent += bytes.size();
 }
 
-void mesh::ExpireExchanges(time_point now) {
-  for (auto next = outstanding_.begin(); next != outstanding_.end();) {
-    if (now - next->second.asked_at < options_.reply_timeout) {
-      ++next;
-      continue;
+void mesh::ExpireExchanges(const mesh_time& at) {
+  std::vector<outstanding> lost;
+  std::erase_if(outstanding_, [&](auto& entry) {
+    if (at.now - entry.second.asked_at < options_.reply_timeout) {
+      return false;
     }
-    const outstanding lost = std::move(next->second);
-    next = outstanding_.erase(next);
-    OnMiss(lost, now);
+    lost.push_back(std::move(entry.second));
+    return true;
+  });
+  for (const outstanding& one : lost) {
+    OnMiss(one, at);
   }
 }
 
-void mesh::OnMiss(const outstanding& lost, time_point now) {
+void mesh::OnMiss(const outstanding& lost, const mesh_time& at) {
   ++counts_.unanswered;
   ++counts_.redials;
   transport_.Redial(lost.address);
   records_.ReturnChanges(lost.peer, lost.records);
   const member* known = members_.Find(lost.peer);
-  if (known == nullptr) {
+  if (known == nullptr || known->state != member_state::kAlive) {
     return;
   }
   if (++misses_[lost.peer] < options_.misses_to_suspect) {
+    // Its turn in the rounds may be far off.
+    SendExchange(lost.peer, known->details.mesh, at);
     return;
   }
   const bool heard_lately =
-      known->heard_at && now - *known->heard_at < options_.reply_timeout;
-  if (heard_lately || accused_.size() >= kMaxSuspects) {
-    return;
+      known->heard_at && at.now - *known->heard_at < options_.reply_timeout;
+  if (!heard_lately && accused_.size() < kMaxSuspects) {
+    Accuse(*known, at.now);
   }
-  if (members_.Suspect(lost.peer, known->incarnation, known->version, now)) {
-    mesh_record& accused = accused_[lost.peer];
-    accused.incarnation = known->incarnation;
-    accused.version = known->version;
+}
+
+void mesh::Accuse(const member& silent, time_point now) {
+  const mesh_record accused{silent.name, kMemberTopic, silent.incarnation,
+                            silent.version, ""};
+  if (members_.Suspect(silent.name, silent.incarnation, silent.version, now)) {
+    accused_[accused.publisher] = accused;
     hurried_ = true;
     PublishSuspects();
   }
--- a/src/skylarkcroft/mesh/skylarkcroft_mesh.h
+++ b/src/skylarkcroft/mesh/skylarkcroft_mesh.h
@@ -129,6 +129,8 @@
                   const std::string& payload, const mesh_time& at);
   /// Replaces the addresses to seek members at.
   void SetSeeds(std::vector<endpoint> seeds);
+  /// Notes that the platform has ended the host that listened at `address`.
+  void NoteHostEnded(const endpoint& address);
 
   [[nodiscard]] const member_list& members() const { return members_; }
   [[nodiscard]] const record_store& records() const { return records_; }
@@ -149,8 +151,9 @@
 
   void Round(const mesh_time& at);
   void NewsRound(const mesh_time& at);
-  void ExpireExchanges(time_point now);
-  void OnMiss(const outstanding& lost, time_point now);
+  void ExpireExchanges(const mesh_time& at);
+  void OnMiss(const outstanding& lost, const mesh_time& at);
+  void Accuse(const member& silent, time_point now);
   std::vector<std::string> PickPeers(size_t count);
   void SeekMembers(const mesh_time& at);
   void SendExchange(const std::string& peer, const endpoint& address,
--- a/src/skylarkcroft/node/skylarkcroft_node.cc
+++ b/src/skylarkcroft/node/skylarkcroft_node.cc
@@ -81,6 +81,8 @@
         client_(loop),
         store_(MakeTableServiceClient(client_, config_.platform.tables,
                                       config_.platform.timeout)),
+        hosts_(MakeHostListClient(client_, config_.platform.hosts,
+                                  config_.platform.timeout)),
         loader_(*store_, tables_, SteadyNow,
                 [this](const std::string& message) {
                   log_.Log({log_level::kError, message, "", "", "", "", {}});
@@ -148,7 +150,8 @@
     });
     mesh_ = std::make_unique<node_mesh>(node_mesh_environment{
         loop, config_, tables_, metrics_, log_, callers_server_.address(),
-        operators_server_.address(), [this] { loader_.Poll(); }, random_()});
+        operators_server_.address(), *hosts_, [this] { loader_.Poll(); },
+        random_()});
     handover_ = std::make_unique<node_handover>(node_handover_environment{
         loop, client_, config_, registry_, front_, *mesh_,
         config_.name + "." + incarnation_, SteadyNow, WallNowMs});
@@ -332,6 +335,13 @@
     return budgets_.try_emplace(pool_name, share).first->second;
   }
 
+  // Other nodes that the settings name.
+  size_t ExpectedMembers() const {
+    return static_cast<size_t>(std::count_if(
+        config_.peers.begin(), config_.peers.end(),
+        [this](const auto& peer) { return peer != mesh_->address(); }));
+  }
+
   void UpdateLimits(time_point now) {
     mesh& part = mesh_->part();
     const milliseconds period = std::max(
@@ -342,7 +352,7 @@
     }
     limits_updated_ = now;
     const std::optional<limit_peers> peers =
-        PeersOf(part, config_.peers.size(), now);
+        PeersOf(part, ExpectedMembers(), now);
     if (!peers) {
       return;
     }
@@ -377,6 +387,7 @@
   std::mt19937_64 random_;
   http_client client_;
   std::unique_ptr<table_service> store_;
+  std::unique_ptr<host_list> hosts_;
   tables_in_force tables_;
   table_loader loader_;
   table_editor editor_;
--- a/src/skylarkcroft/node/skylarkcroft_node_mesh.cc
+++ b/src/skylarkcroft/node/skylarkcroft_node_mesh.cc
@@ -8,6 +8,7 @@
 #include "skylarkcroft/log/skylarkcroft_logger.h"
 #include "skylarkcroft/metrics/skylarkcroft_metrics_registry.h"
 #include "skylarkcroft/node/skylarkcroft_settings.h"
+#include "skylarkcroft/platform/skylarkcroft_host_list.h"
 #include "skylarkcroft/tables/skylarkcroft_tables_in_force.h"
 
 namespace skylarkcroft {
@@ -15,6 +16,7 @@
 
 constexpr milliseconds kTickPeriod{50};
 constexpr milliseconds kMetricsPeriod{1000};
+constexpr milliseconds kHostsPeriod{2000};
 constexpr milliseconds kAskPeriod{100};
 constexpr milliseconds kSpreadGrace{500};
 /// Members asked at once for their revision.
@@ -34,7 +36,9 @@
       sync_(environment_.tables, SyncHooks()),
       tick_timer_(environment_.loop.Every(kTickPeriod, [this] { Tick(); })),
       metrics_timer_(
-          environment_.loop.Every(kMetricsPeriod, [this] { CountMetrics(); })) {
+          environment_.loop.Every(kMetricsPeriod, [this] { CountMetrics(); })),
+      hosts_timer_(
+          environment_.loop.Every(kHostsPeriod, [this] { PollHosts(); })) {
   environment_.tables.OnChange(
       [this](const table_set_ptr& /*tables*/) { mesh_.HurryRound(); });
   OnDirect(kTableFetchTopic,
@@ -194,6 +198,34 @@
   counted_ = counts;
 }
 
+void node_mesh::PollHosts() {
+  const std::weak_ptr<bool> alive = alive_;
+  environment_.hosts.Fetch([this, alive](const host_list_result& result) {
+    if (!alive.expired() && result.available) {
+      OnHosts(result);
+    }
+  });
+}
+
+void node_mesh::OnHosts(const host_list_result& result) {
+  std::set<endpoint> nodes;
+  for (const listed_host& host : result.hosts) {
+    if (host.kind == host_kind::kNode) {
+      nodes.insert(host.address);
+    }
+  }
+  std::vector<endpoint> seeds = environment_.config.peers;
+  seeds.insert(seeds.end(), nodes.begin(), nodes.end());
+  mesh_.SetSeeds(std::move(seeds));
+  // Again at each poll, since a member may be removed after its host ended.
+  for (const endpoint& address : listed_) {
+    if (!nodes.contains(address)) {
+      mesh_.NoteHostEnded(address);
+    }
+  }
+  listed_.merge(nodes);
+}
+
 nlohmann::json node_mesh::Describe(time_point now) const {
   nlohmann::json members = nlohmann::json::array();
   for (const auto& [name, known] : mesh_.members().all()) {
--- a/src/skylarkcroft/node/skylarkcroft_node_mesh.h
+++ b/src/skylarkcroft/node/skylarkcroft_node_mesh.h
@@ -5,7 +5,9 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <memory>
 #include <nlohmann/json_fwd.hpp>
+#include <set>
 #include <string>
 
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
@@ -16,7 +18,9 @@
 
 namespace skylarkcroft {
 
+class host_list;
 class logger;
+struct host_list_result;
 class metrics_registry;
 class tables_in_force;
 struct settings;
@@ -31,6 +35,7 @@
   /// Bound addresses of this node.
   endpoint callers;
   endpoint operators;
+  host_list& hosts;
   std::function<void()> poll_store;
   uint64_t seed = 0;
 };
@@ -80,6 +85,8 @@
   void AskAwaited(wait& waiting, const std::vector<std::string>& awaited,
                   const mesh_time& at);
   void CountMetrics();
+  void PollHosts();
+  void OnHosts(const host_list_result& result);
 
   node_mesh_environment environment_;
   nng_transport transport_;
@@ -91,7 +98,11 @@
   std::list<wait> waits_;
   mesh_counts counted_;
   event_loop::handle_ptr tick_timer_;
+  /// Mesh addresses of nodes that the platform has listed.
+  std::set<endpoint> listed_;
   event_loop::handle_ptr metrics_timer_;
+  event_loop::handle_ptr hosts_timer_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/tables/skylarkcroft_edit_spread.cc
+++ b/src/skylarkcroft/tables/skylarkcroft_edit_spread.cc
@@ -5,10 +5,6 @@
 namespace skylarkcroft {
 namespace {
 
-bool Left(const member& known) {
-  return known.details.leaving && known.state == member_state::kRemoved;
-}
-
 bool SilentSince(const member& known, time_point since) {
   return !known.heard_at || *known.heard_at < since;
 }
@@ -24,7 +20,7 @@
       spread.in_force_on.push_back(name);
       continue;
     }
-    if (Left(known)) {
+    if (known.gone()) {
       continue;
     }
     if (SilentSince(known, edit.accepted_at)) {
--- a/tests/child_program.h
+++ b/tests/child_program.h
@@ -57,6 +57,8 @@
     return line;
   }
 
+  void Signal(int number) const { kill(pid_, number); }
+
   /// Sends SIGTERM and returns the wait status.
   int Terminate() {
     kill(pid_, SIGTERM);
--- a/tests/node/node_fixture.h
+++ b/tests/node/node_fixture.h
@@ -58,7 +58,7 @@
     config.platform.weights = platform_.address();
     config.tables = tables;
     config.mesh_key = "shared";
-    if (!nodes.empty()) {
+    if (!nodes.empty() && seek_first) {
       config.peers = {nodes.front()->mesh_address()};
     }
     config.shutdown = shutdown;
@@ -270,6 +270,8 @@
   shutdown_settings shutdown{milliseconds(50), milliseconds(120000)};
   deferred_options deferred{milliseconds(50), milliseconds(400),
                             milliseconds(50), milliseconds(50)};
+  /// Whether nodes added from now on have the first as a peer.
+  bool seek_first = true;
   /// Of the nodes added from now on.
   table_settings tables{milliseconds(50), milliseconds(3000)};
 
--- a/tests/node/tables_spread_test.cc
+++ b/tests/node/tables_spread_test.cc
@@ -111,6 +111,44 @@
   CHECK(edit.at("pending").empty());
 }
 
+TEST_CASE("the platform's host list brings members together and ends them",
+          "[node][mesh]") {
+  mesh_fixture fixture(1);
+  fixture.seek_first = false;
+  fixture.AddNode();
+  const auto list = [&](size_t count) {
+    nlohmann::json hosts = nlohmann::json::array();
+    for (size_t index = 0; index < count; ++index) {
+      hosts.push_back(
+          {{"id", "h" + std::to_string(index)},
+           {"kind", "node"},
+           {"pool", ""},
+           {"address", ToString(fixture.nodes[index]->mesh_address())},
+           {"availability_zone", "cairo-a"},
+           {"incarnation", 1},
+           {"state", "live"}});
+    }
+    http_request request;
+    request.method = "POST";
+    request.target = "/admin/hosts";
+    request.body = nlohmann::json({{"hosts", hosts}}).dump();
+    CHECK(fixture.Call(fixture.platform_address(), request).status == 200);
+  };
+  list(2);
+  REQUIRE(fixture.KnowEachOther());
+  fixture.nodes.pop_back();
+  list(1);
+  CHECK(fixture.Until([&] {
+    const nlohmann::json members =
+        fixture.StatusOf(*fixture.nodes[0]).at("members");
+    return members.at(0).at("state") == "removed";
+  }));
+  CHECK(fixture.Until([&] {
+    const nlohmann::json edit = fixture.Edit("pools", fixture.PoolsDocument());
+    return edit.at("pending").empty() && edit.at("stopped").empty();
+  }));
+}
+
 TEST_CASE("racing editors on two nodes: every edit in force, none lost",
           "[node][tables]") {
   mesh_fixture fixture(3);
