Hedging for urgent idempotent work whose first token is late

Cause: a request on an engine that has fallen silent waits for the whole progress timeout before another engine is asked.

Change: a second try starts on another upstream once the 95th percentile of the latest 256 first tokens of the pool has passed without one. The first token decides; the other try is closed. It takes from the same budget as retries, and is switched off by policy.hedging. Counted as hedged and hedge_won.

Conclusion: kept on by default.

--- a/src/skylarkcroft/node/skylarkcroft_node.cc
+++ b/src/skylarkcroft/node/skylarkcroft_node.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "skylarkcroft/admission/skylarkcroft_admission.h"
+#include "skylarkcroft/attempt/skylarkcroft_recent_latency.h"
 #include "skylarkcroft/attempt/skylarkcroft_retry_budget.h"
 #include "skylarkcroft/claims/skylarkcroft_claim_keeper.h"
 #include "skylarkcroft/control/skylarkcroft_pool_control.h"
@@ -52,6 +53,8 @@
 constexpr milliseconds kLoadPollPeriod{250};
 constexpr milliseconds kCacheEventPollPeriod{250};
 constexpr milliseconds kProbePeriod{100};
+// Share of the first tokens that come before a second try starts.
+constexpr double kHedgeQuantile = 0.95;
 constexpr milliseconds kDrainPollPeriod{50};
 // Time before the end of a shutdown at which what is unfinished is moved.
 constexpr milliseconds kHandoverMargin{3000};
@@ -264,6 +267,10 @@
         [this](rank work_rank, duration elapsed) {
           node_metrics_.RecordFirstToken(work_rank, elapsed);
         },
+        [this](const std::string& pool, duration elapsed) {
+          first_token_times_[pool].Record(elapsed);
+        },
+        [this](const std::string& pool) { return HedgeDelay(pool); },
         [this] {
           return std::uniform_real_distribution<double>(0, 1)(random_);
         },
@@ -362,6 +369,14 @@
     }
   }
 
+  std::optional<duration> HedgeDelay(const std::string& pool) const {
+    const auto found = first_token_times_.find(pool);
+    if (!config_.policy.hedging || found == first_token_times_.end()) {
+      return std::nullopt;
+    }
+    return found->second.Quantile(kHedgeQuantile);
+  }
+
   void Drain() {
     // The others may use this node's parts from now on.
     draining_ = true;
@@ -403,6 +418,7 @@
   std::shared_ptr<prefix_tracker> prefixes_ =
       std::make_shared<prefix_tracker>(kTrackedBlocksPerUpstream);
   std::map<std::string, retry_budget> budgets_;
+  std::map<std::string, recent_latency> first_token_times_;
   pool_windows windows_;
   std::unique_ptr<admission> admission_;
   request_registry registry_;
--- a/src/skylarkcroft/node/skylarkcroft_request_run.cc
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.cc
@@ -261,12 +261,7 @@
 }
 
 void request_run::SendToEngine(const upstream& target, time_point now) {
-  engine_attempt_start start;
-  start.address = target.address;
-  start.request_id = request_.id;
-  start.delivered_tokens = static_cast<int64_t>(answer_->tokens().size());
-  start.progress_timeout = request_.target.retry.progress_timeout;
-  const milliseconds left(ElapsedMs(now, request_.deadline));
+  try_started_ = now;
   engine_attempt_events events;
   events.on_token = [this](int64_t /*offset*/, const std::string& data) {
     OnToken(data);
@@ -275,11 +270,87 @@
     answer_->SetUsage(data);
   };
   events.on_end = [this](const attempt_result& result) { OnTryEnded(result); };
+  const std::optional<duration> delay = HedgeDelay();
+  if (!delay) {
+    try_ = StartEngineTry(target.address, std::move(events), now);
+    return;
+  }
+  hedge_plan plan;
+  plan.delay = *delay;
+  plan.start_first = [this, address = target.address,
+                      now](engine_attempt_events first) {
+    return StartEngineTry(address, std::move(first), now);
+  };
+  plan.start_second = [this](engine_attempt_events second) {
+    return StartHedge(std::move(second));
+  };
+  plan.on_left = [this](hedge_side side, const attempt_result& result) {
+    OnHedgeLeft(side, result);
+  };
   try_ =
-      StartEngineAttempt(environment_.client, start,
-                         MakeUpstreamRequest(*request_.completion, request_.id,
-                                             start.delivered_tokens, left),
-                         std::move(events));
+      StartHedgedAttempt(environment_.loop, std::move(plan), std::move(events));
+}
+
+attempt_ptr request_run::StartEngineTry(const endpoint& address,
+                                        engine_attempt_events events,
+                                        time_point now) {
+  engine_attempt_start start;
+  start.address = address;
+  start.request_id = request_.id;
+  start.delivered_tokens = static_cast<int64_t>(answer_->tokens().size());
+  start.progress_timeout = request_.target.retry.progress_timeout;
+  const milliseconds left(ElapsedMs(now, request_.deadline));
+  return StartEngineAttempt(
+      environment_.client, start,
+      MakeUpstreamRequest(*request_.completion, request_.id,
+                          start.delivered_tokens, left),
+      std::move(events));
+}
+
+std::optional<duration> request_run::HedgeDelay() const {
+  if (!request_.idempotent || request_.via.work_rank != rank::kUrgent ||
+      !answer_->tokens().empty()) {
+    return std::nullopt;
+  }
+  return environment_.hedge_delay(request_.target.name);
+}
+
+attempt_ptr request_run::StartHedge(engine_attempt_events events) {
+  const time_point now = environment_.clock();
+  choice_query query = MakeQuery();
+  query.tried.push_back(current_upstream_.name);
+  const std::vector<upstream_state>& members =
+      environment_.directory.InPool(request_.target.name);
+  const std::optional<std::string> chosen =
+      environment_.choose(query, members, now);
+  const upstream* found = chosen ? FindUpstream(members, *chosen) : nullptr;
+  if (found == nullptr || found->name == current_upstream_.name ||
+      !environment_.take_retry(request_.target.name)) {
+    return nullptr;
+  }
+  environment_.count_event("hedged");
+  ++tries_;
+  hedge_upstream_ = *found;
+  environment_.directory.NoteSent(request_.target.name, found->name, now);
+  return StartEngineTry(hedge_upstream_->address, std::move(events), now);
+}
+
+void request_run::OnHedgeLeft(hedge_side side, const attempt_result& result) {
+  const bool first = side == hedge_side::kFirst;
+  const upstream left = first ? current_upstream_ : *hedge_upstream_;
+  environment_.directory.NoteEnded(request_.target.name, left.name,
+                                   result.outcome, environment_.clock());
+  may_have_run_ = may_have_run_ || result.may_have_run;
+  if (result.outcome != attempt_outcome::kCancelled) {
+    tried_.push_back(left.name);
+  }
+  if (first) {
+    environment_.count_event("hedge_won");
+    current_upstream_ = *hedge_upstream_;
+    upstream_name_ = current_upstream_.name;
+    last_zone_ = current_upstream_.availability_zone;
+  }
+  hedge_upstream_.reset();
 }
 
 void request_run::SendToService(const upstream& target, time_point now) {
@@ -297,8 +368,10 @@
 void request_run::OnToken(const std::string& data) {
   may_have_run_ = true;
   if (answer_->tokens().empty()) {
+    const time_point now = environment_.clock();
     environment_.note_first_token(request_.via.work_rank,
-                                  environment_.clock() - request_.arrived);
+                                  now - request_.arrived);
+    environment_.note_try_first_token(request_.target.name, now - try_started_);
   }
   answer_->AppendToken(data);
 }
@@ -465,6 +538,12 @@
   environment_.directory.NoteEnded(request_.target.name, upstream_name_,
                                    outcome, now);
   upstream_name_.clear();
+  if (hedge_upstream_) {
+    environment_.directory.NoteEnded(request_.target.name,
+                                     hedge_upstream_->name,
+                                     attempt_outcome::kCancelled, now);
+    hedge_upstream_.reset();
+  }
   // The try may be the caller of this function.
   environment_.loop.Defer(
       [ended = std::shared_ptr<attempt>(std::move(try_))] {});
--- a/src/skylarkcroft/node/skylarkcroft_request_run.h
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.h
@@ -13,6 +13,7 @@
 #include "skylarkcroft/attempt/skylarkcroft_accepted_request.h"
 #include "skylarkcroft/attempt/skylarkcroft_answer.h"
 #include "skylarkcroft/attempt/skylarkcroft_attempt.h"
+#include "skylarkcroft/attempt/skylarkcroft_hedged_attempt.h"
 #include "skylarkcroft/attempt/skylarkcroft_outcome_query.h"
 #include "skylarkcroft/claims/skylarkcroft_run_claim.h"
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
@@ -40,6 +41,11 @@
   /// Counts what happened to a run, by its lower-case name.
   std::function<void(std::string_view event)> count_event;
   std::function<void(rank work_rank, duration elapsed)> note_first_token;
+  /// Notes the time from a request's first try to its first token.
+  std::function<void(const std::string& pool, duration elapsed)>
+      note_try_first_token;
+  /// Time without a token after which a second try may start; empty for never.
+  std::function<std::optional<duration>(const std::string& pool)> hedge_delay;
   /// Uniform in [0, 1), for backoff.
   std::function<double()> random;
   clock_fn clock;
@@ -99,6 +105,13 @@
   void MarkAndSend(const upstream& target);
   void Send(const upstream& target, time_point now);
   void SendToEngine(const upstream& target, time_point now);
+  [[nodiscard]] attempt_ptr StartEngineTry(const endpoint& address,
+                                           engine_attempt_events events,
+                                           time_point now);
+  /// Delay of a second try beside the one about to start; empty for none.
+  [[nodiscard]] std::optional<duration> HedgeDelay() const;
+  [[nodiscard]] attempt_ptr StartHedge(engine_attempt_events events);
+  void OnHedgeLeft(hedge_side side, const attempt_result& result);
   void SendToService(const upstream& target, time_point now);
   void OnToken(const std::string& data);
   void OnTryEnded(const attempt_result& result);
@@ -133,6 +146,9 @@
   event_loop::handle_ptr timer_;
   event_loop::handle_ptr deadline_timer_;
   upstream current_upstream_;
+  /// Upstream of a second try beside the current one.
+  std::optional<upstream> hedge_upstream_;
+  time_point try_started_{};
   std::string upstream_name_;
   std::string last_zone_;
   std::vector<std::string> tried_;
--- a/src/skylarkcroft/node/skylarkcroft_settings.cc
+++ b/src/skylarkcroft/node/skylarkcroft_settings.cc
@@ -109,11 +109,12 @@
     return;
   }
   const json_reader reader(root.Member("policy"), root.PathOf("policy"),
-                           {"admission", "routing"});
+                           {"admission", "routing", "hedging"});
   parsed.policy.admission = reader.ChoiceOr(
       "admission", {"ranked", "strict", "fifo"}, parsed.policy.admission);
   parsed.policy.routing = reader.ChoiceOr(
       "routing", {"scored", "least_loaded", "random"}, parsed.policy.routing);
+  parsed.policy.hedging = reader.BoolOr("hedging", parsed.policy.hedging);
 }
 
 void ReadAnswers(const json_reader& root, settings& parsed) {
--- a/src/skylarkcroft/node/skylarkcroft_settings.h
+++ b/src/skylarkcroft/node/skylarkcroft_settings.h
@@ -39,6 +39,8 @@
 struct policy_settings {
   std::string admission = "ranked";
   std::string routing = "scored";
+  /// Second tries for urgent idempotent work whose first token is late.
+  bool hedging = true;
 
   bool operator==(const policy_settings&) const = default;
 };
--- /dev/null
+++ b/tests/attempt/hedged_attempt_test.cc
@@ -0,0 +1,132 @@
+#include <array>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "skylarkcroft/attempt/skylarkcroft_hedged_attempt.h"
+#include "skylarkcroft/attempt/skylarkcroft_recent_latency.h"
+#include "skylarkcroft/internal/skylarkcroft_event_loop.h"
+
+namespace skylarkcroft {
+namespace {
+
+class noted_attempt final : public attempt {
+ public:
+  explicit noted_attempt(bool& alive) : alive_(alive) { alive_ = true; }
+  ~noted_attempt() override { alive_ = false; }
+  noted_attempt(const noted_attempt&) = delete;
+  noted_attempt& operator=(const noted_attempt&) = delete;
+
+ private:
+  bool& alive_;
+};
+
+// Tries that end when the test says so.
+class hedge_fixture {
+ public:
+  hedge_fixture() {
+    hedge_plan plan;
+    plan.delay = milliseconds(1);
+    plan.start_first = [this](engine_attempt_events events) {
+      return Start(0, std::move(events));
+    };
+    plan.start_second = [this](engine_attempt_events events) {
+      return may_hedge ? Start(1, std::move(events)) : nullptr;
+    };
+    plan.on_left = [this](hedge_side side, const attempt_result& result) {
+      left.emplace_back(side);
+      left_as.push_back(result.outcome);
+    };
+    engine_attempt_events events;
+    events.on_token = [this](int64_t, const std::string& data) {
+      tokens += data;
+    };
+    events.on_usage = [](const std::string&) {};
+    events.on_end = [this](const attempt_result& result) {
+      ended.push_back(result.outcome);
+    };
+    work = StartHedgedAttempt(loop, std::move(plan), std::move(events));
+  }
+
+  attempt_ptr Start(size_t index, engine_attempt_events events) {
+    tries.at(index) = std::move(events);
+    return std::make_unique<noted_attempt>(alive.at(index));
+  }
+
+  void RunPastDelay() { loop.RunFor(milliseconds(20)); }
+
+  event_loop loop;
+  bool may_hedge = true;
+  std::array<engine_attempt_events, 2> tries;
+  std::array<bool, 2> alive{};
+  std::vector<hedge_side> left;
+  std::vector<attempt_outcome> left_as;
+  std::vector<attempt_outcome> ended;
+  std::string tokens;
+  attempt_ptr work;
+};
+
+TEST_CASE("the first token decides which of two tries goes on",
+          "[attempt][hedge]") {
+  hedge_fixture fixture;
+  fixture.RunPastDelay();
+  REQUIRE(fixture.alive[1]);
+  const auto winner = GENERATE(size_t{0}, size_t{1});
+  fixture.tries.at(winner).on_token(1, "a");
+  fixture.tries.at(winner).on_token(2, "b");
+  fixture.tries.at(winner).on_end({attempt_outcome::kComplete, true, {}});
+  CHECK(fixture.tokens == "ab");
+  CHECK(fixture.alive.at(winner));
+  CHECK_FALSE(fixture.alive.at(1 - winner));
+  CHECK(fixture.left ==
+        std::vector<hedge_side>{static_cast<hedge_side>(1 - winner)});
+  CHECK(fixture.left_as ==
+        std::vector<attempt_outcome>{attempt_outcome::kCancelled});
+  CHECK(fixture.ended ==
+        std::vector<attempt_outcome>{attempt_outcome::kComplete});
+}
+
+TEST_CASE("no second try starts after a token or a failure",
+          "[attempt][hedge]") {
+  hedge_fixture fixture;
+  SECTION("a token") { fixture.tries[0].on_token(1, "a"); }
+  SECTION("a failure") {
+    fixture.tries[0].on_end({attempt_outcome::kRefused, false, {}});
+    CHECK(fixture.ended ==
+          std::vector<attempt_outcome>{attempt_outcome::kRefused});
+  }
+  SECTION("a spent budget") { fixture.may_hedge = false; }
+  fixture.RunPastDelay();
+  CHECK_FALSE(fixture.alive[1]);
+  CHECK(fixture.left.empty());
+}
+
+TEST_CASE("a try that fails beside another ends nothing", "[attempt][hedge]") {
+  hedge_fixture fixture;
+  fixture.RunPastDelay();
+  fixture.tries[0].on_end({attempt_outcome::kBroken, true, {}});
+  CHECK(fixture.ended.empty());
+  CHECK(fixture.left == std::vector<hedge_side>{hedge_side::kFirst});
+  fixture.tries[1].on_end({attempt_outcome::kFailed, true, {}});
+  CHECK(fixture.ended ==
+        std::vector<attempt_outcome>{attempt_outcome::kFailed});
+}
+
+TEST_CASE("a quantile of the latest samples needs enough of them",
+          "[attempt][hedge]") {
+  recent_latency times;
+  for (int sample = 0; sample < 39; ++sample) {
+    times.Record(milliseconds(1));
+  }
+  CHECK_FALSE(times.Quantile(0.95).has_value());
+  for (int sample = 1; sample <= 256; ++sample) {
+    times.Record(milliseconds(sample));
+  }
+  CHECK(times.Quantile(0) == duration(milliseconds(1)));
+  CHECK(times.Quantile(1) == duration(milliseconds(256)));
+  CHECK(times.Quantile(0.5) == duration(milliseconds(128)));
+}
+
+}  // namespace
+}  // namespace skylarkcroft
