Runs send through a balancer's eyes; a kill is an interval

Cause: callers that ignore readiness sent to nodes two seconds after these had said that they stop, which the platform's balancer does not do; and a request that fell between the note of a kill and the kill itself counted as lost. Change: callers choose among nodes that last said that they serve; a kill has a begin and an end, and excuses what overlaps it and nothing else (tested on both sides).

--- a/tests/history/skylarkcroft_history.h
+++ b/tests/history/skylarkcroft_history.h
@@ -86,6 +86,7 @@
   kStopping,  ///< About to be asked for a graceful end.
   kEnded,     ///< Ended by itself after kStopping.
   kKilling,   ///< About to be killed.
+  kKilled,    ///< Known to have ended after kKilling.
   kPausing,   ///< About to be paused.
   kResumed,   ///< Runs again after a pause.
 };
--- a/tests/history/skylarkcroft_history_json.cc
+++ b/tests/history/skylarkcroft_history_json.cc
@@ -25,6 +25,7 @@
                                           {node_phase::kStopping, "stopping"},
                                           {node_phase::kEnded, "ended"},
                                           {node_phase::kKilling, "killing"},
+                                          {node_phase::kKilled, "killed"},
                                           {node_phase::kPausing, "pausing"},
                                           {node_phase::kResumed, "resumed"}})
 
--- a/tests/history/skylarkcroft_soak_run.h
+++ b/tests/history/skylarkcroft_soak_run.h
@@ -54,6 +54,7 @@
   soak_options options_;
   run_history history_;
   recent_keys keys_;
+  soak_balancer balancer_;
   soak_observer observer_;
   soak_faults faults_;
   std::vector<std::unique_ptr<soak_caller>> callers_;
