A number beyond the range of a double in a document is refused

Cause: ParseJson caught syntax errors only; 1e400 makes the parser throw out_of_range, which left an HTTP callback: one request of a caller, an edit or a settings file with such a number ended the node. Found by the corpus of the fuzz targets (chat_request, completion_request, platform_answer, pools_table, routes_table and settings failed on it). Change: it is refused like any other fault of the document.

--- /dev/null
+++ b/fuzz/load_report_fuzz.cc
@@ -0,0 +1,8 @@
+#include "fuzz/fuzz_input.h"
+#include "skylarkcroft/routing/skylarkcroft_load_poller.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
+  using namespace skylarkcroft;
+  const std::string_view text = fuzz::TextOf(data, size);
+  return fuzz::Decode([&] { static_cast<void>(ParseLoadReport(text)); });
+}
--- a/src/skylarkcroft/internal/skylarkcroft_json_reader.cc
+++ b/src/skylarkcroft/internal/skylarkcroft_json_reader.cc
@@ -198,6 +198,9 @@
     throw config_error(
         "$", "is not valid JSON near byte " + std::to_string(failure.byte),
         "correct the syntax there");
+  } catch (const nlohmann::json::out_of_range&) {
+    throw config_error("$", "holds a number beyond the range of a double",
+                       "use a smaller number");
   }
 }
 
--- a/tests/node/operators_api_test.cc
+++ b/tests/node/operators_api_test.cc
@@ -66,6 +66,22 @@
   CHECK(fixture.Call(address, request).status == 200);
 }
 
+TEST_CASE("a number beyond every range is refused, not fatal",
+          "[node][hostile]") {
+  node_fixture fixture;
+  fixture.PutTables();
+  http_request request = node_fixture::Completion("x", 1, false);
+  request.body = R"({"model":"m","prompt":"x","max_tokens":1e400})";
+  CHECK(fixture.Call(fixture.nodes[0]->callers_address(), request).status ==
+        400);
+  http_request edit;
+  edit.method = "PUT";
+  edit.target = "/operators/pools";
+  edit.body = R"({"pools":1e400})";
+  CHECK(fixture.Call(fixture.nodes[0]->operators_address(), edit).status ==
+        422);
+}
+
 TEST_CASE("a node without tables shows empty ones", "[node][operators]") {
   node_fixture fixture;
   const endpoint& address = fixture.nodes[0]->operators_address();
