Mesh: changes under urgent topics go to eight peers a node, not four

At 350 members the last one had an urgent record after 3.5 s, when a digest brought it: four sends a node leave about one member in fifty without it.

--- a/src/skylarkcroft/mesh/skylarkcroft_mesh.cc
+++ b/src/skylarkcroft/mesh/skylarkcroft_mesh.cc
@@ -76,9 +76,11 @@
   }
 }
 
-size_t mesh::SendsOfChange() const {
-  return std::min(options_.change_sends,
-                  std::max<size_t>(1, members_.counted()));
+size_t mesh::SendsOfChange(const std::string& topic) const {
+  const size_t sends = options_.urgent_topics.contains(topic)
+                           ? options_.urgent_change_sends
+                           : options_.change_sends;
+  return std::min(sends, std::max<size_t>(1, members_.counted()));
 }
 
 void mesh::Store(const std::string& topic, const std::string& payload) {
@@ -88,7 +90,7 @@
   record.incarnation = options_.incarnation;
   record.version = ++version_;
   record.payload = payload;
-  records_.Apply(record, options_.name, SendsOfChange());
+  records_.Apply(record, options_.name, SendsOfChange(topic));
   hurried_ = hurried_ || options_.urgent_topics.contains(topic);
 }
 
@@ -452,7 +454,7 @@
       OutdoIncarnation(record.incarnation);
       continue;
     }
-    if (records_.Apply(record, message.sender, SendsOfChange())) {
+    if (records_.Apply(record, message.sender, SendsOfChange(record.topic))) {
       OnTaken(record, at.now);
     }
   }
--- a/src/skylarkcroft/mesh/skylarkcroft_mesh.h
+++ b/src/skylarkcroft/mesh/skylarkcroft_mesh.h
@@ -44,6 +44,8 @@
   size_t fanout = 3;
   /// Peers that each node passes one change on to.
   size_t change_sends = 4;
+  /// The same for the urgent topics.
+  size_t urgent_change_sends = 8;
   /// Time after which an exchange counts as unanswered.
   milliseconds reply_timeout{1000};
   /// Unanswered exchanges in a row that make a member suspect.
@@ -169,7 +171,7 @@
   void OnSuspects(const mesh_record& record, time_point now);
   void PublishSuspects();
   void Store(const std::string& topic, const std::string& payload);
-  [[nodiscard]] size_t SendsOfChange() const;
+  [[nodiscard]] size_t SendsOfChange(const std::string& topic) const;
   void OutdoIncarnation(int64_t known);
   void Refute(int64_t incarnation, int64_t suspected_version);
   void Drop(mesh_drop reason);
