Reclaims: streams outlive an engine that dies within its notice

Cause: only the whole notice was tried; two findings of the linter. Change: a test that ends an engine right after its notice; parameters and a capture as the linter wants them.

--- a/src/skylarkcroft/node/skylarkcroft_request_run.cc
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.cc
@@ -519,7 +519,7 @@
   FailWith(why);
 }
 
-void request_run::FailWith(problem why) {
+void request_run::FailWith(const problem& why) {
   const auto publish = [this, why] {
     Publish([this, why] { answer_->Fail(why); });
   };
--- a/src/skylarkcroft/node/skylarkcroft_request_run.h
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.h
@@ -125,7 +125,7 @@
   void AskOutcome(const upstream& from, const std::string& detail);
   void CompleteEngine();
   void CompleteService(const http_response& response);
-  void FailWith(problem why);
+  void FailWith(const problem& why);
   /// Ends the hold and the current try.
   bool LeaveTry(time_point now);
   void DropTry(attempt_outcome outcome, time_point now);
--- a/tests/control/host_day_test.cc
+++ b/tests/control/host_day_test.cc
@@ -214,11 +214,11 @@
         Start(offer);
       }
     }
-    for (const auto& [offer, count] : changes.drain) {
-      for (int64_t number = 0; number < count; ++number) {
+    for (const auto& entry : changes.drain) {
+      for (int64_t number = 0; number < entry.second; ++number) {
         hosts_.erase(
             std::find_if(hosts_.begin(), hosts_.end(), [&](const host& one) {
-              return one.offer == offer && one.runs_at <= minute_;
+              return one.offer == entry.first && one.runs_at <= minute_;
             }));
       }
     }
--- a/tests/control/reclaim_node_test.cc
+++ b/tests/control/reclaim_node_test.cc
@@ -108,47 +108,69 @@
   return tokens;
 }
 
+/// Sixteen streams that have begun, over two zones of two engines.
+class stream_load {
+ public:
+  stream_load() : fixture(1, 4) {
+    fixture.PutTables();
+    PutZones(fixture);
+    std::string words;
+    for (int word = 0; word < 64; ++word) {
+      words += " w" + std::to_string(word);
+    }
+    streams_.reserve(kStreams);
+    for (size_t index = 0; index < kStreams; ++index) {
+      streams_.push_back(std::make_unique<caller_stream>(
+          fixture, "p" + std::to_string(index) + words));
+    }
+    REQUIRE(fixture.Until([&] { return All(&caller_stream::begun); }));
+  }
+
+  bool All(bool (caller_stream::*holds)() const) const {
+    return std::all_of(streams_.begin(), streams_.end(),
+                       [&](const auto& one) { return ((*one).*holds)(); });
+  }
+
+  nlohmann::json Reclaims() {
+    const http_response reply = fixture.Get(
+        fixture.nodes.front()->operators_address(), "/operators/status");
+    return nlohmann::json::parse(reply.body).at("reclaims");
+  }
+
+  node_fixture fixture;
+
+ private:
+  std::vector<std::unique_ptr<caller_stream>> streams_;
+};
+
 }  // namespace
 
 TEST_CASE("Streams outlive a zone that leaves on notice",
           "[control][reclaim]") {
-  node_fixture fixture(1, 4);
-  fixture.PutTables();
-  PutZones(fixture);
-  std::string words;
-  for (int word = 0; word < 64; ++word) {
-    words += " w" + std::to_string(word);
-  }
-  std::vector<std::unique_ptr<caller_stream>> streams;
-  streams.reserve(kStreams);
-  for (size_t index = 0; index < kStreams; ++index) {
-    streams.push_back(std::make_unique<caller_stream>(
-        fixture, "p" + std::to_string(index) + words));
-  }
-  const auto all = [&](bool (caller_stream::*holds)() const) {
-    return std::all_of(streams.begin(), streams.end(),
-                       [&](const auto& one) { return ((*one).*holds)(); });
-  };
-  REQUIRE(fixture.Until([&] { return all(&caller_stream::begun); }));
-  const int64_t prefill_before = PrefillTokens(fixture);
+  stream_load load;
+  const int64_t prefill_before = PrefillTokens(load.fixture);
   const int notices = GENERATE(1, 2);
   for (int notice = 0; notice < notices; ++notice) {
-    ReclaimZone(fixture);
+    ReclaimZone(load.fixture);
   }
-  REQUIRE(fixture.Until([&] { return all(&caller_stream::ended); }));
-  CHECK(all(&caller_stream::whole));
-  const nlohmann::json reclaims =
-      nlohmann::json::parse(fixture
-                                .Get(fixture.nodes.front()->operators_address(),
-                                     "/operators/status")
-                                .body)
-          .at("reclaims");
+  REQUIRE(load.fixture.Until([&] { return load.All(&caller_stream::ended); }));
+  CHECK(load.All(&caller_stream::whole));
+  const nlohmann::json reclaims = load.Reclaims();
   WARN(reclaims.dump() << ", prefilled by engines after the notice "
-                       << PrefillTokens(fixture) - prefill_before);
+                       << PrefillTokens(load.fixture) - prefill_before);
   CHECK(reclaims.at("notices") == kLeavingEngines);
   CHECK(reclaims.at("transferred").get<int>() > 0);
   CHECK(5 * reclaims.at("recomputed_tokens").get<int64_t>() <=
         reclaims.at("restart_tokens").get<int64_t>());
 }
 
+TEST_CASE("Streams outlive an engine that dies within its notice",
+          "[control][reclaim]") {
+  stream_load load;
+  ReclaimZone(load.fixture);
+  load.fixture.engines.erase(load.fixture.engines.begin());
+  REQUIRE(load.fixture.Until([&] { return load.All(&caller_stream::ended); }));
+  CHECK(load.All(&caller_stream::whole));
+}
+
 }  // namespace skylarkcroft
