Silent connections: bounds on connecting, whole calls and slow readers

Cause: connecting shared the progress timeout; a peer that drips bytes could hold a platform call for ever; the connections kept to a peer that had fallen silent were used again; a caller that stops reading let its answer grow in the node's buffers.

Change: http_call_options have connect_timeout (2 s) and total_timeout. Platform calls take at most 3 timeouts. A call that ends without a response closes the idle connections to its peer. Non-idempotent completions, like other non-idempotent work, open a connection of their own. A caller with more than 256 KiB untaken is cut off and reads on by id and offset.

--- a/src/skylarkcroft/attempt/skylarkcroft_attempt.cc
+++ b/src/skylarkcroft/attempt/skylarkcroft_attempt.cc
@@ -66,6 +66,7 @@
     http_call_options options;
     options.progress_timeout = start_.progress_timeout;
     options.max_body_bytes = kMaxStreamBytes;
+    options.reuse_connection = start_.reuse_connection;
     http_call_events events;
     events.on_headers = [this](int status, const http_headers&) {
       status_ = status;
--- a/src/skylarkcroft/attempt/skylarkcroft_attempt.h
+++ b/src/skylarkcroft/attempt/skylarkcroft_attempt.h
@@ -38,6 +38,8 @@
   /// Tokens that are already delivered; the stream must start with the next.
   int64_t delivered_tokens = 0;
   milliseconds progress_timeout{5000};
+  /// False opens a connection for this try alone.
+  bool reuse_connection = true;
 
   bool operator==(const engine_attempt_start&) const = default;
 };
--- a/src/skylarkcroft/http/skylarkcroft_http_client.cc
+++ b/src/skylarkcroft/http/skylarkcroft_http_client.cc
@@ -127,12 +127,15 @@
   struct call_state {
     uint64_t id = 0;
     impl* client = nullptr;
+    endpoint peer;
     connection_ptr link;
     http_call_events events;
     bool reuse = true;
     bool cancelled = false;
     bool nagle_disabled = false;
     http_outcome failure = http_outcome::kConnectFailed;
+    event_loop::handle_ptr connect_timer;
+    event_loop::handle_ptr total_timer;
   };
 
   explicit impl(event_loop& loop)
@@ -147,11 +150,19 @@
     call_state* state = owned.get();
     state->id = next_id_++;
     state->client = this;
+    state->peer = peer;
     state->events = std::move(events);
     state->reuse = options.reuse_connection;
     state->link = options.reuse_connection ? TakeIdle(peer) : nullptr;
     if (state->link == nullptr) {
       state->link = Open(peer);
+      state->connect_timer =
+          loop_.After(options.connect_timeout,
+                      [this, id = state->id] { OnConnectLimit(id); });
+    }
+    if (options.total_timeout > milliseconds(0)) {
+      state->total_timer = loop_.After(
+          options.total_timeout, [this, id = state->id] { OnTotalLimit(id); });
     }
     state->link->sent = false;
     live_.emplace(state->id, std::move(owned));
@@ -240,6 +251,34 @@
     });
   }
 
+  // The request is written as soon as the connection stands.
+  void OnConnectLimit(uint64_t id) {
+    const auto found = live_.find(id);
+    if (found == live_.end() || found->second->link->sent) {
+      return;
+    }
+    EndAtLimit(id, {http_outcome::kConnectFailed, false, {}});
+  }
+
+  void OnTotalLimit(uint64_t id) {
+    const auto found = live_.find(id);
+    if (found == live_.end()) {
+      return;
+    }
+    const bool sent = found->second->link->sent;
+    EndAtLimit(id,
+               {sent ? http_outcome::kTimedOut : http_outcome::kConnectFailed,
+                sent,
+                {}});
+  }
+
+  // Only from a timer: no callback of evhttp is under way, so the connection
+  // goes at once and calls nothing more.
+  void EndAtLimit(uint64_t id, const http_result& result) {
+    live_.at(id)->link.reset();
+    Finish(id, result);
+  }
+
   static void OnError(evhttp_request_error failure, void* argument) {
     static_cast<call_state*>(argument)->failure = OutcomeOf(failure);
   }
@@ -307,6 +346,9 @@
     } else {
       FreeLater(std::move(owned->link));
     }
+    if (result.outcome != http_outcome::kComplete) {
+      FreeIdleLater(owned->peer);
+    }
     if (!owned->cancelled && owned->events.on_done) {
       owned->events.on_done(std::move(result));
     }
@@ -327,6 +369,17 @@
     loop_.Defer([owned = std::shared_ptr<connection>(std::move(link))] {});
   }
 
+  void FreeIdleLater(const endpoint& peer) {
+    const auto found = idle_.find(peer);
+    if (found == idle_.end()) {
+      return;
+    }
+    for (connection_ptr& link : found->second) {
+      FreeLater(std::move(link));
+    }
+    idle_.erase(found);
+  }
+
   void DropOld(time_point now) {
     for (auto& [peer, kept] : idle_) {
       std::erase_if(kept, [&](const connection_ptr& link) {
--- a/src/skylarkcroft/http/skylarkcroft_http_client.h
+++ b/src/skylarkcroft/http/skylarkcroft_http_client.h
@@ -20,7 +20,8 @@
   kConnectFailed,  ///< No connection; no byte of the request was sent.
   kBroken,         ///< The connection failed after the request may have been
                    ///< sent.
-  kTimedOut,       ///< No byte arrived for the progress timeout.
+  kTimedOut,       ///< No byte arrived for the progress timeout, or the call
+                   ///< took longer than its total timeout.
   kMalformed,      ///< The response is not valid HTTP or is too large.
 };
 
@@ -54,11 +55,15 @@
 
 /// Timeouts and bounds of one call.
 struct http_call_options {
-  /// Longest silence: while connecting, or between two reads.
+  /// Longest silence between two reads.
   milliseconds progress_timeout{10000};
   size_t max_body_bytes = 16 * 1024 * 1024;
   /// False sends on a new connection that is closed afterwards.
   bool reuse_connection = true;
+  /// Longest time until a new connection stands.
+  milliseconds connect_timeout{2000};
+  /// Longest time for the whole call; 0 sets no bound.
+  milliseconds total_timeout{0};
 };
 
 /// A call under way; destroying it cancels the call and closes its connection.
@@ -68,8 +73,9 @@
 };
 using http_call_ptr = std::unique_ptr<http_call>;
 
-/// HTTP/1.1 client with idle connections kept per endpoint, on evhttp. Never
-/// repeats a request by itself.
+/// HTTP/1.1 client with idle connections kept per endpoint for a bounded time,
+/// on evhttp. A call that breaks or times out closes the idle connections to
+/// its peer, since they may be as dead. Never repeats a request by itself.
 class http_client {
  public:
   explicit http_client(event_loop& loop);
--- a/src/skylarkcroft/node/skylarkcroft_answer_writer.cc
+++ b/src/skylarkcroft/node/skylarkcroft_answer_writer.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr int kOk = 200;
+// Bytes that a caller may leave untaken; it can read on by id and offset.
+constexpr size_t kMaxUntakenBytes = 256 * 1024;
 constexpr const char* kRequestIdHeader = "X-Request-Id";
 
 // Fields that describe one connection and are not passed on (RFC 9110, 7.6.1).
@@ -80,6 +82,11 @@
                            {"Content-Type", "text/event-stream"},
                            {"Cache-Control", "no-store"}});
   }
+  if (exchange_->pending_bytes() > kMaxUntakenBytes) {
+    exchange_->Abort();
+    End(false);
+    return;
+  }
   std::string block;
   for (; next_token_ < source_->tokens().size(); ++next_token_) {
     block += FormatSse(
--- a/src/skylarkcroft/node/skylarkcroft_request_run.cc
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.cc
@@ -299,6 +299,7 @@
   start.request_id = request_.id;
   start.delivered_tokens = static_cast<int64_t>(answer_->tokens().size());
   start.progress_timeout = request_.target.retry.progress_timeout;
+  start.reuse_connection = request_.idempotent;
   const milliseconds left(ElapsedMs(now, request_.deadline));
   return StartEngineAttempt(
       environment_.client, start,
--- a/src/skylarkcroft/platform/skylarkcroft_service_caller.cc
+++ b/src/skylarkcroft/platform/skylarkcroft_service_caller.cc
@@ -12,6 +12,7 @@
   const uint64_t id = next_id_++;
   http_call_options options;
   options.progress_timeout = timeout_;
+  options.total_timeout = kTotalOfTimeouts * timeout_;
   http_call_events events;
   events.on_done = [this, id,
                     done = std::move(done)](const http_result& result) {
--- a/src/skylarkcroft/platform/skylarkcroft_service_caller.h
+++ b/src/skylarkcroft/platform/skylarkcroft_service_caller.h
@@ -10,13 +10,17 @@
 
 namespace skylarkcroft {
 
+/// Longest time of a request, in timeouts.
+inline constexpr int kTotalOfTimeouts = 3;
+
 /// Sends requests to one platform service and keeps them until they end.
 /// Destroying it cancels the requests under way; their `done` never runs.
 class service_caller {
  public:
   using done_fn = std::function<void(const http_result&)>;
 
-  /// `timeout` is the longest silence of the service within one request.
+  /// `timeout` is the longest silence of the service within one request; the
+  /// whole request may take kTotalOfTimeouts times as long.
   service_caller(http_client& client, endpoint address, milliseconds timeout);
 
   /// Never runs `done` from inside itself. `done` may destroy the caller.
--- a/tests/http/http_round_trip_test.cc
+++ b/tests/http/http_round_trip_test.cc
@@ -272,5 +272,102 @@
   CHECK(kept->request().body == "body");
 }
 
+TEST_CASE("a peer that takes no connection is given up as not sent to",
+          "[http][timeout]") {
+  // A listener whose backlog is full drops further connection attempts.
+  const int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  auto* plain = reinterpret_cast<sockaddr*>(&address);
+  REQUIRE(bind(listener, plain, size) == 0);
+  REQUIRE(listen(listener, 0) == 0);
+  REQUIRE(getsockname(listener, plain, &size) == 0);
+  std::vector<int> fillers;
+  for (int number = 0; number < 4; ++number) {
+    fillers.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+    static_cast<void>(connect(fillers.back(), plain, size));
+  }
+  event_loop loop;
+  http_client client(loop);
+  http_call_options options;
+  options.progress_timeout = milliseconds(600000);
+  options.connect_timeout = milliseconds(50);
+  std::optional<http_result> ended;
+  const http_call_ptr call =
+      client.Send({"127.0.0.1", ntohs(address.sin_port)}, {}, options,
+                  {{}, {}, [&](const http_result& result) {
+                     ended = result;
+                     loop.Stop();
+                   }});
+  loop.RunFor(kTestLimit);
+  for (const int filler : fillers) {
+    close(filler);
+  }
+  close(listener);
+  REQUIRE(ended.has_value());
+  CHECK(ended->outcome == http_outcome::kConnectFailed);
+  CHECK_FALSE(ended->may_have_been_sent);
+}
+
+TEST_CASE("a call whose answer drips on for ever ends at its total timeout",
+          "[http][timeout]") {
+  event_loop loop;
+  http_exchange_ptr open;
+  const http_server server(loop, kAnyPort, {},
+                           [&](const http_exchange_ptr& exchange) {
+                             open = exchange;
+                             exchange->Start(200, {});
+                           });
+  const auto drip = loop.Every(milliseconds(5), [&] {
+    if (open != nullptr) {
+      open->Write("x");
+    }
+  });
+  http_client client(loop);
+  http_call_options options;
+  options.total_timeout = milliseconds(100);
+  std::optional<http_result> ended;
+  const http_call_ptr call = client.Send(
+      server.address(), {}, options, {{}, {}, [&](const http_result& result) {
+                                        ended = result;
+                                        loop.Stop();
+                                      }});
+  loop.RunFor(kTestLimit);
+  REQUIRE(ended.has_value());
+  CHECK(ended->outcome == http_outcome::kTimedOut);
+  CHECK(ended->may_have_been_sent);
+}
+
+TEST_CASE("a call that breaks closes the idle connections to its peer",
+          "[http][timeout]") {
+  http_pair pair([](const http_exchange_ptr& exchange) {
+    if (exchange->request().target == "/break") {
+      exchange->Abort();
+      return;
+    }
+    exchange->Reply({200, {}, ""});
+  });
+  std::vector<http_call_ptr> calls;
+  int ended = 0;
+  for (int number = 0; number < 2; ++number) {
+    calls.push_back(pair.client.Send(pair.server.address(), {}, {},
+                                     {{}, {}, [&](const http_result&) {
+                                        if (++ended == 2) {
+                                          pair.loop.Stop();
+                                        }
+                                      }}));
+  }
+  pair.loop.RunFor(kTestLimit);
+  REQUIRE(ended == 2);
+  http_request breaking;
+  breaking.target = "/break";
+  CHECK(pair.Call(breaking).outcome != http_outcome::kComplete);
+  const uint64_t before = pair.server.connections_accepted();
+  CHECK(pair.Call({}).Ok());
+  CHECK(pair.server.connections_accepted() == before + 1);
+}
+
 }  // namespace
 }  // namespace skylarkcroft
