Urgent work that is late gives way to work that is not

Change: the bound on the expected wait of urgent work is two targets; one that has waited four fifths of its target gives way to a waiting one that has not. After a preemption whose taker was too late the slot is filled again, which a property test found.

--- a/src/skylarkcroft/admission/skylarkcroft_fifo_admission.cc
+++ b/src/skylarkcroft/admission/skylarkcroft_fifo_admission.cc
@@ -34,11 +34,7 @@
       return;
     }
     for (auto& [name, queue] : pools_) {
-      std::erase_if(queue.waiting, [&](const work_item& item) {
-        const bool ended = item.request_id == request_id;
-        queue.Of(item).queued -= ended ? 1 : 0;
-        return ended;
-      });
+      Withdraw(queue, request_id);
     }
   }
 
@@ -68,6 +64,14 @@
     }
   };
 
+  static void Withdraw(pool_queue& queue, const std::string& request_id) {
+    std::erase_if(queue.waiting, [&](const work_item& item) {
+      const bool ended = item.request_id == request_id;
+      queue.Of(item).queued -= ended ? 1 : 0;
+      return ended;
+    });
+  }
+
   void Take(pool_queue& queue, dispatch_decision& decision, time_point now) {
     const work_item item = std::move(queue.waiting.front());
     queue.waiting.pop_front();
--- a/src/skylarkcroft/admission/skylarkcroft_pool_admission.cc
+++ b/src/skylarkcroft/admission/skylarkcroft_pool_admission.cc
@@ -16,7 +16,11 @@
 // makes later requests miss theirs. The least urgent rank is bound by its
 // deadline alone.
 constexpr std::array<std::optional<double>, kRankCount> kMaxWaitInTargets = {
-    1.0, 2.0, std::nullopt};
+    2.0, 2.0, std::nullopt};
+// Part of the first-token target after which a waiting request gives way to a
+// later one of its rank that can still meet it.
+constexpr std::array<std::optional<double>, kRankCount> kGivesWayAfter = {
+    0.8, std::nullopt, std::nullopt};
 constexpr double kMinShare = 1e-6;
 
 duration Scaled(milliseconds span, double factor) {
@@ -33,6 +37,14 @@
                  : left;
 }
 
+bool GivesWay(const queued_item& entry, const rank_policy& policy,
+              time_point now) {
+  const std::optional<double> part =
+      kGivesWayAfter[IndexOf(entry.item.work_rank)];
+  return part && entry.preemptions == 0 &&
+         now - entry.queued_at > Scaled(policy.first_token_target, *part);
+}
+
 }  // namespace
 
 pool_admission::rank_state& pool_admission::StateOf(const work_item& item) {
@@ -155,26 +167,45 @@
   waiting_.erase(waiting);
 }
 
-void pool_admission::TakeHead(rank value, const pool_terms& terms,
-                              time_point now, dispatch_decision& decision) {
+void pool_admission::StartNext(rank value, const pool_terms& terms,
+                               time_point now, dispatch_decision& decision) {
   rank_state& state = ranks_[IndexOf(value)];
-  const queued_item entry = state.queue.Pop();
-  const work_item& item = entry.item;
-  waiting_.erase(item.request_id);
-  if (item.deadline <= now) {
-    state.queue.Correct(item, -item.estimated_tokens);
-    decision.refused.push_back(
-        {item.request_id,
-         {refusal_reason::kDeadlineUnreachable, RetryAfter(item, terms)}});
-    return;
+  const rank_policy& policy = terms.policies[IndexOf(value)];
+  while (!state.queue.empty()) {
+    const queued_item entry = state.queue.Pop();
+    waiting_.erase(entry.item.request_id);
+    const bool gives_way = !state.queue.empty() && GivesWay(entry, policy, now);
+    if (entry.item.deadline > now && !gives_way) {
+      Start(entry, policy.guaranteed_share, now);
+      decision.start.push_back(entry.item.request_id);
+      return;
+    }
+    state.queue.Correct(entry.item, -entry.item.estimated_tokens);
+    decision.refused.push_back({entry.item.request_id,
+                                {refusal_reason::kDeadlineUnreachable,
+                                 RetryAfter(entry.item, terms)}});
   }
-  const double share = terms.policies[IndexOf(value)].guaranteed_share;
+}
+
+void pool_admission::Start(const queued_item& entry, double share,
+                           time_point now) {
+  rank_state& state = StateOf(entry.item);
   virtual_time_ = std::max(virtual_time_, state.served);
-  state.served +=
-      static_cast<double>(item.estimated_tokens) / std::max(kMinShare, share);
+  state.served += static_cast<double>(entry.item.estimated_tokens) /
+                  std::max(kMinShare, share);
   ++state.running;
-  running_.emplace(item.request_id, running_item{entry, now});
-  decision.start.push_back(item.request_id);
+  running_.emplace(entry.item.request_id, running_item{entry, now});
+}
+
+void pool_admission::FillSlots(const pool_terms& terms, time_point now,
+                               dispatch_decision& decision) {
+  while (static_cast<int64_t>(running_.size()) < terms.capacity) {
+    const std::optional<rank> next = NextRank(Standings(terms));
+    if (!next) {
+      return;
+    }
+    StartNext(*next, terms, now, decision);
+  }
 }
 
 std::vector<preemption_candidate> pool_admission::CandidatesFor(
@@ -226,22 +257,18 @@
   decision.refused.insert(decision.refused.end(), evicted_.begin(),
                           evicted_.end());
   evicted_.clear();
-  while (static_cast<int64_t>(running_.size()) < terms.capacity) {
-    const std::optional<rank> next = NextRank(Standings(terms));
-    if (!next) {
-      return;
-    }
-    TakeHead(*next, terms, now, decision);
-  }
+  FillSlots(terms, now, decision);
   for (const rank taker : kAllRanks) {
     const caller_queue& queue = ranks_[IndexOf(taker)].queue;
     const duration patience =
         Scaled(terms.policies[IndexOf(taker)].first_token_target, kPatience);
     while (!queue.empty() && now - queue.Head().queued_at >= patience &&
            PreemptFor(taker, terms, delivered_tokens, now, decision)) {
-      TakeHead(taker, terms, now, decision);
+      StartNext(taker, terms, now, decision);
     }
   }
+  // The one that a slot was taken for may have been too late.
+  FillSlots(terms, now, decision);
 }
 
 pool_counts pool_admission::Counts() const {
--- a/src/skylarkcroft/admission/skylarkcroft_pool_admission.h
+++ b/src/skylarkcroft/admission/skylarkcroft_pool_admission.h
@@ -63,9 +63,14 @@
   std::optional<refusal> MakeRoom(const work_item& item,
                                   const pool_terms& terms);
   void Enqueue(const work_item& item, time_point now);
-  /// Starts the head of a rank's queue, or refuses it when it is too late.
-  void TakeHead(rank value, const pool_terms& terms, time_point now,
-                dispatch_decision& decision);
+  /// Starts the next of a rank's queue, and refuses those before it that are
+  /// too late.
+  void StartNext(rank value, const pool_terms& terms, time_point now,
+                 dispatch_decision& decision);
+  void Start(const queued_item& entry, double share, time_point now);
+  /// Starts requests while slots are free.
+  void FillSlots(const pool_terms& terms, time_point now,
+                 dispatch_decision& decision);
   /// Stops one running request in favour of `taker`; false when none may be.
   bool PreemptFor(rank taker, const pool_terms& terms,
                   const delivered_tokens_fn& delivered_tokens, time_point now,
--- a/tests/admission/ranked_admission_test.cc
+++ b/tests/admission/ranked_admission_test.cc
@@ -156,10 +156,34 @@
   CHECK(decision.refused[0].why.reason == refusal_reason::kDeadlineUnreachable);
 }
 
+TEST_CASE("An urgent request that is late gives way to one that is not",
+          "[admission][bounds]") {
+  admission_simulation run(1);
+  run.Submit(run.Item("one", rank::kUrgent));
+  run.Dispatch();
+  const work_item late = run.Item("one", rank::kUrgent);
+  run.Submit(late);
+  run.now += milliseconds(500);
+  SECTION("when one waits") {
+    const work_item fresh = run.Item("one", rank::kUrgent);
+    run.Submit(fresh);
+    run.admit->Finish("one-1", kItemTokens, run.now);
+    const dispatch_decision decision = run.Dispatch();
+    CHECK(decision.start == std::vector<std::string>{fresh.request_id});
+    REQUIRE(decision.refused.size() == 1);
+    CHECK(decision.refused[0].request_id == late.request_id);
+  }
+  SECTION("and starts when none does") {
+    run.admit->Finish("one-1", kItemTokens, run.now);
+    CHECK(run.Dispatch().start == std::vector<std::string>{late.request_id});
+  }
+}
+
 TEST_CASE("Small callers are served beside large ones in a flood",
           "[admission][fairness]") {
   admission_simulation run(8, 200);
   std::vector<offered_load> loads;
+  loads.reserve(25);
   for (int index = 0; index < 5; ++index) {
     loads.push_back({"large" + std::to_string(index), rank::kNormal, 10});
   }
