--- a/tests/http/http_round_trip_test.cc
+++ b/tests/http/http_round_trip_test.cc
@@ -350,6 +350,7 @@
     exchange->Reply({200, {}, ""});
   });
   std::vector<http_call_ptr> calls;
+  calls.reserve(2);
   int ended = 0;
   for (int number = 0; number < 2; ++number) {
     calls.push_back(pair.client.Send(pair.server.address(), {}, {},
--- a/tests/routing/scored_choice_test.cc
+++ b/tests/routing/scored_choice_test.cc
@@ -138,6 +138,28 @@
   }
 }
 
+TEST_CASE("what weighs against an upstream sends a prompt to the other",
+          "[routing]") {
+  std::vector<upstream_state> members = {State("a"), State("b")};
+  choice_query query;
+  query.prompt = LongPrompt("w");
+  const std::string usual = *Scored()(query, members, kNow);
+  upstream_state& disliked = usual == "a" ? members[0] : members[1];
+  SECTION("requests sent since its last report") {
+    disliked.report = load_report{};
+    disliked.sent_since_report = 40;
+  }
+  SECTION("a refusal just now") { disliked.refused_at = kNow; }
+  SECTION("a price") { disliked.spec.price_per_hour = 100; }
+  SECTION("the risk of a reclaim, by the tokens at stake") {
+    for (upstream_state& state : members) {
+      state.spec.reclaimable = &state == &disliked;
+    }
+    query.expected_tokens = 10000;
+  }
+  CHECK(Scored()(query, members, kNow) != usual);
+}
+
 TEST_CASE("a new upstream gets a small share at first", "[routing]") {
   std::vector<upstream_state> members = {State("old"), State("new")};
   members[1].known_since = kNow;
