HTTP server: forget closed connections before a new one is accepted

Cause: after an answer to Connection: close, evhttp frees the stream and closes its descriptor, but the connection table still holds the stream, whose read event stays registered.

Change: freed streams are forgotten before each accept. Costs a look at every open connection of that server.

Not mended: servers that share a loop have a table each, so a descriptor that one closed and another gets is still not heard at first. The test added passes without the change as well; it does not show the fault.

--- a/src/skylarkcroft/http/skylarkcroft_connection_table.cc
+++ b/src/skylarkcroft/http/skylarkcroft_connection_table.cc
@@ -125,6 +125,9 @@
 connection_table::~connection_table() = default;
 
 bufferevent* connection_table::Accept(event_base* base) {
+  // A stream that evhttp has freed after its answer still waits for input on a
+  // descriptor that is closed, and that the new connection may have got.
+  DropFreed();
   bufferevent* stream = bufferevent_socket_new(base, -1, 0);
   auto opened = std::make_unique<connection>(stream, ++accepted_, clock_);
   opened->HoldAtMost(limits_.max_request_bytes);
@@ -151,8 +154,12 @@
   }
 }
 
-void connection_table::Sweep(time_point now) {
+void connection_table::DropFreed() {
   std::erase_if(open_, [](const auto& entry) { return entry.second->Freed(); });
+}
+
+void connection_table::Sweep(time_point now) {
+  DropFreed();
   for (const auto& [stream, open] : open_) {
     if (open->Overdue(now, limits_.request_timeout)) {
       open->Close();
--- a/src/skylarkcroft/http/skylarkcroft_connection_table.h
+++ b/src/skylarkcroft/http/skylarkcroft_connection_table.h
@@ -53,6 +53,8 @@
   [[nodiscard]] size_t size() const { return open_.size(); }
 
  private:
+  void DropFreed();
+
   class connection;
 
   connection_limits limits_;
--- a/tests/http/http_round_trip_test.cc
+++ b/tests/http/http_round_trip_test.cc
@@ -370,5 +370,19 @@
   CHECK(pair.server.connections_accepted() == before + 1);
 }
 
+TEST_CASE("connections that the server closes leave their descriptors free",
+          "[http][close]") {
+  http_pair pair([](const http_exchange_ptr& exchange) {
+    exchange->Reply({200, {}, exchange->request().target});
+  });
+  for (int number = 0; number < 10; ++number) {
+    const std::string target = "/" + std::to_string(number);
+    const http_result result =
+        pair.Call({"GET", target, {{"Connection", "close"}}, ""});
+    CHECK(result.outcome == http_outcome::kComplete);
+    CHECK(result.response.body == target);
+  }
+}
+
 }  // namespace
 }  // namespace skylarkcroft
