--- a/src/skylarkcroft/routing/skylarkcroft_load_poller.cc
+++ b/src/skylarkcroft/routing/skylarkcroft_load_poller.cc
@@ -1,9 +1,22 @@
 #include "skylarkcroft/routing/skylarkcroft_load_poller.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace skylarkcroft {
 
+namespace {
+
+/// A count from 0 to the largest whole number that every double can hold; 0
+/// when it is missing. Throws nlohmann::json::exception for what is no number.
+int64_t CountOf(const nlohmann::json& document, const char* name) {
+  constexpr double kLargest = 9007199254740992.0;
+  return static_cast<int64_t>(
+      std::clamp(document.value(name, 0.0), 0.0, kLargest));
+}
+
+}  // namespace
+
 std::optional<load_report> ParseLoadReport(std::string_view body) {
   const nlohmann::json document = nlohmann::json::parse(body, nullptr, false);
   if (!document.is_object()) {
@@ -11,12 +24,11 @@
   }
   try {
     load_report report;
-    report.running = document.value("running", int64_t{0});
-    report.waiting = document.value("waiting", int64_t{0});
-    report.slots = document.value("slots", int64_t{0});
-    report.kv_used_tokens = document.value("kv_used_tokens", int64_t{0});
-    report.kv_capacity_tokens =
-        document.value("kv_capacity_tokens", int64_t{0});
+    report.running = CountOf(document, "running");
+    report.waiting = CountOf(document, "waiting");
+    report.slots = CountOf(document, "slots");
+    report.kv_used_tokens = CountOf(document, "kv_used_tokens");
+    report.kv_capacity_tokens = CountOf(document, "kv_capacity_tokens");
     report.decode_tokens_per_s = document.value("decode_tokens_per_s", 0.0);
     report.prefill_tokens_per_s = document.value("prefill_tokens_per_s", 0.0);
     report.leaving = document.value("leaving", false);
