--- a/fuzz/claim_record_fuzz.cc
+++ b/fuzz/claim_record_fuzz.cc
@@ -1,8 +1,9 @@
 #include "fuzz/fuzz_input.h"
 #include "skylarkcroft/claims/skylarkcroft_claim_record.h"
 
-int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
-  using namespace skylarkcroft;
+namespace skylarkcroft {
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
   const std::string_view text = fuzz::TextOf(data, size);
   return fuzz::Decode([&] {
     const std::optional<claim_record> record = DecodeClaim(std::string(text));
@@ -11,3 +12,5 @@
     }
   });
 }
+
+}  // namespace skylarkcroft
--- a/fuzz/completion_request_fuzz.cc
+++ b/fuzz/completion_request_fuzz.cc
@@ -1,8 +1,9 @@
 #include "fuzz/fuzz_input.h"
 #include "skylarkcroft/attempt/skylarkcroft_completion_request.h"
 
-int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
-  using namespace skylarkcroft;
+namespace skylarkcroft {
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
   const std::string_view text = fuzz::TextOf(data, size);
   return fuzz::Decode([&] {
     const std::string body(text);
@@ -10,3 +11,5 @@
         ParseCompletionRequest("/v1/completions", body, rank::kNormal));
   });
 }
+
+}  // namespace skylarkcroft
--- a/fuzz/load_report_fuzz.cc
+++ b/fuzz/load_report_fuzz.cc
@@ -1,8 +1,11 @@
 #include "fuzz/fuzz_input.h"
 #include "skylarkcroft/routing/skylarkcroft_load_poller.h"
 
-int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
-  using namespace skylarkcroft;
+namespace skylarkcroft {
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
   const std::string_view text = fuzz::TextOf(data, size);
   return fuzz::Decode([&] { static_cast<void>(ParseLoadReport(text)); });
 }
+
+}  // namespace skylarkcroft
--- a/fuzz/platform_answer_fuzz.cc
+++ b/fuzz/platform_answer_fuzz.cc
@@ -6,8 +6,9 @@
 #include "skylarkcroft/platform/skylarkcroft_host_list_codec.h"
 #include "skylarkcroft/platform/skylarkcroft_table_codec.h"
 
-int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
-  using namespace skylarkcroft;
+namespace skylarkcroft {
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
   const std::string_view text = fuzz::TextOf(data, size);
   return fuzz::Decode([&] {
     const nlohmann::json document = ParseJson(text);
@@ -20,3 +21,5 @@
     fuzz::Decode([&] { static_cast<void>(DecodeRow(document, "$")); });
   });
 }
+
+}  // namespace skylarkcroft
--- a/fuzz/settings_fuzz.cc
+++ b/fuzz/settings_fuzz.cc
@@ -4,9 +4,12 @@
 #include "skylarkcroft/internal/skylarkcroft_json_reader.h"
 #include "skylarkcroft/node/skylarkcroft_settings.h"
 
-int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
-  using namespace skylarkcroft;
+namespace skylarkcroft {
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
   const std::string_view text = fuzz::TextOf(data, size);
   return fuzz::Decode(
       [&] { static_cast<void>(ParseSettings(ParseJson(text))); });
 }
+
+}  // namespace skylarkcroft
--- a/fuzz/sse_parser_fuzz.cc
+++ b/fuzz/sse_parser_fuzz.cc
@@ -22,14 +22,14 @@
 }
 
 }  // namespace
-}  // namespace skylarkcroft
 
 /// Where a stream is cut into pieces must not change its events.
-int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
-  using namespace skylarkcroft;
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
   const std::string_view text = fuzz::TextOf(data, size);
   if (EventsOf(text, 1) != EventsOf(text, text.size() + 1)) {
     __builtin_trap();
   }
   return 0;
 }
+
+}  // namespace skylarkcroft
--- a/fuzz/table_rows_fuzz.cc
+++ b/fuzz/table_rows_fuzz.cc
@@ -1,8 +1,9 @@
 #include "fuzz/fuzz_input.h"
 #include "skylarkcroft/tables/skylarkcroft_table_rows.h"
 
-int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
-  using namespace skylarkcroft;
+namespace skylarkcroft {
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
   const std::string_view text = fuzz::TextOf(data, size);
   return fuzz::Decode([&] {
     const std::string document(text);
@@ -18,3 +19,5 @@
     }
   });
 }
+
+}  // namespace skylarkcroft
