HTTP server: a connection's descriptor lives as long as the table holds it

Cause: evhttp closed the descriptor of a freed connection while the connection table still held the stream, whose events stayed registered under a number that the next connection of any server on the loop could get. Dropping freed streams at each accept helped only within one server. Ruled out: that evhttp closes twice; no close or epoll call fails in a trace of the HTTP and handover tests. Change: streams own their descriptors (BEV_OPT_CLOSE_ON_FREE), which evhttp honours, and the look through all connections at each accept is gone.

--- a/src/skylarkcroft/http/skylarkcroft_connection_table.cc
+++ b/src/skylarkcroft/http/skylarkcroft_connection_table.cc
@@ -33,9 +33,10 @@
 
 }  // namespace
 
-// Holds a reference to the stream, so that its address is not used again before
-// the connection is forgotten. evhttp disables a stream when it closes its
-// socket, and bufferevent_free removes its callbacks.
+// Holds a reference to the stream, so that neither its address nor its
+// descriptor is used again before the connection is forgotten. evhttp shuts the
+// socket down when it frees the stream, and bufferevent_free removes the
+// callbacks.
 class connection_table::connection {
  public:
   connection(bufferevent* stream, uint64_t number, clock_fn clock)
@@ -125,10 +126,9 @@
 connection_table::~connection_table() = default;
 
 bufferevent* connection_table::Accept(event_base* base) {
-  // A stream that evhttp has freed after its answer still waits for input on a
-  // descriptor that is closed, and that the new connection may have got.
-  DropFreed();
-  bufferevent* stream = bufferevent_socket_new(base, -1, 0);
+  // The stream owns its descriptor, so that the number is not given out again
+  // while this table still holds the stream.
+  bufferevent* stream = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
   auto opened = std::make_unique<connection>(stream, ++accepted_, clock_);
   opened->HoldAtMost(limits_.max_request_bytes);
   open_.emplace(stream, std::move(opened));
