Scored choice: full upstreams are passed over, other nodes' sends are allowed for

Cause: with stale reports every node sent to the same least loaded engine; one had ten requests waiting while two others had free slots. Change: what was sent since a report counts once for each live node, and an upstream without a free slot gets nothing while another has one.

--- a/src/skylarkcroft/node/skylarkcroft_node.cc
+++ b/src/skylarkcroft/node/skylarkcroft_node.cc
@@ -346,7 +346,8 @@
     if (config_.policy.routing == "least_loaded") {
       return MakeLeastLoadedChoice(random_());
     }
-    return MakeScoredChoice(prefixes_, {}, random_());
+    return MakeScoredChoice(
+        prefixes_, {}, [this] { return LiveNodes(); }, random_());
   }
 
   retry_budget& BudgetOf(const std::string& pool_name) {
--- a/src/skylarkcroft/routing/skylarkcroft_scored_choice.cc
+++ b/src/skylarkcroft/routing/skylarkcroft_scored_choice.cc
@@ -23,11 +23,13 @@
 };
 using candidate_list = std::vector<candidate>;
 
-double RequestsOn(const upstream_state& state) {
+// The other nodes see the same reports, and are taken to have sent as much
+// since then as this one.
+double RequestsOn(const upstream_state& state, int64_t nodes) {
   const int64_t reported =
       state.report ? state.report->running + state.report->waiting : 0;
   return static_cast<double>(
-      std::max(state.in_flight, reported + state.sent_since_report));
+      std::max(state.in_flight, reported + state.sent_since_report * nodes));
 }
 
 // Slots that count at `now`: a new upstream starts with a tenth of its own.
@@ -48,7 +50,8 @@
 
 candidate_list OpenCandidates(const choice_query& query,
                               const std::vector<upstream_state>& members,
-                              const score_options& options, time_point now) {
+                              const score_options& options, int64_t nodes,
+                              time_point now) {
   candidate_list open;
   candidate_list untried;
   // May be leaving, so they come last.
@@ -58,7 +61,8 @@
       continue;
     }
     const double slots = OpenSlots(state, options, now);
-    const candidate one{&state, slots, RequestsOn(state) / slots, 0, 0, 0};
+    const candidate one{&state, slots, RequestsOn(state, nodes) / slots,
+                        0,      0,     0};
     if (AwaitsFirstReport(state, now)) {
       unheard.push_back(one);
       continue;
@@ -95,6 +99,17 @@
   return candidates;
 }
 
+// Drops those without a free slot, unless none has one.
+candidate_list WithFreeSlot(candidate_list candidates) {
+  candidate_list free;
+  for (const candidate& one : candidates) {
+    if (one.load * one.slots + 1 <= one.slots) {
+      free.push_back(one);
+    }
+  }
+  return free.empty() ? candidates : free;
+}
+
 double MeanSlots(const candidate_list& candidates) {
   double slots = 0;
   for (const candidate& one : candidates) {
@@ -122,9 +137,11 @@
 class scored_choice {
  public:
   scored_choice(std::shared_ptr<prefix_tracker> prefixes,
-                const score_options& options, uint64_t seed)
+                const score_options& options, node_count_fn live_nodes,
+                uint64_t seed)
       : prefixes_(std::move(prefixes)),
         options_(options),
+        live_nodes_(std::move(live_nodes)),
         shares_(options.share_decay),
         random_(seed) {}
 
@@ -134,7 +151,8 @@
     const prompt_prefix prefix = HashPrompt(query.prompt);
     const auto tokens =
         static_cast<double>(1 + prefix.tokens + query.expected_tokens);
-    candidate_list candidates = OpenCandidates(query, members, options_, now);
+    candidate_list candidates =
+        OpenCandidates(query, members, options_, live_nodes_(), now);
     if (candidates.empty()) {
       return std::nullopt;
     }
@@ -156,6 +174,7 @@
 
  private:
   candidate_list WithinBounds(candidate_list candidates, double tokens) const {
+    candidates = WithFreeSlot(std::move(candidates));
     candidates = WithinBound(std::move(candidates), &candidate::load,
                              options_.load_bound, options_.load_slack_slots);
     const double slack =
@@ -234,6 +253,7 @@
 
   std::shared_ptr<prefix_tracker> prefixes_;
   score_options options_;
+  node_count_fn live_nodes_;
   recent_share shares_;
   std::mt19937_64 random_;
 };
@@ -241,9 +261,10 @@
 }  // namespace
 
 choose_fn MakeScoredChoice(std::shared_ptr<prefix_tracker> prefixes,
-                           const score_options& options, uint64_t seed) {
-  auto choice =
-      std::make_shared<scored_choice>(std::move(prefixes), options, seed);
+                           const score_options& options,
+                           node_count_fn live_nodes, uint64_t seed) {
+  auto choice = std::make_shared<scored_choice>(std::move(prefixes), options,
+                                                std::move(live_nodes), seed);
   return [choice](const choice_query& query,
                   const std::vector<upstream_state>& members, time_point now) {
     return choice->Choose(query, members, now);
--- a/src/skylarkcroft/routing/skylarkcroft_scored_choice.h
+++ b/src/skylarkcroft/routing/skylarkcroft_scored_choice.h
@@ -2,6 +2,7 @@
 #define SKYLARKCROFT_ROUTING_SKYLARKCROFT_SCORED_CHOICE_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 
 #include "skylarkcroft/routing/skylarkcroft_prefix_tracker.h"
@@ -44,15 +45,20 @@
   bool operator==(const score_options&) const = default;
 };
 
+/// Nodes that send to the upstreams, this one included; at least 1.
+using node_count_fn = std::function<int64_t()>;
+
 /// Prefers the upstream with the lowest expected time to the first token:
 /// waiting, prefill of what is not cached, zone, price, and the chance of a
-/// reclaim times the tokens at stake. Upstreams above the bounds on requests
+/// reclaim times the tokens at stake. Upstreams without a free slot, and those
+/// above the bounds on requests
 /// under way and on the recent share are passed over. A prompt that nobody has
 /// cached goes to the one with the lower recent share of the two that its
 /// rendezvous hash names on every node, and prompts without a whole block are
 /// spread by two random choices. Records what it chose in `prefixes`.
 choose_fn MakeScoredChoice(std::shared_ptr<prefix_tracker> prefixes,
-                           const score_options& options, uint64_t seed);
+                           const score_options& options,
+                           node_count_fn live_nodes, uint64_t seed);
 
 }  // namespace skylarkcroft
 
--- a/tests/routing/scored_choice_test.cc
+++ b/tests/routing/scored_choice_test.cc
@@ -19,8 +19,9 @@
   return state;
 }
 
-choose_fn Scored() {
-  return MakeScoredChoice(std::make_shared<prefix_tracker>(1000), {}, 1);
+choose_fn Scored(int64_t nodes = 1) {
+  return MakeScoredChoice(
+      std::make_shared<prefix_tracker>(1000), {}, [nodes] { return nodes; }, 1);
 }
 
 std::string LongPrompt(const std::string& word) {
@@ -168,5 +169,40 @@
   CHECK(Scored()({}, members, kNow) == "old");
 }
 
+TEST_CASE("a full upstream gets nothing while another has a free slot",
+          "[routing][regression]") {
+  std::vector<upstream_state> members = {State("full"), State("free")};
+  members[0].spec.slots = 4;
+  members[1].spec.slots = 4;
+  members[0].in_flight = 4;
+  members[1].in_flight = 3;
+  const choose_fn choose = Scored();
+  choice_query query;
+  query.prompt = LongPrompt("cached");
+  for (int index = 0; index < 20; ++index) {
+    CHECK(choose(query, members, kNow) == "free");
+  }
+}
+
+TEST_CASE("what the other nodes have sent since a report is allowed for",
+          "[routing][regression]") {
+  std::vector<upstream_state> members = {State("a"), State("b")};
+  for (upstream_state& state : members) {
+    state.spec.slots = 4;
+    state.report = load_report{};
+    state.reported_at = kNow;
+  }
+  members[0].sent_since_report = 2;
+  members[1].report->running = 3;
+  const choose_fn alone = Scored(1);
+  const choose_fn among_three = Scored(3);
+  int alone_on_a = 0;
+  for (int index = 0; index < 20; ++index) {
+    alone_on_a += alone({}, members, kNow) == "a" ? 1 : 0;
+    CHECK(among_three({}, members, kNow) == "b");
+  }
+  CHECK(alone_on_a > 0);
+}
+
 }  // namespace
 }  // namespace skylarkcroft
