--- a/src/skylarkcroft/routing/skylarkcroft_scored_choice.cc
+++ b/src/skylarkcroft/routing/skylarkcroft_scored_choice.cc
@@ -100,7 +100,7 @@
 }
 
 // Drops those without a free slot, unless none has one.
-candidate_list WithFreeSlot(candidate_list candidates) {
+candidate_list WithFreeSlot(const candidate_list& candidates) {
   candidate_list free;
   for (const candidate& one : candidates) {
     if (one.load * one.slots + 1 <= one.slots) {
@@ -174,7 +174,7 @@
 
  private:
   candidate_list WithinBounds(candidate_list candidates, double tokens) const {
-    candidates = WithFreeSlot(std::move(candidates));
+    candidates = WithFreeSlot(candidates);
     candidates = WithinBound(std::move(candidates), &candidate::load,
                              options_.load_bound, options_.load_slack_slots);
     const double slack =
--- a/tests/node/at_most_once_test.cc
+++ b/tests/node/at_most_once_test.cc
@@ -37,7 +37,9 @@
   fixture.PutTables();
   std::vector<http_result> ended;
   std::vector<http_call_ptr> calls;
-  for (int number = 0; number < 6; ++number) {
+  constexpr int kCalls = 6;
+  calls.reserve(kCalls);
+  for (int number = 0; number < kCalls; ++number) {
     calls.push_back(fixture.client.Send(
         fixture.nodes[static_cast<size_t>(number) % 2]->callers_address(),
         node_fixture::Order("k2", "same"), {},
