--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -171,6 +171,14 @@
     read -r _ status _ <&3 && echo "$status"' "$1" "$2" "$3" 2>/dev/null || true
 }
 
+# fleet_http_get ADDRESS PATH: prints the last line of the answer.
+fleet_http_get() {
+  timeout 2 bash -c '
+    exec 3<>"/dev/tcp/$0/$1" || exit 0
+    printf "GET %s HTTP/1.1\r\nHost: fleet\r\nConnection: close\r\n\r\n" "$2" >&3
+    tail -n 1 <&3' "${1%:*}" "${1##*:}" "$2" 2>/dev/null || true
+}
+
 # fleet_http_post ADDRESS PATH BODY: sends a JSON document, fails without a 2xx.
 fleet_http_post() {
   local status
