Requests are run by a class of their own, apart from the callers' front

Change: request_runner starts, adopts and ends runs; the front speaks HTTP. Behaviour is the same. Shown: tests/node passes (43 cases, 330 assertions).

--- a/src/skylarkcroft/node/skylarkcroft_front.h
+++ b/src/skylarkcroft/node/skylarkcroft_front.h
@@ -9,22 +9,20 @@
 #include <optional>
 #include <string>
 
-#include "skylarkcroft/admission/skylarkcroft_admission.h"
-#include "skylarkcroft/deferred/skylarkcroft_deferred_worker.h"
-#include "skylarkcroft/handover/skylarkcroft_handover_record.h"
+#include "skylarkcroft/attempt/skylarkcroft_accepted_request.h"
 #include "skylarkcroft/http/skylarkcroft_http_server.h"
 #include "skylarkcroft/http/skylarkcroft_problem.h"
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
 #include "skylarkcroft/node/skylarkcroft_answer_writer.h"
 #include "skylarkcroft/node/skylarkcroft_request_registry.h"
-#include "skylarkcroft/node/skylarkcroft_request_run.h"
 #include "skylarkcroft/node/skylarkcroft_settings.h"
 
 namespace skylarkcroft {
 
 class caller_limiter;
-class logger;
+class deferred_worker;
 class node_metrics;
+class request_runner;
 class tables_in_force;
 
 /// What the front of a node works with; all outlive it.
@@ -32,11 +30,9 @@
   event_loop& loop;
   const settings& config;
   tables_in_force& tables;
-  admission& admit;
   request_registry& registry;
-  run_environment& runs;
+  request_runner& runner;
   node_metrics& metrics;
-  logger& log;
   caller_limiter& limits;
   clock_fn clock;
   wall_clock_fn wall_clock;
@@ -51,8 +47,8 @@
   std::function<deferred_worker&()> deferred;
 };
 
-/// Takes callers' requests: names them, checks the caller and the route, passes
-/// them through admission, and writes their answers.
+/// Takes callers' requests: names them, checks the caller, the route and the
+/// limits, has them run, and writes their answers.
 class front {
  public:
   explicit front(front_environment environment);
@@ -62,14 +58,6 @@
 
   void OnRequest(const http_exchange_ptr& exchange);
 
-  /// Goes on with a request that a leaving node handed over. False when the
-  /// tables in force have no such caller, route or pool.
-  bool Adopt(const handover_record& record);
-
-  /// Runs a stored request; `done` gets how it ended.
-  void RunDeferred(const deferred_request& request,
-                   std::function<void(const deferred_run_result&)> done);
-
   /// Refuses new requests from now on; those accepted go on.
   void RefuseNew();
   /// True while the node takes requests and its tables are current.
@@ -85,18 +73,11 @@
              time_point now);
   void ReadDeferred(const http_exchange_ptr& exchange, const std::string& id,
                     const std::string& caller_name);
-  void StartRun(request_run& run, const work_item& item, bool needs_claim);
-  request_entry MakeEntry(accepted_request request, time_point now);
   void Accept(const http_exchange_ptr& exchange, accepted_request request,
               time_point now);
-  /// Passes a request through admission.
-  void Submit(const work_item& item);
   void Attach(const http_exchange_ptr& exchange, const request_entry& entry,
               const answer_form& form);
   void OnWriterEnd(const std::string& id, bool delivered);
-  void OnRunEnd(const std::string& id, int64_t actual_tokens);
-  void DispatchNow();
-  void Sweep();
   void Refuse(const http_exchange_ptr& exchange, const problem& why);
   [[nodiscard]] const caller* Authenticate(const http_request& request,
                                            const table_set& tables) const;
@@ -104,8 +85,6 @@
 
   front_environment environment_;
   std::list<std::unique_ptr<answer_writer>> writers_;
-  event_loop::handle_ptr dispatch_timer_;
-  event_loop::handle_ptr sweep_timer_;
   uint64_t next_number_ = 1;
   bool ready_ = true;
   bool refusing_ = false;
--- a/src/skylarkcroft/node/skylarkcroft_node.cc
+++ b/src/skylarkcroft/node/skylarkcroft_node.cc
@@ -32,6 +32,7 @@
 #include "skylarkcroft/node/skylarkcroft_pool_windows.h"
 #include "skylarkcroft/node/skylarkcroft_registry_streams.h"
 #include "skylarkcroft/node/skylarkcroft_request_registry.h"
+#include "skylarkcroft/node/skylarkcroft_request_runner.h"
 #include "skylarkcroft/node/skylarkcroft_status_report.h"
 #include "skylarkcroft/platform/skylarkcroft_cloud_api.h"
 #include "skylarkcroft/platform/skylarkcroft_group_commit.h"
@@ -100,9 +101,10 @@
         windows_(directory_, [this] { return LiveNodes(); }),
         admission_(MakeAdmission()),
         runs_(MakeRunEnvironment()),
-        front_({loop, config_, tables_, *admission_, registry_, runs_,
-                node_metrics_, log_, limits_, SteadyNow, WallNowMs,
-                incarnation_,
+        runner_({loop, config_.answers, tables_, *admission_, registry_, runs_,
+                 node_metrics_, limits_, SteadyNow, WallNowMs}),
+        front_({loop, config_, tables_, registry_, runner_, node_metrics_,
+                limits_, SteadyNow, WallNowMs, incarnation_,
                 [this](const http_exchange_ptr& exchange,
                        const std::string& request_id) {
                   return handover_->ReadElsewhere(exchange, request_id);
@@ -158,7 +160,7 @@
         operators_server_.address(), *hosts_, [this] { loader_.Poll(); },
         random_()});
     handover_ = std::make_unique<node_handover>(node_handover_environment{
-        loop, client_, config_, registry_, front_, *mesh_,
+        loop, client_, config_, registry_, front_, runner_, *mesh_,
         config_.name + "." + incarnation_, SteadyNow, WallNowMs});
     directory_.OnEvent([this](upstream_event event) {
       node_metrics_.CountUpstreamEvent(ToString(event));
@@ -297,7 +299,7 @@
             config_.name + "." + incarnation_,
             [this](const deferred_request& request,
                    std::function<void(const deferred_run_result&)> done) {
-              front_.RunDeferred(request, std::move(done));
+              runner_.RunDeferred(request, std::move(done));
             },
             [this] { return OwnShards(); },
             SteadyNow,
@@ -437,6 +439,7 @@
   std::unique_ptr<admission> admission_;
   request_registry registry_;
   run_environment runs_;
+  request_runner runner_;
   front front_;
   deferred_worker deferred_;
   operators_api operators_;
--- a/src/skylarkcroft/node/skylarkcroft_node_handover.cc
+++ b/src/skylarkcroft/node/skylarkcroft_node_handover.cc
@@ -9,6 +9,7 @@
 #include "skylarkcroft/node/skylarkcroft_front.h"
 #include "skylarkcroft/node/skylarkcroft_node_mesh.h"
 #include "skylarkcroft/node/skylarkcroft_request_registry.h"
+#include "skylarkcroft/node/skylarkcroft_request_runner.h"
 #include "skylarkcroft/node/skylarkcroft_settings.h"
 
 namespace skylarkcroft {
@@ -151,7 +152,7 @@
   }
   size_t taken = 0;
   for (const handover_record& record : *records) {
-    if (environment_.callers.Adopt(record)) {
+    if (environment_.runner.Adopt(record)) {
       held_owners_.insert(OwnerOf(record.id));
       ++taken;
     }
--- a/src/skylarkcroft/node/skylarkcroft_node_handover.h
+++ b/src/skylarkcroft/node/skylarkcroft_node_handover.h
@@ -20,6 +20,7 @@
 class http_client;
 class node_mesh;
 class request_registry;
+class request_runner;
 struct settings;
 
 /// What a node's handover works with; all outlive it.
@@ -29,6 +30,7 @@
   const settings& config;
   request_registry& registry;
   front& callers;
+  request_runner& runner;
   node_mesh& members;
   /// `NODE.INCARNATION` of this process.
   std::string owner;
