--- a/src/skylarkcroft/node/skylarkcroft_request_run.cc
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.cc
@@ -165,7 +165,7 @@
   held_for_move_ = false;
   // A move is no failed try.
   ++paused_tries_;
-  DropTry(attempt_outcome::kComplete, now);
+  DropTry(attempt_outcome::kCancelled, now);
   return true;
 }
 
