--- a/src/skylarkcroft/claims/skylarkcroft_claim_keeper.h
+++ b/src/skylarkcroft/claims/skylarkcroft_claim_keeper.h
@@ -66,8 +66,8 @@
 
 /// Claims of idempotency keys in the table service. A request is sent only
 /// after its claim has been marked as sent by compare-and-set, and a claim so
-/// marked is never taken over, so each key's request runs at most once. Rests on
-/// conditional writes that are atomic and on consistent reads; a write whose
+/// marked is never taken over, so each key's request runs at most once. Rests
+/// on conditional writes that are atomic and on consistent reads; a write whose
 /// answer was lost may take effect later. models/claim.pml states the same.
 class claim_keeper {
  public:
