--- a/src/skylarkcroft/cli/skylarkcroft_cli.cc
+++ b/src/skylarkcroft/cli/skylarkcroft_cli.cc
@@ -25,7 +25,11 @@
 
 command_list MakeCommands(const cli_environment& environment) {
   command_list commands;
-  commands.push_back(std::make_unique<node_command>(environment.run_node));
+  commands.push_back(std::make_unique<node_command>(
+      "node", "run a node in the foreground", environment.run_node));
+  commands.push_back(std::make_unique<node_command>(
+      "relay", "run a node on the operators' platform in the foreground",
+      environment.run_relay));
   commands.push_back(std::make_unique<check_command>(environment.check));
   commands.push_back(std::make_unique<table_command>("routes"));
   commands.push_back(std::make_unique<table_command>("pools"));
@@ -141,11 +145,12 @@
   return static_cast<int>(code);
 }
 
-int RunCli(int argc, const char** argv) {
+int RunCli(int argc, const char** argv, run_node_fn run_relay) {
   const std::vector<std::string> arguments(argv + std::min(argc, 1),
                                            argv + argc);
   return RunCommandLine(arguments,
-                        {std::cout, std::cerr, CheckDocuments, RunNode});
+                        {std::cout, std::cerr, CheckDocuments, RunNode,
+                         std::move(run_relay)});
 }
 
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/cli/skylarkcroft_cli.h
+++ b/src/skylarkcroft/cli/skylarkcroft_cli.h
@@ -16,6 +16,7 @@
   std::ostream& err;
   document_check_fn check;
   run_node_fn run_node;
+  run_node_fn run_relay;
 };
 
 /// Runs the subcommand named by the first of `arguments`, which exclude the
@@ -24,8 +25,8 @@
                    const cli_environment& environment);
 
 /// Runs the subcommand named by argv[1] with the process's own streams; returns
-/// the exit code of the process.
-int RunCli(int argc, const char** argv);
+/// the exit code of the process. `run_relay` runs the `relay` command.
+int RunCli(int argc, const char** argv, run_node_fn run_relay);
 
 }  // namespace skylarkcroft
 
--- a/src/skylarkcroft/cli/skylarkcroft_node_command.cc
+++ b/src/skylarkcroft/cli/skylarkcroft_node_command.cc
@@ -7,12 +7,11 @@
 
 namespace skylarkcroft {
 
-node_command::node_command(run_node_fn run_node)
-    : run_node_(std::move(run_node)) {}
-
-std::string node_command::summary() const {
-  return "run a node in the foreground";
-}
+node_command::node_command(std::string name, std::string summary,
+                           run_node_fn run_node)
+    : name_(std::move(name)),
+      summary_(std::move(summary)),
+      run_node_(std::move(run_node)) {}
 
 void node_command::AddOptions(option_parser& parser) {
   parser.AddString("settings", "FILE", "settings of the node, JSON",
--- /dev/null
+++ b/src/skylarkcroft/duties/skylarkcroft_duty_keeper.cc
@@ -0,0 +1,254 @@
+#include "skylarkcroft/duties/skylarkcroft_duty_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "skylarkcroft/control/skylarkcroft_rendezvous.h"
+
+namespace skylarkcroft {
+namespace {
+
+constexpr const char* kTable = "duties";
+constexpr const char* kLeaseRow = "lease";
+constexpr const char* kUsageRow = "usage";
+constexpr size_t kReportsKept = 4;
+
+row_outcome OutcomeOf(store_outcome outcome) {
+  switch (outcome) {
+    case store_outcome::kDone:
+      return row_outcome::kCommitted;
+    case store_outcome::kConflict:
+      return row_outcome::kConflict;
+    case store_outcome::kHistoryGone:
+    case store_outcome::kRefused:
+      return row_outcome::kRejected;
+    case store_outcome::kUnknown:
+      return row_outcome::kUnknown;
+  }
+  return row_outcome::kUnknown;
+}
+
+const stored_row* FindRow(const std::vector<stored_row>& rows,
+                          std::string_view key) {
+  const auto found =
+      std::find_if(rows.begin(), rows.end(),
+                   [&](const stored_row& row) { return row.key == key; });
+  return found == rows.end() ? nullptr : &*found;
+}
+
+}  // namespace
+
+duty_keeper::duty_keeper(duty_environment environment, const lease_member& self,
+                         const duty_terms& terms)
+    : environment_(std::move(environment)),
+      self_(self),
+      terms_(terms),
+      lease_(kTable, self, terms.lease),
+      first_window_(environment_.true_time_ms(environment_.clock()) /
+                    terms.window.count()),
+      timer_(environment_.loop.Every(terms.tick_period, [this] { Tick(); })) {}
+
+duty_keeper::~duty_keeper() = default;
+
+duty_authority duty_keeper::Authority() const {
+  return {self_.name, lease_.fence()};
+}
+
+void duty_keeper::Tick() {
+  const time_point now = environment_.clock();
+  // What the holder before sent must have arrived first.
+  const bool acting = lease_.MayAct(now) && lease_.FlightsEnded(now);
+  if (acting != acting_) {
+    acting_ = acting;
+    environment_.on_event(acting ? "duties held" : "duties not held",
+                          lease_.fence(), "");
+  }
+  if (acting && !releasing_) {
+    SendUsage(now);
+    SendOrders(now);
+  }
+  if (reading_ || lease_.writing()) {
+    return;
+  }
+  const size_t place =
+      releasing_ ? terms_.lease.watchers
+                 : RendezvousPlace(kTable, self_.name, environment_.members());
+  const lease_step step = lease_.Next(place, now);
+  const std::optional<usage_journal> journal =
+      acting ? NextJournal(now) : std::nullopt;
+  if (step == lease_step::kWait && journal.has_value()) {
+    Write(lease_step::kRenew, journal);
+    return;
+  }
+  if (step != lease_step::kWait && step != lease_step::kIgnore) {
+    Write(step, journal);
+    return;
+  }
+  if (place < terms_.lease.watchers && !acting && now >= next_read_) {
+    Read();
+  }
+}
+
+void duty_keeper::Read() {
+  reading_ = true;
+  next_read_ = environment_.clock() + terms_.lease.renew_period;
+  const std::weak_ptr<bool> alive = alive_;
+  environment_.store.Read(kTable, [this, alive](const store_view& view) {
+    if (alive.expired()) {
+      return;
+    }
+    reading_ = false;
+    const time_point now = environment_.clock();
+    if (view.outcome != store_outcome::kDone) {
+      lease_.OnRead({read_outcome::kUnavailable, {}}, now);
+      return;
+    }
+    OnRows(view.rows, now);
+  });
+}
+
+void duty_keeper::OnRows(const std::vector<stored_row>& rows, time_point now) {
+  const stored_row* usage = FindRow(rows, kUsageRow);
+  if (usage != nullptr) {
+    const std::optional<usage_journal> journal = DecodeJournal(usage->value);
+    if (journal.has_value()) {
+      journal_ = *journal;
+    } else {
+      environment_.on_event("usage journal unreadable", lease_.fence(),
+                            usage->value);
+    }
+  }
+  const stored_row* lease = FindRow(rows, kLeaseRow);
+  if (lease == nullptr) {
+    lease_.OnRead({read_outcome::kMissing, {}}, now);
+    return;
+  }
+  lease_.OnRead({read_outcome::kFound,
+                 {LeaseKey(kTable), lease->version, lease->value}},
+                now);
+}
+
+void duty_keeper::Write(lease_step step,
+                        std::optional<usage_journal> journal) {
+  const row_write write = lease_.BeginWrite(step, environment_.clock());
+  row_transaction transaction;
+  transaction.conditions.push_back(
+      {kTable, kLeaseRow, write.expected_version.value_or(0)});
+  transaction.changes.push_back({kTable, kLeaseRow, write.row.document});
+  if (journal.has_value()) {
+    transaction.changes.push_back({kTable, kUsageRow, EncodeJournal(*journal)});
+  }
+  const std::weak_ptr<bool> alive = alive_;
+  environment_.store.Commit(
+      transaction,
+      [this, alive, step, journal = std::move(journal)](const store_view& view) {
+        if (!alive.expired()) {
+          OnWritten(view, step, journal);
+        }
+      });
+}
+
+void duty_keeper::OnWritten(const store_view& view, lease_step step,
+                            const std::optional<usage_journal>& journal) {
+  const time_point now = environment_.clock();
+  const bool read_back = lease_.EndWrite(OutcomeOf(view.outcome), now);
+  if (view.outcome == store_outcome::kDone) {
+    if (journal.has_value()) {
+      journal_ = *journal;
+    }
+    if (step == lease_step::kTakeOver || step == lease_step::kAcquire) {
+      environment_.on_event("duties taken", lease_.fence(), "");
+    }
+  }
+  // The row's version is the store's, which only the answer tells.
+  if (view.outcome == store_outcome::kDone && step != lease_step::kRelease) {
+    lease_.OnRead({read_outcome::kFound,
+                   {LeaseKey(kTable), view.version,
+                    EncodeLease(lease_.view().record)}},
+                  now);
+  }
+  if (read_back || view.outcome == store_outcome::kConflict) {
+    Read();
+  }
+}
+
+std::optional<usage_journal> duty_keeper::NextJournal(time_point now) const {
+  if (!terms_.reports_usage) {
+    return std::nullopt;
+  }
+  const int64_t true_ms = environment_.true_time_ms(now);
+  const int64_t newest_settled =
+      (true_ms - terms_.settle.count()) / terms_.window.count() - 1;
+  const int64_t oldest_due =
+      (true_ms - terms_.longest_lateness.count()) / terms_.window.count();
+  const int64_t window =
+      std::max({journal_.Newest().value_or(first_window_ - 1) + 1, oldest_due,
+                first_window_});
+  if (window > newest_settled) {
+    return std::nullopt;
+  }
+  return journal_.With({window, environment_.ledger.Totals(window)},
+                       kReportsKept);
+}
+
+void duty_keeper::SendUsage(time_point now) {
+  if (usage_in_flight_ || now < next_usage_) {
+    return;
+  }
+  const auto due = std::find_if(
+      journal_.reports.begin(), journal_.reports.end(),
+      [&](const usage_report& r) { return !accepted_.contains(r.window); });
+  if (due == journal_.reports.end()) {
+    return;
+  }
+  const usage_report report = *due;
+  usage_in_flight_ = true;
+  const std::weak_ptr<bool> alive = alive_;
+  environment_.calls.ReportUsage(
+      Authority(), report, [this, alive, report](duty_outcome outcome) {
+        if (alive.expired()) {
+          return;
+        }
+        usage_in_flight_ = false;
+        environment_.on_event("usage reported", lease_.fence(),
+                              std::to_string(report.window) + " " +
+                                  std::string(ToString(outcome)));
+        if (outcome == duty_outcome::kAccepted) {
+          accepted_.insert(report.window);
+          return;
+        }
+        next_usage_ = environment_.clock() + terms_.usage_retry;
+      });
+}
+
+void duty_keeper::SendOrders(time_point now) {
+  if (order_in_flight_ || !terms_.orders_fleet) {
+    return;
+  }
+  const std::vector<fleet_order> due = environment_.plan(now);
+  if (due.empty()) {
+    return;
+  }
+  const fleet_order order = due.front();
+  order_in_flight_ = true;
+  const std::weak_ptr<bool> alive = alive_;
+  environment_.calls.OrderFleet(
+      Authority(), order, [this, alive, order](duty_outcome outcome) {
+        if (alive.expired()) {
+          return;
+        }
+        order_in_flight_ = false;
+        const time_point answered = environment_.clock();
+        environment_.on_ordered(order, outcome, answered);
+        if (lease_.MayAct(answered) && !releasing_) {
+          SendOrders(answered);
+        }
+      });
+}
+
+void duty_keeper::Release() {
+  releasing_ = true;
+  Tick();
+}
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/src/skylarkcroft/duties/skylarkcroft_usage_journal.cc
@@ -0,0 +1,55 @@
+#include "skylarkcroft/duties/skylarkcroft_usage_journal.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace skylarkcroft {
+
+std::optional<int64_t> usage_journal::Newest() const {
+  if (reports.empty()) {
+    return std::nullopt;
+  }
+  return reports.back().window;
+}
+
+usage_journal usage_journal::With(usage_report report, size_t kept) const {
+  usage_journal next = *this;
+  next.reports.push_back(std::move(report));
+  while (next.reports.size() > kept) {
+    next.reports.erase(next.reports.begin());
+  }
+  return next;
+}
+
+std::string EncodeJournal(const usage_journal& journal) {
+  nlohmann::json reports = nlohmann::json::array();
+  for (const usage_report& report : journal.reports) {
+    nlohmann::json counts = nlohmann::json::object();
+    for (const usage_count& count : report.counts) {
+      counts[count.workspace] = count.begun;
+    }
+    reports.push_back({{"window", report.window}, {"begun", counts}});
+  }
+  return reports.dump(-1, ' ', false,
+                      nlohmann::json::error_handler_t::replace);
+}
+
+std::optional<usage_journal> DecodeJournal(const std::string& document) {
+  const nlohmann::json parsed = nlohmann::json::parse(document, nullptr, false);
+  try {
+    usage_journal journal;
+    for (const nlohmann::json& item : parsed) {
+      usage_report report{item.at("window").get<int64_t>(), {}};
+      for (const auto& [workspace, begun] : item.at("begun").items()) {
+        report.counts.push_back(
+            {report.window, workspace, begun.get<int64_t>()});
+      }
+      journal.reports.push_back(std::move(report));
+    }
+    return journal;
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace skylarkcroft
--- a/src/skylarkcroft/internal/skylarkcroft_time.h
+++ b/src/skylarkcroft/internal/skylarkcroft_time.h
@@ -1,6 +1,8 @@
 #ifndef SKYLARKCROFT_INTERNAL_SKYLARKCROFT_TIME_H_
 #define SKYLARKCROFT_INTERNAL_SKYLARKCROFT_TIME_H_
 
+#include <time.h>
+
 #include <chrono>
 #include <functional>
 
@@ -20,6 +22,15 @@
 
 inline time_point SteadyNow() { return std::chrono::steady_clock::now(); }
 
+/// Like SteadyNow(), but goes on while the host is suspended, so that what was
+/// known before counts as old afterwards.
+inline time_point SuspendAwareNow() {
+  timespec raw{};
+  clock_gettime(CLOCK_BOOTTIME, &raw);
+  return time_point(std::chrono::seconds(raw.tv_sec) +
+                    std::chrono::nanoseconds(raw.tv_nsec));
+}
+
 inline int64_t WallNowMs() {
   return std::chrono::duration_cast<milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
--- /dev/null
+++ b/src/skylarkcroft/limits/skylarkcroft_token_allotments.h
@@ -0,0 +1,83 @@
+#ifndef SKYLARKCROFT_LIMITS_SKYLARKCROFT_TOKEN_ALLOTMENTS_H_
+#define SKYLARKCROFT_LIMITS_SKYLARKCROFT_TOKEN_ALLOTMENTS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "skylarkcroft/internal/skylarkcroft_time.h"
+
+namespace skylarkcroft {
+
+/// The limit of one workspace over all nodes; a rate of 0 sets none.
+struct allotment_limit {
+  double per_second = 0;
+  double burst = 0;
+
+  bool operator==(const allotment_limit&) const = default;
+};
+
+/// What one node tells its peers of one workspace.
+struct allotment_report {
+  std::string workspace;
+  /// Taken since the start of the node.
+  double taken = 0;
+  /// The common level as the node knows it.
+  double level = 0;
+
+  bool operator==(const allotment_report&) const = default;
+};
+
+struct allotment_decision {
+  bool granted = false;
+  double level = 0;          ///< Before the decision.
+  milliseconds wait{0};      ///< Until the level suffices; 0 when granted.
+  size_t silent_peers = 0;   ///< Peers charged with their even part.
+};
+
+/// One node's view of the token buckets that all nodes share. Every node keeps
+/// the whole bucket and charges it with what its peers report; a peer that is
+/// not heard is charged with an even part of the rate.
+class token_allotments {
+ public:
+  /// A node that joins nodes at work starts with empty buckets.
+  explicit token_allotments(bool start_full);
+
+  /// `nodes` counts this one and every known peer, heard or not.
+  allotment_decision Take(const std::string& workspace,
+                          const allotment_limit& limit, double amount,
+                          size_t nodes, time_point now);
+  /// Gives back what a request took that did not run.
+  void Return(const std::string& workspace, double amount);
+  void NotePeer(const std::string& peer, int64_t incarnation,
+                const std::vector<allotment_report>& reports, time_point now);
+  [[nodiscard]] std::vector<allotment_report> OwnReports() const;
+
+ private:
+  struct bucket {
+    allotment_limit limit;
+    double level = 0;
+    double taken = 0;
+    time_point updated{};
+  };
+  struct peer_state {
+    int64_t incarnation = 0;
+    time_point heard{};
+    std::map<std::string, double> taken;
+  };
+
+  [[nodiscard]] size_t Silent(size_t nodes, time_point now) const;
+  bucket& Refilled(const std::string& workspace, const allotment_limit& limit,
+                   size_t silent, size_t nodes, time_point now);
+
+  bool start_full_;
+  bool adopted_ = false;
+  std::map<std::string, bucket> buckets_;
+  std::map<std::string, peer_state> peers_;
+};
+
+}  // namespace skylarkcroft
+
+#endif  // SKYLARKCROFT_LIMITS_SKYLARKCROFT_TOKEN_ALLOTMENTS_H_
--- /dev/null
+++ b/src/skylarkcroft/peers/skylarkcroft_peer_report.h
@@ -0,0 +1,42 @@
+#ifndef SKYLARKCROFT_PEERS_SKYLARKCROFT_PEER_REPORT_H_
+#define SKYLARKCROFT_PEERS_SKYLARKCROFT_PEER_REPORT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "skylarkcroft/duties/skylarkcroft_usage_ledger.h"
+#include "skylarkcroft/limits/skylarkcroft_token_allotments.h"
+#include "skylarkcroft/placement/skylarkcroft_upstream_board.h"
+
+namespace skylarkcroft {
+
+/// What a node tells every peer, each time in full. Reports may be lost, late
+/// or repeated; `sequence` orders those of one process.
+struct peer_report {
+  std::string node;
+  int64_t incarnation = 0;
+  int64_t sequence = 0;
+  /// Wall clock of the sender, in milliseconds since the Unix epoch.
+  int64_t wall_ms = 0;
+  bool leaving = false;
+  /// Asks the receiver to answer with a report of its own.
+  bool wants_reply = false;
+  std::vector<peer_upstream_view> upstreams;
+  std::vector<allotment_report> allotments;
+  std::vector<usage_count> usage;
+
+  bool operator==(const peer_report&) const = default;
+};
+
+/// CBOR with positional members.
+std::string EncodeReport(const peer_report& report);
+
+/// Empty when `bytes` is not a report.
+std::optional<peer_report> DecodeReport(std::string_view bytes);
+
+}  // namespace skylarkcroft
+
+#endif  // SKYLARKCROFT_PEERS_SKYLARKCROFT_PEER_REPORT_H_
--- /dev/null
+++ b/src/skylarkcroft/placement/skylarkcroft_decaying_sum.h
@@ -0,0 +1,33 @@
+#ifndef SKYLARKCROFT_PLACEMENT_SKYLARKCROFT_DECAYING_SUM_H_
+#define SKYLARKCROFT_PLACEMENT_SKYLARKCROFT_DECAYING_SUM_H_
+
+#include <cmath>
+
+#include "skylarkcroft/internal/skylarkcroft_time.h"
+
+namespace skylarkcroft {
+
+/// A sum whose parts lose half of their weight every `half_life`.
+class decaying_sum {
+ public:
+  explicit decaying_sum(milliseconds half_life) : half_life_(half_life) {}
+
+  void Add(double amount, time_point now) {
+    value_ = Value(now) + amount;
+    updated_ = now;
+  }
+  [[nodiscard]] double Value(time_point now) const {
+    const std::chrono::duration<double> elapsed = now - updated_;
+    const std::chrono::duration<double> half = half_life_;
+    return value_ == 0 ? 0 : value_ * std::exp2(-(elapsed / half));
+  }
+
+ private:
+  milliseconds half_life_;
+  double value_ = 0;
+  time_point updated_{};
+};
+
+}  // namespace skylarkcroft
+
+#endif  // SKYLARKCROFT_PLACEMENT_SKYLARKCROFT_DECAYING_SUM_H_
--- /dev/null
+++ b/src/skylarkcroft/placement/skylarkcroft_upstream_board.h
@@ -0,0 +1,184 @@
+#ifndef SKYLARKCROFT_PLACEMENT_SKYLARKCROFT_UPSTREAM_BOARD_H_
+#define SKYLARKCROFT_PLACEMENT_SKYLARKCROFT_UPSTREAM_BOARD_H_
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "skylarkcroft/internal/skylarkcroft_time.h"
+#include "skylarkcroft/placement/skylarkcroft_prompt_parts.h"
+#include "skylarkcroft/placement/skylarkcroft_upstream_belief.h"
+#include "skylarkcroft/placement/skylarkcroft_upstream_entry.h"
+
+namespace skylarkcroft {
+
+/// Urgencies that upstreams tell apart, 0 the most urgent.
+inline constexpr int kUrgencies = 10;
+
+/// Work of one sender at one upstream.
+struct upstream_load {
+  int running = 0;
+  /// Prompt tokens sent and not yet read, by urgency of their requests.
+  std::array<int64_t, kUrgencies> unread_tokens{};
+  /// Tokens that the requests may come to hold in memory.
+  int64_t memory_tokens = 0;
+
+  bool operator==(const upstream_load&) const = default;
+};
+
+/// What one peer says of one upstream.
+struct peer_upstream_view {
+  std::string upstream;
+  upstream_load load;
+  outcome_sums outcomes;
+
+  bool operator==(const peer_upstream_view&) const = default;
+};
+
+/// Work that one request brings to an upstream.
+struct work_size {
+  int urgency = 0;
+  int64_t unread_tokens = 0;
+  int64_t memory_tokens = 0;
+
+  bool operator==(const work_size&) const = default;
+};
+
+/// Figures of the choice.
+struct board_terms {
+  /// Prompt tokens that an engine reads in a millisecond; from the sheets of
+  /// the deployments.
+  double read_tokens_per_ms = 92;
+  /// Time from the start of reading to the first token; from the same sheets.
+  milliseconds first_token{60};
+  /// Delay that each running request is taken to cause a further one.
+  double ms_per_running = 4;
+  /// Weight of reading a shared part again, over its time, since every reading
+  /// delays all streams of the engine.
+  double reread_weight = 2;
+  /// Penalty of an upstream that fails every request.
+  double failure_ms = 3000;
+  /// Time for which an entry removed while the store was out of reach may
+  /// come back; the platform states about two seconds.
+  milliseconds lapse_grace{1500};
+  /// A peer's load counts for this long after it was heard.
+  milliseconds peer_load_life{1500};
+  /// Part of an engine's memory that requests are planned to fill.
+  double memory_share = 0.92;
+
+  bool operator==(const board_terms&) const = default;
+};
+
+/// What a request asks of a placement.
+struct placement_request {
+  std::string service;
+  std::string availability_zone;
+  generation_shape shape;
+  int urgency = 0;
+  /// Cache of one engine of the pool, in tokens; 0 for plain services.
+  int64_t cache_tokens = 0;
+  std::vector<std::string> tried;
+};
+
+/// The upstream chosen, with the inputs that decided.
+struct placement {
+  upstream_entry upstream;
+  milliseconds expected_first{0};
+  int running = 0;
+  int64_t unread_tokens = 0;
+  bool parts_cached = false;
+  bool full = false;  ///< All places or all memory of it are planned for.
+  work_size work;
+  size_t candidates = 0;
+  milliseconds peer_age{0};  ///< Age of the oldest peer's load counted.
+};
+
+/// All upstreams, what is known of their load and soundness, and the choice
+/// among them. Needs no network.
+class upstream_board {
+ public:
+  explicit upstream_board(const board_terms& terms);
+
+  /// Replaces the whole list.
+  void Reset(const std::vector<upstream_entry>& entries, time_point now);
+  void Put(const upstream_entry& entry, time_point now);
+  void Remove(const std::string& id, time_point now);
+  /// The store was lost or came back.
+  void NoteStoreContact(bool reachable, time_point now);
+  /// Drops entries whose time to come back has passed; returns their ids.
+  std::vector<std::string> DropLapsed(time_point now);
+
+  [[nodiscard]] const upstream_entry* Find(const std::string& id) const;
+  /// Upstreams of `service` that take requests.
+  [[nodiscard]] size_t Usable(const std::string& service) const;
+  [[nodiscard]] std::vector<upstream_entry> Entries() const;
+
+  /// The best upstream, or none where no upstream takes requests.
+  [[nodiscard]] std::optional<placement> Choose(
+      const placement_request& request, time_point now) const;
+
+  void NoteSent(const std::string& id, const work_size& work,
+                const generation_shape& shape, time_point now);
+  /// The first token has come; the prompt is read.
+  void NoteBegun(const std::string& id, const work_size& work, time_point now);
+  void NoteEnded(const std::string& id, const work_size& work, bool begun,
+                 upstream_outcome outcome, time_point now);
+  /// A byte came from the upstream.
+  void NoteByte(const std::string& id, time_point now);
+  /// Time since the upstream last sent a byte.
+  [[nodiscard]] milliseconds Silence(const std::string& id,
+                                     time_point now) const;
+
+  void SetPeer(const std::string& peer,
+               const std::vector<peer_upstream_view>& views, time_point now);
+  /// What this node says of upstreams that it uses.
+  [[nodiscard]] std::vector<peer_upstream_view> OwnViews(time_point now) const;
+  /// Running requests of this node and its peers at `service`.
+  [[nodiscard]] int Running(const std::string& service, time_point now) const;
+
+ private:
+  struct state {
+    upstream_entry entry;
+    upstream_load own;
+    upstream_belief belief;
+    time_point last_byte{};
+    std::optional<time_point> lapsed_at;
+    /// Shared parts sent there, with the time of their last use.
+    std::unordered_map<std::string, time_point> parts;
+  };
+  struct peer_state {
+    time_point heard{};
+    std::unordered_map<std::string, peer_upstream_view> views;
+  };
+  struct summed {
+    upstream_load load;
+    outcome_sums outcomes;
+    milliseconds peer_age{0};
+  };
+
+  [[nodiscard]] bool IsUsable(const state& one) const;
+  [[nodiscard]] summed Sum(const state& one, time_point now) const;
+  [[nodiscard]] placement Estimate(const state& one, const summed& all,
+                                   const placement_request& request,
+                                   bool home) const;
+  [[nodiscard]] double Penalty(const state& one, const summed& all,
+                               const placement& estimate,
+                               const placement_request& request,
+                               time_point now) const;
+  [[nodiscard]] const state* HomeOf(const placement_request& request) const;
+
+  board_terms terms_;
+  std::map<std::string, state> upstreams_;
+  std::map<std::string, peer_state> peers_;
+  bool store_reachable_ = false;
+  std::optional<time_point> store_back_at_;
+};
+
+}  // namespace skylarkcroft
+
+#endif  // SKYLARKCROFT_PLACEMENT_SKYLARKCROFT_UPSTREAM_BOARD_H_
--- /dev/null
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
@@ -0,0 +1,281 @@
+#include "skylarkcroft/relay/skylarkcroft_client_connection.h"
+
+#include <http_parser.h>
+
+#include <array>
+#include <cstdio>
+#include <utility>
+
+#include "skylarkcroft/internal/skylarkcroft_event_loop.h"
+
+namespace skylarkcroft {
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kTooLarge = 413;
+constexpr int kHeadTooLarge = 431;
+constexpr size_t kLargestHead = 65536;
+// A client that was answered before its request was whole may still send;
+// closing at once would reset the connection and could destroy the answer.
+constexpr milliseconds kLinger{1000};
+
+std::string_view StatusText(int status) {
+  return http_status_str(static_cast<http_status>(status));
+}
+
+}  // namespace
+
+client_connection::client_connection(relay_environment& environment, int fd,
+                                     std::function<void()> on_closed)
+    : environment_(environment),
+      on_closed_(std::move(on_closed)),
+      reader_(message_kind::kRequest, kLargestHead,
+              {[this](const message_head& head) { OnHead(head); },
+               [this](std::string_view bytes) { OnBody(bytes); }}),
+      limits_(Limits()),
+      waiting_since_(environment.clock()),
+      socket_(environment.loop, fd,
+              {[this](std::string_view bytes) { return OnBytes(bytes); },
+               [] {}, [this](bool /*clean*/) { OnClosed(); }}) {}
+
+client_connection::~client_connection() = default;
+
+client_limits client_connection::Limits() const {
+  const gate_view view = environment_.tables();
+  return view.tables == nullptr ? client_limits{} : view.tables->map().limits;
+}
+
+size_t client_connection::OnBytes(std::string_view bytes) {
+  if (closing_) {
+    return bytes.size();
+  }
+  if (request_ != nullptr) {
+    // The next request waits for the answer to this one.
+    return 0;
+  }
+  if (!reader_.started()) {
+    reading_ = client_request{};
+    reading_.arrived_at = environment_.clock();
+    limits_ = Limits();
+    head_read_ = false;
+  }
+  const read_progress progress = reader_.Feed(bytes);
+  if (closing_) {
+    return bytes.size();
+  }
+  switch (progress.state) {
+    case read_state::kMore:
+      return bytes.size();
+    case read_state::kEnded:
+      OnRequest();
+      return progress.consumed;
+    case read_state::kMalformed:
+      Reject(kBadRequest, "malformed_request");
+      return bytes.size();
+    case read_state::kTooLarge:
+      Reject(kHeadTooLarge, "head_too_large");
+      return bytes.size();
+  }
+  return bytes.size();
+}
+
+void client_connection::OnHead(const message_head& head) {
+  head_read_ = true;
+  reading_.head = head;
+  keep_alive_ = head.keep_alive;
+  size_t head_bytes = head.target.size();
+  for (const http_header& field : head.headers.fields()) {
+    head_bytes += field.name.size() + field.value.size();
+  }
+  if (head_bytes > limits_.max_head_bytes) {
+    Reject(kHeadTooLarge, "head_too_large");
+    return;
+  }
+  if (head.content_length.value_or(0) > limits_.max_body_bytes) {
+    Reject(kTooLarge, "body_too_large");
+    return;
+  }
+  if (EqualsIgnoringCase(head.headers.Get("Expect"), "100-continue")) {
+    socket_.Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void client_connection::OnBody(std::string_view bytes) {
+  if (closing_) {
+    return;
+  }
+  if (reading_.body.size() + bytes.size() > limits_.max_body_bytes) {
+    Reject(kTooLarge, "body_too_large");
+    return;
+  }
+  reading_.body.append(bytes);
+}
+
+void client_connection::OnRequest() {
+  answered_ = false;
+  request_ = std::make_unique<relay_request>(
+      environment_, std::exchange(reading_, {}), *this);
+  request_->Start();
+}
+
+void client_connection::OnClosed() {
+  if (request_ != nullptr) {
+    request_->ClientLeft();
+  }
+  AskToDestroy();
+}
+
+void client_connection::AskToDestroy() {
+  if (destroy_asked_) {
+    return;
+  }
+  destroy_asked_ = true;
+  closing_ = true;
+  const std::weak_ptr<bool> alive = alive_;
+  environment_.loop.Defer([this, alive] {
+    if (!alive.expired()) {
+      on_closed_();
+    }
+  });
+}
+
+void client_connection::Reject(int status, std::string_view reason) {
+  keep_alive_ = false;
+  Send(status, {{"Content-Type", "application/json"}},
+       "{\"reason\":\"" + std::string(reason) + "\"}", std::nullopt);
+  BeginClosing();
+}
+
+void client_connection::WriteHead(int status, const http_headers& headers,
+                                  const std::string& framing) {
+  if (environment_.leaving_for().count() >= 0) {
+    keep_alive_ = false;
+  }
+  std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
+  head.append(StatusText(status)).append("\r\n");
+  for (const http_header& field : headers.fields()) {
+    head.append(field.name).append(": ").append(field.value).append("\r\n");
+  }
+  head.append(framing);
+  head.append(keep_alive_ ? "\r\n" : "Connection: close\r\n\r\n");
+  socket_.Write(head);
+}
+
+void client_connection::Send(int status, const http_headers& headers,
+                             std::string_view body,
+                             std::optional<uint64_t> stated_length) {
+  const uint64_t length = stated_length.value_or(body.size());
+  WriteHead(status, headers,
+            "Content-Length: " + std::to_string(length) + "\r\n");
+  socket_.Write(body);
+  AnswerEnded();
+}
+
+void client_connection::Begin(int status, const http_headers& headers) {
+  WriteHead(status, headers, "Transfer-Encoding: chunked\r\n");
+}
+
+void client_connection::Add(std::string_view bytes) {
+  if (bytes.empty()) {
+    return;
+  }
+  constexpr size_t kLongestSize = 24;
+  std::array<char, kLongestSize> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+  std::string chunk = size.data();
+  chunk.append(bytes).append("\r\n");
+  socket_.Write(chunk);
+}
+
+void client_connection::End() {
+  socket_.Write("0\r\n\r\n");
+  AnswerEnded();
+}
+
+void client_connection::Break() {
+  keep_alive_ = false;
+  AskToDestroy();
+}
+
+void client_connection::AnswerEnded() {
+  if (request_ == nullptr || answered_) {
+    return;
+  }
+  answered_ = true;
+  const std::weak_ptr<bool> alive = alive_;
+  environment_.loop.Defer([this, alive] {
+    if (!alive.expired()) {
+      GoOn();
+    }
+  });
+}
+
+void client_connection::GoOn() {
+  request_.reset();
+  if (closing_) {
+    return;
+  }
+  if (!keep_alive_) {
+    BeginClosing();
+    return;
+  }
+  reader_.Reset();
+  waiting_since_ = environment_.clock();
+  socket_.Offer();
+}
+
+void client_connection::BeginClosing() {
+  if (!closing_) {
+    closing_ = true;
+    closing_since_ = environment_.clock();
+  }
+}
+
+void client_connection::CheckWaiting(time_point now) {
+  if (!reader_.started()) {
+    if (now - waiting_since_ > limits_.idle_timeout) {
+      AskToDestroy();
+    }
+    return;
+  }
+  const milliseconds limit =
+      head_read_ ? limits_.idle_timeout : limits_.head_timeout;
+  if (now - reading_.arrived_at > limit) {
+    Reject(kRequestTimeout, "request_not_whole");
+  }
+}
+
+void client_connection::Tick(time_point now) {
+  if (destroy_asked_) {
+    return;
+  }
+  if (closing_) {
+    if (socket_.unsent() == 0) {
+      socket_.EndWriting();
+    }
+    if (now - closing_since_ > kLinger) {
+      AskToDestroy();
+    }
+    return;
+  }
+  if (request_ != nullptr) {
+    request_->Tick(now);
+    return;
+  }
+  CheckWaiting(now);
+}
+
+void client_connection::CloseIfIdle() {
+  if (request_ == nullptr && !reader_.started() && !closing_) {
+    AskToDestroy();
+  }
+}
+
+void client_connection::GiveUp() {
+  if (request_ != nullptr) {
+    request_->GiveUp("process_ends");
+  }
+}
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
@@ -0,0 +1,72 @@
+#include "skylarkcroft/relay/skylarkcroft_relay_metrics.h"
+
+namespace skylarkcroft {
+
+relay_metrics::relay_metrics()
+    : connections_opened_(
+          registry_.Counter({"skylarkcroft_upstream_connections_total",
+                             "Connections opened to upstreams.",
+                             {}})),
+      datagrams_read_(registry_.Counter({"skylarkcroft_peer_reports_total",
+                                         "Reports of peers.",
+                                         {{"readable", "true"}}})),
+      datagrams_unreadable_(
+          registry_.Counter({"skylarkcroft_peer_reports_total",
+                             "Reports of peers.",
+                             {{"readable", "false"}}})),
+      log_lines_left_out_(
+          registry_.Counter({"skylarkcroft_log_lines_left_out_total",
+                             "Log lines beyond the bound a second.",
+                             {}})),
+      clients_(registry_.Gauge(
+          {"skylarkcroft_clients", "Connections of clients.", {}})) {}
+
+void relay_metrics::NoteRequest(const request_record& record) {
+  registry_
+      .Counter({"skylarkcroft_requests_total",
+                "Requests ended, by route, status and reason.",
+                {{"route", record.route},
+                 {"status", std::to_string(record.status)},
+                 {"reason", record.reason}}})
+      .Increment();
+  if (record.upstreams_used > 0) {
+    registry_
+        .Counter({"skylarkcroft_failed_attempts_total",
+                  "Attempts at upstreams that failed, by the last failure.",
+                  {{"failure", record.last_failure}}})
+        .Increment(static_cast<uint64_t>(record.upstreams_used));
+  }
+  registry_
+      .LatencyHistogram({"skylarkcroft_first_byte_seconds",
+                         "Time from a request to the first byte of its answer.",
+                         {{"route", record.route}}})
+      .Record(record.first_byte);
+  registry_
+      .LatencyHistogram({"skylarkcroft_request_seconds",
+                         "Time from a request to the end of its answer.",
+                         {{"route", record.route}}})
+      .Record(record.total);
+}
+
+void relay_metrics::NoteConnectionOpened() { connections_opened_.Increment(); }
+
+void relay_metrics::NoteStoreContact(const std::string& table,
+                                     bool reachable) {
+  registry_
+      .Gauge({"skylarkcroft_store_reachable",
+              "1 while the store answers.",
+              {{"table", table}}})
+      .Set(reachable ? 1 : 0);
+}
+
+void relay_metrics::NoteDatagram(bool readable) {
+  (readable ? datagrams_read_ : datagrams_unreadable_).Increment();
+}
+
+void relay_metrics::NoteLogDropped() { log_lines_left_out_.Increment(); }
+
+void relay_metrics::SetClients(size_t clients) {
+  clients_.Set(static_cast<double>(clients));
+}
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -0,0 +1,521 @@
+#include "skylarkcroft/relay/skylarkcroft_relay_node.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <utility>
+#include <vector>
+
+#include "skylarkcroft/duties/skylarkcroft_duty_keeper.h"
+#include "skylarkcroft/duties/skylarkcroft_usage_ledger.h"
+#include "skylarkcroft/http/skylarkcroft_http_server.h"
+#include "skylarkcroft/limits/skylarkcroft_repeat_allowance.h"
+#include "skylarkcroft/limits/skylarkcroft_token_allotments.h"
+#include "skylarkcroft/log/skylarkcroft_log_bound.h"
+#include "skylarkcroft/peers/skylarkcroft_peer_channel.h"
+#include "skylarkcroft/peers/skylarkcroft_peer_group.h"
+#include "skylarkcroft/peers/skylarkcroft_peer_report.h"
+#include "skylarkcroft/peers/skylarkcroft_true_time.h"
+#include "skylarkcroft/placement/skylarkcroft_upstream_board.h"
+#include "skylarkcroft/relay/skylarkcroft_relay_environment.h"
+#include "skylarkcroft/relay/skylarkcroft_relay_metrics.h"
+#include "skylarkcroft/relay/skylarkcroft_relay_server.h"
+#include "skylarkcroft/relay/skylarkcroft_upstream_links.h"
+#include "skylarkcroft/store/skylarkcroft_table_follower.h"
+
+namespace skylarkcroft {
+namespace {
+
+constexpr const char* kNodesTable = "nodes";
+// Peers learn of each other's sends within this time, far below the time for
+// which an engine works on a request.
+constexpr milliseconds kReportPeriod{100};
+constexpr milliseconds kNodesWait{8000};
+constexpr milliseconds kJoinRetry{500};
+constexpr milliseconds kExitCheckPeriod{50};
+constexpr milliseconds kIdleCloseAfter{2500};
+// Windows of usage told to peers; a report is due two windows later.
+constexpr int64_t kUsageWindowsKept = 4;
+// Tables older than this part of the revocation bound are not decided on; the
+// rest covers the time in which a deaf watch is found out.
+constexpr double kKeyAgeShare = 0.7;
+// A node whose tables are older than this part takes no new clients.
+constexpr double kReadyAgeShare = 0.5;
+constexpr int kOkStatus = 200;
+constexpr int kUnavailableStatus = 503;
+
+milliseconds Share(milliseconds whole, double share) {
+  return milliseconds(static_cast<milliseconds::rep>(
+      share * static_cast<double>(whole.count())));
+}
+
+repeat_terms RepeatTerms(const relay_bounds& bounds) {
+  repeat_terms terms;
+  terms.share = bounds.repeat_share;
+  terms.window = bounds.repeat_window;
+  terms.reserve = bounds.repeat_reserve;
+  return terms;
+}
+
+duty_terms DutyTerms(const relay_settings& settings) {
+  duty_terms terms;
+  terms.lease.lease_time = settings.bounds.lease;
+  terms.lease.renew_period = settings.bounds.lease / 3;
+  terms.lease.order_flight = milliseconds(700);
+  terms.lease.takeover_margin = milliseconds(500);
+  terms.window = settings.bounds.usage_window;
+  terms.longest_lateness =
+      settings.bounds.usage_lateness - milliseconds(500);
+  terms.reports_usage = settings.reports_usage;
+  terms.orders_fleet = settings.orders_fleet;
+  return terms;
+}
+
+}  // namespace
+
+class relay_node::impl {
+ public:
+  impl(event_loop& loop, const relay_settings& settings,
+       const relay_sources& sources, row_store& store, duty_calls& calls,
+       logger& log, clock_fn clock, wall_clock_fn wall_clock)
+      : loop_(loop),
+        settings_(settings),
+        sources_(sources),
+        store_(store),
+        log_(log),
+        clock_(std::move(clock)),
+        wall_clock_(std::move(wall_clock)),
+        started_at_(clock_()),
+        incarnation_(wall_clock_()),
+        random_(std::random_device{}()),
+        board_(board_terms{}),
+        links_(loop, link_terms{}, clock_,
+               [this] { metrics_.NoteConnectionOpened(); }),
+        allotments_(settings.first_start),
+        repeats_(RepeatTerms(settings.bounds)),
+        ledger_(settings.name + "/" + std::to_string(incarnation_),
+                kUsageWindowsKept),
+        group_(settings.name),
+        environment_(MakeEnvironment()),
+        channel_(loop, settings.listen.peers,
+                 [this](const endpoint& from, std::string_view bytes) {
+                   OnDatagram(from, bytes);
+                 }),
+        tables_follower_(loop, store, sources.tables_table, follower_terms{},
+                         TablesEvents(), clock_),
+        upstreams_follower_(loop, store, sources.upstreams_table,
+                            follower_terms{}, UpstreamsEvents(), clock_),
+        nodes_follower_(loop, store, kNodesTable, NodesTerms(), NodesEvents(),
+                        clock_),
+        server_(environment_, settings.listen.clients),
+        readiness_(loop, settings.listen.readiness, http_server_limits{},
+                   [this](const http_exchange_ptr& asked) { OnProbe(asked); }),
+        metrics_server_(
+            loop, settings.listen.metrics, http_server_limits{},
+            [this](const http_exchange_ptr& asked) { OnMetrics(asked); }),
+        duties_(DutyEnvironment(calls),
+                {settings.name, std::to_string(incarnation_)},
+                DutyTerms(settings)) {
+    true_time_.NoteOwn(incarnation_, started_at_);
+    tables_follower_.Start();
+    upstreams_follower_.Start();
+    nodes_follower_.Start();
+    Join();
+    report_timer_ = loop.Every(kReportPeriod, [this] { OnReportTime(); });
+    Say(log_level::kInfo, "started",
+        {{"node", settings.name},
+         {"incarnation", std::to_string(incarnation_)},
+         {"first_start", settings.first_start ? "true" : "false"}});
+  }
+
+  void Shutdown() {
+    if (leaving_since_.has_value()) {
+      return;
+    }
+    leaving_since_ = clock_();
+    Say(log_level::kInfo, "stopping",
+        {{"requests_at_work", std::to_string(server_.busy())}});
+    duties_.Release();
+    exit_timer_ = loop_.Every(kExitCheckPeriod, [this] { CheckExit(); });
+  }
+
+  [[nodiscard]] endpoint clients_address() const { return server_.address(); }
+
+ private:
+  relay_environment MakeEnvironment() {
+    relay_environment made{loop_,
+                           board_,
+                           links_,
+                           allotments_,
+                           repeats_,
+                           sources_.names,
+                           relay_terms{},
+                           gate_terms{},
+                           settings_.availability_zone,
+                           clock_,
+                           {},
+                           {},
+                           {},
+                           {},
+                           {},
+                           {}};
+    made.gate.longest_key_age =
+        Share(settings_.bounds.revocation, kKeyAgeShare);
+    made.gate.longest_denial_age = settings_.bounds.apply_deadline;
+    made.terms.leave_limit =
+        settings_.bounds.grace_period - milliseconds(400);
+    made.tables = [this] {
+      return gate_view{tables_, tables_follower_.current_as_of()};
+    };
+    made.nodes = [this] { return group_.Counted(clock_()); };
+    made.draw = [this] {
+      return std::uniform_real_distribution<double>(0, 1)(random_);
+    };
+    made.leaving_for = [this] {
+      return leaving_since_.has_value()
+                 ? std::chrono::duration_cast<milliseconds>(clock_() -
+                                                            *leaving_since_)
+                 : milliseconds(-1);
+    };
+    made.on_begun = [this](const std::string& workspace) {
+      ledger_.NoteBegun(workspace, true_time_.NowMs(clock_()) /
+                                       settings_.bounds.usage_window.count());
+    };
+    made.on_ended = [this](const request_record& record) {
+      metrics_.NoteRequest(record);
+      Write(ToLogEntry(record));
+    };
+    return made;
+  }
+
+  static follower_terms NodesTerms() {
+    follower_terms terms;
+    terms.watch_wait = kNodesWait;
+    return terms;
+  }
+
+  follower_events TablesEvents() {
+    return {[this](const std::vector<stored_row>& rows, time_point /*now*/) {
+              for (const stored_row& row : rows) {
+                TakeTables(row);
+              }
+            },
+            [this](const stored_row& row, time_point /*now*/) {
+              TakeTables(row);
+            },
+            [this](bool reachable, store_outcome why, time_point /*now*/) {
+              SayContact(sources_.tables_table, reachable, why);
+            }};
+  }
+
+  follower_events UpstreamsEvents() {
+    return {[this](const std::vector<stored_row>& rows, time_point now) {
+              std::vector<upstream_entry> entries;
+              for (const stored_row& row : rows) {
+                const std::optional<upstream_entry> entry = ReadUpstream(row);
+                if (entry.has_value()) {
+                  entries.push_back(*entry);
+                }
+              }
+              board_.Reset(entries, now);
+              Say(log_level::kInfo, "upstreams read",
+                  {{"entries", std::to_string(entries.size())},
+                   {"version", std::to_string(upstreams_follower_.version())}});
+            },
+            [this](const stored_row& row, time_point now) {
+              OnUpstreamRow(row, now);
+            },
+            [this](bool reachable, store_outcome why, time_point now) {
+              board_.NoteStoreContact(reachable, now);
+              SayContact(sources_.upstreams_table, reachable, why);
+            }};
+  }
+
+  follower_events NodesEvents() {
+    return {[this](const std::vector<stored_row>& rows, time_point now) {
+              for (const stored_row& row : rows) {
+                TakeNode(row, now);
+              }
+            },
+            [this](const stored_row& row, time_point now) {
+              TakeNode(row, now);
+            },
+            [](bool /*reachable*/, store_outcome /*why*/, time_point) {}};
+  }
+
+  duty_environment DutyEnvironment(duty_calls& calls) {
+    return {loop_,
+            store_,
+            calls,
+            ledger_,
+            [this] {
+              std::vector<std::string> names = group_.Live(clock_());
+              names.push_back(settings_.name);
+              return names;
+            },
+            [this](time_point now) { return true_time_.NowMs(now); },
+            [](time_point) { return std::vector<fleet_order>{}; },
+            [](const fleet_order&, duty_outcome, time_point) {},
+            [this](std::string_view event, int64_t fence,
+                   const std::string& detail) {
+              Say(log_level::kInfo, std::string(event),
+                  {{"fence", std::to_string(fence)}, {"detail", detail}});
+            },
+            clock_};
+  }
+
+  void TakeTables(const stored_row& row) {
+    if (row.key != sources_.tables_key || row.removed) {
+      return;
+    }
+    std::optional<service_map> read = sources_.read_tables(row.value);
+    if (!read.has_value()) {
+      Say(log_level::kError, "tables unreadable",
+          {{"row_version", std::to_string(row.version)}});
+      return;
+    }
+    const bool older =
+        tables_ != nullptr && read->version < tables_->map().version;
+    if (older) {
+      Say(log_level::kWarn, "older tables ignored",
+          {{"version", std::to_string(read->version)},
+           {"in_force", std::to_string(tables_->map().version)}});
+      return;
+    }
+    Say(log_level::kInfo, "tables in force",
+        {{"version", std::to_string(read->version)},
+         {"routes", std::to_string(read->routes.size())},
+         {"row_version", std::to_string(row.version)}});
+    tables_ = std::make_shared<const service_lookup>(*std::move(read));
+  }
+
+  std::optional<upstream_entry> ReadUpstream(const stored_row& row) {
+    std::optional<upstream_entry> entry =
+        sources_.read_upstream(row.key, row.value);
+    if (!entry.has_value()) {
+      Say(log_level::kWarn, "upstream entry unreadable",
+          {{"upstream", row.key},
+           {"row_version", std::to_string(row.version)}});
+    }
+    return entry;
+  }
+
+  void OnUpstreamRow(const stored_row& row, time_point now) {
+    const upstream_entry* known = board_.Find(row.key);
+    if (row.removed) {
+      board_.Remove(row.key, now);
+      SayUpstream(row, "removed");
+      return;
+    }
+    const std::optional<upstream_entry> entry = ReadUpstream(row);
+    if (!entry.has_value()) {
+      board_.Remove(row.key, now);
+      return;
+    }
+    if (known == nullptr || !(*known == *entry)) {
+      SayUpstream(row, entry->leaving ? "leaving" : "ready");
+    }
+    board_.Put(*entry, now);
+  }
+
+  void SayUpstream(const stored_row& row, const std::string& state) {
+    Say(log_level::kInfo, "upstream changed",
+        {{"upstream", row.key},
+         {"state", state},
+         {"row_version", std::to_string(row.version)}});
+  }
+
+  void SayContact(const std::string& table, bool reachable,
+                  store_outcome why) {
+    metrics_.NoteStoreContact(table, reachable);
+    Say(reachable ? log_level::kInfo : log_level::kWarn,
+        reachable ? "store regained" : "store lost",
+        {{"table", table}, {"outcome", std::string(ToString(why))}});
+  }
+
+  void TakeNode(const stored_row& row, time_point now) {
+    if (row.removed) {
+      return;
+    }
+    try {
+      group_.NoteListed(row.key, ParseEndpoint(row.value, "$"), now);
+    } catch (const config_error& failure) {
+      Say(log_level::kWarn, "node entry unreadable",
+          {{"node", row.key}, {"error", failure.what()}});
+    }
+  }
+
+  void Join() {
+    const row_transaction entry{
+        {}, {{kNodesTable, settings_.name, ToString(channel_.address())}}};
+    store_.Commit(entry, [this](const store_view& view) {
+      if (view.outcome != store_outcome::kDone) {
+        join_timer_ = loop_.After(kJoinRetry, [this] { Join(); });
+      }
+    });
+  }
+
+  void OnReportTime() {
+    const time_point now = clock_();
+    // A suspended or frozen host must not go by its old clock reading.
+    true_time_.NoteOwn(wall_clock_(), now);
+    ledger_.Forget(true_time_.NowMs(now) /
+                   settings_.bounds.usage_window.count());
+    for (const std::string& id : board_.DropLapsed(now)) {
+      Say(log_level::kInfo, "upstream changed",
+          {{"upstream", id}, {"state", "lapsed"}});
+    }
+    metrics_.SetClients(server_.clients());
+    const std::vector<endpoint> targets = group_.Targets(now);
+    if (targets.empty()) {
+      return;
+    }
+    const std::string bytes = EncodeReport(OwnReport(now));
+    for (const endpoint& target : targets) {
+      channel_.Send(target, bytes);
+    }
+  }
+
+  peer_report OwnReport(time_point now) {
+    return {settings_.name,
+            incarnation_,
+            ++report_sequence_,
+            wall_clock_(),
+            leaving_since_.has_value(),
+            false,
+            board_.OwnViews(now),
+            allotments_.OwnReports(),
+            ledger_.OwnCounts()};
+  }
+
+  void OnDatagram(const endpoint& from, std::string_view bytes) {
+    const std::optional<peer_report> report = DecodeReport(bytes);
+    metrics_.NoteDatagram(report.has_value());
+    if (!report.has_value()) {
+      return;
+    }
+    const time_point now = clock_();
+    if (!group_.NoteHeard(report->node, from, report->incarnation,
+                          report->sequence, report->leaving, now)) {
+      return;
+    }
+    board_.SetPeer(report->node, report->upstreams, now);
+    allotments_.NotePeer(report->node, report->incarnation, report->allotments,
+                         now);
+    ledger_.Merge(report->node + "/" + std::to_string(report->incarnation),
+                  report->usage);
+    true_time_.NotePeer(report->node, report->wall_ms, now);
+  }
+
+  [[nodiscard]] bool IsReady(time_point now) const {
+    const std::optional<time_point> current = tables_follower_.current_as_of();
+    return !leaving_since_.has_value() && tables_ != nullptr &&
+           current.has_value() &&
+           now - *current <=
+               Share(settings_.bounds.revocation, kReadyAgeShare) &&
+           upstreams_follower_.current_as_of().has_value();
+  }
+
+  void OnProbe(const http_exchange_ptr& asked) {
+    const bool ready = IsReady(clock_());
+    const bool known_path = asked->request().path() == sources_.readiness_path;
+    asked->Reply({known_path && ready ? kOkStatus : kUnavailableStatus,
+                  {{"Content-Type", "text/plain"}},
+                  ready ? "ready\n" : "not ready\n"});
+  }
+
+  void OnMetrics(const http_exchange_ptr& asked) {
+    asked->Reply({kOkStatus,
+                  {{"Content-Type", "text/plain; version=0.0.4"}},
+                  metrics_.Render()});
+  }
+
+  void CheckExit() {
+    const milliseconds leaving = environment_.leaving_for();
+    if (leaving >= kIdleCloseAfter) {
+      server_.CloseIdle();
+    }
+    const bool out_of_time = leaving >= environment_.terms.leave_limit;
+    if (out_of_time) {
+      server_.GiveUpAll();
+    }
+    const bool done = server_.clients() == 0 &&
+                      leaving > environment_.terms.leave_refuse_after;
+    if (!done && !out_of_time) {
+      return;
+    }
+    Say(log_level::kInfo, "stopped",
+        {{"after_ms", std::to_string(leaving.count())}});
+    log_.Flush();
+    loop_.Stop();
+  }
+
+  void Say(log_level level, const std::string& message,
+           std::vector<log_field> fields) {
+    log_entry entry;
+    entry.level = level;
+    entry.message = message;
+    entry.fields = std::move(fields);
+    Write(entry);
+  }
+
+  void Write(const log_entry& entry) {
+    if (!log_bound_.Allow(clock_())) {
+      metrics_.NoteLogDropped();
+      return;
+    }
+    log_.Log(entry);
+  }
+
+  event_loop& loop_;
+  relay_settings settings_;
+  relay_sources sources_;
+  row_store& store_;
+  logger& log_;
+  clock_fn clock_;
+  wall_clock_fn wall_clock_;
+  time_point started_at_;
+  int64_t incarnation_;
+  int64_t report_sequence_ = 0;
+  std::mt19937 random_;
+  log_bound log_bound_;
+  relay_metrics metrics_;
+  std::shared_ptr<const service_lookup> tables_;
+  std::optional<time_point> leaving_since_;
+  upstream_board board_;
+  upstream_links links_;
+  token_allotments allotments_;
+  repeat_allowance repeats_;
+  usage_ledger ledger_;
+  peer_group group_;
+  true_time true_time_;
+  relay_environment environment_;
+  peer_channel channel_;
+  table_follower tables_follower_;
+  table_follower upstreams_follower_;
+  table_follower nodes_follower_;
+  relay_server server_;
+  http_server readiness_;
+  http_server metrics_server_;
+  duty_keeper duties_;
+  event_loop::handle_ptr report_timer_;
+  event_loop::handle_ptr join_timer_;
+  event_loop::handle_ptr exit_timer_;
+};
+
+relay_node::relay_node(event_loop& loop, const relay_settings& settings,
+                       const relay_sources& sources, row_store& store,
+                       duty_calls& calls, logger& log, clock_fn clock,
+                       wall_clock_fn wall_clock)
+    : impl_(std::make_unique<impl>(loop, settings, sources, store, calls, log,
+                                   std::move(clock), std::move(wall_clock))) {}
+
+relay_node::~relay_node() = default;
+
+void relay_node::Shutdown() { impl_->Shutdown(); }
+
+endpoint relay_node::clients_address() const {
+  return impl_->clients_address();
+}
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_server.cc
@@ -0,0 +1,104 @@
+#include "skylarkcroft/relay/skylarkcroft_relay_server.h"
+
+#include <arpa/inet.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <vector>
+
+#include "skylarkcroft/internal/skylarkcroft_error.h"
+
+namespace skylarkcroft {
+namespace {
+
+constexpr int kBacklog = 1024;
+
+sockaddr_in SocketAddress(const endpoint& address) {
+  sockaddr_in raw{};
+  raw.sin_family = AF_INET;
+  raw.sin_port = htons(address.port);
+  inet_pton(AF_INET, address.host.c_str(), &raw.sin_addr);
+  return raw;
+}
+
+}  // namespace
+
+relay_server::relay_server(relay_environment& environment,
+                           const endpoint& listen)
+    : environment_(environment), address_(listen) {
+  sockaddr_in raw = SocketAddress(listen);
+  listener_ = evconnlistener_new_bind(
+      environment.loop.base(),
+      [](evconnlistener* /*from*/, evutil_socket_t fd, sockaddr* /*peer*/,
+         int /*size*/, void* self) {
+        static_cast<relay_server*>(self)->Accept(fd);
+      },
+      this, LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC,
+      kBacklog, reinterpret_cast<sockaddr*>(&raw), sizeof raw);
+  if (listener_ == nullptr) {
+    throw network_error("cannot listen on " + ToString(listen),
+                        "choose a free address of this host");
+  }
+  socklen_t size = sizeof raw;
+  getsockname(evconnlistener_get_fd(listener_),
+              reinterpret_cast<sockaddr*>(&raw), &size);
+  address_.port = ntohs(raw.sin_port);
+  sweep_ =
+      environment.loop.Every(environment.terms.sweep_period, [this] { Sweep(); });
+}
+
+relay_server::~relay_server() {
+  clients_.clear();
+  evconnlistener_free(listener_);
+}
+
+void relay_server::Accept(int fd) {
+  const uint64_t number = ++next_client_;
+  clients_.emplace(number, std::make_unique<client_connection>(
+                               environment_, fd,
+                               [this, number] { clients_.erase(number); }));
+  if (clients_.size() >= environment_.terms.max_clients && accepting_) {
+    accepting_ = false;
+    evconnlistener_disable(listener_);
+  }
+}
+
+void relay_server::Sweep() {
+  const time_point now = environment_.clock();
+  for (const auto& [number, client] : clients_) {
+    client->Tick(now);
+  }
+  environment_.links.Sweep(now);
+  if (!accepting_ && !stopped_ &&
+      clients_.size() < environment_.terms.max_clients) {
+    accepting_ = true;
+    evconnlistener_enable(listener_);
+  }
+}
+
+void relay_server::StopAccepting() {
+  stopped_ = true;
+  evconnlistener_disable(listener_);
+}
+
+void relay_server::CloseIdle() {
+  for (const auto& [number, client] : clients_) {
+    client->CloseIfIdle();
+  }
+}
+
+void relay_server::GiveUpAll() {
+  for (const auto& [number, client] : clients_) {
+    client->GiveUp();
+  }
+}
+
+size_t relay_server::busy() const {
+  return static_cast<size_t>(
+      std::count_if(clients_.begin(), clients_.end(),
+                    [](const auto& entry) { return entry.second->busy(); }));
+}
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_server.h
@@ -0,0 +1,52 @@
+#ifndef SKYLARKCROFT_RELAY_SKYLARKCROFT_RELAY_SERVER_H_
+#define SKYLARKCROFT_RELAY_SKYLARKCROFT_RELAY_SERVER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+
+#include "skylarkcroft/internal/skylarkcroft_endpoint.h"
+#include "skylarkcroft/internal/skylarkcroft_event_loop.h"
+#include "skylarkcroft/relay/skylarkcroft_client_connection.h"
+#include "skylarkcroft/relay/skylarkcroft_relay_environment.h"
+
+struct evconnlistener;
+
+namespace skylarkcroft {
+
+/// Accepts clients and looks after their connections.
+class relay_server {
+ public:
+  /// Throws network_error when the address cannot be bound.
+  relay_server(relay_environment& environment, const endpoint& listen);
+  ~relay_server();
+  relay_server(const relay_server&) = delete;
+  relay_server& operator=(const relay_server&) = delete;
+
+  void StopAccepting();
+  void CloseIdle();
+  /// Ends every request at work.
+  void GiveUpAll();
+  [[nodiscard]] size_t busy() const;
+  [[nodiscard]] size_t clients() const { return clients_.size(); }
+  /// The bound address, with the actual port.
+  [[nodiscard]] const endpoint& address() const { return address_; }
+
+ private:
+  void Accept(int fd);
+  void Sweep();
+
+  relay_environment& environment_;
+  endpoint address_;
+  evconnlistener* listener_;
+  uint64_t next_client_ = 0;
+  std::unordered_map<uint64_t, std::unique_ptr<client_connection>> clients_;
+  bool accepting_ = true;
+  bool stopped_ = false;
+  event_loop::handle_ptr sweep_;
+};
+
+}  // namespace skylarkcroft
+
+#endif  // SKYLARKCROFT_RELAY_SKYLARKCROFT_RELAY_SERVER_H_
--- /dev/null
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_settings.cc
@@ -0,0 +1,84 @@
+#include "skylarkcroft/relay/skylarkcroft_relay_settings.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "skylarkcroft/internal/skylarkcroft_json_reader.h"
+#include "skylarkcroft/log/skylarkcroft_log_level.h"
+
+namespace skylarkcroft {
+namespace {
+
+constexpr int64_t kMaxMs = 24LL * 3600 * 1000;
+constexpr double kMaxReserve = 1e6;
+
+endpoint ReadEndpoint(const json_reader& reader, std::string_view key) {
+  return ParseEndpoint(reader.String(key), reader.PathOf(key));
+}
+
+milliseconds ReadMs(const json_reader& reader, std::string_view key,
+                    milliseconds fallback) {
+  return milliseconds(reader.IntOr(key, {1, kMaxMs}, fallback.count()));
+}
+
+relay_listen ReadListen(const json_reader& root) {
+  const json_reader reader(root.Member("listen"), root.PathOf("listen"),
+                           {"clients", "readiness", "peers", "metrics"});
+  return {ReadEndpoint(reader, "clients"), ReadEndpoint(reader, "readiness"),
+          ReadEndpoint(reader, "peers"), ReadEndpoint(reader, "metrics")};
+}
+
+relay_bounds ReadBounds(const json_reader& root) {
+  relay_bounds bounds;
+  if (!root.Has("bounds")) {
+    return bounds;
+  }
+  const json_reader reader(
+      root.Member("bounds"), root.PathOf("bounds"),
+      {"apply_deadline_ms", "revocation_ms", "grace_period_ms", "repeat_share",
+       "repeat_window_ms", "repeat_reserve", "lease_ms", "usage_window_ms",
+       "usage_lateness_ms"});
+  bounds.apply_deadline =
+      ReadMs(reader, "apply_deadline_ms", bounds.apply_deadline);
+  bounds.revocation = ReadMs(reader, "revocation_ms", bounds.revocation);
+  bounds.grace_period = ReadMs(reader, "grace_period_ms", bounds.grace_period);
+  bounds.repeat_share =
+      reader.NumberOr("repeat_share", {0, 1}, bounds.repeat_share);
+  bounds.repeat_window =
+      ReadMs(reader, "repeat_window_ms", bounds.repeat_window);
+  bounds.repeat_reserve =
+      reader.NumberOr("repeat_reserve", {0, kMaxReserve}, bounds.repeat_reserve);
+  bounds.lease = ReadMs(reader, "lease_ms", bounds.lease);
+  bounds.usage_window = ReadMs(reader, "usage_window_ms", bounds.usage_window);
+  bounds.usage_lateness =
+      ReadMs(reader, "usage_lateness_ms", bounds.usage_lateness);
+  return bounds;
+}
+
+}  // namespace
+
+relay_settings ParseRelaySettings(const nlohmann::json& document) {
+  const json_reader root(document, "$",
+                         {"node", "availability_zone", "first_start", "listen",
+                          "store", "cloud", "duties", "bounds", "log_level"});
+  relay_settings parsed;
+  parsed.name = root.Name("node");
+  parsed.availability_zone = root.Name("availability_zone");
+  parsed.first_start = root.BoolOr("first_start", false);
+  parsed.listen = ReadListen(root);
+  parsed.store = ReadEndpoint(root, "store");
+  parsed.cloud = ReadEndpoint(root, "cloud");
+  const std::vector<std::string> duties =
+      root.StringsOr("duties", {"usage", "fleet"});
+  const auto has = [&duties](const char* duty) {
+    return std::find(duties.begin(), duties.end(), duty) != duties.end();
+  };
+  parsed.reports_usage = has("usage");
+  parsed.orders_fleet = has("fleet");
+  parsed.bounds = ReadBounds(root);
+  parsed.log_level = root.ChoiceOr(
+      "log_level", {"trace", "debug", "info", "warn", "error"}, "info");
+  return parsed;
+}
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_settings.h
@@ -0,0 +1,61 @@
+#ifndef SKYLARKCROFT_RELAY_SKYLARKCROFT_RELAY_SETTINGS_H_
+#define SKYLARKCROFT_RELAY_SKYLARKCROFT_RELAY_SETTINGS_H_
+
+#include <cstdint>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+
+#include "skylarkcroft/internal/skylarkcroft_endpoint.h"
+#include "skylarkcroft/internal/skylarkcroft_time.h"
+
+namespace skylarkcroft {
+
+/// Addresses on which a relay node listens.
+struct relay_listen {
+  endpoint clients;
+  endpoint readiness;
+  endpoint peers;
+  endpoint metrics;
+
+  bool operator==(const relay_listen&) const = default;
+};
+
+/// Bounds that the operators set for the whole system; docs/settings.md says
+/// what each is for.
+struct relay_bounds {
+  milliseconds apply_deadline{2000};
+  milliseconds revocation{5000};
+  milliseconds grace_period{8000};
+  double repeat_share = 0.2;
+  milliseconds repeat_window{10000};
+  double repeat_reserve = 54;
+  milliseconds lease{3000};
+  milliseconds usage_window{5000};
+  milliseconds usage_lateness{10000};
+
+  bool operator==(const relay_bounds&) const = default;
+};
+
+/// Settings of one relay node.
+struct relay_settings {
+  std::string name;
+  std::string availability_zone;
+  /// True when the whole system starts for the first time.
+  bool first_start = false;
+  relay_listen listen;
+  endpoint store;
+  endpoint cloud;
+  bool reports_usage = true;
+  bool orders_fleet = true;
+  relay_bounds bounds;
+  std::string log_level = "info";
+
+  bool operator==(const relay_settings&) const = default;
+};
+
+/// Throws config_error naming the JSON path, the reason and the remedy.
+relay_settings ParseRelaySettings(const nlohmann::json& document);
+
+}  // namespace skylarkcroft
+
+#endif  // SKYLARKCROFT_RELAY_SKYLARKCROFT_RELAY_SETTINGS_H_
--- /dev/null
+++ b/src/skylarkcroft/relay/skylarkcroft_request_record.cc
@@ -0,0 +1,44 @@
+#include "skylarkcroft/relay/skylarkcroft_request_record.h"
+
+#include <utility>
+
+namespace skylarkcroft {
+namespace {
+
+constexpr int kFirstFailure = 500;
+
+std::string Ms(milliseconds span) { return std::to_string(span.count()); }
+
+}  // namespace
+
+log_entry ToLogEntry(const request_record& record) {
+  log_entry entry;
+  entry.level = record.status >= kFirstFailure ? log_level::kWarn
+                                               : log_level::kInfo;
+  entry.message = "request ended";
+  entry.request_id = record.request_id;
+  entry.caller = record.workspace;
+  entry.upstream = record.upstream;
+  entry.fields = {
+      {"route", record.route},
+      {"service", record.service},
+      {"status", std::to_string(record.status)},
+      {"reason", record.reason},
+      {"last_failure", record.last_failure},
+      {"tables_version", std::to_string(record.tables_version)},
+      {"tables_age_ms", Ms(record.tables_age)},
+      {"upstreams_used", std::to_string(record.upstreams_used)},
+      {"connect_tries", std::to_string(record.connect_tries)},
+      {"candidates", std::to_string(record.candidates)},
+      {"running_there", std::to_string(record.running_there)},
+      {"unread_there", std::to_string(record.unread_there)},
+      {"expected_first_ms", Ms(record.expected_first)},
+      {"peer_age_ms", Ms(record.peer_age)},
+      {"time_given_ms", Ms(record.time_given)},
+      {"first_byte_ms", Ms(record.first_byte)},
+      {"total_ms", Ms(record.total)},
+  };
+  return entry;
+}
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/src/skylarkcroft/wire/skylarkcroft_message_reader.h
@@ -0,0 +1,77 @@
+#ifndef SKYLARKCROFT_WIRE_SKYLARKCROFT_MESSAGE_READER_H_
+#define SKYLARKCROFT_WIRE_SKYLARKCROFT_MESSAGE_READER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "skylarkcroft/http/skylarkcroft_http_message.h"
+
+namespace skylarkcroft {
+
+/// Head of one HTTP/1.1 message.
+struct message_head {
+  std::string method{};  ///< Requests only.
+  std::string target{};  ///< Requests only: the path with its query.
+  int status = 0;        ///< Responses only.
+  http_headers headers{};
+  bool keep_alive = true;
+  bool chunked = false;
+  std::optional<uint64_t> content_length{};
+
+  bool operator==(const message_head&) const = default;
+};
+
+enum class message_kind { kRequest, kResponse };
+
+enum class read_state {
+  kMore,       ///< The message goes on.
+  kEnded,      ///< The message is whole; later bytes were not consumed.
+  kMalformed,  ///< The bytes are not a message, or its framing is ambiguous.
+  kTooLarge,   ///< The head exceeds its bound.
+};
+
+struct read_progress {
+  size_t consumed = 0;
+  read_state state = read_state::kMore;
+
+  bool operator==(const read_progress&) const = default;
+};
+
+/// Callbacks of a message_reader; each must be set.
+struct message_events {
+  std::function<void(const message_head&)> on_head;
+  std::function<void(std::string_view)> on_body;
+};
+
+/// Incremental reader of HTTP/1.1 messages on http_parser. Framing that two
+/// readers could understand differently is malformed.
+class message_reader {
+ public:
+  message_reader(message_kind kind, size_t max_head_bytes,
+                 message_events events);
+  ~message_reader();
+  message_reader(const message_reader&) = delete;
+  message_reader& operator=(const message_reader&) = delete;
+
+  /// Reads up to the end of the present message.
+  read_progress Feed(std::string_view bytes);
+  /// The peer has ended its side: kEnded where that ends the message.
+  read_state FeedEnd();
+  /// Makes ready for the next message. `head_only` is for answers to HEAD.
+  void Reset(bool head_only = false);
+  /// True once a byte of the present message was read.
+  [[nodiscard]] bool started() const;
+
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace skylarkcroft
+
+#endif  // SKYLARKCROFT_WIRE_SKYLARKCROFT_MESSAGE_READER_H_
--- /dev/null
+++ b/src/skylarkcroft/wire/skylarkcroft_stream_socket.cc
@@ -0,0 +1,164 @@
+#include "skylarkcroft/wire/skylarkcroft_stream_socket.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstdint>
+#include <string>
+#include <utility>
+
+#include "skylarkcroft/internal/skylarkcroft_error.h"
+#include "skylarkcroft/internal/skylarkcroft_event_loop.h"
+
+namespace skylarkcroft {
+namespace {
+
+// Bounds what a peer can make the process hold before it is read.
+constexpr size_t kReadAhead = 65536;
+
+void SetNoDelay(int fd) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+int NewSocket(milliseconds silence_limit) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) {
+    throw network_error("no socket could be opened",
+                        "raise the limit of open files");
+  }
+  SetNoDelay(fd);
+  const auto limit = static_cast<unsigned int>(silence_limit.count());
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
+  return fd;
+}
+
+}  // namespace
+
+class stream_socket::impl : public std::enable_shared_from_this<impl> {
+ public:
+  impl(event_loop& loop, int fd, socket_events events)
+      : events_(std::move(events)),
+        raw_(bufferevent_socket_new(loop.base(), fd, BEV_OPT_CLOSE_ON_FREE)) {
+    if (raw_ == nullptr) {
+      close(fd);
+      throw network_error("no connection could be set up",
+                          "raise the memory limit");
+    }
+    bufferevent_setcb(raw_, &impl::OnRead, nullptr, &impl::OnEvent, this);
+    bufferevent_setwatermark(raw_, EV_READ, 0, kReadAhead);
+  }
+  ~impl() { Free(); }
+  impl(const impl&) = delete;
+  impl& operator=(const impl&) = delete;
+
+  void Free() {
+    if (raw_ != nullptr) {
+      bufferevent_setcb(raw_, nullptr, nullptr, nullptr, nullptr);
+      bufferevent_free(std::exchange(raw_, nullptr));
+    }
+  }
+
+  void Enable() { bufferevent_enable(raw_, EV_READ | EV_WRITE); }
+
+  void Connect(const endpoint& peer) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(peer.port);
+    inet_pton(AF_INET, peer.host.c_str(), &address.sin_addr);
+    Enable();
+    bufferevent_socket_connect(raw_, reinterpret_cast<sockaddr*>(&address),
+                               sizeof address);
+  }
+
+  void Offer() {
+    const std::shared_ptr<impl> self = shared_from_this();
+    while (raw_ != nullptr) {
+      evbuffer* input = bufferevent_get_input(raw_);
+      const size_t size = evbuffer_get_length(input);
+      if (size == 0) {
+        return;
+      }
+      const auto* bytes =
+          reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
+      // The callback may end the socket and with it the buffer.
+      const std::string copy(bytes, size);
+      const size_t taken = events_.on_bytes(copy);
+      if (raw_ == nullptr || taken == 0) {
+        return;
+      }
+      evbuffer_drain(bufferevent_get_input(raw_), taken);
+    }
+  }
+
+  [[nodiscard]] bufferevent* raw() const { return raw_; }
+
+ private:
+  static void OnRead(bufferevent* /*raw*/, void* self) {
+    static_cast<impl*>(self)->Offer();
+  }
+
+  static void OnEvent(bufferevent* /*raw*/, int16_t what, void* context) {
+    const std::shared_ptr<impl> self =
+        static_cast<impl*>(context)->shared_from_this();
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+      self->events_.on_connected();
+      return;
+    }
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+      self->events_.on_closed((what & BEV_EVENT_ERROR) == 0);
+    }
+  }
+
+  socket_events events_;
+  bufferevent* raw_;
+};
+
+stream_socket::stream_socket(event_loop& loop, int fd, socket_events events) {
+  SetNoDelay(fd);
+  impl_ = std::make_shared<impl>(loop, fd, std::move(events));
+  impl_->Enable();
+}
+
+stream_socket::stream_socket(event_loop& loop, const endpoint& peer,
+                             milliseconds silence_limit, socket_events events)
+    : impl_(std::make_shared<impl>(loop, NewSocket(silence_limit),
+                                   std::move(events))) {
+  impl_->Connect(peer);
+}
+
+stream_socket::~stream_socket() { impl_->Free(); }
+
+void stream_socket::Write(std::string_view bytes) {
+  bufferevent_write(impl_->raw(), bytes.data(), bytes.size());
+}
+
+void stream_socket::Offer() { impl_->Offer(); }
+
+void stream_socket::SetReading(bool reading) {
+  if (reading) {
+    bufferevent_enable(impl_->raw(), EV_READ);
+  } else {
+    bufferevent_disable(impl_->raw(), EV_READ);
+  }
+}
+
+void stream_socket::EndWriting() {
+  shutdown(bufferevent_getfd(impl_->raw()), SHUT_WR);
+}
+
+size_t stream_socket::unsent() const {
+  return evbuffer_get_length(bufferevent_get_output(impl_->raw()));
+}
+
+size_t stream_socket::unread() const {
+  return evbuffer_get_length(bufferevent_get_input(impl_->raw()));
+}
+
+}  // namespace skylarkcroft
