--- /dev/null
+++ b/src/skylarkcroft/duties/skylarkcroft_fleet_planner.cc
@@ -0,0 +1,143 @@
+#include "skylarkcroft/duties/skylarkcroft_fleet_planner.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace skylarkcroft {
+namespace {
+
+int CountReady(const fleet_view& view, const std::string& zone,
+               bool reclaimable) {
+  return static_cast<int>(std::count_if(
+      view.upstreams.begin(), view.upstreams.end(),
+      [&](const upstream_entry& one) {
+        return one.availability_zone == zone && !one.leaving &&
+               one.reclaimable == reclaimable;
+      }));
+}
+
+}  // namespace
+
+fleet_planner::fleet_planner(const fleet_terms& terms) : terms_(terms) {}
+
+int fleet_planner::Needed(const fleet_view& view) const {
+  return static_cast<int>(std::ceil(static_cast<double>(view.running) /
+                                    terms_.running_per_upstream));
+}
+
+int fleet_planner::Total(const fleet_view& view, time_point now) {
+  const auto zones = static_cast<int>(view.scaling.zone_prices.size());
+  const int with_reserve = static_cast<int>(
+      std::ceil((1 + terms_.reserve_share) * Needed(view)));
+  const int total = std::max(with_reserve, zones * terms_.least_per_zone);
+  demand& known = demands_[view.service];
+  if (total >= known.total) {
+    known = {total, now};
+  } else if (now - known.needed_at > terms_.fall_delay) {
+    // One step at a time, since the load may return.
+    known = {std::max(total, known.total - zones), now};
+  }
+  return known.total;
+}
+
+bool fleet_planner::IsDue(const fleet_order& order, int present,
+                          const fleet_view& view, time_point now) const {
+  const auto found = orders_.find(
+      {order.service, order.availability_zone, order.reclaimable});
+  if (found == orders_.end()) {
+    return order.count != present;
+  }
+  const ordered& last = found->second;
+  if (now < last.not_before) {
+    return false;
+  }
+  if (last.count != order.count) {
+    return true;
+  }
+  const bool arrived_late =
+      now - last.at > view.scaling.boot_time + terms_.repeat_after;
+  return present < order.count && arrived_late;
+}
+
+std::vector<fleet_order> fleet_planner::FullPriceOrders(
+    const fleet_view& view, int per_zone) const {
+  std::vector<zone_price> zones = view.scaling.zone_prices;
+  std::sort(zones.begin(), zones.end(),
+            [](const zone_price& a, const zone_price& b) {
+              return a.price < b.price;
+            });
+  const auto zone_count = static_cast<int>(zones.size());
+  int ready = 0;
+  for (const zone_price& zone : zones) {
+    ready += CountReady(view, zone.availability_zone, true);
+  }
+  const bool enough =
+      ready >= static_cast<int>(
+                   std::ceil(terms_.ready_share * per_zone * zone_count));
+  // What the reclaimable ones cannot carry, the cheapest zones first.
+  int missing = std::max(0, Needed(view) - ready);
+  std::vector<fleet_order> orders;
+  for (const zone_price& zone : zones) {
+    const std::string& name = zone.availability_zone;
+    const int there = CountReady(view, name, false);
+    const int reclaimable = CountReady(view, name, true);
+    const int least = std::max(0, view.scaling.min_per_zone - reclaimable);
+    const int room = std::max(0, view.scaling.max_per_zone - per_zone);
+    const int part = std::clamp(missing, 0, room);
+    missing -= std::max(part, there);
+    if (enough) {
+      orders.push_back({view.service, name, false, least});
+    } else if (part > there) {
+      orders.push_back({view.service, name, false, part});
+    }
+  }
+  return orders;
+}
+
+std::vector<fleet_order> fleet_planner::Plan(const fleet_view& view,
+                                             time_point now) {
+  const std::vector<zone_price>& zones = view.scaling.zone_prices;
+  if (zones.empty() || view.scaling.max_per_zone <= 0) {
+    return {};
+  }
+  const int total = Total(view, now);
+  const int per_zone = std::clamp(
+      static_cast<int>(std::ceil(static_cast<double>(total) /
+                                 static_cast<double>(zones.size()))),
+      std::max(view.scaling.min_per_zone, 1), view.scaling.max_per_zone);
+  std::vector<fleet_order> orders;
+  for (const zone_price& zone : zones) {
+    orders.push_back({view.service, zone.availability_zone, true, per_zone});
+  }
+  const std::vector<fleet_order> full_price = FullPriceOrders(view, per_zone);
+  orders.insert(orders.end(), full_price.begin(), full_price.end());
+  std::erase_if(orders, [&](const fleet_order& order) {
+    const int present =
+        CountReady(view, order.availability_zone, order.reclaimable);
+    return !IsDue(order, present, view, now);
+  });
+  return orders;
+}
+
+void fleet_planner::NoteAnswer(const fleet_order& order, duty_outcome outcome,
+                               time_point now) {
+  ordered& last =
+      orders_[{order.service, order.availability_zone, order.reclaimable}];
+  last.at = now;
+  last.not_before = now;
+  switch (outcome) {
+    case duty_outcome::kAccepted:
+      last.count = order.count;
+      return;
+    case duty_outcome::kUnavailable:
+      last.not_before = now + terms_.unavailable_pause;
+      return;
+    case duty_outcome::kRefused:
+    case duty_outcome::kUnknown:
+      last.count.reset();
+      last.not_before = now + terms_.repeat_after;
+      return;
+  }
+}
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/src/skylarkcroft/duties/skylarkcroft_fleet_planner.h
@@ -0,0 +1,92 @@
+#ifndef SKYLARKCROFT_DUTIES_SKYLARKCROFT_FLEET_PLANNER_H_
+#define SKYLARKCROFT_DUTIES_SKYLARKCROFT_FLEET_PLANNER_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "skylarkcroft/duties/skylarkcroft_duty_calls.h"
+#include "skylarkcroft/internal/skylarkcroft_time.h"
+#include "skylarkcroft/placement/skylarkcroft_upstream_entry.h"
+#include "skylarkcroft/service/skylarkcroft_service_map.h"
+
+namespace skylarkcroft {
+
+/// Figures of the planner.
+struct fleet_terms {
+  /// Requests at work that one upstream is planned for. A batch of this size
+  /// makes the tokens of a stream at half the speed of one alone.
+  double running_per_upstream = 12;
+  /// Upstreams planned beyond the load, as a share, for a zone taken back.
+  double reserve_share = 0.4;
+  int least_per_zone = 4;
+  /// The plan falls only after the load has been lower for this long.
+  milliseconds fall_delay{20000};
+  /// An order that brought nothing is repeated after this time beyond the time
+  /// that an upstream takes to start.
+  milliseconds repeat_after{1500};
+  /// Pause after an answer that there is nothing to be had.
+  milliseconds unavailable_pause{3000};
+  /// Share of the plan that must be ready before upstreams at the full price
+  /// are given up.
+  double ready_share = 0.75;
+
+  bool operator==(const fleet_terms&) const = default;
+};
+
+/// What the planner sees of one service.
+struct fleet_view {
+  std::string service;
+  scaling_terms scaling;
+  std::vector<upstream_entry> upstreams;
+  int running = 0;
+
+  bool operator==(const fleet_view&) const = default;
+};
+
+/// Decides how many upstreams of each kind a service is to have in each zone:
+/// reclaimable ones spread over all zones, since a zone's are taken back at
+/// once, and others only where those cannot be had. Needs no network.
+class fleet_planner {
+ public:
+  explicit fleet_planner(const fleet_terms& terms);
+
+  /// Orders that differ from those in force, the most urgent first.
+  std::vector<fleet_order> Plan(const fleet_view& view, time_point now);
+  void NoteAnswer(const fleet_order& order, duty_outcome outcome,
+                  time_point now);
+
+ private:
+  struct slot {
+    std::string service;
+    std::string availability_zone;
+    bool reclaimable = false;
+
+    auto operator<=>(const slot&) const = default;
+  };
+  struct ordered {
+    std::optional<int> count;
+    time_point at{};
+    time_point not_before{};
+  };
+  struct demand {
+    int total = 0;
+    time_point needed_at{};
+  };
+
+  [[nodiscard]] int Needed(const fleet_view& view) const;
+  int Total(const fleet_view& view, time_point now);
+  [[nodiscard]] std::vector<fleet_order> FullPriceOrders(
+      const fleet_view& view, int per_zone) const;
+  [[nodiscard]] bool IsDue(const fleet_order& order, int present,
+                           const fleet_view& view, time_point now) const;
+
+  fleet_terms terms_;
+  std::map<slot, ordered> orders_;
+  std::map<std::string, demand> demands_;
+};
+
+}  // namespace skylarkcroft
+
+#endif  // SKYLARKCROFT_DUTIES_SKYLARKCROFT_FLEET_PLANNER_H_
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "skylarkcroft/duties/skylarkcroft_duty_keeper.h"
+#include "skylarkcroft/duties/skylarkcroft_fleet_planner.h"
 #include "skylarkcroft/duties/skylarkcroft_usage_ledger.h"
 #include "skylarkcroft/http/skylarkcroft_http_server.h"
 #include "skylarkcroft/limits/skylarkcroft_repeat_allowance.h"
@@ -254,8 +255,12 @@
               return names;
             },
             [this](time_point now) { return true_time_.NowMs(now); },
-            [](time_point) { return std::vector<fleet_order>{}; },
-            [](const fleet_order&, duty_outcome, time_point) {},
+            [this](time_point now) { return PlanFleet(now); },
+            [this](const fleet_order& order, duty_outcome outcome,
+                   time_point now) {
+              planner_.NoteAnswer(order, outcome, now);
+              SayOrder(order, outcome);
+            },
             [this](std::string_view event, int64_t fence,
                    const std::string& detail) {
               Say(log_level::kInfo, std::string(event),
@@ -264,6 +269,39 @@
             clock_};
   }
 
+  std::vector<fleet_order> PlanFleet(time_point now) {
+    std::vector<fleet_order> orders;
+    if (tables_ == nullptr) {
+      return orders;
+    }
+    for (const service_pool& pool : tables_->map().pools) {
+      if (!pool.scaling.has_value()) {
+        continue;
+      }
+      fleet_view view{pool.name, *pool.scaling, {},
+                      board_.Running(pool.name, now)};
+      for (const upstream_entry& entry : board_.Entries()) {
+        if (entry.service == pool.name) {
+          view.upstreams.push_back(entry);
+        }
+      }
+      for (const fleet_order& order : planner_.Plan(view, now)) {
+        orders.push_back(order);
+      }
+    }
+    return orders;
+  }
+
+  void SayOrder(const fleet_order& order, duty_outcome outcome) {
+    Say(log_level::kInfo, "upstreams ordered",
+        {{"service", order.service},
+         {"availability_zone", order.availability_zone},
+         {"reclaimable", order.reclaimable ? "true" : "false"},
+         {"count", std::to_string(order.count)},
+         {"running", std::to_string(board_.Running(order.service, clock_()))},
+         {"outcome", std::string(ToString(outcome))}});
+  }
+
   void TakeTables(const stored_row& row) {
     if (row.key != sources_.tables_key || row.removed) {
       return;
@@ -487,6 +525,7 @@
   token_allotments allotments_;
   repeat_allowance repeats_;
   usage_ledger ledger_;
+  fleet_planner planner_{fleet_terms{}};
   peer_group group_;
   true_time true_time_;
   relay_environment environment_;
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -466,6 +466,7 @@
   const std::unique_ptr<attempt> closed = std::move(attempt_);
   environment_.board.NoteEnded(closed->placed.upstream.id, closed->placed.work,
                                closed->begun, outcome, environment_.clock());
+  closed->exchange->Cancel();
   // The exchange may be what called this.
   environment_.loop.Defer([dropped = closed->exchange] {});
 }
--- a/src/skylarkcroft/relay/skylarkcroft_upstream_links.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_upstream_links.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "skylarkcroft/internal/skylarkcroft_error.h"
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
 
 namespace skylarkcroft {
@@ -133,10 +134,18 @@
       link_->socket().SetReading(reading);
     }
   }
+  void Cancel() override {
+    ended_ = true;
+    Drop();
+  }
   [[nodiscard]] bool IsOverdue(time_point now, milliseconds limit) const {
     return link_ != nullptr && !sent_ && now - link_->opened_at > limit;
   }
-  void GiveUpConnecting() { End(exchange_end::kNoConnection); }
+  void GiveUpConnecting() {
+    if (!ended_) {
+      End(exchange_end::kNoConnection);
+    }
+  }
 
  private:
   void Drop() {
@@ -155,6 +164,9 @@
   }
 
   void OnHead(const message_head& head) {
+    if (ended_) {
+      return;
+    }
     const std::string id = head.headers.Get(request_.id_header);
     foreign_ = !id.empty() && !request_.id.empty() && id != request_.id;
     keep_alive_ = head.keep_alive;
@@ -274,7 +286,12 @@
   }
   on_opened_();
   connecting_[started.get()] = started;
-  started->Use(std::make_shared<link>(loop_, request, terms_, clock_()));
+  try {
+    started->Use(std::make_shared<link>(loop_, request, terms_, clock_()));
+  } catch (const network_error&) {
+    // Out of descriptors: the request hears of it as of any other failure.
+    loop_.Defer([started] { started->GiveUpConnecting(); });
+  }
   return started;
 }
 
--- a/src/skylarkcroft/relay/skylarkcroft_upstream_links.h
+++ b/src/skylarkcroft/relay/skylarkcroft_upstream_links.h
@@ -64,7 +64,7 @@
 };
 
 /// One request and its answer on a connection of its own for that time.
-/// Destroying it closes the connection, which ends the work upstream.
+/// Ending it closes the connection, which ends the work upstream.
 class upstream_exchange {
  public:
   virtual ~upstream_exchange() = default;
@@ -72,6 +72,8 @@
   /// True once the request may have reached the upstream.
   [[nodiscard]] virtual bool sent() const = 0;
   virtual void SetReading(bool reading) = 0;
+  /// Closes the connection; no callback runs from now on.
+  virtual void Cancel() = 0;
 };
 using exchange_ptr = std::shared_ptr<upstream_exchange>;
 
--- a/src/skylarkcroft/store/skylarkcroft_table_follower.h
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.h
@@ -17,7 +17,7 @@
 /// Pace of a table_follower.
 struct follower_terms {
   /// Longest wait of one watch call.
-  milliseconds watch_wait{1000};
+  milliseconds watch_wait{1500};
   /// First pause after a failed call; doubles up to the longest.
   milliseconds first_pause{100};
   milliseconds longest_pause{400};
