--- a/src/skylarkcroft/limits/skylarkcroft_repeat_allowance.h
+++ b/src/skylarkcroft/limits/skylarkcroft_repeat_allowance.h
@@ -27,6 +27,7 @@
  public:
   explicit repeat_allowance(const repeat_terms& terms);
 
+  void SetTerms(const repeat_terms& terms) { terms_ = terms; }
   void NoteRequest(const std::string& service, time_point now);
   /// Takes one repeat; false when the part of this node is used up. `nodes`
   /// counts this one.
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -42,6 +42,8 @@
 constexpr double kKeyAgeShare = 0.7;
 // A node whose tables are older than this part takes no new clients.
 constexpr double kReadyAgeShare = 0.5;
+// Time kept for ending before the process would be killed.
+constexpr milliseconds kExitMargin{400};
 constexpr int kOkStatus = 200;
 constexpr int kUnavailableStatus = 503;
 
@@ -129,6 +131,15 @@
          {"first_start", settings.first_start ? "true" : "false"}});
   }
 
+  void Reload(const relay_settings& settings) {
+    settings_.bounds = settings.bounds;
+    repeats_.SetTerms(RepeatTerms(settings.bounds));
+    ApplyBounds(environment_);
+    log_.SetLevel(
+        ParseLogLevel(settings.log_level).value_or(log_level::kInfo));
+    Say(log_level::kInfo, "settings reloaded", {});
+  }
+
   void Shutdown() {
     if (leaving_since_.has_value()) {
       return;
@@ -160,11 +171,7 @@
                            {},
                            {},
                            {}};
-    made.gate.longest_key_age =
-        Share(settings_.bounds.revocation, kKeyAgeShare);
-    made.gate.longest_denial_age = settings_.bounds.apply_deadline;
-    made.terms.leave_limit =
-        settings_.bounds.grace_period - milliseconds(400);
+    ApplyBounds(made);
     made.tables = [this] {
       return gate_view{tables_, tables_follower_.current_as_of()};
     };
@@ -189,6 +196,14 @@
     return made;
   }
 
+  void ApplyBounds(relay_environment& environment) const {
+    environment.gate.longest_key_age =
+        Share(settings_.bounds.revocation, kKeyAgeShare);
+    environment.gate.longest_denial_age = settings_.bounds.apply_deadline;
+    environment.terms.leave_limit =
+        settings_.bounds.grace_period - kExitMargin;
+  }
+
   static follower_terms NodesTerms() {
     follower_terms terms;
     terms.watch_wait = kNodesWait;
@@ -551,6 +566,10 @@
 
 relay_node::~relay_node() = default;
 
+void relay_node::Reload(const relay_settings& settings) {
+  impl_->Reload(settings);
+}
+
 void relay_node::Shutdown() { impl_->Shutdown(); }
 
 endpoint relay_node::clients_address() const {
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.h
@@ -47,6 +47,9 @@
   relay_node(const relay_node&) = delete;
   relay_node& operator=(const relay_node&) = delete;
 
+  /// Applies the bounds and the log level of `settings`; names and addresses
+  /// stay until the next start.
+  void Reload(const relay_settings& settings);
   /// Stops taking requests, ends those at work and stops the loop.
   void Shutdown();
   [[nodiscard]] endpoint clients_address() const;
