Age of the tables from the store's own clock

Cause: with the store down, nodes refused from two seconds on, since a watch counted as current only as of its sending; they came back up to 1.8 s late, since each probe was a long watch. Change: the store's clock in its answers bounds when they were given; after a failure the watch does not wait.

--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -39,7 +39,7 @@
 constexpr int64_t kUsageWindowsKept = 4;
 // Tables older than this part of the revocation bound are not decided on; the
 // rest covers the time in which a deaf watch is found out.
-constexpr double kKeyAgeShare = 0.7;
+constexpr double kKeyAgeShare = 0.76;
 // A node whose tables are older than this part takes no new clients.
 constexpr double kReadyAgeShare = 0.5;
 // Time kept for ending before the process would be killed.
--- /dev/null
+++ b/src/skylarkcroft/store/skylarkcroft_answer_time.cc
@@ -0,0 +1,24 @@
+#include "skylarkcroft/store/skylarkcroft_answer_time.h"
+
+#include <algorithm>
+
+namespace skylarkcroft {
+
+time_point answer_time::EarliestAnswer(time_point sent_at,
+                                       std::optional<milliseconds> store_clock,
+                                       time_point received_at) {
+  if (!store_clock.has_value()) {
+    return sent_at;
+  }
+  if (*store_clock < last_store_clock_) {
+    // Another clock than before.
+    least_offset_.reset();
+  }
+  last_store_clock_ = *store_clock;
+  const duration offset = sent_at.time_since_epoch() - *store_clock;
+  least_offset_ = std::max(least_offset_.value_or(offset), offset);
+  const time_point given(*store_clock + *least_offset_);
+  return std::clamp(given, sent_at, std::max(sent_at, received_at));
+}
+
+}  // namespace skylarkcroft
--- a/src/skylarkcroft/store/skylarkcroft_row_store.h
+++ b/src/skylarkcroft/store/skylarkcroft_row_store.h
@@ -33,11 +33,13 @@
 
 std::string_view ToString(store_outcome outcome);
 
-/// Answer to a read or a watch. `version` is the newest version of the store.
+/// Answer to a read or a watch. `version` is the newest version of the store,
+/// `answered_at` the time of the answer on the store's own monotonic clock.
 struct store_view {
   store_outcome outcome = store_outcome::kUnknown;
-  std::vector<stored_row> rows;
+  std::vector<stored_row> rows{};
   int64_t version = 0;
+  std::optional<milliseconds> answered_at{};
 
   bool operator==(const store_view&) const = default;
 };
--- a/src/skylarkcroft/store/skylarkcroft_table_follower.cc
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.cc
@@ -45,7 +45,11 @@
     });
     return;
   }
-  store_.Watch(table_, *watch_from_, terms_.watch_wait,
+  // After a failure a call that is answered at once tells sooner whether the
+  // store is back.
+  const milliseconds wait =
+      failures_ > 0 ? milliseconds(0) : terms_.watch_wait;
+  store_.Watch(table_, *watch_from_, wait,
                [this, sent_at, alive](const store_view& view) {
                  if (!alive.expired()) {
                    OnWatch(sent_at, view);
@@ -58,7 +62,7 @@
     OnFailure(view.outcome);
     return;
   }
-  OnAnswer(sent_at);
+  OnAnswer(sent_at, view);
   watch_from_ = view.version;
   version_ = view.version;
   events_.on_reset(view.rows, clock_());
@@ -75,7 +79,7 @@
     OnFailure(view.outcome);
     return;
   }
-  OnAnswer(sent_at);
+  OnAnswer(sent_at, view);
   watch_from_ = std::max(*watch_from_, view.version);
   version_ = *watch_from_;
   for (const stored_row& row : view.rows) {
@@ -84,8 +88,10 @@
   Next();
 }
 
-void table_follower::OnAnswer(time_point sent_at) {
-  current_as_of_ = std::max(current_as_of_.value_or(sent_at), sent_at);
+void table_follower::OnAnswer(time_point sent_at, const store_view& view) {
+  const time_point as_of =
+      answer_time_.EarliestAnswer(sent_at, view.answered_at, clock_());
+  current_as_of_ = std::max(current_as_of_.value_or(as_of), as_of);
   failures_ = 0;
   if (!reachable_) {
     reachable_ = true;
--- a/src/skylarkcroft/store/skylarkcroft_table_follower.h
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.h
@@ -10,6 +10,7 @@
 
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
 #include "skylarkcroft/internal/skylarkcroft_time.h"
+#include "skylarkcroft/store/skylarkcroft_answer_time.h"
 #include "skylarkcroft/store/skylarkcroft_row_store.h"
 
 namespace skylarkcroft {
@@ -47,7 +48,7 @@
 
   void Start();
   /// Every change made before this instant is known; empty before the first
-  /// whole read. It is the start of the newest call that was answered.
+  /// whole read.
   [[nodiscard]] std::optional<time_point> current_as_of() const {
     return current_as_of_;
   }
@@ -58,7 +59,7 @@
   void OnRead(time_point sent_at, const store_view& view);
   void OnWatch(time_point sent_at, const store_view& view);
   void OnFailure(store_outcome why);
-  void OnAnswer(time_point sent_at);
+  void OnAnswer(time_point sent_at, const store_view& view);
 
   event_loop& loop_;
   row_store& store_;
@@ -67,6 +68,7 @@
   follower_events events_;
   clock_fn clock_;
   std::optional<int64_t> watch_from_;
+  answer_time answer_time_;
   std::optional<time_point> current_as_of_;
   int64_t version_ = 0;
   int failures_ = 0;
