--- a/src/skylarkcroft/duties/skylarkcroft_fleet_planner.cc
+++ b/src/skylarkcroft/duties/skylarkcroft_fleet_planner.cc
@@ -83,7 +83,7 @@
     const int reclaimable = CountReady(view, name, true);
     const int least = std::max(0, view.scaling.min_per_zone - reclaimable);
     const int room = std::max(0, view.scaling.max_per_zone - per_zone);
-    const int part = std::clamp(missing, 0, room);
+    const int part = std::max(least, std::clamp(missing, 0, room));
     missing -= std::max(part, there);
     if (enough) {
       orders.push_back({view.service, name, false, least});
--- a/src/skylarkcroft/limits/skylarkcroft_token_allotments.cc
+++ b/src/skylarkcroft/limits/skylarkcroft_token_allotments.cc
@@ -34,12 +34,19 @@
   }
   const double elapsed =
       std::chrono::duration<double>(now - one.updated).count();
-  const double own_part = 1 - static_cast<double>(silent) /
-                                  static_cast<double>(std::max<size_t>(
-                                      nodes, silent + 1));
+  const double even_part =
+      limit.per_second /
+      static_cast<double>(std::max<size_t>(nodes, silent + 1));
+  const double own_rate =
+      limit.per_second - even_part * static_cast<double>(silent);
   one.limit = limit;
-  one.level = std::min(limit.burst,
-                       one.level + elapsed * limit.per_second * own_part);
+  one.level = std::min(limit.burst, one.level + elapsed * own_rate);
+  if (silent > one.silent) {
+    // What they took since they were last heard, before that was known.
+    one.level -= even_part * static_cast<double>(silent - one.silent) *
+                 std::chrono::duration<double>(kPeerSilence).count();
+  }
+  one.silent = silent;
   one.updated = now;
   return one;
 }
--- a/src/skylarkcroft/limits/skylarkcroft_token_allotments.h
+++ b/src/skylarkcroft/limits/skylarkcroft_token_allotments.h
@@ -61,6 +61,7 @@
     double level = 0;
     double taken = 0;
     time_point updated{};
+    size_t silent = 0;  ///< Peers charged with their even part.
   };
   struct peer_state {
     int64_t incarnation = 0;
--- /dev/null
+++ b/tests/duties/fleet_planner_test.cc
@@ -0,0 +1,150 @@
+#include "skylarkcroft/duties/skylarkcroft_fleet_planner.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+namespace skylarkcroft {
+namespace {
+
+constexpr time_point kStart{std::chrono::seconds(100)};
+
+/// A cloud that gives what is ordered at once, but for what is withheld.
+class cloud {
+ public:
+  cloud() {
+    view_.service = "pool";
+    view_.scaling.min_per_zone = 1;
+    view_.scaling.max_per_zone = 10;
+    view_.scaling.boot_time = milliseconds(4000);
+    view_.scaling.reclaimable_price = 0.18;
+    view_.scaling.zone_prices = {{"a", 1.0}, {"b", 0.8}, {"c", 1.25}};
+    for (const zone_price& zone : view_.scaling.zone_prices) {
+      SetCount(zone.availability_zone, false, 5);
+    }
+  }
+
+  void SetCount(const std::string& zone, bool reclaimable, int count) {
+    std::erase_if(view_.upstreams, [&](const upstream_entry& one) {
+      return one.availability_zone == zone && one.reclaimable == reclaimable;
+    });
+    for (int i = 0; i < count; ++i) {
+      upstream_entry entry;
+      entry.id = zone + (reclaimable ? "r" : "f") + std::to_string(i);
+      entry.availability_zone = zone;
+      entry.reclaimable = reclaimable;
+      view_.upstreams.push_back(entry);
+    }
+  }
+  [[nodiscard]] int Count(bool reclaimable) const {
+    return static_cast<int>(std::count_if(
+        view_.upstreams.begin(), view_.upstreams.end(),
+        [&](const upstream_entry& e) { return e.reclaimable == reclaimable; }));
+  }
+  [[nodiscard]] int CountIn(const std::string& zone) const {
+    return static_cast<int>(std::count_if(
+        view_.upstreams.begin(), view_.upstreams.end(),
+        [&](const upstream_entry& e) { return e.availability_zone == zone; }));
+  }
+  void SetRunning(int running) { view_.running = running; }
+  void Withhold(bool withheld) { withheld_ = withheld; }
+
+  /// Plans and carries out once a second for `seconds`; returns the orders.
+  std::vector<fleet_order> Run(fleet_planner& planner, int seconds) {
+    std::vector<fleet_order> all;
+    for (int i = 0; i < seconds; ++i) {
+      now_ += milliseconds(1000);
+      for (const fleet_order& order : planner.Plan(view_, now_)) {
+        const bool refused = withheld_ && order.reclaimable;
+        planner.NoteAnswer(order,
+                           refused ? duty_outcome::kUnavailable
+                                   : duty_outcome::kAccepted,
+                           now_);
+        if (!refused) {
+          SetCount(order.availability_zone, order.reclaimable, order.count);
+        }
+        all.push_back(order);
+      }
+    }
+    return all;
+  }
+
+ private:
+  fleet_view view_;
+  bool withheld_ = false;
+  time_point now_ = kStart;
+};
+
+}  // namespace
+
+TEST_CASE("Reclaimable upstreams take the place of those at full price",
+          "[duties][fleet]") {
+  cloud cloud;
+  fleet_planner planner{fleet_terms{}};
+  cloud.Run(planner, 5);
+  CHECK(cloud.Count(false) == 0);
+  CHECK(cloud.Count(true) >= 3 * fleet_terms{}.least_per_zone);
+}
+
+TEST_CASE("Upstreams at full price stay until others are ready",
+          "[duties][fleet]") {
+  cloud cloud;
+  cloud.Withhold(true);
+  fleet_planner planner{fleet_terms{}};
+  cloud.Run(planner, 30);
+  CHECK(cloud.Count(false) == 15);
+}
+
+TEST_CASE("A zone taken back is made up for where nothing else is to be had",
+          "[duties][fleet][reclaim]") {
+  cloud cloud;
+  fleet_planner planner{fleet_terms{}};
+  cloud.SetRunning(120);
+  cloud.Run(planner, 5);
+  cloud.Withhold(true);
+  cloud.SetCount("a", true, 0);
+  cloud.SetCount("b", true, 0);
+  cloud.Run(planner, 5);
+  CHECK(cloud.Count(true) + cloud.Count(false) >=
+        120 / static_cast<int>(fleet_terms{}.running_per_upstream));
+  SECTION("and given up once reclaimable ones are back") {
+    cloud.Withhold(false);
+    cloud.Run(planner, 20);
+    CHECK(cloud.Count(false) == 0);
+  }
+}
+
+TEST_CASE("No zone is ordered below its least number", "[duties][fleet]") {
+  cloud cloud;
+  fleet_planner planner{fleet_terms{}};
+  cloud.Run(planner, 5);
+  cloud.Withhold(true);
+  cloud.SetCount("a", true, 0);
+  cloud.Run(planner, 10);
+  CHECK(cloud.CountIn("a") >= 1);
+}
+
+TEST_CASE("A rising load raises the plan at once, a falling one slowly",
+          "[duties][fleet][burst]") {
+  cloud cloud;
+  fleet_planner planner{fleet_terms{}};
+  cloud.SetRunning(240);
+  cloud.Run(planner, 2);
+  const int high = cloud.Count(true);
+  CHECK(high >= 240 / static_cast<int>(fleet_terms{}.running_per_upstream));
+  cloud.SetRunning(10);
+  cloud.Run(planner, 10);
+  CHECK(cloud.Count(true) == high);
+  cloud.Run(planner, 200);
+  CHECK(cloud.Count(true) < high);
+}
+
+TEST_CASE("A settled plan orders nothing", "[duties][fleet]") {
+  cloud cloud;
+  fleet_planner planner{fleet_terms{}};
+  cloud.Run(planner, 10);
+  CHECK(cloud.Run(planner, 30).empty());
+}
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/tests/duties/usage_test.cc
@@ -0,0 +1,49 @@
+#include <catch2/catch.hpp>
+
+#include "skylarkcroft/duties/skylarkcroft_usage_journal.h"
+#include "skylarkcroft/duties/skylarkcroft_usage_ledger.h"
+
+namespace skylarkcroft {
+
+TEST_CASE("Counts of all processes are summed, also of one that is gone",
+          "[duties][usage]") {
+  usage_ledger ledger("self/2", 4);
+  ledger.NoteBegun("w", 10);
+  ledger.NoteBegun("w", 10);
+  ledger.Merge("peer/1", {{10, "w", 5}});
+  ledger.Merge("peer/2", {{10, "w", 1}, {10, "v", 7}});
+  CHECK(ledger.Totals(10) ==
+        std::vector<usage_count>{{10, "v", 7}, {10, "w", 8}});
+}
+
+TEST_CASE("Late and repeated reports change no count", "[duties][usage]") {
+  usage_ledger ledger("self/1", 4);
+  ledger.Merge("peer/1", {{10, "w", 5}});
+  ledger.Merge("peer/1", {{10, "w", 4}});
+  ledger.Merge("peer/1", {{10, "w", 5}});
+  CHECK(ledger.Totals(10) == std::vector<usage_count>{{10, "w", 5}});
+}
+
+TEST_CASE("Old windows are forgotten", "[duties][usage]") {
+  usage_ledger ledger("self/1", 2);
+  ledger.NoteBegun("w", 1);
+  ledger.NoteBegun("w", 3);
+  ledger.Forget(3);
+  CHECK(ledger.Totals(1).empty());
+  CHECK(ledger.OwnCounts() == std::vector<usage_count>{{3, "w", 1}});
+}
+
+TEST_CASE("A journal survives its encoding and keeps the newest reports",
+          "[duties][usage]") {
+  usage_journal journal;
+  for (int64_t window = 1; window <= 6; ++window) {
+    journal = journal.With({window, {{window, "w", 10 * window}}}, 4);
+  }
+  CHECK(journal.reports.size() == 4);
+  CHECK(journal.Newest() == 6);
+  CHECK(DecodeJournal(EncodeJournal(journal)) == journal);
+  CHECK_FALSE(DecodeJournal("[{}]").has_value());
+  CHECK_FALSE(DecodeJournal("nonsense").has_value());
+}
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/tests/limits/token_allotments_test.cc
@@ -0,0 +1,154 @@
+#include "skylarkcroft/limits/skylarkcroft_token_allotments.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "skylarkcroft/limits/skylarkcroft_repeat_allowance.h"
+
+namespace skylarkcroft {
+namespace {
+
+constexpr time_point kStart{std::chrono::seconds(100)};
+constexpr allotment_limit kLimit{100000, 100000};
+constexpr double kRequest = 2000;
+constexpr milliseconds kStep{10};
+constexpr milliseconds kReportPeriod{100};
+
+/// Nodes that tell each other what they took, each report arriving one period
+/// later.
+class nodes {
+ public:
+  explicit nodes(size_t count) {
+    for (size_t i = 0; i < count; ++i) {
+      all_.push_back(std::make_unique<token_allotments>(true));
+    }
+  }
+
+  /// Every node offers `rate` requests a second for `span`; returns the tokens
+  /// granted.
+  double Flood(double rate, milliseconds span, bool connected) {
+    double granted = 0;
+    for (milliseconds passed{0}; passed < span; passed += kStep) {
+      now_ += kStep;
+      owed_ += rate * std::chrono::duration<double>(kStep).count();
+      for (; owed_ >= 1; owed_ -= 1) {
+        for (const auto& node : all_) {
+          const allotment_decision decision =
+              node->Take("w", kLimit, kRequest, all_.size(), now_);
+          granted += decision.granted ? kRequest : 0;
+        }
+      }
+      if (connected && passed % kReportPeriod == milliseconds(0)) {
+        Exchange();
+      }
+    }
+    return granted;
+  }
+
+ private:
+  void Exchange() {
+    for (size_t from = 0; from < all_.size(); ++from) {
+      for (size_t to = 0; to < all_.size(); ++to) {
+        if (from != to) {
+          all_[to]->NotePeer("n" + std::to_string(from), 1,
+                             all_[from]->OwnReports(), now_);
+        }
+      }
+    }
+  }
+
+  std::vector<std::unique_ptr<token_allotments>> all_;
+  time_point now_ = kStart;
+  double owed_ = 0;
+};
+
+// Tokens that all nodes may grant in a window: the stated limit with its
+// stated overage and slack.
+double Bound(milliseconds window) {
+  constexpr double kOverage = 1.1;
+  constexpr double kSlack = 140000;
+  return (kLimit.per_second * std::chrono::duration<double>(window).count() +
+          kLimit.burst) *
+             kOverage +
+         kSlack;
+}
+
+}  // namespace
+
+TEST_CASE("A flooding workspace stays within its limit over all nodes",
+          "[limits][hot_tenant]") {
+  const size_t count = GENERATE(1U, 7U, 20U);
+  const milliseconds window(8000);
+  nodes all(count);
+  const double rate = 500.0 / static_cast<double>(count);
+  const double granted = all.Flood(rate, window, true);
+  CHECK(granted <= Bound(window));
+  CHECK(granted >= 0.8 * kLimit.per_second * 8);
+}
+
+TEST_CASE("Nodes that hear nothing of each other keep to even parts",
+          "[limits][cut]") {
+  const milliseconds window(8000);
+  nodes all(7);
+  all.Flood(100, milliseconds(4000), true);
+  CHECK(all.Flood(100, window, false) <= Bound(window));
+}
+
+TEST_CASE("A node that starts among others has no full bucket",
+          "[limits][restart]") {
+  token_allotments joined(false);
+  joined.NotePeer("n1", 1, {{"w", 5000, 0}}, kStart);
+  const allotment_decision decision =
+      joined.Take("w", kLimit, 20000, 7, kStart);
+  CHECK_FALSE(decision.granted);
+  CHECK(decision.wait > milliseconds(0));
+}
+
+TEST_CASE("What did not run is given back", "[limits]") {
+  token_allotments one(true);
+  CHECK(one.Take("w", kLimit, 100000, 1, kStart).granted);
+  CHECK_FALSE(one.Take("w", kLimit, 100000, 1, kStart).granted);
+  one.Return("w", 100000);
+  CHECK(one.Take("w", kLimit, 100000, 1, kStart).granted);
+}
+
+TEST_CASE("A limit that was lowered binds at once", "[limits]") {
+  token_allotments one(true);
+  one.Take("w", kLimit, 1000, 1, kStart);
+  const allotment_limit lowered{1000, 1000};
+  CHECK(one.Take("w", lowered, 1000, 1, kStart).granted);
+  CHECK_FALSE(one.Take("w", lowered, 1000, 1, kStart).granted);
+}
+
+TEST_CASE("A workspace without a limit is always served", "[limits]") {
+  token_allotments one(true);
+  CHECK(one.Take("w", {0, 0}, 1e9, 7, kStart).granted);
+}
+
+TEST_CASE("All nodes together keep to the bound on repeats",
+          "[limits][repeats]") {
+  constexpr size_t kNodes = 7;
+  constexpr int kRequests = 100;
+  const repeat_terms terms;
+  int repeats = 0;
+  for (size_t node = 0; node < kNodes; ++node) {
+    repeat_allowance allowance(terms);
+    for (int i = 0; i < kRequests; ++i) {
+      allowance.NoteRequest("s", kStart);
+      repeats += allowance.TryRepeat("s", kNodes, kStart) ? 1 : 0;
+    }
+  }
+  CHECK(repeats <= terms.share * kRequests * kNodes + terms.reserve);
+  CHECK(repeats > 0);
+}
+
+TEST_CASE("Repeats of an earlier window are forgotten", "[limits][repeats]") {
+  repeat_allowance allowance(repeat_terms{});
+  while (allowance.TryRepeat("s", 7, kStart)) {
+  }
+  CHECK(allowance.TryRepeat("s", 7, kStart + milliseconds(10001)));
+}
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/tests/peers/peer_report_test.cc
@@ -0,0 +1,79 @@
+#include "skylarkcroft/peers/skylarkcroft_peer_report.h"
+
+#include <catch2/catch.hpp>
+
+#include "skylarkcroft/peers/skylarkcroft_peer_group.h"
+#include "skylarkcroft/peers/skylarkcroft_true_time.h"
+
+namespace skylarkcroft {
+namespace {
+
+constexpr time_point kStart{std::chrono::seconds(100)};
+const endpoint kAddress{"10.0.0.1", 7600};
+
+}  // namespace
+
+TEST_CASE("A report survives its encoding", "[peers]") {
+  peer_report report;
+  report.node = "n1";
+  report.incarnation = 5;
+  report.sequence = 9;
+  report.wall_ms = 1700000000000;
+  report.leaving = true;
+  peer_upstream_view view;
+  view.upstream = "u1";
+  view.load.running = 3;
+  view.load.unread_tokens[2] = 700;
+  view.load.memory_tokens = 1200;
+  view.outcomes = {1.5, 0.25};
+  report.upstreams = {view};
+  report.allotments = {{"w", 12, -3.5}};
+  report.usage = {{4, "w", 17}};
+  CHECK(DecodeReport(EncodeReport(report)) == report);
+}
+
+TEST_CASE("Bytes that are no report are told apart", "[peers]") {
+  CHECK_FALSE(DecodeReport("").has_value());
+  CHECK_FALSE(DecodeReport("hello").has_value());
+  CHECK_FALSE(DecodeReport("\x81\x01").has_value());
+}
+
+TEST_CASE("Reports out of order and of a former process are dropped",
+          "[peers]") {
+  peer_group group("self");
+  CHECK(group.NoteHeard("n1", kAddress, 2, 5, false, kStart));
+  CHECK_FALSE(group.NoteHeard("n1", kAddress, 2, 5, false, kStart));
+  CHECK_FALSE(group.NoteHeard("n1", kAddress, 1, 99, false, kStart));
+  CHECK(group.NoteHeard("n1", kAddress, 3, 1, false, kStart));
+  CHECK_FALSE(group.NoteHeard("self", kAddress, 9, 1, false, kStart));
+}
+
+TEST_CASE("A silent peer still counts for a while, a leaving one is not live",
+          "[peers]") {
+  peer_group group("self");
+  group.NoteHeard("n1", kAddress, 1, 1, false, kStart);
+  group.NoteHeard("n2", kAddress, 1, 1, true, kStart);
+  CHECK(group.Live(kStart) == std::vector<std::string>{"n1"});
+  const time_point later = kStart + milliseconds(5000);
+  CHECK(group.Live(later).empty());
+  CHECK(group.Counted(later) == 3);
+  CHECK(group.Counted(kStart + milliseconds(20000)) == 1);
+}
+
+TEST_CASE("Clocks that jumped on some hosts are outvoted",
+          "[peers][clock_step]") {
+  true_time clocks;
+  clocks.NoteOwn(1000000 + 2000, kStart);
+  clocks.NotePeer("n1", 1000001, kStart);
+  clocks.NotePeer("n2", 1000002, kStart);
+  clocks.NotePeer("n3", 1000000, kStart);
+  CHECK(clocks.NowMs(kStart + milliseconds(500)) - 1000500 < 10);
+}
+
+TEST_CASE("A host alone goes by its own clock", "[peers][clock_step]") {
+  true_time clocks;
+  clocks.NoteOwn(5000, kStart);
+  CHECK(clocks.NowMs(kStart + milliseconds(250)) == 5250);
+}
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/tests/placement/prompt_parts_test.cc
@@ -0,0 +1,23 @@
+#include "skylarkcroft/placement/skylarkcroft_prompt_parts.h"
+
+#include <catch2/catch.hpp>
+
+namespace skylarkcroft {
+
+TEST_CASE("A generation's size and parts are read", "[placement]") {
+  const generation_shape shape =
+      ParseGeneration("1460,80", "5c1e07a2:800,91bd3f06:410, e4402b7d:250");
+  CHECK(shape.prompt_tokens == 1460);
+  CHECK(shape.max_output_tokens == 80);
+  CHECK(shape.SharedTokens() == 1210);
+  CHECK(shape.TotalTokens() == 1540);
+  CHECK(shape.AffinityKey() == "91bd3f06");
+}
+
+TEST_CASE("What cannot be read of a generation is left out", "[placement]") {
+  CHECK(ParseGeneration("", "").AffinityKey().empty());
+  CHECK(ParseGeneration("x,y", "a,b:,c:-1") == generation_shape{});
+  CHECK(ParseGeneration("5", "a:3").AffinityKey() == "a");
+}
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/tests/relay/relay_fixture.h
@@ -0,0 +1,291 @@
+#ifndef SKYLARKCROFT_TESTS_RELAY_RELAY_FIXTURE_H_
+#define SKYLARKCROFT_TESTS_RELAY_RELAY_FIXTURE_H_
+
+#include <arpa/inet.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "skylarkcroft/internal/skylarkcroft_event_loop.h"
+#include "skylarkcroft/relay/skylarkcroft_relay_server.h"
+#include "skylarkcroft/wire/skylarkcroft_message_reader.h"
+#include "skylarkcroft/wire/skylarkcroft_stream_socket.h"
+
+namespace skylarkcroft {
+
+/// An upstream whose answers a test writes byte by byte.
+class scripted_upstream {
+ public:
+  /// One request as it came and the connection on which to answer.
+  struct arrival {
+    message_head head;
+    std::string body;
+    std::function<void(const std::string&)> write;
+    std::function<void()> close;
+    /// True once the other side has closed the connection.
+    std::shared_ptr<bool> closed;
+  };
+  using handler = std::function<void(const arrival&)>;
+
+  explicit scripted_upstream(event_loop& loop) : loop_(loop) {
+    sockaddr_in raw{};
+    raw.sin_family = AF_INET;
+    raw.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    listener_ = evconnlistener_new_bind(
+        loop.base(),
+        [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
+          static_cast<scripted_upstream*>(self)->Accept(fd);
+        },
+        this, LEV_OPT_CLOSE_ON_FREE, -1, reinterpret_cast<sockaddr*>(&raw),
+        sizeof raw);
+    REQUIRE(listener_ != nullptr);
+    socklen_t size = sizeof raw;
+    getsockname(evconnlistener_get_fd(listener_),
+                reinterpret_cast<sockaddr*>(&raw), &size);
+    port_ = ntohs(raw.sin_port);
+  }
+  ~scripted_upstream() { evconnlistener_free(listener_); }
+  scripted_upstream(const scripted_upstream&) = delete;
+  scripted_upstream& operator=(const scripted_upstream&) = delete;
+
+  [[nodiscard]] endpoint address() const { return {"127.0.0.1", port_}; }
+  void Answer(handler answer) { answer_ = std::move(answer); }
+
+  std::vector<arrival> arrivals;
+  int connections = 0;
+
+ private:
+  struct connection {
+    std::unique_ptr<message_reader> reader;
+    std::unique_ptr<stream_socket> socket;
+    message_head head;
+    std::string body;
+    std::shared_ptr<bool> closed = std::make_shared<bool>(false);
+  };
+
+  void Accept(int fd) {
+    ++connections;
+    open_.push_back(std::make_unique<connection>());
+    connection* one = open_.back().get();
+    one->reader = std::make_unique<message_reader>(
+        message_kind::kRequest, 65536,
+        message_events{[one](const message_head& head) { one->head = head; },
+                       [one](std::string_view bytes) {
+                         one->body.append(bytes);
+                       }});
+    one->socket = std::make_unique<stream_socket>(
+        loop_, fd,
+        socket_events{[this, one](std::string_view bytes) {
+                        return OnBytes(one, bytes);
+                      },
+                      [] {}, [one](bool) { *one->closed = true; }});
+  }
+
+  size_t OnBytes(connection* one, std::string_view bytes) {
+    const read_progress progress = one->reader->Feed(bytes);
+    if (progress.state != read_state::kEnded) {
+      return bytes.size();
+    }
+    one->reader->Reset();
+    arrivals.push_back({one->head, std::exchange(one->body, ""),
+                        [one](const std::string& text) {
+                          if (one->socket != nullptr) {
+                            one->socket->Write(text);
+                          }
+                        },
+                        [this, one] {
+                          loop_.Defer([one] { one->socket.reset(); });
+                        },
+                        one->closed});
+    if (answer_) {
+      answer_(arrivals.back());
+    }
+    return progress.consumed;
+  }
+
+  event_loop& loop_;
+  evconnlistener* listener_;
+  uint16_t port_ = 0;
+  handler answer_;
+  std::list<std::unique_ptr<connection>> open_;
+};
+
+/// A client's connection and all bytes that came on it.
+class raw_client {
+ public:
+  raw_client(event_loop& loop, const endpoint& address)
+      : socket_(std::make_unique<stream_socket>(
+            loop, address, milliseconds(5000),
+            socket_events{[this](std::string_view bytes) {
+                            received.append(bytes);
+                            return bytes.size();
+                          },
+                          [] {}, [this](bool) { closed = true; }})) {}
+
+  void Send(const std::string& bytes) { socket_->Write(bytes); }
+  void Leave() { socket_.reset(); }
+
+  std::string received;
+  bool closed = false;
+
+ private:
+  std::unique_ptr<stream_socket> socket_;
+};
+
+/// A relay with two upstreams and one route of each kind.
+class relay_fixture {
+ public:
+  relay_fixture()
+      : links(loop, link_terms{}, SteadyNow, [] {}),
+        environment(MakeEnvironment()),
+        server(environment, {"127.0.0.1", 0}) {
+    board.Reset({Entry("one", one), Entry("two", two)}, SteadyNow());
+  }
+
+  static upstream_entry Entry(const std::string& id,
+                              const scripted_upstream& at) {
+    upstream_entry entry;
+    entry.id = id;
+    entry.service = "pool";
+    entry.address = at.address();
+    entry.slots = 8;
+    return entry;
+  }
+
+  static service_route Route(const std::string& prefix, repeat_rule repeat,
+                             int attempts) {
+    service_route route;
+    route.name = prefix;
+    route.host = "shop";
+    route.path_prefix = prefix;
+    route.repeat = repeat;
+    route.services = {{"pool", 1}};
+    route.max_attempts = attempts;
+    route.timeout = milliseconds(3000);
+    return route;
+  }
+
+  /// Sets what both upstreams do.
+  void Answer(const scripted_upstream::handler& answer) {
+    one.Answer(answer);
+    two.Answer(answer);
+  }
+  [[nodiscard]] size_t Arrivals() const {
+    return one.arrivals.size() + two.arrivals.size();
+  }
+  [[nodiscard]] const scripted_upstream::arrival& First() const {
+    return one.arrivals.empty() ? two.arrivals.front() : one.arrivals.front();
+  }
+
+  /// Runs the loop until `done` or a generous limit.
+  bool Await(const std::function<bool()>& done) {
+    const auto poll = loop.Every(milliseconds(2), [&] {
+      if (done()) {
+        loop.Stop();
+      }
+    });
+    loop.RunFor(milliseconds(8000));
+    return done();
+  }
+
+  static std::string Request(const std::string& path, const std::string& id,
+                             const std::string& more = "") {
+    return "POST " + path + " HTTP/1.1\r\nHost: shop\r\nX-Id: " + id +
+           "\r\nX-Left: 2500\r\n" + more + "Content-Length: 2\r\n\r\nhi";
+  }
+  static std::string Answered(const scripted_upstream::arrival& to,
+                              const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nX-Id: " + to.head.headers.Get("X-Id") +
+           "\r\nX-Sig: s\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+  }
+  static std::string StreamHead(const scripted_upstream::arrival& to) {
+    return "HTTP/1.1 200 OK\r\nX-Id: " + to.head.headers.Get("X-Id") +
+           "\r\nX-Sig: s\r\nContent-Type: text/event-stream\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n";
+  }
+  static std::string Event(int id) {
+    const std::string event =
+        "id: " + std::to_string(id) + "\ndata: x\n\n";
+    constexpr int kHex = 16;
+    const auto size = static_cast<int>(event.size());
+    const char digits[] = "0123456789abcdef";
+    return std::string({digits[size / kHex], digits[size % kHex]}) + "\r\n" +
+           event + "\r\n";
+  }
+
+  event_loop loop;
+  scripted_upstream one{loop};
+  scripted_upstream two{loop};
+  upstream_board board{board_terms{}};
+  upstream_links links;
+  token_allotments allotments{true};
+  repeat_allowance repeats{repeat_terms{}};
+  std::vector<request_record> records;
+  milliseconds leaving{-1};
+  service_map map = MakeMap();
+  relay_environment environment;
+  relay_server server;
+
+ private:
+  static service_map MakeMap() {
+    service_map made;
+    made.version = 1;
+    made.routes = {Route("/safe/", repeat_rule::kAnyTime, 2),
+                   Route("/once/", repeat_rule::kOnlyNotRun, 2),
+                   Route("/stream/", repeat_rule::kStream, 2),
+                   Route("/resume/", repeat_rule::kStream, 2)};
+    made.routes.back().resumable = true;
+    made.pools = {{"pool", "/health", 10, std::nullopt, std::nullopt}};
+    return made;
+  }
+
+  relay_environment MakeEnvironment() {
+    header_names names;
+    names.request_id = "X-Id";
+    names.remaining_ms = "X-Left";
+    names.key = "X-Secret";
+    names.workspace = "X-Workspace";
+    names.expected_upstream = "X-Only";
+    names.signature = "X-Sig";
+    names.not_run = "X-Not-Run";
+    names.last_event_id = "Last-Event-Id";
+    names.token_counts = "X-Tokens";
+    names.prompt_parts = "X-Parts";
+    names.urgency = "X-Urgency";
+    names.reserved = {"X-Reserved"};
+    return {loop,
+            board,
+            links,
+            allotments,
+            repeats,
+            names,
+            relay_terms{},
+            gate_terms{},
+            "a",
+            SteadyNow,
+            [this] {
+              return gate_view{std::make_shared<const service_lookup>(map),
+                               SteadyNow()};
+            },
+            [] { return size_t{1}; },
+            [] { return 0.5; },
+            [this] { return leaving; },
+            [](const std::string&) {},
+            [this](const request_record& record) {
+              records.push_back(record);
+            }};
+  }
+};
+
+}  // namespace skylarkcroft
+
+#endif  // SKYLARKCROFT_TESTS_RELAY_RELAY_FIXTURE_H_
--- /dev/null
+++ b/tests/wire/message_reader_test.cc
@@ -0,0 +1,112 @@
+#include "skylarkcroft/wire/skylarkcroft_message_reader.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+namespace skylarkcroft {
+namespace {
+
+constexpr size_t kHeadBound = 4096;
+
+/// Reads one message and keeps what came of it.
+struct reading {
+  explicit reading(message_kind kind)
+      : reader(kind, kHeadBound,
+               {[this](const message_head& read) { heads.push_back(read); },
+                [this](std::string_view bytes) { body.append(bytes); }}) {}
+
+  read_progress Feed(std::string_view bytes) { return reader.Feed(bytes); }
+
+  std::vector<message_head> heads;
+  std::string body;
+  message_reader reader;
+};
+
+}  // namespace
+
+TEST_CASE("A request with a length is read up to its end", "[wire]") {
+  reading read(message_kind::kRequest);
+  const std::string first = "POST /a?b=c HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nxyz";
+  const read_progress progress = read.Feed(first + "GET /next");
+  CHECK(progress.state == read_state::kEnded);
+  CHECK(progress.consumed == first.size());
+  CHECK(read.heads.front().method == "POST");
+  CHECK(read.heads.front().target == "/a?b=c");
+  CHECK(read.body == "xyz");
+}
+
+TEST_CASE("A request may come byte by byte and in chunks", "[wire]") {
+  reading read(message_kind::kRequest);
+  const std::string bytes =
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n";
+  read_progress progress;
+  for (const char byte : bytes) {
+    progress = read.Feed({&byte, 1});
+    REQUIRE(progress.state != read_state::kMalformed);
+  }
+  CHECK(progress.state == read_state::kEnded);
+  CHECK(read.body == "abc");
+}
+
+TEST_CASE("Framing that two readers could take differently is malformed",
+          "[wire][smuggling]") {
+  const std::string framing = GENERATE(
+      as<std::string>{}, "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+      "Content-Length: 4\r\nContent-Length: 5\r\n",
+      "Content-Length: 4\r\nContent-Length: 4\r\n", "Content-Length: +4\r\n",
+      "Content-Length : 4\r\n", "Transfer-Encoding : chunked\r\n",
+      "Transfer-Encoding: xchunked\r\n", "Transfer-Encoding: chunked, x\r\n",
+      "Transfer-Encoding: identity\r\n");
+  reading read(message_kind::kRequest);
+  const read_progress progress = read.Feed(
+      "POST / HTTP/1.1\r\nHost: h\r\n" + framing + "\r\n0\r\n\r\nGET / HTTP/1.1\r\n\r\n");
+  CHECK(progress.state == read_state::kMalformed);
+  CHECK(read.heads.empty());
+}
+
+TEST_CASE("A head beyond its bound is too large", "[wire]") {
+  reading read(message_kind::kRequest);
+  const read_progress progress = read.Feed(
+      "GET / HTTP/1.1\r\nA: " + std::string(2 * kHeadBound, 'x') + "\r\n\r\n");
+  CHECK(progress.state == read_state::kTooLarge);
+}
+
+TEST_CASE("An answer without a length ends with its connection", "[wire]") {
+  reading read(message_kind::kResponse);
+  CHECK(read.Feed("HTTP/1.1 200 OK\r\n\r\nabc").state == read_state::kMore);
+  CHECK(read.reader.FeedEnd() == read_state::kEnded);
+  CHECK(read.body == "abc");
+}
+
+TEST_CASE("An answer that is cut short is not whole", "[wire]") {
+  reading read(message_kind::kResponse);
+  read.Feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc");
+  CHECK(read.reader.FeedEnd() == read_state::kMalformed);
+}
+
+TEST_CASE("Interim answers are passed over", "[wire]") {
+  reading read(message_kind::kResponse);
+  const read_progress progress =
+      read.Feed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n");
+  CHECK(progress.state == read_state::kEnded);
+  REQUIRE(read.heads.size() == 1);
+  CHECK(read.heads.front().status == 204);
+}
+
+TEST_CASE("Bytes that are no answer are malformed", "[wire]") {
+  reading read(message_kind::kResponse);
+  CHECK(read.Feed("\x01\x02garbage\r\n\r\n").state == read_state::kMalformed);
+}
+
+TEST_CASE("A reader can be used for the next message", "[wire]") {
+  reading read(message_kind::kRequest);
+  read.Feed("GET /one HTTP/1.1\r\nHost: h\r\n\r\n");
+  read.reader.Reset();
+  CHECK_FALSE(read.reader.started());
+  read.Feed("GET /two HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(read.heads.back().target == "/two");
+}
+
+}  // namespace skylarkcroft
