Many nodes: reports bounded in bytes, sampled choice, failures shared by a service

Every change of the upstreams woke all watches (24,293 store calls). Nodes compared all upstreams by the same old figures, and a service's common failures drove all its requests to one upstream (busiest over mean 3.79). Change: short keys in reports and a period that grows with the nodes; a pause after a change; a sample of upstreams a request; failures count beyond the service's median; upstreams at work are given up later.

--- a/src/skylarkcroft/duties/skylarkcroft_fleet_planner.cc
+++ b/src/skylarkcroft/duties/skylarkcroft_fleet_planner.cc
@@ -10,9 +10,9 @@
                bool reclaimable) {
   return static_cast<int>(std::count_if(
       view.upstreams.begin(), view.upstreams.end(),
-      [&](const upstream_entry& one) {
-        return one.availability_zone == zone && !one.leaving &&
-               one.reclaimable == reclaimable;
+      [&](const fleet_upstream& one) {
+        return one.entry.availability_zone == zone && !one.entry.leaving &&
+               one.entry.reclaimable == reclaimable;
       }));
 }
 
@@ -21,8 +21,12 @@
 fleet_planner::fleet_planner(const fleet_terms& terms) : terms_(terms) {}
 
 int fleet_planner::Needed(const fleet_view& view) const {
-  return static_cast<int>(std::ceil(static_cast<double>(view.running) /
-                                    terms_.running_per_upstream));
+  double each = terms_.running_per_upstream;
+  if (view.slots > 0) {
+    each = std::min(each, terms_.running_share * view.slots);
+  }
+  return static_cast<int>(
+      std::ceil(static_cast<double>(view.running) / std::max(each, 1.0)));
 }
 
 int fleet_planner::Total(const fleet_view& view, time_point now) {
@@ -30,7 +34,12 @@
   const int with_reserve = static_cast<int>(
       std::ceil((1 + terms_.reserve_share) * Needed(view)));
   const int total = std::max(with_reserve, zones * terms_.least_per_zone);
-  demand& known = demands_[view.service];
+  const auto [found, first] = demands_.try_emplace(view.service);
+  demand& known = found->second;
+  if (first) {
+    // The load is not known yet; the operators' own choice stands meanwhile.
+    known = {static_cast<int>(view.upstreams.size()), now};
+  }
   if (total >= known.total) {
     known = {total, now};
   } else if (now - known.needed_at > terms_.fall_delay) {
@@ -59,6 +68,23 @@
   return present < order.count && arrived_late;
 }
 
+bool fleet_planner::MayRetire(const fleet_order& order, const fleet_view& view,
+                              time_point now) {
+  const slot key{order.service, order.availability_zone, order.reclaimable};
+  const time_point since = retiring_.try_emplace(key, now).first->second;
+  const bool idle = std::none_of(
+      view.upstreams.begin(), view.upstreams.end(),
+      [&](const fleet_upstream& one) {
+        return one.entry.availability_zone == order.availability_zone &&
+               one.entry.reclaimable == order.reclaimable && one.running > 0;
+      });
+  if (!idle && now - since < terms_.longest_retirement) {
+    return false;
+  }
+  retiring_.erase(key);
+  return true;
+}
+
 std::vector<fleet_order> fleet_planner::FullPriceOrders(
     const fleet_view& view, int per_zone) const {
   std::vector<zone_price> zones = view.scaling.zone_prices;
@@ -114,7 +140,9 @@
   std::erase_if(orders, [&](const fleet_order& order) {
     const int present =
         CountReady(view, order.availability_zone, order.reclaimable);
-    return !IsDue(order, present, view, now);
+    const bool falls = order.count < present;
+    return !IsDue(order, present, view, now) ||
+           (falls && !MayRetire(order, view, now));
   });
   return orders;
 }
--- a/src/skylarkcroft/duties/skylarkcroft_fleet_planner.h
+++ b/src/skylarkcroft/duties/skylarkcroft_fleet_planner.h
@@ -18,16 +18,21 @@
   /// Requests at work that one upstream is planned for. A batch of this size
   /// makes the tokens of a stream at half the speed of one alone.
   double running_per_upstream = 12;
+  /// The same as a share of an upstream's places, where it has few.
+  double running_share = 0.5;
   /// Upstreams planned beyond the load, as a share, for a zone taken back.
   double reserve_share = 0.4;
   int least_per_zone = 4;
   /// The plan falls only after the load has been lower for this long.
-  milliseconds fall_delay{20000};
+  milliseconds fall_delay{40000};
   /// An order that brought nothing is repeated after this time beyond the time
   /// that an upstream takes to start.
   milliseconds repeat_after{1500};
   /// Pause after an answer that there is nothing to be had.
   milliseconds unavailable_pause{3000};
+  /// Upstreams with requests at work are given up only after this time, which
+  /// is longer than most requests run.
+  milliseconds longest_retirement{8000};
   /// Share of the plan that must be ready before upstreams at the full price
   /// are given up.
   double ready_share = 0.75;
@@ -35,11 +40,20 @@
   bool operator==(const fleet_terms&) const = default;
 };
 
+/// An upstream with the requests at work there.
+struct fleet_upstream {
+  upstream_entry entry;
+  int running = 0;
+
+  bool operator==(const fleet_upstream&) const = default;
+};
+
 /// What the planner sees of one service.
 struct fleet_view {
   std::string service;
   scaling_terms scaling;
-  std::vector<upstream_entry> upstreams;
+  int slots = 0;  ///< Places of one upstream; 0 where it is not known.
+  std::vector<fleet_upstream> upstreams;
   int running = 0;
 
   bool operator==(const fleet_view&) const = default;
@@ -81,9 +95,13 @@
       const fleet_view& view, int per_zone) const;
   [[nodiscard]] bool IsDue(const fleet_order& order, int present,
                            const fleet_view& view, time_point now) const;
+  bool MayRetire(const fleet_order& order, const fleet_view& view,
+                 time_point now);
 
   fleet_terms terms_;
   std::map<slot, ordered> orders_;
+  /// Since when upstreams were to be given up.
+  std::map<slot, time_point> retiring_;
   std::map<std::string, demand> demands_;
 };
 
--- a/src/skylarkcroft/duties/skylarkcroft_usage_ledger.cc
+++ b/src/skylarkcroft/duties/skylarkcroft_usage_ledger.cc
@@ -36,10 +36,14 @@
 std::vector<usage_count> usage_ledger::OwnCounts() const {
   std::vector<usage_count> counts;
   const auto own = processes_.find(self_);
-  if (own == processes_.end()) {
+  if (own == processes_.end() || own->second.empty()) {
     return counts;
   }
+  const int64_t newest = own->second.rbegin()->first;
   for (const auto& [window, workspaces] : own->second) {
+    if (window < newest - 1) {
+      continue;
+    }
     for (const auto& [workspace, begun] : workspaces) {
       counts.push_back({window, workspace, begun});
     }
--- a/src/skylarkcroft/duties/skylarkcroft_usage_ledger.h
+++ b/src/skylarkcroft/duties/skylarkcroft_usage_ledger.h
@@ -28,6 +28,7 @@
   void Merge(const std::string& process, const std::vector<usage_count>& counts);
   void Forget(int64_t newest_window);
 
+  /// Those of the newest two windows of this process.
   [[nodiscard]] std::vector<usage_count> OwnCounts() const;
   /// Sum over all processes, one entry a workspace.
   [[nodiscard]] std::vector<usage_count> Totals(int64_t window) const;
--- a/src/skylarkcroft/limits/skylarkcroft_token_allotments.cc
+++ b/src/skylarkcroft/limits/skylarkcroft_token_allotments.cc
@@ -5,8 +5,6 @@
 namespace skylarkcroft {
 namespace {
 
-// Several reports of a peer, so that one lost datagram is no silence.
-constexpr milliseconds kPeerSilence{700};
 constexpr double kMillisPerSecond = 1000;
 
 }  // namespace
@@ -16,7 +14,7 @@
 size_t token_allotments::Silent(size_t nodes, time_point now) const {
   size_t heard = 1;
   for (const auto& [name, peer] : peers_) {
-    heard += now - peer.heard <= kPeerSilence ? 1 : 0;
+    heard += now - peer.heard <= peer_silence_ ? 1 : 0;
   }
   return nodes > heard ? nodes - heard : 0;
 }
@@ -44,7 +42,7 @@
   if (silent > one.silent) {
     // What they took since they were last heard, before that was known.
     one.level -= even_part * static_cast<double>(silent - one.silent) *
-                 std::chrono::duration<double>(kPeerSilence).count();
+                 std::chrono::duration<double>(peer_silence_).count();
   }
   one.silent = silent;
   one.updated = now;
@@ -100,7 +98,7 @@
         known.taken.try_emplace(report.workspace, report.taken);
     const auto own = buckets_.find(report.workspace);
     // While the peer was silent it was charged with its even part instead.
-    const bool charged = !fresh && gap <= kPeerSilence;
+    const bool charged = !fresh && gap <= peer_silence_;
     if (own != buckets_.end() && charged) {
       own->second.level -= report.taken - counted->second;
     }
--- a/src/skylarkcroft/limits/skylarkcroft_token_allotments.h
+++ b/src/skylarkcroft/limits/skylarkcroft_token_allotments.h
@@ -54,6 +54,8 @@
   void NotePeer(const std::string& peer, int64_t incarnation,
                 const std::vector<allotment_report>& reports, time_point now);
   [[nodiscard]] std::vector<allotment_report> OwnReports() const;
+  /// A peer not heard for this long is charged with its even part.
+  void SetPeerSilence(milliseconds silence) { peer_silence_ = silence; }
 
  private:
   struct bucket {
@@ -73,6 +75,8 @@
   bucket& Refilled(const std::string& workspace, const allotment_limit& limit,
                    size_t silent, size_t nodes, time_point now);
 
+  // Several reports of a peer, so that one lost datagram is no silence.
+  milliseconds peer_silence_{700};
   bool start_full_;
   bool adopted_ = false;
   std::map<std::string, bucket> buckets_;
--- a/src/skylarkcroft/peers/skylarkcroft_peer_group.cc
+++ b/src/skylarkcroft/peers/skylarkcroft_peer_group.cc
@@ -6,8 +6,6 @@
 namespace skylarkcroft {
 namespace {
 
-// Several reports, so that a lost datagram is no absence.
-constexpr milliseconds kLive{700};
 // A node that was cut off from this one may still serve clients; after this
 // time it is taken for gone.
 constexpr milliseconds kMayBeAtWork{12000};
@@ -69,7 +67,7 @@
 std::vector<std::string> peer_group::Live(time_point now) const {
   std::vector<std::string> names;
   for (const auto& [name, one] : peers_) {
-    if (one.heard_ever && !one.leaving && now - one.heard <= kLive) {
+    if (one.heard_ever && !one.leaving && now - one.heard <= live_limit_) {
       names.push_back(name);
     }
   }
--- a/src/skylarkcroft/peers/skylarkcroft_peer_group.h
+++ b/src/skylarkcroft/peers/skylarkcroft_peer_group.h
@@ -29,6 +29,8 @@
   [[nodiscard]] std::vector<endpoint> Targets(time_point now) const;
   /// Peers heard of late.
   [[nodiscard]] std::vector<std::string> Live(time_point now) const;
+  /// A peer not heard for this long is not live.
+  void SetLiveLimit(milliseconds limit) { live_limit_ = limit; }
   /// Nodes that may be at work, this one included.
   [[nodiscard]] size_t Counted(time_point now) const;
 
@@ -46,6 +48,7 @@
   [[nodiscard]] static bool MayBeAtWork(const peer& one, time_point now);
 
   std::string self_;
+  milliseconds live_limit_{700};
   std::map<std::string, peer> peers_;
 };
 
--- a/src/skylarkcroft/peers/skylarkcroft_peer_report.cc
+++ b/src/skylarkcroft/peers/skylarkcroft_peer_report.cc
@@ -1,6 +1,8 @@
 #include "skylarkcroft/peers/skylarkcroft_peer_report.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 
 namespace skylarkcroft {
 namespace {
@@ -9,20 +11,39 @@
 
 constexpr int kFormat = 1;
 
+// Outcomes are sent in steps of this part of one; memory in these many tokens.
+constexpr double kOutcomeSteps = 16;
+constexpr int64_t kMemoryStep = 64;
+
+// Flat, and unread tokens only of the urgencies that have some: a report names
+// dozens of upstreams and goes to every node.
 json EncodeView(const peer_upstream_view& view) {
-  return json::array({view.upstream, view.load.running,
-                      view.load.unread_tokens, view.load.memory_tokens,
-                      view.outcomes.good, view.outcomes.bad});
+  json item = json::array(
+      {view.upstream, view.load.running,
+       (view.load.memory_tokens + kMemoryStep - 1) / kMemoryStep,
+       static_cast<int64_t>(kOutcomeSteps * view.outcomes.good),
+       static_cast<int64_t>(kOutcomeSteps * view.outcomes.bad)});
+  for (size_t i = 0; i < view.load.unread_tokens.size(); ++i) {
+    if (view.load.unread_tokens[i] > 0) {
+      item.push_back(i);
+      item.push_back(view.load.unread_tokens[i]);
+    }
+  }
+  return item;
 }
 
 peer_upstream_view DecodeView(const json& item) {
+  constexpr size_t kFixed = 5;
   peer_upstream_view view;
-  view.upstream = item.at(0).get<std::string>();
+  view.upstream = item.at(0).get<uint32_t>();
   view.load.running = item.at(1).get<int>();
-  view.load.unread_tokens =
-      item.at(2).get<std::array<int64_t, kUrgencies>>();
-  view.load.memory_tokens = item.at(3).get<int64_t>();
-  view.outcomes = {item.at(4).get<double>(), item.at(5).get<double>()};
+  view.load.memory_tokens = kMemoryStep * item.at(2).get<int64_t>();
+  view.outcomes = {item.at(3).get<double>() / kOutcomeSteps,
+                   item.at(4).get<double>() / kOutcomeSteps};
+  for (size_t i = kFixed; i + 1 < item.size(); i += 2) {
+    view.load.unread_tokens.at(item.at(i).get<size_t>()) =
+        item.at(i + 1).get<int64_t>();
+  }
   return view;
 }
 
@@ -33,16 +54,15 @@
   report.sequence = items.at(3).get<int64_t>();
   report.wall_ms = items.at(4).get<int64_t>();
   report.leaving = items.at(5).get<bool>();
-  report.wants_reply = items.at(6).get<bool>();
-  for (const json& item : items.at(7)) {
+  for (const json& item : items.at(6)) {
     report.upstreams.push_back(DecodeView(item));
   }
-  for (const json& item : items.at(8)) {
+  for (const json& item : items.at(7)) {
     report.allotments.push_back({item.at(0).get<std::string>(),
                                  item.at(1).get<double>(),
                                  item.at(2).get<double>()});
   }
-  for (const json& item : items.at(9)) {
+  for (const json& item : items.at(8)) {
     report.usage.push_back({item.at(0).get<int64_t>(),
                             item.at(1).get<std::string>(),
                             item.at(2).get<int64_t>()});
@@ -52,6 +72,16 @@
 
 }  // namespace
 
+milliseconds ReportPeriod(size_t nodes) {
+  // Far below the time for which an engine works on a request, and a wake-up
+  // rate that is cheap.
+  constexpr milliseconds kShortest{100};
+  // A report of one KB to every node then takes 125 KB a second at any size.
+  constexpr milliseconds kEachNode{8};
+  return std::max(kShortest,
+                  kEachNode * static_cast<milliseconds::rep>(nodes));
+}
+
 std::string EncodeReport(const peer_report& report) {
   json upstreams = json::array();
   for (const peer_upstream_view& view : report.upstreams) {
@@ -59,7 +89,9 @@
   }
   json allotments = json::array();
   for (const allotment_report& one : report.allotments) {
-    allotments.push_back(json::array({one.workspace, one.taken, one.level}));
+    allotments.push_back(json::array({one.workspace,
+                                     static_cast<int64_t>(one.taken),
+                                     static_cast<int64_t>(one.level)}));
   }
   json usage = json::array();
   for (const usage_count& one : report.usage) {
@@ -67,8 +99,7 @@
   }
   const json items = json::array(
       {kFormat, report.node, report.incarnation, report.sequence,
-       report.wall_ms, report.leaving, report.wants_reply, upstreams,
-       allotments, usage});
+       report.wall_ms, report.leaving, upstreams, allotments, usage});
   const std::vector<uint8_t> bytes = json::to_cbor(items);
   return {bytes.begin(), bytes.end()};
 }
@@ -83,6 +114,8 @@
   } catch (const json::exception&) {
     // Not a report of this program; the caller counts it.
     return std::nullopt;
+  } catch (const std::out_of_range&) {
+    return std::nullopt;
   }
 }
 
--- a/src/skylarkcroft/peers/skylarkcroft_peer_report.h
+++ b/src/skylarkcroft/peers/skylarkcroft_peer_report.h
@@ -1,6 +1,7 @@
 #ifndef SKYLARKCROFT_PEERS_SKYLARKCROFT_PEER_REPORT_H_
 #define SKYLARKCROFT_PEERS_SKYLARKCROFT_PEER_REPORT_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -8,6 +9,7 @@
 #include <vector>
 
 #include "skylarkcroft/duties/skylarkcroft_usage_ledger.h"
+#include "skylarkcroft/internal/skylarkcroft_time.h"
 #include "skylarkcroft/limits/skylarkcroft_token_allotments.h"
 #include "skylarkcroft/placement/skylarkcroft_upstream_board.h"
 
@@ -22,8 +24,6 @@
   /// Wall clock of the sender, in milliseconds since the Unix epoch.
   int64_t wall_ms = 0;
   bool leaving = false;
-  /// Asks the receiver to answer with a report of its own.
-  bool wants_reply = false;
   std::vector<peer_upstream_view> upstreams;
   std::vector<allotment_report> allotments;
   std::vector<usage_count> usage;
@@ -31,7 +31,11 @@
   bool operator==(const peer_report&) const = default;
 };
 
-/// CBOR with positional members.
+/// How often a node tells its peers when there are `nodes` nodes. The bytes that
+/// a node sends and receives stay bounded as nodes are added.
+milliseconds ReportPeriod(size_t nodes);
+
+/// CBOR with positional members. Fractions of allotments are left out.
 std::string EncodeReport(const peer_report& report);
 
 /// Empty when `bytes` is not a report.
--- a/src/skylarkcroft/peers/skylarkcroft_true_time.cc
+++ b/src/skylarkcroft/peers/skylarkcroft_true_time.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // Clocks of peers that were not heard for this long may have gone wrong since.
-constexpr milliseconds kReadingLife{2000};
+constexpr milliseconds kReadingLife{9000};
 
 int64_t SinceStart(time_point now) {
   return std::chrono::duration_cast<milliseconds>(now.time_since_epoch())
--- a/src/skylarkcroft/placement/skylarkcroft_upstream_board.cc
+++ b/src/skylarkcroft/placement/skylarkcroft_upstream_board.cc
@@ -43,6 +43,11 @@
 
 }  // namespace
 
+uint32_t UpstreamKey(const std::string& id) {
+  constexpr uint64_t kSeed = 0;
+  return XXH32(id.data(), id.size(), kSeed);
+}
+
 upstream_board::upstream_board(const board_terms& terms) : terms_(terms) {}
 
 void upstream_board::Reset(const std::vector<upstream_entry>& entries,
@@ -81,6 +86,7 @@
   }
   state& one = upstreams_.at(entry.id);
   one.entry = entry;
+  one.key = UpstreamKey(entry.id);
   one.lapsed_at.reset();
 }
 
@@ -156,7 +162,7 @@
     if (age > terms_.peer_load_life) {
       continue;
     }
-    const auto view = peer.views.find(one.entry.id);
+    const auto view = peer.views.find(one.key);
     if (view == peer.views.end()) {
       continue;
     }
@@ -168,25 +174,59 @@
   return all;
 }
 
-const upstream_board::state* upstream_board::HomeOf(
-    const placement_request& request) const {
+upstream_board::surroundings upstream_board::Survey(
+    const placement_request& request, time_point now) const {
+  surroundings around;
+  std::vector<double> shares;
+  size_t reclaimable = 0;
+  for (const auto& [id, one] : upstreams_) {
+    if (one.entry.service != request.service || !IsUsable(one)) {
+      continue;
+    }
+    ++around.usable;
+    reclaimable += one.entry.reclaimable ? 1 : 0;
+    shares.push_back(FailureShare(Sum(one, now).outcomes));
+  }
+  if (!shares.empty()) {
+    // The median, so that a few failing upstreams do not raise it.
+    const auto middle =
+        shares.begin() + static_cast<std::ptrdiff_t>((shares.size() - 1) / 2);
+    std::nth_element(shares.begin(), middle, shares.end());
+    around.failure_share = *middle;
+  }
+  around.avoid_full_price = 2 * reclaimable >= around.usable;
   const std::string key = request.shape.AffinityKey();
   if (key.empty()) {
-    return nullptr;
+    return around;
   }
-  const state* home = nullptr;
   uint64_t best = 0;
   for (const auto& [id, one] : upstreams_) {
-    if (one.entry.service != request.service || !IsUsable(one)) {
+    const bool taken = one.entry.service == request.service && IsUsable(one);
+    if (!taken || (around.avoid_full_price && !one.entry.reclaimable)) {
       continue;
     }
     const uint64_t weight = HomeWeight(key, id);
-    if (home == nullptr || weight > best) {
-      home = &one;
+    if (around.home == nullptr || weight > best) {
+      around.home = &one;
       best = weight;
     }
   }
-  return home;
+  return around;
+}
+
+bool upstream_board::IsSampled(const state& one,
+                               const placement_request& request,
+                               const surroundings& around) const {
+  if (&one == around.home ||
+      static_cast<double>(around.usable) <= terms_.sample) {
+    return true;
+  }
+  constexpr double kRange = 4294967296.0;
+  const uint64_t draw = XXH3_64bits_withSeed(&one.key, sizeof one.key,
+                                             request.sample_seed) &
+                        UINT32_MAX;
+  return static_cast<double>(draw) / kRange <
+         terms_.sample / static_cast<double>(around.usable);
 }
 
 placement upstream_board::Estimate(const state& one, const summed& all,
@@ -226,8 +266,14 @@
 double upstream_board::Penalty(const state& one, const summed& all,
                                const placement& estimate,
                                const placement_request& request,
+                               const surroundings& around,
                                time_point now) const {
-  double penalty = terms_.failure_ms * FailureShare(all.outcomes);
+  const double excess = FailureShare(all.outcomes) - around.failure_share -
+                        terms_.failure_tolerance;
+  double penalty = terms_.failure_ms * std::max(0.0, excess);
+  if (around.avoid_full_price && !one.entry.reclaimable) {
+    penalty += terms_.full_price_ms;
+  }
   if (one.belief.IsAvoided(now)) {
     penalty += kAvoidedPenalty;
   }
@@ -255,26 +301,37 @@
 
 std::optional<placement> upstream_board::Choose(
     const placement_request& request, time_point now) const {
-  const state* home = HomeOf(request);
+  const surroundings around = Survey(request, now);
+  std::optional<placement> best = ChooseAmong(request, around, true, now);
+  if (!best.has_value() || best->full) {
+    best = ChooseAmong(request, around, false, now);
+  }
+  if (best.has_value()) {
+    best->candidates = around.usable;
+  }
+  return best;
+}
+
+std::optional<placement> upstream_board::ChooseAmong(
+    const placement_request& request, const surroundings& around, bool sampled,
+    time_point now) const {
   std::optional<placement> best;
   double least = 0;
-  size_t candidates = 0;
   for (const auto& [id, one] : upstreams_) {
-    if (one.entry.service != request.service || !IsUsable(one)) {
+    if (one.entry.service != request.service || !IsUsable(one) ||
+        (sampled && !IsSampled(one, request, around))) {
       continue;
     }
-    ++candidates;
     const summed all = Sum(one, now);
-    const placement estimate = Estimate(one, all, request, &one == home);
-    const double penalty = Penalty(one, all, estimate, request, now);
+    const placement estimate =
+        Estimate(one, all, request, &one == around.home);
+    const double penalty =
+        Penalty(one, all, estimate, request, around, now);
     if (!best.has_value() || penalty < least) {
       best = estimate;
       least = penalty;
     }
   }
-  if (best.has_value()) {
-    best->candidates = candidates;
-  }
   return best;
 }
 
@@ -373,7 +430,7 @@
         outcomes.good + outcomes.bad < kLeastOutcome) {
       continue;
     }
-    views.push_back({id, one.own, outcomes});
+    views.push_back({one.key, one.own, outcomes});
   }
   return views;
 }
@@ -388,4 +445,9 @@
   return running;
 }
 
+int upstream_board::RunningAt(const std::string& id, time_point now) const {
+  const auto found = upstreams_.find(id);
+  return found == upstreams_.end() ? 0 : Sum(found->second, now).load.running;
+}
+
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/placement/skylarkcroft_upstream_board.h
+++ b/src/skylarkcroft/placement/skylarkcroft_upstream_board.h
@@ -31,9 +31,12 @@
   bool operator==(const upstream_load&) const = default;
 };
 
-/// What one peer says of one upstream.
+/// Short name of an upstream between nodes.
+uint32_t UpstreamKey(const std::string& id);
+
+/// What one peer says of one upstream, named by its UpstreamKey().
 struct peer_upstream_view {
-  std::string upstream;
+  uint32_t upstream = 0;
   upstream_load load;
   outcome_sums outcomes;
 
@@ -63,6 +66,16 @@
   double reread_weight = 2;
   /// Penalty of an upstream that fails every request.
   double failure_ms = 3000;
+  /// Share of failures beyond the service's own that counts against nobody;
+  /// with few outcomes a sound upstream may show as much by chance.
+  double failure_tolerance = 0.1;
+  /// Penalty of an upstream at the full price while enough others are ready,
+  /// so that it is idle once it is given up.
+  double full_price_ms = 150;
+  /// Upstreams compared for one request besides its home. When all nodes
+  /// compared all of them by figures of the same age, they would all send to
+  /// the same one.
+  double sample = 16;
   /// Time for which an entry removed while the store was out of reach may
   /// come back; the platform states about two seconds.
   milliseconds lapse_grace{1500};
@@ -83,6 +96,8 @@
   /// Cache of one engine of the pool, in tokens; 0 for plain services.
   int64_t cache_tokens = 0;
   std::vector<std::string> tried;
+  /// Varies the sample from one request to the next.
+  uint64_t sample_seed = 0;
 };
 
 /// The upstream chosen, with the inputs that decided.
@@ -136,14 +151,18 @@
 
   void SetPeer(const std::string& peer,
                const std::vector<peer_upstream_view>& views, time_point now);
+  /// A peer's load counts for this long after it was heard.
+  void SetPeerLoadLife(milliseconds life) { terms_.peer_load_life = life; }
   /// What this node says of upstreams that it uses.
   [[nodiscard]] std::vector<peer_upstream_view> OwnViews(time_point now) const;
   /// Running requests of this node and its peers at `service`.
   [[nodiscard]] int Running(const std::string& service, time_point now) const;
+  [[nodiscard]] int RunningAt(const std::string& id, time_point now) const;
 
  private:
   struct state {
     upstream_entry entry;
+    uint32_t key = 0;
     upstream_load own;
     upstream_belief belief;
     time_point last_byte{};
@@ -153,7 +172,7 @@
   };
   struct peer_state {
     time_point heard{};
-    std::unordered_map<std::string, peer_upstream_view> views;
+    std::unordered_map<uint32_t, peer_upstream_view> views;
   };
   struct summed {
     upstream_load load;
@@ -166,11 +185,27 @@
   [[nodiscard]] placement Estimate(const state& one, const summed& all,
                                    const placement_request& request,
                                    bool home) const;
+  /// What a choice compares an upstream with.
+  struct surroundings {
+    const state* home = nullptr;
+    double failure_share = 0;  ///< Of the whole service.
+    bool avoid_full_price = false;
+    size_t usable = 0;
+  };
+
   [[nodiscard]] double Penalty(const state& one, const summed& all,
                                const placement& estimate,
                                const placement_request& request,
+                               const surroundings& around,
                                time_point now) const;
-  [[nodiscard]] const state* HomeOf(const placement_request& request) const;
+  [[nodiscard]] surroundings Survey(const placement_request& request,
+                                    time_point now) const;
+  [[nodiscard]] bool IsSampled(const state& one,
+                               const placement_request& request,
+                               const surroundings& around) const;
+  [[nodiscard]] std::optional<placement> ChooseAmong(
+      const placement_request& request, const surroundings& around,
+      bool sampled, time_point now) const;
 
   board_terms terms_;
   std::map<std::string, state> upstreams_;
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -28,10 +28,18 @@
 namespace {
 
 constexpr const char* kNodesTable = "nodes";
-// Peers learn of each other's sends within this time, far below the time for
-// which an engine works on a request.
-constexpr milliseconds kReportPeriod{100};
-constexpr milliseconds kNodesWait{8000};
+constexpr milliseconds kHousekeepingPeriod{100};
+// A peer is silent after this many periods of reports.
+constexpr int kSilentPeriods = 3;
+constexpr milliseconds kShortestSilence{700};
+constexpr milliseconds kShortestLoadLife{1500};
+// Nodes hear of each other directly; the list only helps them to begin.
+constexpr milliseconds kNodesWait{20000};
+// A change of the list answers the watch at once; the wait bounds how long a
+// connection that went silent is not noticed.
+constexpr milliseconds kUpstreamsWait{3000};
+// Members that watch the lease; one takes over, the other covers for it.
+constexpr size_t kLeaseWatchers = 2;
 constexpr milliseconds kJoinRetry{500};
 constexpr milliseconds kExitCheckPeriod{50};
 constexpr milliseconds kIdleCloseAfter{2500};
@@ -66,6 +74,7 @@
   terms.lease.renew_period = settings.bounds.lease / 3;
   terms.lease.order_flight = milliseconds(700);
   terms.lease.takeover_margin = milliseconds(500);
+  terms.lease.watchers = kLeaseWatchers;
   terms.window = settings.bounds.usage_window;
   terms.longest_lateness =
       settings.bounds.usage_lateness - milliseconds(500);
@@ -107,8 +116,9 @@
         tables_follower_(loop, store, sources.tables_table, follower_terms{},
                          TablesEvents(), clock_),
         upstreams_follower_(loop, store, sources.upstreams_table,
-                            follower_terms{}, UpstreamsEvents(), clock_),
-        nodes_follower_(loop, store, kNodesTable, NodesTerms(), NodesEvents(),
+                            WaitingFor(kUpstreamsWait), UpstreamsEvents(),
+                            clock_),
+        nodes_follower_(loop, store, kNodesTable, WaitingFor(kNodesWait), NodesEvents(),
                         clock_),
         server_(environment_, settings.listen.clients),
         readiness_(loop, settings.listen.readiness, http_server_limits{},
@@ -124,7 +134,8 @@
     upstreams_follower_.Start();
     nodes_follower_.Start();
     Join();
-    report_timer_ = loop.Every(kReportPeriod, [this] { OnReportTime(); });
+    housekeeping_timer_ =
+        loop.Every(kHousekeepingPeriod, [this] { KeepHouse(); });
     Say(log_level::kInfo, "started",
         {{"node", settings.name},
          {"incarnation", std::to_string(incarnation_)},
@@ -204,9 +215,9 @@
         settings_.bounds.grace_period - kExitMargin;
   }
 
-  static follower_terms NodesTerms() {
+  static follower_terms WaitingFor(milliseconds wait) {
     follower_terms terms;
-    terms.watch_wait = kNodesWait;
+    terms.watch_wait = wait;
     return terms;
   }
 
@@ -293,11 +304,15 @@
       if (!pool.scaling.has_value()) {
         continue;
       }
-      fleet_view view{pool.name, *pool.scaling, {},
+      fleet_view view{pool.name,
+                      *pool.scaling,
+                      pool.engine.has_value() ? pool.engine->slots : 0,
+                      {},
                       board_.Running(pool.name, now)};
       for (const upstream_entry& entry : board_.Entries()) {
         if (entry.service == pool.name) {
-          view.upstreams.push_back(entry);
+          view.upstreams.push_back(
+              {entry, board_.RunningAt(entry.id, now)});
         }
       }
       for (const fleet_order& order : planner_.Plan(view, now)) {
@@ -408,7 +423,7 @@
     });
   }
 
-  void OnReportTime() {
+  void KeepHouse() {
     const time_point now = clock_();
     // A suspended or frozen host must not go by its old clock reading.
     true_time_.NoteOwn(wall_clock_(), now);
@@ -419,6 +434,19 @@
           {{"upstream", id}, {"state", "lapsed"}});
     }
     metrics_.SetClients(server_.clients());
+    if (now >= next_report_) {
+      Report(now);
+    }
+  }
+
+  void Report(time_point now) {
+    const milliseconds period = ReportPeriod(group_.Counted(now));
+    next_report_ = now + period - kHousekeepingPeriod / 2;
+    const milliseconds silence =
+        std::max(kShortestSilence, kSilentPeriods * period);
+    group_.SetLiveLimit(silence);
+    allotments_.SetPeerSilence(silence);
+    board_.SetPeerLoadLife(std::max(kShortestLoadLife, silence));
     const std::vector<endpoint> targets = group_.Targets(now);
     if (targets.empty()) {
       return;
@@ -435,7 +463,6 @@
             ++report_sequence_,
             wall_clock_(),
             leaving_since_.has_value(),
-            false,
             board_.OwnViews(now),
             allotments_.OwnReports(),
             ledger_.OwnCounts()};
@@ -552,7 +579,8 @@
   http_server readiness_;
   http_server metrics_server_;
   duty_keeper duties_;
-  event_loop::handle_ptr report_timer_;
+  time_point next_report_{};
+  event_loop::handle_ptr housekeeping_timer_;
   event_loop::handle_ptr join_timer_;
   event_loop::handle_ptr exit_timer_;
 };
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -99,6 +99,8 @@
                             std::clamp(gate_.route->rank, 0,
                                        kRanksPerWorkspaceRank - 1),
                         0, kUrgencies - 1);
+  constexpr double kSeeds = 1e15;
+  sample_seed_ = static_cast<uint64_t>(kSeeds * environment_.draw());
   environment_.repeats.NoteRequest(service_, environment_.clock());
   TryNext();
 }
@@ -185,7 +187,7 @@
 
 placement_request relay_request::AskPlacement() const {
   return {service_, environment_.availability_zone, shape_, urgency_,
-          cache_tokens_, tried_};
+          cache_tokens_, tried_, sample_seed_};
 }
 
 void relay_request::TryNext() {
--- a/src/skylarkcroft/store/skylarkcroft_table_follower.cc
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.cc
@@ -85,7 +85,11 @@
   for (const stored_row& row : view.rows) {
     events_.on_change(row, clock_());
   }
-  Next();
+  if (view.rows.empty()) {
+    Next();
+    return;
+  }
+  timer_ = loop_.After(terms_.change_pause, [this] { Next(); });
 }
 
 void table_follower::OnAnswer(time_point sent_at, const store_view& view) {
--- a/src/skylarkcroft/store/skylarkcroft_table_follower.h
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.h
@@ -18,7 +18,9 @@
 /// Pace of a table_follower.
 struct follower_terms {
   /// Longest wait of one watch call.
-  milliseconds watch_wait{1500};
+  milliseconds watch_wait{2000};
+  /// Pause after a change, so that a series of changes costs few calls.
+  milliseconds change_pause{300};
   /// First pause after a failed call; doubles up to the longest.
   milliseconds first_pause{100};
   milliseconds longest_pause{400};
