--- a/src/skylarkcroft/duties/skylarkcroft_fleet_planner.cc
+++ b/src/skylarkcroft/duties/skylarkcroft_fleet_planner.cc
@@ -37,14 +37,23 @@
   const auto [found, first] = demands_.try_emplace(view.service);
   demand& known = found->second;
   if (first) {
-    // The load is not known yet; the operators' own choice stands meanwhile.
-    known = {static_cast<int>(view.upstreams.size()), now};
+    known.since = now;
+  }
+  if (now - known.since < terms_.learning_time) {
+    // The load is not known yet; what the operators started stands meanwhile.
+    const auto started = static_cast<int>(std::count_if(
+        view.upstreams.begin(), view.upstreams.end(),
+        [](const fleet_upstream& one) { return !one.entry.reclaimable; }));
+    known.total = std::max(known.total, started);
+    known.needed_at = now;
   }
   if (total >= known.total) {
-    known = {total, now};
+    known.total = total;
+    known.needed_at = now;
   } else if (now - known.needed_at > terms_.fall_delay) {
     // One step at a time, since the load may return.
-    known = {std::max(total, known.total - zones), now};
+    known.total = std::max(total, known.total - zones);
+    known.needed_at = now;
   }
   return known.total;
 }
@@ -113,8 +122,16 @@
     missing -= std::max(part, there);
     if (enough) {
       orders.push_back({view.service, name, false, least});
-    } else if (part > there) {
-      orders.push_back({view.service, name, false, part});
+      continue;
+    }
+    // Those that are on their way are not called back.
+    const auto last = orders_.find({view.service, name, false});
+    const int on_order = last == orders_.end()
+                             ? 0
+                             : last->second.count.value_or(0);
+    const int wanted = std::max(part, on_order);
+    if (wanted > there) {
+      orders.push_back({view.service, name, false, wanted});
     }
   }
   return orders;
--- a/src/skylarkcroft/duties/skylarkcroft_fleet_planner.h
+++ b/src/skylarkcroft/duties/skylarkcroft_fleet_planner.h
@@ -25,6 +25,9 @@
   int least_per_zone = 4;
   /// The plan falls only after the load has been lower for this long.
   milliseconds fall_delay{40000};
+  /// Time after the first plan in which no fewer are planned than the operators
+  /// started.
+  milliseconds learning_time{9000};
   /// An order that brought nothing is repeated after this time beyond the time
   /// that an upstream takes to start.
   milliseconds repeat_after{1500};
@@ -87,6 +90,7 @@
   struct demand {
     int total = 0;
     time_point needed_at{};
+    time_point since{};
   };
 
   [[nodiscard]] int Needed(const fleet_view& view) const;
--- /dev/null
+++ b/tests/adapter/platform_row_store_test.cc
@@ -0,0 +1,179 @@
+#include "platform/platform_row_store.h"
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <optional>
+
+#include "skylarkcroft/http/skylarkcroft_http_client.h"
+#include "skylarkcroft/store/skylarkcroft_answer_time.h"
+#include "skylarkcroft/store/skylarkcroft_table_follower.h"
+#include "tests/adapter/platform_standin.h"
+
+namespace skylarkcroft {
+namespace {
+
+struct fixture {
+  store_view Call(const std::function<void(store_done_fn)>& call) {
+    std::optional<store_view> answer;
+    call([&](const store_view& view) {
+      answer = view;
+      loop.Stop();
+    });
+    loop.RunFor(milliseconds(5000));
+    REQUIRE(answer.has_value());
+    return *answer;
+  }
+  store_view Commit(const row_transaction& transaction) {
+    return Call([&](store_done_fn done) {
+      store.Commit(transaction, std::move(done));
+    });
+  }
+  store_view Read(const std::string& table) {
+    return Call(
+        [&](store_done_fn done) { store.Read(table, std::move(done)); });
+  }
+  bool Await(const std::function<bool()>& done) {
+    const auto poll = loop.Every(milliseconds(2), [&] {
+      if (done()) {
+        loop.Stop();
+      }
+    });
+    loop.RunFor(milliseconds(8000));
+    return done();
+  }
+
+  event_loop loop;
+  platform_standin standin{loop};
+  http_client client{loop};
+  platform::platform_row_store store{client, standin.address()};
+};
+
+}  // namespace
+
+TEST_CASE("Rows are read as they were written", "[adapter][store]") {
+  fixture on;
+  const std::string value = GENERATE(as<std::string>{}, "", "a", "ab", "abc",
+                                     std::string("\0\xff\x01", 3));
+  CHECK(on.Commit({{}, {{"t", "k", value}}}).outcome == store_outcome::kDone);
+  const store_view view = on.Read("t");
+  REQUIRE(view.rows.size() == 1);
+  CHECK(view.rows.front().key == "k");
+  CHECK(view.rows.front().value == value);
+  CHECK(view.answered_at.has_value());
+}
+
+TEST_CASE("A condition that fails writes nothing and tells the row",
+          "[adapter][store]") {
+  fixture on;
+  on.standin.Put("t", "k", "other");
+  const store_view view =
+      on.Commit({{{"t", "k", 0}}, {{"t", "k", "mine"}}});
+  CHECK(view.outcome == store_outcome::kConflict);
+  REQUIRE(view.rows.size() == 1);
+  CHECK(view.rows.front().value == "other");
+  CHECK(on.Read("t").rows.front().value == "other");
+}
+
+TEST_CASE("A refusal and a silence of the store are told apart",
+          "[adapter][store]") {
+  fixture on;
+  on.standin.fault = store_fault::kRefuse;
+  CHECK(on.Read("t").outcome == store_outcome::kRefused);
+  on.standin.fault = store_fault::kSilent;
+  CHECK(on.Read("t").outcome == store_outcome::kUnknown);
+  on.standin.fault = store_fault::kLoseAnswer;
+  CHECK(on.Commit({{}, {{"t", "k", "v"}}}).outcome == store_outcome::kUnknown);
+  on.standin.fault = store_fault::kNone;
+  CHECK(on.Read("t").rows.size() == 1);
+}
+
+TEST_CASE("A follower sees changes, removals and lost history",
+          "[adapter][store][follower]") {
+  fixture on;
+  on.standin.Put("t", "a", "1");
+  std::map<std::string, std::string> copy;
+  int resets = 0;
+  follower_terms terms;
+  terms.change_pause = milliseconds(5);
+  terms.watch_wait = milliseconds(100);
+  table_follower follower(
+      on.loop, on.store, "t", terms,
+      {[&](const std::vector<stored_row>& rows, time_point) {
+         ++resets;
+         copy.clear();
+         for (const stored_row& row : rows) {
+           copy[row.key] = row.value;
+         }
+       },
+       [&](const stored_row& row, time_point) {
+         if (row.removed) {
+           copy.erase(row.key);
+         } else {
+           copy[row.key] = row.value;
+         }
+       },
+       [](bool, store_outcome, time_point) {}},
+      SteadyNow);
+  follower.Start();
+  REQUIRE(on.Await([&] { return copy["a"] == "1"; }));
+  on.standin.Put("t", "b", "2");
+  REQUIRE(on.Await([&] { return copy["b"] == "2"; }));
+  on.standin.Drop("t", "a");
+  REQUIRE(on.Await([&] { return !copy.contains("a"); }));
+  on.standin.Put("u", "x", "other table");
+  on.standin.Put("t", "c", "3");
+  on.standin.ForgetHistory();
+  REQUIRE(on.Await([&] { return copy["c"] == "3"; }));
+  CHECK(copy["b"] == "2");
+}
+
+TEST_CASE("A follower is current as of the store's last answer",
+          "[adapter][store][follower]") {
+  fixture on;
+  follower_terms terms;
+  terms.watch_wait = milliseconds(300);
+  std::vector<bool> contacts;
+  table_follower follower(on.loop, on.store, "t", terms,
+                          {[](const std::vector<stored_row>&, time_point) {},
+                           [](const stored_row&, time_point) {},
+                           [&](bool reachable, store_outcome, time_point) {
+                             contacts.push_back(reachable);
+                           }},
+                          SteadyNow);
+  follower.Start();
+  REQUIRE(on.Await([&] { return on.standin.store_calls >= 4; }));
+  CHECK(SteadyNow() - *follower.current_as_of() < milliseconds(290));
+  on.standin.fault = store_fault::kRefuse;
+  REQUIRE(on.Await([&] { return contacts.size() == 2; }));
+  const time_point as_of = *follower.current_as_of();
+  on.loop.RunFor(milliseconds(300));
+  CHECK(*follower.current_as_of() == as_of);
+  on.standin.fault = store_fault::kNone;
+  REQUIRE(on.Await([&] { return contacts.size() == 3; }));
+  CHECK(contacts == std::vector<bool>{true, false, true});
+}
+
+TEST_CASE("An answer that waited in a frozen process is not taken for new",
+          "[store][answer_time]") {
+  const time_point start{std::chrono::seconds(100)};
+  answer_time time;
+  const milliseconds store(50000);
+  time.EarliestAnswer(start, store + milliseconds(5),
+                      start + milliseconds(10));
+  // Given after one second, read after eight.
+  const time_point sent = start + milliseconds(1000);
+  const time_point given = time.EarliestAnswer(
+      sent, store + milliseconds(2000), sent + milliseconds(8000));
+  CHECK(given >= start + milliseconds(1990));
+  CHECK(given <= start + milliseconds(2000));
+}
+
+TEST_CASE("An answer without the store's clock counts from its call",
+          "[store][answer_time]") {
+  const time_point start{std::chrono::seconds(100)};
+  answer_time time;
+  CHECK(time.EarliestAnswer(start, std::nullopt, start + milliseconds(900)) ==
+        start);
+}
+
+}  // namespace skylarkcroft
--- a/tests/duties/fleet_planner_test.cc
+++ b/tests/duties/fleet_planner_test.cc
@@ -164,6 +164,38 @@
   CHECK(cloud.Count(true) < high);
 }
 
+TEST_CASE("Until the load is known no fewer are planned than were started",
+          "[duties][fleet]") {
+  cloud cloud;
+  for (const std::string zone : {"a", "b", "c"}) {
+    cloud.SetCount(zone, false, 0);
+  }
+  fleet_planner planner{fleet_terms{}};
+  cloud.Run(planner, 1);
+  // Upstreams announce themselves one after the other.
+  for (const std::string zone : {"a", "b", "c"}) {
+    cloud.SetCount(zone, false, 9);
+  }
+  cloud.Run(planner, 5);
+  CHECK(cloud.Count(true) >= 27);
+}
+
+TEST_CASE("Upstreams on order are not called back while the load rises",
+          "[duties][fleet][burst]") {
+  cloud cloud;
+  fleet_planner planner{fleet_terms{}};
+  cloud.Run(planner, 12);
+  cloud.Withhold(true);
+  cloud.SetCount("a", true, 0);
+  int last = 0;
+  for (int running = 100; running <= 400; running += 20) {
+    cloud.SetRunning(running);
+    cloud.Run(planner, 1);
+    CHECK(cloud.Count(false) >= last);
+    last = cloud.Count(false);
+  }
+}
+
 TEST_CASE("A settled plan orders nothing", "[duties][fleet]") {
   cloud cloud;
   fleet_planner planner{fleet_terms{}};
