--- a/src/skylarkcroft/cli/skylarkcroft_cli.cc
+++ b/src/skylarkcroft/cli/skylarkcroft_cli.cc
@@ -148,9 +148,8 @@
 int RunCli(int argc, const char** argv, run_node_fn run_relay) {
   const std::vector<std::string> arguments(argv + std::min(argc, 1),
                                            argv + argc);
-  return RunCommandLine(arguments,
-                        {std::cout, std::cerr, CheckDocuments, RunNode,
-                         std::move(run_relay)});
+  return RunCommandLine(arguments, {std::cout, std::cerr, CheckDocuments,
+                                    RunNode, std::move(run_relay)});
 }
 
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/duties/skylarkcroft_duty_keeper.cc
+++ b/src/skylarkcroft/duties/skylarkcroft_duty_keeper.cc
@@ -123,13 +123,12 @@
     lease_.OnRead({read_outcome::kMissing, {}}, now);
     return;
   }
-  lease_.OnRead({read_outcome::kFound,
-                 {LeaseKey(kTable), lease->version, lease->value}},
-                now);
+  lease_.OnRead(
+      {read_outcome::kFound, {LeaseKey(kTable), lease->version, lease->value}},
+      now);
 }
 
-void duty_keeper::Write(lease_step step,
-                        std::optional<usage_journal> journal) {
+void duty_keeper::Write(lease_step step, std::optional<usage_journal> journal) {
   const row_write write = lease_.BeginWrite(step, environment_.clock());
   row_transaction transaction;
   transaction.conditions.push_back(
@@ -140,8 +139,8 @@
   }
   const std::weak_ptr<bool> alive = alive_;
   environment_.store.Commit(
-      transaction,
-      [this, alive, step, journal = std::move(journal)](const store_view& view) {
+      transaction, [this, alive, step,
+                    journal = std::move(journal)](const store_view& view) {
         if (!alive.expired()) {
           OnWritten(view, step, journal);
         }
@@ -162,10 +161,10 @@
   }
   // The row's version is the store's, which only the answer tells.
   if (view.outcome == store_outcome::kDone && step != lease_step::kRelease) {
-    lease_.OnRead({read_outcome::kFound,
-                   {LeaseKey(kTable), view.version,
-                    EncodeLease(lease_.view().record)}},
-                  now);
+    lease_.OnRead(
+        {read_outcome::kFound,
+         {LeaseKey(kTable), view.version, EncodeLease(lease_.view().record)}},
+        now);
   }
   if (read_back || view.outcome == store_outcome::kConflict) {
     Read();
@@ -229,7 +228,7 @@
   if (due.empty()) {
     return;
   }
-  const fleet_order order = due.front();
+  const fleet_order& order = due.front();
   order_in_flight_ = true;
   const std::weak_ptr<bool> alive = alive_;
   environment_.calls.OrderFleet(
--- a/src/skylarkcroft/duties/skylarkcroft_fleet_planner.cc
+++ b/src/skylarkcroft/duties/skylarkcroft_fleet_planner.cc
@@ -31,8 +31,8 @@
 
 int fleet_planner::Total(const fleet_view& view, time_point now) {
   const auto zones = static_cast<int>(view.scaling.zone_prices.size());
-  const int with_reserve = static_cast<int>(
-      std::ceil((1 + terms_.reserve_share) * Needed(view)));
+  const int with_reserve =
+      static_cast<int>(std::ceil((1 + terms_.reserve_share) * Needed(view)));
   const int total = std::max(with_reserve, zones * terms_.least_per_zone);
   const auto [found, first] = demands_.try_emplace(view.service);
   demand& known = found->second;
@@ -60,8 +60,8 @@
 
 bool fleet_planner::IsDue(const fleet_order& order, int present,
                           const fleet_view& view, time_point now) const {
-  const auto found = orders_.find(
-      {order.service, order.availability_zone, order.reclaimable});
+  const auto found =
+      orders_.find({order.service, order.availability_zone, order.reclaimable});
   if (found == orders_.end()) {
     return order.count != present;
   }
@@ -94,8 +94,8 @@
   return true;
 }
 
-std::vector<fleet_order> fleet_planner::FullPriceOrders(
-    const fleet_view& view, int per_zone) const {
+std::vector<fleet_order> fleet_planner::FullPriceOrders(const fleet_view& view,
+                                                        int per_zone) const {
   std::vector<zone_price> zones = view.scaling.zone_prices;
   std::sort(zones.begin(), zones.end(),
             [](const zone_price& a, const zone_price& b) {
@@ -107,8 +107,8 @@
     ready += CountReady(view, zone.availability_zone, true);
   }
   const bool enough =
-      ready >= static_cast<int>(
-                   std::ceil(terms_.ready_share * per_zone * zone_count));
+      ready >=
+      static_cast<int>(std::ceil(terms_.ready_share * per_zone * zone_count));
   // What the reclaimable ones cannot carry, the cheapest zones first.
   int missing = std::max(0, Needed(view) - ready);
   std::vector<fleet_order> orders;
@@ -126,9 +126,8 @@
     }
     // Those that are on their way are not called back.
     const auto last = orders_.find({view.service, name, false});
-    const int on_order = last == orders_.end()
-                             ? 0
-                             : last->second.count.value_or(0);
+    const int on_order =
+        last == orders_.end() ? 0 : last->second.count.value_or(0);
     const int wanted = std::max(part, on_order);
     if (wanted > there) {
       orders.push_back({view.service, name, false, wanted});
@@ -149,6 +148,7 @@
                                  static_cast<double>(zones.size()))),
       std::max(view.scaling.min_per_zone, 1), view.scaling.max_per_zone);
   std::vector<fleet_order> orders;
+  orders.reserve(2 * zones.size());
   for (const zone_price& zone : zones) {
     orders.push_back({view.service, zone.availability_zone, true, per_zone});
   }
--- a/src/skylarkcroft/duties/skylarkcroft_fleet_planner.h
+++ b/src/skylarkcroft/duties/skylarkcroft_fleet_planner.h
@@ -95,8 +95,8 @@
 
   [[nodiscard]] int Needed(const fleet_view& view) const;
   int Total(const fleet_view& view, time_point now);
-  [[nodiscard]] std::vector<fleet_order> FullPriceOrders(
-      const fleet_view& view, int per_zone) const;
+  [[nodiscard]] std::vector<fleet_order> FullPriceOrders(const fleet_view& view,
+                                                         int per_zone) const;
   [[nodiscard]] bool IsDue(const fleet_order& order, int present,
                            const fleet_view& view, time_point now) const;
   bool MayRetire(const fleet_order& order, const fleet_view& view,
--- a/src/skylarkcroft/duties/skylarkcroft_usage_journal.cc
+++ b/src/skylarkcroft/duties/skylarkcroft_usage_journal.cc
@@ -30,8 +30,7 @@
     }
     reports.push_back({{"window", report.window}, {"begun", counts}});
   }
-  return reports.dump(-1, ' ', false,
-                      nlohmann::json::error_handler_t::replace);
+  return reports.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 std::optional<usage_journal> DecodeJournal(const std::string& document) {
--- a/src/skylarkcroft/duties/skylarkcroft_usage_ledger.cc
+++ b/src/skylarkcroft/duties/skylarkcroft_usage_ledger.cc
@@ -63,6 +63,7 @@
     }
   }
   std::vector<usage_count> totals;
+  totals.reserve(sums.size());
   for (const auto& [workspace, begun] : sums) {
     totals.push_back({window, workspace, begun});
   }
--- a/src/skylarkcroft/duties/skylarkcroft_usage_ledger.h
+++ b/src/skylarkcroft/duties/skylarkcroft_usage_ledger.h
@@ -25,7 +25,8 @@
 
   void NoteBegun(const std::string& workspace, int64_t window);
   /// Counts only rise, so that late and repeated reports do no harm.
-  void Merge(const std::string& process, const std::vector<usage_count>& counts);
+  void Merge(const std::string& process,
+             const std::vector<usage_count>& counts);
   void Forget(int64_t newest_window);
 
   /// Those of the newest two windows of this process.
--- a/src/skylarkcroft/limits/skylarkcroft_repeat_allowance.cc
+++ b/src/skylarkcroft/limits/skylarkcroft_repeat_allowance.cc
@@ -14,8 +14,7 @@
   }
 }
 
-void repeat_allowance::NoteRequest(const std::string& service,
-                                   time_point now) {
+void repeat_allowance::NoteRequest(const std::string& service, time_point now) {
   recent& one = services_[service];
   Forget(one, now);
   one.requests.push_back(now);
--- a/src/skylarkcroft/limits/skylarkcroft_token_allotments.cc
+++ b/src/skylarkcroft/limits/skylarkcroft_token_allotments.cc
@@ -26,9 +26,10 @@
   bucket& one = found->second;
   if (fresh) {
     one.updated = now;
-    one.level = start_full_ ? limit.burst
-                            : limit.burst / static_cast<double>(
-                                                std::max<size_t>(nodes, 1));
+    one.level =
+        start_full_
+            ? limit.burst
+            : limit.burst / static_cast<double>(std::max<size_t>(nodes, 1));
   }
   const double elapsed =
       std::chrono::duration<double>(now - one.updated).count();
--- a/src/skylarkcroft/limits/skylarkcroft_token_allotments.h
+++ b/src/skylarkcroft/limits/skylarkcroft_token_allotments.h
@@ -32,9 +32,9 @@
 
 struct allotment_decision {
   bool granted = false;
-  double level = 0;          ///< Before the decision.
-  milliseconds wait{0};      ///< Until the level suffices; 0 when granted.
-  size_t silent_peers = 0;   ///< Peers charged with their even part.
+  double level = 0;         ///< Before the decision.
+  milliseconds wait{0};     ///< Until the level suffices; 0 when granted.
+  size_t silent_peers = 0;  ///< Peers charged with their even part.
 };
 
 /// One node's view of the token buckets that all nodes share. Every node keeps
--- a/src/skylarkcroft/peers/skylarkcroft_peer_channel.cc
+++ b/src/skylarkcroft/peers/skylarkcroft_peer_channel.cc
@@ -39,7 +39,8 @@
       address_(listen),
       fd_(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) {
   sockaddr_in raw = SocketAddress(listen);
-  if (fd_ < 0 || bind(fd_, reinterpret_cast<sockaddr*>(&raw), sizeof raw) != 0) {
+  if (fd_ < 0 ||
+      bind(fd_, reinterpret_cast<sockaddr*>(&raw), sizeof raw) != 0) {
     if (fd_ >= 0) {
       close(fd_);
     }
--- a/src/skylarkcroft/peers/skylarkcroft_peer_report.cc
+++ b/src/skylarkcroft/peers/skylarkcroft_peer_report.cc
@@ -18,11 +18,11 @@
 // Flat, and unread tokens only of the urgencies that have some: a report names
 // dozens of upstreams and goes to every node.
 json EncodeView(const peer_upstream_view& view) {
-  json item = json::array(
-      {view.upstream, view.load.running,
-       (view.load.memory_tokens + kMemoryStep - 1) / kMemoryStep,
-       static_cast<int64_t>(kOutcomeSteps * view.outcomes.good),
-       static_cast<int64_t>(kOutcomeSteps * view.outcomes.bad)});
+  json item =
+      json::array({view.upstream, view.load.running,
+                   (view.load.memory_tokens + kMemoryStep - 1) / kMemoryStep,
+                   static_cast<int64_t>(kOutcomeSteps * view.outcomes.good),
+                   static_cast<int64_t>(kOutcomeSteps * view.outcomes.bad)});
   for (size_t i = 0; i < view.load.unread_tokens.size(); ++i) {
     if (view.load.unread_tokens[i] > 0) {
       item.push_back(i);
@@ -78,8 +78,7 @@
   constexpr milliseconds kShortest{100};
   // A report of one KB to every node then takes 125 KB a second at any size.
   constexpr milliseconds kEachNode{8};
-  return std::max(kShortest,
-                  kEachNode * static_cast<milliseconds::rep>(nodes));
+  return std::max(kShortest, kEachNode * static_cast<milliseconds::rep>(nodes));
 }
 
 std::string EncodeReport(const peer_report& report) {
@@ -89,9 +88,9 @@
   }
   json allotments = json::array();
   for (const allotment_report& one : report.allotments) {
-    allotments.push_back(json::array({one.workspace,
-                                     static_cast<int64_t>(one.taken),
-                                     static_cast<int64_t>(one.level)}));
+    allotments.push_back(
+        json::array({one.workspace, static_cast<int64_t>(one.taken),
+                     static_cast<int64_t>(one.level)}));
   }
   json usage = json::array();
   for (const usage_count& one : report.usage) {
--- a/src/skylarkcroft/peers/skylarkcroft_peer_report.h
+++ b/src/skylarkcroft/peers/skylarkcroft_peer_report.h
@@ -31,8 +31,8 @@
   bool operator==(const peer_report&) const = default;
 };
 
-/// How often a node tells its peers when there are `nodes` nodes. The bytes that
-/// a node sends and receives stay bounded as nodes are added.
+/// How often a node tells its peers when there are `nodes` nodes. The bytes
+/// that a node sends and receives stay bounded as nodes are added.
 milliseconds ReportPeriod(size_t nodes);
 
 /// CBOR with positional members. Fractions of allotments are left out.
--- a/src/skylarkcroft/placement/skylarkcroft_prompt_parts.cc
+++ b/src/skylarkcroft/placement/skylarkcroft_prompt_parts.cc
@@ -22,8 +22,7 @@
   int64_t value = 0;
   const auto [end, failure] =
       std::from_chars(text.data(), text.data() + text.size(), value);
-  if (failure != std::errc() || end != text.data() + text.size() ||
-      value < 0) {
+  if (failure != std::errc() || end != text.data() + text.size() || value < 0) {
     return std::nullopt;
   }
   return value;
--- a/src/skylarkcroft/placement/skylarkcroft_upstream_belief.cc
+++ b/src/skylarkcroft/placement/skylarkcroft_upstream_belief.cc
@@ -48,8 +48,9 @@
   if (excess < 0) {
     return;
   }
-  const milliseconds span = std::min(
-      kLongestAvoidance, kFirstAvoidance * (1 << std::min(excess, kMostDoublings)));
+  const milliseconds span =
+      std::min(kLongestAvoidance,
+               kFirstAvoidance * (1 << std::min(excess, kMostDoublings)));
   avoided_until_ = std::max(avoided_until_, now + span);
 }
 
--- a/src/skylarkcroft/placement/skylarkcroft_upstream_board.cc
+++ b/src/skylarkcroft/placement/skylarkcroft_upstream_board.cc
@@ -222,9 +222,9 @@
     return true;
   }
   constexpr double kRange = 4294967296.0;
-  const uint64_t draw = XXH3_64bits_withSeed(&one.key, sizeof one.key,
-                                             request.sample_seed) &
-                        UINT32_MAX;
+  const uint64_t draw =
+      XXH3_64bits_withSeed(&one.key, sizeof one.key, request.sample_seed) &
+      UINT32_MAX;
   return static_cast<double>(draw) / kRange <
          terms_.sample / static_cast<double>(around.usable);
 }
@@ -237,8 +237,7 @@
   made.running = all.load.running;
   made.unread_tokens = TokensAhead(all.load, request.urgency);
   made.peer_age = all.peer_age;
-  made.parts_cached =
-      home || one.parts.contains(request.shape.AffinityKey());
+  made.parts_cached = home || one.parts.contains(request.shape.AffinityKey());
   made.work.urgency = request.urgency;
   made.work.memory_tokens = request.shape.TotalTokens();
   made.work.unread_tokens =
@@ -254,8 +253,8 @@
           : terms_.first_token +
                 milliseconds(static_cast<milliseconds::rep>(reading));
   const int slots = std::max(one.entry.slots, 1);
-  const double planned = static_cast<double>(all.load.memory_tokens +
-                                             made.work.memory_tokens);
+  const double planned =
+      static_cast<double>(all.load.memory_tokens + made.work.memory_tokens);
   const bool memory_full =
       request.cache_tokens > 0 &&
       planned > terms_.memory_share * static_cast<double>(request.cache_tokens);
@@ -284,8 +283,8 @@
   const bool other_zone =
       one.entry.availability_zone != request.availability_zone;
   if (request.cache_tokens == 0) {
-    const double busy = static_cast<double>(all.load.running) /
-                        std::max(one.entry.slots, 1);
+    const double busy =
+        static_cast<double>(all.load.running) / std::max(one.entry.slots, 1);
     return penalty +
            kPlainRequestMs * (busy + (other_zone ? kOtherZonePenalty : 0));
   }
@@ -323,10 +322,8 @@
       continue;
     }
     const summed all = Sum(one, now);
-    const placement estimate =
-        Estimate(one, all, request, &one == around.home);
-    const double penalty =
-        Penalty(one, all, estimate, request, around, now);
+    const placement estimate = Estimate(one, all, request, &one == around.home);
+    const double penalty = Penalty(one, all, estimate, request, around, now);
     if (!best.has_value() || penalty < least) {
       best = estimate;
       least = penalty;
@@ -420,14 +417,12 @@
   }
 }
 
-std::vector<peer_upstream_view> upstream_board::OwnViews(
-    time_point now) const {
+std::vector<peer_upstream_view> upstream_board::OwnViews(time_point now) const {
   constexpr double kLeastOutcome = 0.05;
   std::vector<peer_upstream_view> views;
   for (const auto& [id, one] : upstreams_) {
     const outcome_sums outcomes = one.belief.Sums(now);
-    if (one.own.running == 0 &&
-        outcomes.good + outcomes.bad < kLeastOutcome) {
+    if (one.own.running == 0 && outcomes.good + outcomes.bad < kLeastOutcome) {
       continue;
     }
     views.push_back({one.key, one.own, outcomes});
--- a/src/skylarkcroft/relay/skylarkcroft_attempt_rules.h
+++ b/src/skylarkcroft/relay/skylarkcroft_attempt_rules.h
@@ -7,13 +7,13 @@
 
 /// How one attempt at an upstream failed.
 enum class attempt_failure {
-  kNoConnection,   ///< Nothing was sent.
-  kDeclined,       ///< The upstream states that it did not run the request.
-  kOtherProcess,   ///< Another process has the address; it did not run it.
-  kBroken,         ///< The connection ended after the request was sent.
-  kMalformed,      ///< What came back is not this request's answer.
-  kSilent,         ///< Nothing came for too long.
-  kErrorAnswer,    ///< A failure answered by the upstream, which ran it.
+  kNoConnection,  ///< Nothing was sent.
+  kDeclined,      ///< The upstream states that it did not run the request.
+  kOtherProcess,  ///< Another process has the address; it did not run it.
+  kBroken,        ///< The connection ended after the request was sent.
+  kMalformed,     ///< What came back is not this request's answer.
+  kSilent,        ///< Nothing came for too long.
+  kErrorAnswer,   ///< A failure answered by the upstream, which ran it.
 };
 
 std::string_view ToString(attempt_failure failure);
--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
@@ -36,8 +36,8 @@
       limits_(Limits()),
       waiting_since_(environment.clock()),
       socket_(environment.loop, fd,
-              {[this](std::string_view bytes) { return OnBytes(bytes); },
-               [] {}, [this](bool /*clean*/) { OnClosed(); }}) {}
+              {[this](std::string_view bytes) { return OnBytes(bytes); }, [] {},
+               [this](bool /*clean*/) { OnClosed(); }}) {}
 
 client_connection::~client_connection() = default;
 
--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.h
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.h
@@ -65,7 +65,6 @@
   client_limits limits_;
   client_request reading_;
   bool head_read_ = false;
-  bool continue_expected_ = false;
   bool keep_alive_ = true;
   bool answered_ = false;
   bool closing_ = false;
--- a/src/skylarkcroft/relay/skylarkcroft_forwarded_head.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_forwarded_head.cc
@@ -53,8 +53,7 @@
          IsOneOf(name, options);
 }
 
-void AddField(std::string& out, std::string_view name,
-              std::string_view value) {
+void AddField(std::string& out, std::string_view name, std::string_view value) {
   out.append(name).append(": ").append(value).append("\r\n");
 }
 
--- a/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
@@ -50,8 +50,7 @@
 
 void relay_metrics::NoteConnectionOpened() { connections_opened_.Increment(); }
 
-void relay_metrics::NoteStoreContact(const std::string& table,
-                                     bool reachable) {
+void relay_metrics::NoteStoreContact(const std::string& table, bool reachable) {
   registry_
       .Gauge({"skylarkcroft_store_reachable",
               "1 while the store answers.",
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -76,8 +76,7 @@
   terms.lease.takeover_margin = milliseconds(500);
   terms.lease.watchers = kLeaseWatchers;
   terms.window = settings.bounds.usage_window;
-  terms.longest_lateness =
-      settings.bounds.usage_lateness - milliseconds(500);
+  terms.longest_lateness = settings.bounds.usage_lateness - milliseconds(500);
   terms.reports_usage = settings.reports_usage;
   terms.orders_fleet = settings.orders_fleet;
   return terms;
@@ -118,8 +117,8 @@
         upstreams_follower_(loop, store, sources.upstreams_table,
                             WaitingFor(kUpstreamsWait), UpstreamsEvents(),
                             clock_),
-        nodes_follower_(loop, store, kNodesTable, WaitingFor(kNodesWait), NodesEvents(),
-                        clock_),
+        nodes_follower_(loop, store, kNodesTable, WaitingFor(kNodesWait),
+                        NodesEvents(), clock_),
         server_(environment_, settings.listen.clients),
         readiness_(loop, settings.listen.readiness, http_server_limits{},
                    [this](const http_exchange_ptr& asked) { OnProbe(asked); }),
@@ -146,8 +145,7 @@
     settings_.bounds = settings.bounds;
     repeats_.SetTerms(RepeatTerms(settings.bounds));
     ApplyBounds(environment_);
-    log_.SetLevel(
-        ParseLogLevel(settings.log_level).value_or(log_level::kInfo));
+    log_.SetLevel(ParseLogLevel(settings.log_level).value_or(log_level::kInfo));
     Say(log_level::kInfo, "settings reloaded", {});
   }
 
@@ -211,8 +209,7 @@
     environment.gate.longest_key_age =
         Share(settings_.bounds.revocation, kKeyAgeShare);
     environment.gate.longest_denial_age = settings_.bounds.apply_deadline;
-    environment.terms.leave_limit =
-        settings_.bounds.grace_period - kExitMargin;
+    environment.terms.leave_limit = settings_.bounds.grace_period - kExitMargin;
   }
 
   static follower_terms WaitingFor(milliseconds wait) {
@@ -222,17 +219,16 @@
   }
 
   follower_events TablesEvents() {
-    return {[this](const std::vector<stored_row>& rows, time_point /*now*/) {
-              for (const stored_row& row : rows) {
-                TakeTables(row);
-              }
-            },
-            [this](const stored_row& row, time_point /*now*/) {
-              TakeTables(row);
-            },
-            [this](bool reachable, store_outcome why, time_point /*now*/) {
-              SayContact(sources_.tables_table, reachable, why);
-            }};
+    return {
+        [this](const std::vector<stored_row>& rows, time_point /*now*/) {
+          for (const stored_row& row : rows) {
+            TakeTables(row);
+          }
+        },
+        [this](const stored_row& row, time_point /*now*/) { TakeTables(row); },
+        [this](bool reachable, store_outcome why, time_point /*now*/) {
+          SayContact(sources_.tables_table, reachable, why);
+        }};
   }
 
   follower_events UpstreamsEvents() {
@@ -259,40 +255,39 @@
   }
 
   follower_events NodesEvents() {
-    return {[this](const std::vector<stored_row>& rows, time_point now) {
-              for (const stored_row& row : rows) {
-                TakeNode(row, now);
-              }
-            },
-            [this](const stored_row& row, time_point now) {
-              TakeNode(row, now);
-            },
-            [](bool /*reachable*/, store_outcome /*why*/, time_point) {}};
+    return {
+        [this](const std::vector<stored_row>& rows, time_point now) {
+          for (const stored_row& row : rows) {
+            TakeNode(row, now);
+          }
+        },
+        [this](const stored_row& row, time_point now) { TakeNode(row, now); },
+        [](bool /*reachable*/, store_outcome /*why*/, time_point) {}};
   }
 
   duty_environment DutyEnvironment(duty_calls& calls) {
-    return {loop_,
-            store_,
-            calls,
-            ledger_,
-            [this] {
-              std::vector<std::string> names = group_.Live(clock_());
-              names.push_back(settings_.name);
-              return names;
-            },
-            [this](time_point now) { return true_time_.NowMs(now); },
-            [this](time_point now) { return PlanFleet(now); },
-            [this](const fleet_order& order, duty_outcome outcome,
-                   time_point now) {
-              planner_.NoteAnswer(order, outcome, now);
-              SayOrder(order, outcome);
-            },
-            [this](std::string_view event, int64_t fence,
-                   const std::string& detail) {
-              Say(log_level::kInfo, std::string(event),
-                  {{"fence", std::to_string(fence)}, {"detail", detail}});
-            },
-            clock_};
+    return {
+        loop_,
+        store_,
+        calls,
+        ledger_,
+        [this] {
+          std::vector<std::string> names = group_.Live(clock_());
+          names.push_back(settings_.name);
+          return names;
+        },
+        [this](time_point now) { return true_time_.NowMs(now); },
+        [this](time_point now) { return PlanFleet(now); },
+        [this](const fleet_order& order, duty_outcome outcome, time_point now) {
+          planner_.NoteAnswer(order, outcome, now);
+          SayOrder(order, outcome);
+        },
+        [this](std::string_view event, int64_t fence,
+               const std::string& detail) {
+          Say(log_level::kInfo, std::string(event),
+              {{"fence", std::to_string(fence)}, {"detail", detail}});
+        },
+        clock_};
   }
 
   std::vector<fleet_order> PlanFleet(time_point now) {
@@ -311,8 +306,7 @@
                       board_.Running(pool.name, now)};
       for (const upstream_entry& entry : board_.Entries()) {
         if (entry.service == pool.name) {
-          view.upstreams.push_back(
-              {entry, board_.RunningAt(entry.id, now)});
+          view.upstreams.push_back({entry, board_.RunningAt(entry.id, now)});
         }
       }
       for (const fleet_order& order : planner_.Plan(view, now)) {
@@ -393,8 +387,7 @@
          {"row_version", std::to_string(row.version)}});
   }
 
-  void SayContact(const std::string& table, bool reachable,
-                  store_outcome why) {
+  void SayContact(const std::string& table, bool reachable, store_outcome why) {
     metrics_.NoteStoreContact(table, reachable);
     Say(reachable ? log_level::kInfo : log_level::kWarn,
         reachable ? "store regained" : "store lost",
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -95,10 +95,10 @@
   // The workspace's rank goes before the route's.
   const int workspace_rank =
       gate_.workspace == nullptr ? 0 : gate_.workspace->rank;
-  urgency_ = std::clamp(workspace_rank * kRanksPerWorkspaceRank +
-                            std::clamp(gate_.route->rank, 0,
-                                       kRanksPerWorkspaceRank - 1),
-                        0, kUrgencies - 1);
+  urgency_ = std::clamp(
+      workspace_rank * kRanksPerWorkspaceRank +
+          std::clamp(gate_.route->rank, 0, kRanksPerWorkspaceRank - 1),
+      0, kUrgencies - 1);
   constexpr double kSeeds = 1e15;
   sample_seed_ = static_cast<uint64_t>(kSeeds * environment_.draw());
   environment_.repeats.NoteRequest(service_, environment_.clock());
@@ -110,11 +110,10 @@
   const std::string host = headers.Get("Host");
   const std::string key = headers.Get(environment_.names.key);
   const std::string_view target = request_.head.target;
-  const gate_request asked{
-      host, target.substr(0, target.find('?')),
-      headers.Has(environment_.names.key)
-          ? std::optional<std::string_view>(key)
-          : std::nullopt};
+  const gate_request asked{host, target.substr(0, target.find('?')),
+                           headers.Has(environment_.names.key)
+                               ? std::optional<std::string_view>(key)
+                               : std::nullopt};
   gate_ = DecideGate(asked, tables_, environment_.gate, environment_.clock());
   record_.tables_age = gate_.tables_age;
   if (tables_.tables != nullptr) {
@@ -186,8 +185,10 @@
 }
 
 placement_request relay_request::AskPlacement() const {
-  return {service_, environment_.availability_zone, shape_, urgency_,
-          cache_tokens_, tried_, sample_seed_};
+  return {service_,      environment_.availability_zone,
+          shape_,        urgency_,
+          cache_tokens_, tried_,
+          sample_seed_};
 }
 
 void relay_request::TryNext() {
@@ -217,8 +218,7 @@
     set.urgency = urgency_;
   }
   set.last_event_id = last_event_;
-  return FormatForwarded(request_.head, request_.body, set,
-                         environment_.names);
+  return FormatForwarded(request_.head, request_.body, set, environment_.names);
 }
 
 void relay_request::Send(const placement& placed) {
@@ -236,12 +236,10 @@
   tried_.push_back(placed.upstream.id);
   splitter_.Clear();
   environment_.board.NoteSent(placed.upstream.id, placed.work, shape_, now);
-  const exchange_request sent{placed.upstream.id,
-                              placed.upstream.address,
-                              Format(placed),
-                              environment_.names.request_id,
-                              request_id_,
-                              request_.head.method == "HEAD"};
+  const exchange_request sent{
+      placed.upstream.id, placed.upstream.address,
+      Format(placed),     environment_.names.request_id,
+      request_id_,        request_.head.method == "HEAD"};
   attempt_->exchange = environment_.links.Start(
       sent, {[this](const message_head& head) { OnHead(head); },
              [this](std::string_view bytes) { OnBody(bytes); },
@@ -282,8 +280,8 @@
   attempt_->head = head;
   const bool event_stream =
       head.headers.Get("Content-Type").starts_with("text/event-stream");
-  attempt_->is_stream = event_stream && IsSuccess(head.status) &&
-                        !FailureOf(head).has_value();
+  attempt_->is_stream =
+      event_stream && IsSuccess(head.status) && !FailureOf(head).has_value();
 }
 
 void relay_request::NoteBegun() {
@@ -293,8 +291,8 @@
                                attempt_->placed.work, now);
   if (!counted_begun_) {
     counted_begun_ = true;
-    record_.first_byte = std::chrono::duration_cast<milliseconds>(
-        now - request_.arrived_at);
+    record_.first_byte =
+        std::chrono::duration_cast<milliseconds>(now - request_.arrived_at);
     if (!record_.workspace.empty()) {
       environment_.on_begun(record_.workspace);
     }
--- a/src/skylarkcroft/relay/skylarkcroft_relay_server.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_server.cc
@@ -32,9 +32,8 @@
   listener_ = evconnlistener_new_bind(
       environment.loop.base(),
       [](evconnlistener* /*from*/, evutil_socket_t fd, sockaddr* /*peer*/,
-         int /*size*/, void* self) {
-        static_cast<relay_server*>(self)->Accept(fd);
-      },
+         int /*size*/,
+         void* self) { static_cast<relay_server*>(self)->Accept(fd); },
       this, LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC,
       kBacklog, reinterpret_cast<sockaddr*>(&raw), sizeof raw);
   if (listener_ == nullptr) {
@@ -45,8 +44,8 @@
   getsockname(evconnlistener_get_fd(listener_),
               reinterpret_cast<sockaddr*>(&raw), &size);
   address_.port = ntohs(raw.sin_port);
-  sweep_ =
-      environment.loop.Every(environment.terms.sweep_period, [this] { Sweep(); });
+  sweep_ = environment.loop.Every(environment.terms.sweep_period,
+                                  [this] { Sweep(); });
 }
 
 relay_server::~relay_server() {
--- a/src/skylarkcroft/relay/skylarkcroft_relay_settings.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_settings.cc
@@ -46,8 +46,8 @@
       reader.NumberOr("repeat_share", {0, 1}, bounds.repeat_share);
   bounds.repeat_window =
       ReadMs(reader, "repeat_window_ms", bounds.repeat_window);
-  bounds.repeat_reserve =
-      reader.NumberOr("repeat_reserve", {0, kMaxReserve}, bounds.repeat_reserve);
+  bounds.repeat_reserve = reader.NumberOr("repeat_reserve", {0, kMaxReserve},
+                                          bounds.repeat_reserve);
   bounds.lease = ReadMs(reader, "lease_ms", bounds.lease);
   bounds.usage_window = ReadMs(reader, "usage_window_ms", bounds.usage_window);
   bounds.usage_lateness =
--- a/src/skylarkcroft/relay/skylarkcroft_request_record.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_request_record.cc
@@ -13,8 +13,8 @@
 
 log_entry ToLogEntry(const request_record& record) {
   log_entry entry;
-  entry.level = record.status >= kFirstFailure ? log_level::kWarn
-                                               : log_level::kInfo;
+  entry.level =
+      record.status >= kFirstFailure ? log_level::kWarn : log_level::kInfo;
   entry.message = "request ended";
   entry.request_id = record.request_id;
   entry.caller = record.workspace;
--- a/src/skylarkcroft/relay/skylarkcroft_upstream_links.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_upstream_links.cc
@@ -173,9 +173,8 @@
     const std::optional<int> seconds =
         KeepAliveSeconds(head.headers.Get("Keep-Alive"));
     if (link_ != nullptr && seconds.has_value()) {
-      link_->idle_limit =
-          milliseconds(static_cast<milliseconds::rep>(
-              owner_.terms_.idle_share * kMillisPerSecond * *seconds));
+      link_->idle_limit = milliseconds(static_cast<milliseconds::rep>(
+          owner_.terms_.idle_share * kMillisPerSecond * *seconds));
     }
     if (!foreign_) {
       events_.on_head(head);
@@ -272,8 +271,7 @@
 
 exchange_ptr upstream_links::Start(const exchange_request& request,
                                    exchange_events events) {
-  auto started =
-      std::make_shared<exchange>(*this, request, std::move(events));
+  auto started = std::make_shared<exchange>(*this, request, std::move(events));
   std::list<link_ptr>& idle = idle_[request.upstream_id];
   while (!idle.empty()) {
     const link_ptr newest = idle.back();
--- a/src/skylarkcroft/relay/skylarkcroft_upstream_links.h
+++ b/src/skylarkcroft/relay/skylarkcroft_upstream_links.h
@@ -55,9 +55,9 @@
 struct exchange_request {
   std::string upstream_id;
   endpoint address;
-  std::string bytes;           ///< The whole request as it goes out.
-  std::string id_header;       ///< Name of the header that names the request.
-  std::string id;              ///< Empty when the client sent none.
+  std::string bytes;      ///< The whole request as it goes out.
+  std::string id_header;  ///< Name of the header that names the request.
+  std::string id;         ///< Empty when the client sent none.
   bool head_only = false;
 
   bool operator==(const exchange_request&) const = default;
--- a/src/skylarkcroft/service/skylarkcroft_service_map.cc
+++ b/src/skylarkcroft/service/skylarkcroft_service_map.cc
@@ -43,8 +43,9 @@
       keys_.push_back({key, i});
     }
   }
-  std::sort(keys_.begin(), keys_.end(),
-            [](const key_owner& a, const key_owner& b) { return a.key < b.key; });
+  std::sort(
+      keys_.begin(), keys_.end(),
+      [](const key_owner& a, const key_owner& b) { return a.key < b.key; });
 }
 
 const service_route* service_lookup::FindRoute(std::string_view host,
--- a/src/skylarkcroft/store/skylarkcroft_table_follower.cc
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.cc
@@ -47,8 +47,7 @@
   }
   // After a failure a call that is answered at once tells sooner whether the
   // store is back.
-  const milliseconds wait =
-      failures_ > 0 ? milliseconds(0) : terms_.watch_wait;
+  const milliseconds wait = failures_ > 0 ? milliseconds(0) : terms_.watch_wait;
   store_.Watch(table_, *watch_from_, wait,
                [this, sent_at, alive](const store_view& view) {
                  if (!alive.expired()) {
--- a/src/skylarkcroft/wire/skylarkcroft_message_reader.cc
+++ b/src/skylarkcroft/wire/skylarkcroft_message_reader.cc
@@ -37,8 +37,9 @@
       continue;
     }
     ++framing_fields;
-    const bool digits = std::all_of(field.value.begin(), field.value.end(),
-                                    [](char c) { return c >= '0' && c <= '9'; });
+    const bool digits =
+        std::all_of(field.value.begin(), field.value.end(),
+                    [](char c) { return c >= '0' && c <= '9'; });
     if (length && (field.value.empty() || !digits)) {
       return false;
     }
@@ -102,7 +103,7 @@
   }
 
   static const http_parser_settings& Callbacks() {
-    static const http_parser_settings callbacks = [] {
+    static const http_parser_settings kCallbacks = [] {
       http_parser_settings made;
       http_parser_settings_init(&made);
       made.on_url = [](http_parser* parser, const char* at, size_t size) {
@@ -136,7 +137,7 @@
       };
       return made;
     }();
-    return callbacks;
+    return kCallbacks;
   }
 
   void ClearHead() {
@@ -173,8 +174,7 @@
     in_head_ = false;
     head_.status = parser_.status_code;
     if (kind_ == message_kind::kRequest) {
-      head_.method =
-          http_method_str(static_cast<http_method>(parser_.method));
+      head_.method = http_method_str(static_cast<http_method>(parser_.method));
     } else if (head_.status < kInformational) {
       return 0;
     }
--- a/tests/adapter/platform_documents_test.cc
+++ b/tests/adapter/platform_documents_test.cc
@@ -65,8 +65,7 @@
   CHECK(entry->incarnation == 1780829201318);
 }
 
-TEST_CASE("Entries of other writers name no upstream",
-          "[adapter][directory]") {
+TEST_CASE("Entries of other writers name no upstream", "[adapter][directory]") {
   const std::string value = GENERATE(
       as<std::string>{}, "", "\xff\xfe", "null", "[]", "{}",
       R"({"service": "s", "address": "somewhere", "state": "ready"})",
--- a/tests/adapter/platform_row_store_test.cc
+++ b/tests/adapter/platform_row_store_test.cc
@@ -66,8 +66,7 @@
           "[adapter][store]") {
   fixture on;
   on.standin.Put("t", "k", "other");
-  const store_view view =
-      on.Commit({{{"t", "k", 0}}, {{"t", "k", "mine"}}});
+  const store_view view = on.Commit({{{"t", "k", 0}}, {{"t", "k", "mine"}}});
   CHECK(view.outcome == store_outcome::kConflict);
   REQUIRE(view.rows.size() == 1);
   CHECK(view.rows.front().value == "other");
@@ -158,12 +157,11 @@
   const time_point start{std::chrono::seconds(100)};
   answer_time time;
   const milliseconds store(50000);
-  time.EarliestAnswer(start, store + milliseconds(5),
-                      start + milliseconds(10));
+  time.EarliestAnswer(start, store + milliseconds(5), start + milliseconds(10));
   // Given after one second, read after eight.
   const time_point sent = start + milliseconds(1000);
-  const time_point given = time.EarliestAnswer(
-      sent, store + milliseconds(2000), sent + milliseconds(8000));
+  const time_point given = time.EarliestAnswer(sent, store + milliseconds(2000),
+                                               sent + milliseconds(8000));
   CHECK(given >= start + milliseconds(1990));
   CHECK(given <= start + milliseconds(2000));
 }
--- a/tests/adapter/platform_standin.h
+++ b/tests/adapter/platform_standin.h
@@ -127,9 +127,9 @@
   void Reply(const http_exchange_ptr& call, int status,
              nlohmann::json body) const {
     body["row_version"] = version_;
-    body["now_ms"] = std::chrono::duration_cast<milliseconds>(
-                         SteadyNow().time_since_epoch())
-                         .count();
+    body["now_ms"] =
+        std::chrono::duration_cast<milliseconds>(SteadyNow().time_since_epoch())
+            .count();
     call->Reply({status, {{"Content-Type", "application/json"}}, body.dump()});
   }
 
@@ -174,8 +174,7 @@
 
   void HandleFeed(const http_exchange_ptr& call) {
     const std::string table = call->request().QueryParameter("table_name");
-    const int64_t after =
-        std::stoll(call->request().QueryParameter("after"));
+    const int64_t after = std::stoll(call->request().QueryParameter("after"));
     const milliseconds wait(
         std::stoll(call->request().QueryParameter("wait_ms")));
     if (after < oldest_) {
--- a/tests/duties/fleet_planner_test.cc
+++ b/tests/duties/fleet_planner_test.cc
@@ -1,10 +1,10 @@
-#include "skylarkcroft/duties/skylarkcroft_fleet_planner.h"
-
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <string>
 #include <vector>
 
+#include "skylarkcroft/duties/skylarkcroft_fleet_planner.h"
+
 namespace skylarkcroft {
 namespace {
 
@@ -39,18 +39,18 @@
     }
   }
   [[nodiscard]] int Count(bool reclaimable) const {
-    return static_cast<int>(std::count_if(
-        view_.upstreams.begin(), view_.upstreams.end(),
-        [&](const fleet_upstream& e) {
-          return e.entry.reclaimable == reclaimable;
-        }));
+    return static_cast<int>(
+        std::count_if(view_.upstreams.begin(), view_.upstreams.end(),
+                      [&](const fleet_upstream& e) {
+                        return e.entry.reclaimable == reclaimable;
+                      }));
   }
   [[nodiscard]] int CountIn(const std::string& zone) const {
-    return static_cast<int>(std::count_if(
-        view_.upstreams.begin(), view_.upstreams.end(),
-        [&](const fleet_upstream& e) {
-          return e.entry.availability_zone == zone;
-        }));
+    return static_cast<int>(
+        std::count_if(view_.upstreams.begin(), view_.upstreams.end(),
+                      [&](const fleet_upstream& e) {
+                        return e.entry.availability_zone == zone;
+                      }));
   }
   void SetRunning(int running) { view_.running = running; }
   void Withhold(bool withheld) { withheld_ = withheld; }
@@ -69,10 +69,10 @@
       now_ += milliseconds(1000);
       for (const fleet_order& order : planner.Plan(view_, now_)) {
         const bool refused = withheld_ && order.reclaimable;
-        planner.NoteAnswer(order,
-                           refused ? duty_outcome::kUnavailable
-                                   : duty_outcome::kAccepted,
-                           now_);
+        planner.NoteAnswer(
+            order,
+            refused ? duty_outcome::kUnavailable : duty_outcome::kAccepted,
+            now_);
         if (!refused) {
           SetCount(order.availability_zone, order.reclaimable, order.count);
         }
--- a/tests/limits/token_allotments_test.cc
+++ b/tests/limits/token_allotments_test.cc
@@ -1,11 +1,10 @@
-#include "skylarkcroft/limits/skylarkcroft_token_allotments.h"
-
 #include <catch2/catch.hpp>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "skylarkcroft/limits/skylarkcroft_repeat_allowance.h"
+#include "skylarkcroft/limits/skylarkcroft_token_allotments.h"
 
 namespace skylarkcroft {
 namespace {
--- a/tests/peers/peer_report_test.cc
+++ b/tests/peers/peer_report_test.cc
@@ -1,8 +1,7 @@
-#include "skylarkcroft/peers/skylarkcroft_peer_report.h"
-
 #include <catch2/catch.hpp>
 
 #include "skylarkcroft/peers/skylarkcroft_peer_group.h"
+#include "skylarkcroft/peers/skylarkcroft_peer_report.h"
 #include "skylarkcroft/peers/skylarkcroft_true_time.h"
 
 namespace skylarkcroft {
--- a/tests/placement/prompt_parts_test.cc
+++ b/tests/placement/prompt_parts_test.cc
@@ -1,7 +1,7 @@
-#include "skylarkcroft/placement/skylarkcroft_prompt_parts.h"
-
 #include <catch2/catch.hpp>
 
+#include "skylarkcroft/placement/skylarkcroft_prompt_parts.h"
+
 namespace skylarkcroft {
 
 TEST_CASE("A generation's size and parts are read", "[placement]") {
--- a/tests/placement/upstream_board_test.cc
+++ b/tests/placement/upstream_board_test.cc
@@ -1,11 +1,11 @@
-#include "skylarkcroft/placement/skylarkcroft_upstream_board.h"
-
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
 #include <string>
 #include <vector>
 
+#include "skylarkcroft/placement/skylarkcroft_upstream_board.h"
+
 namespace skylarkcroft {
 namespace {
 
@@ -26,6 +26,7 @@
 upstream_board Board(int count) {
   upstream_board board{board_terms{}};
   std::vector<upstream_entry> entries;
+  entries.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     entries.push_back(Entry("u" + std::to_string(i)));
   }
@@ -47,8 +48,7 @@
 }
 
 std::string Chosen(const upstream_board& board,
-                   const placement_request& request,
-                   time_point now = kStart) {
+                   const placement_request& request, time_point now = kStart) {
   const std::optional<placement> placed = board.Choose(request, now);
   return placed.has_value() ? placed->upstream.id : "";
 }
@@ -139,9 +139,10 @@
   CHECK(Chosen(board, request) != home);
 }
 
-TEST_CASE("An upstream without connections is left out at once and tried "
-          "again later",
-          "[placement][crash]") {
+TEST_CASE(
+    "An upstream without connections is left out at once and tried "
+    "again later",
+    "[placement][crash]") {
   upstream_board board = Board(2);
   const placement_request request = Ask("s");
   const std::optional<placement> placed = board.Choose(request, kStart);
@@ -160,10 +161,9 @@
   const std::string home = Chosen(board, request);
   for (int i = 0; i < 10; ++i) {
     board.NoteSent(home, {}, {}, kStart);
-    board.NoteEnded(home, {}, true,
-                    i % 2 == 0 ? upstream_outcome::kBad
-                               : upstream_outcome::kGood,
-                    kStart);
+    board.NoteEnded(
+        home, {}, true,
+        i % 2 == 0 ? upstream_outcome::kBad : upstream_outcome::kGood, kStart);
   }
   CHECK(Chosen(board, request) != home);
 }
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -77,16 +77,14 @@
     connection* one = open_.back().get();
     one->reader = std::make_unique<message_reader>(
         message_kind::kRequest, 65536,
-        message_events{[one](const message_head& head) { one->head = head; },
-                       [one](std::string_view bytes) {
-                         one->body.append(bytes);
-                       }});
+        message_events{
+            [one](const message_head& head) { one->head = head; },
+            [one](std::string_view bytes) { one->body.append(bytes); }});
     one->socket = std::make_unique<stream_socket>(
         loop_, fd,
-        socket_events{[this, one](std::string_view bytes) {
-                        return OnBytes(one, bytes);
-                      },
-                      [] {}, [one](bool) { *one->closed = true; }});
+        socket_events{
+            [this, one](std::string_view bytes) { return OnBytes(one, bytes); },
+            [] {}, [one](bool) { *one->closed = true; }});
   }
 
   size_t OnBytes(connection* one, std::string_view bytes) {
@@ -95,16 +93,15 @@
       return bytes.size();
     }
     one->reader->Reset();
-    arrivals.push_back({one->head, std::exchange(one->body, ""),
-                        [one](const std::string& text) {
-                          if (one->socket != nullptr) {
-                            one->socket->Write(text);
-                          }
-                        },
-                        [this, one] {
-                          loop_.Defer([one] { one->socket.reset(); });
-                        },
-                        one->closed});
+    arrivals.push_back(
+        {one->head, std::exchange(one->body, ""),
+         [one](const std::string& text) {
+           if (one->socket != nullptr) {
+             one->socket->Write(text);
+           }
+         },
+         [this, one] { loop_.Defer([one] { one->socket.reset(); }); },
+         one->closed});
     if (answer_) {
       answer_(arrivals.back());
     }
@@ -213,8 +210,7 @@
            "Transfer-Encoding: chunked\r\n\r\n";
   }
   static std::string Event(int id) {
-    const std::string event =
-        "id: " + std::to_string(id) + "\ndata: x\n\n";
+    const std::string event = "id: " + std::to_string(id) + "\ndata: x\n\n";
     constexpr int kHex = 16;
     const auto size = static_cast<int>(event.size());
     const char digits[] = "0123456789abcdef";
@@ -262,27 +258,26 @@
     names.prompt_parts = "X-Parts";
     names.urgency = "X-Urgency";
     names.reserved = {"X-Reserved"};
-    return {loop,
-            board,
-            links,
-            allotments,
-            repeats,
-            names,
-            relay_terms{},
-            gate_terms{},
-            "a",
-            SteadyNow,
-            [this] {
-              return gate_view{std::make_shared<const service_lookup>(map),
-                               SteadyNow()};
-            },
-            [] { return size_t{1}; },
-            [] { return 0.5; },
-            [this] { return leaving; },
-            [](const std::string&) {},
-            [this](const request_record& record) {
-              records.push_back(record);
-            }};
+    return {
+        loop,
+        board,
+        links,
+        allotments,
+        repeats,
+        names,
+        relay_terms{},
+        gate_terms{},
+        "a",
+        SteadyNow,
+        [this] {
+          return gate_view{std::make_shared<const service_lookup>(map),
+                           SteadyNow()};
+        },
+        [] { return size_t{1}; },
+        [] { return 0.5; },
+        [this] { return leaving; },
+        [](const std::string&) {},
+        [this](const request_record& record) { records.push_back(record); }};
   }
 };
 
--- a/tests/relay/relay_rules_test.cc
+++ b/tests/relay/relay_rules_test.cc
@@ -75,8 +75,7 @@
   CHECK(event_splitter().Feed(bytes) == events);
 }
 
-TEST_CASE("Headers of the client's connection stay there",
-          "[relay][forward]") {
+TEST_CASE("Headers of the client's connection stay there", "[relay][forward]") {
   message_head head;
   head.method = "GET";
   head.target = "/";
--- a/tests/relay/relay_test.cc
+++ b/tests/relay/relay_test.cc
@@ -17,7 +17,8 @@
 
 TEST_CASE("A request and its answer pass unchanged", "[relay]") {
   fixture relay;
-  relay.Answer([](const arrival& to) { to.write(fixture::Answered(to, "done")); });
+  relay.Answer(
+      [](const arrival& to) { to.write(fixture::Answered(to, "done")); });
   raw_client client(relay.loop, relay.server.address());
   client.Send(fixture::Request(
       "/safe/x?y=1", "r1",
@@ -52,7 +53,8 @@
   relay.Answer([&](const arrival& to) {
     if (!declined) {
       declined = true;
-      to.write("HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+      to.write(
+          "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
       return;
     }
     to.write(fixture::Answered(to, "done"));
@@ -118,8 +120,7 @@
   CHECK_FALSE(Has(client.received, "old"));
 }
 
-TEST_CASE("Bytes after an answer end the connection's use",
-          "[relay][garble]") {
+TEST_CASE("Bytes after an answer end the connection's use", "[relay][garble]") {
   fixture relay;
   relay.Answer([](const arrival& to) {
     to.write(fixture::Answered(to, "done") + "HTTP/1.1 200 OK\r\n\r\nextra");
@@ -260,7 +261,8 @@
 TEST_CASE("While leaving, answers close their connections", "[relay][leave]") {
   fixture relay;
   relay.leaving = milliseconds(100);
-  relay.Answer([](const arrival& to) { to.write(fixture::Answered(to, "done")); });
+  relay.Answer(
+      [](const arrival& to) { to.write(fixture::Answered(to, "done")); });
   raw_client client(relay.loop, relay.server.address());
   client.Send(fixture::Request("/safe/", "r1"));
   REQUIRE(relay.Await([&] { return client.closed; }));
--- a/tests/service/request_gate_test.cc
+++ b/tests/service/request_gate_test.cc
@@ -1,8 +1,8 @@
-#include "skylarkcroft/service/skylarkcroft_request_gate.h"
-
 #include <catch2/catch.hpp>
 #include <memory>
 
+#include "skylarkcroft/service/skylarkcroft_request_gate.h"
+
 namespace skylarkcroft {
 namespace {
 
@@ -44,8 +44,7 @@
   CHECK(decision.workspace->name == "north");
 }
 
-TEST_CASE("Unknown routes and keys are denied on fresh tables only",
-          "[gate]") {
+TEST_CASE("Unknown routes and keys are denied on fresh tables only", "[gate]") {
   const milliseconds fresh(1999);
   const milliseconds stale(2001);
   CHECK(Decide({"shop.example", "/x/", "key-n"}, fresh).verdict ==
--- a/tests/wire/message_reader_test.cc
+++ b/tests/wire/message_reader_test.cc
@@ -1,9 +1,9 @@
-#include "skylarkcroft/wire/skylarkcroft_message_reader.h"
-
 #include <catch2/catch.hpp>
 #include <string>
 #include <vector>
 
+#include "skylarkcroft/wire/skylarkcroft_message_reader.h"
+
 namespace skylarkcroft {
 namespace {
 
@@ -27,7 +27,8 @@
 
 TEST_CASE("A request with a length is read up to its end", "[wire]") {
   reading read(message_kind::kRequest);
-  const std::string first = "POST /a?b=c HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nxyz";
+  const std::string first =
+      "POST /a?b=c HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nxyz";
   const read_progress progress = read.Feed(first + "GET /next");
   CHECK(progress.state == read_state::kEnded);
   CHECK(progress.consumed == first.size());
@@ -60,8 +61,9 @@
       "Transfer-Encoding: xchunked\r\n", "Transfer-Encoding: chunked, x\r\n",
       "Transfer-Encoding: identity\r\n");
   reading read(message_kind::kRequest);
-  const read_progress progress = read.Feed(
-      "POST / HTTP/1.1\r\nHost: h\r\n" + framing + "\r\n0\r\n\r\nGET / HTTP/1.1\r\n\r\n");
+  const read_progress progress =
+      read.Feed("POST / HTTP/1.1\r\nHost: h\r\n" + framing +
+                "\r\n0\r\n\r\nGET / HTTP/1.1\r\n\r\n");
   CHECK(progress.state == read_state::kMalformed);
   CHECK(read.heads.empty());
 }
