--- a/src/skylarkcroft/duties/skylarkcroft_fleet_planner.h
+++ b/src/skylarkcroft/duties/skylarkcroft_fleet_planner.h
@@ -18,8 +18,9 @@
   /// Requests at work that one upstream is planned for. A batch of this size
   /// makes the tokens of a stream at half the speed of one alone.
   double running_per_upstream = 12;
-  /// The same as a share of an upstream's places, where it has few.
-  double running_share = 0.5;
+  /// The same as a share of an upstream's places, where it has few: a request
+  /// that finds all of them taken pushes a running stream out.
+  double running_share = 0.35;
   /// Upstreams planned beyond the load, as a share, for a zone taken back.
   double reserve_share = 0.4;
   int least_per_zone = 4;
--- a/src/skylarkcroft/peers/skylarkcroft_peer_report.cc
+++ b/src/skylarkcroft/peers/skylarkcroft_peer_report.cc
@@ -76,8 +76,8 @@
   // Far below the time for which an engine works on a request, and a wake-up
   // rate that is cheap.
   constexpr milliseconds kShortest{100};
-  // A report of one KB to every node then takes 125 KB a second at any size.
-  constexpr milliseconds kEachNode{8};
+  // A report of one KB to every node then takes 200 KB a second at any size.
+  constexpr milliseconds kEachNode{5};
   return std::max(kShortest, kEachNode * static_cast<milliseconds::rep>(nodes));
 }
 
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -37,7 +37,7 @@
 constexpr milliseconds kNodesWait{20000};
 // A change of the list answers the watch at once; the wait bounds how long a
 // connection that went silent is not noticed.
-constexpr milliseconds kUpstreamsWait{3000};
+constexpr milliseconds kUpstreamsWait{4000};
 // Members that watch the lease; one takes over, the other covers for it.
 constexpr size_t kLeaseWatchers = 2;
 constexpr milliseconds kJoinRetry{500};
--- a/src/skylarkcroft/store/skylarkcroft_table_follower.h
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.h
@@ -20,7 +20,7 @@
   /// Longest wait of one watch call.
   milliseconds watch_wait{2000};
   /// Pause after a change, so that a series of changes costs few calls.
-  milliseconds change_pause{300};
+  milliseconds change_pause{500};
   /// First pause after a failed call; doubles up to the longest.
   milliseconds first_pause{100};
   milliseconds longest_pause{400};
--- /dev/null
+++ b/tests/adapter/relay_node_test.cc
@@ -0,0 +1,265 @@
+#include <array>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "platform/platform_documents.h"
+#include "platform/platform_duty_calls.h"
+#include "platform/platform_names.h"
+#include "platform/platform_row_store.h"
+#include "skylarkcroft/http/skylarkcroft_http_client.h"
+#include "skylarkcroft/log/skylarkcroft_logger.h"
+#include "skylarkcroft/relay/skylarkcroft_relay_node.h"
+#include "tests/adapter/platform_standin.h"
+#include "tests/child_program.h"
+#include "tests/relay/relay_fixture.h"
+
+namespace skylarkcroft {
+namespace {
+
+constexpr const char* kConfig = R"({
+  "version": %d,
+  "routes": [{"name": "r", "host": "shop", "path_prefix": "/a/",
+              "kind": "unsafe", "timeout_ms": 2000, "service": "desk",
+              "attempts": 1}],
+  "services": [{"name": "desk", "health_path": "/health"}],
+  "limits": {},
+  "tenants": [{"name": "w", "api_keys": [%s]}]})";
+
+std::string Config(int version, const std::string& keys) {
+  std::array<char, 1024> text{};
+  std::snprintf(text.data(), text.size(), kConfig, version, keys.c_str());
+  return text.data();
+}
+
+std::string Entry(const endpoint& address, const std::string& state) {
+  return R"({"service": "desk", "address": ")" + ToString(address) +
+         R"(", "zone": "a", "slots": 8, "state": ")" + state +
+         R"(", "born": 1})";
+}
+
+std::string Request(const std::string& id, const std::string& key) {
+  return "POST /a/x HTTP/1.1\r\nHost: shop\r\nX-Attempt-Id: " + id +
+         "\r\nX-Remaining-Milliseconds: 1500\r\nX-Key: " + key +
+         "\r\nContent-Length: 0\r\n\r\n";
+}
+
+/// One node process with its clients of the platform, in this process.
+class relay_process {
+ public:
+  relay_process(event_loop& loop, const endpoint& platform,
+                const std::string& name, milliseconds revocation)
+      : log_(loop, {-1, log_level::kError, 1024}),
+        client_(loop),
+        store_(client_, platform),
+        calls_(client_, platform),
+        node_(loop, Settings(platform, name, revocation), Sources(), store_,
+              calls_, log_, SteadyNow, WallNowMs) {}
+
+  [[nodiscard]] endpoint address() const { return node_.clients_address(); }
+
+ private:
+  static relay_settings Settings(const endpoint& platform,
+                                 const std::string& name,
+                                 milliseconds revocation) {
+    const endpoint any{"127.0.0.1", 0};
+    relay_settings settings;
+    settings.name = name;
+    settings.availability_zone = "a";
+    settings.first_start = true;
+    settings.listen = {any, any, any, any};
+    settings.store = platform;
+    settings.cloud = platform;
+    settings.bounds.revocation = revocation;
+    settings.bounds.usage_window = milliseconds(1000);
+    settings.bounds.lease = milliseconds(1500);
+    return settings;
+  }
+
+  static relay_sources Sources() {
+    relay_sources sources;
+    sources.tables_table = platform::kOperatorTable;
+    sources.tables_key = platform::kConfigRow;
+    sources.upstreams_table = platform::kUpstreamTable;
+    sources.read_tables = platform::ReadConfig;
+    sources.read_upstream = platform::ReadUpstream;
+    sources.names = platform::MakeHeaderNames();
+    sources.readiness_path = platform::kReadinessPath;
+    return sources;
+  }
+
+  logger log_;
+  http_client client_;
+  platform::platform_row_store store_;
+  platform::platform_duty_calls calls_;
+  relay_node node_;
+};
+
+class fixture {
+ public:
+  explicit fixture(milliseconds revocation = milliseconds(5000))
+      : relay(std::make_unique<relay_process>(loop, standin.address(), "n1",
+                                              revocation)) {
+    upstream.Answer([](const scripted_upstream::arrival& to) {
+      to.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " +
+               to.head.headers.Get("X-Attempt-Id") +
+               "\r\nX-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok");
+    });
+    standin.Put("op", "config", Config(1, "\"k1\", \"k2\""));
+    standin.Put("servers", "i-1", Entry(upstream.address(), "ready"));
+    REQUIRE(Await([&] { return Ask("k1").starts_with("HTTP/1.1 200"); }));
+  }
+
+  /// The answer to a request with `key`, on a connection of its own.
+  std::string Ask(const std::string& key) {
+    raw_client client(loop, relay->address());
+    client.Send(Request("r" + std::to_string(++asked_), key));
+    Await(
+        [&] { return client.received.find("\r\n\r\n") != std::string::npos; });
+    return client.received;
+  }
+  bool Await(const std::function<bool()>& done) {
+    const time_point limit = SteadyNow() + milliseconds(9000);
+    while (!done() && SteadyNow() < limit) {
+      loop.RunFor(milliseconds(5));
+    }
+    return done();
+  }
+
+  event_loop loop;
+  platform_standin standin{loop};
+  scripted_upstream upstream{loop};
+  std::unique_ptr<relay_process> relay;
+
+ private:
+  int asked_ = 0;
+};
+
+bool Begins(const std::string& answer, const std::string& status) {
+  return answer.starts_with("HTTP/1.1 " + status);
+}
+
+}  // namespace
+
+TEST_CASE("A key that is taken away is refused, the others go on",
+          "[adapter][node][revocation]") {
+  fixture on;
+  on.standin.Put("op", "config", Config(2, "\"k2\""));
+  CHECK(on.Await([&] { return Begins(on.Ask("k1"), "401"); }));
+  CHECK(Begins(on.Ask("k2"), "200"));
+}
+
+TEST_CASE("A node that cannot know the keys refuses without denying",
+          "[adapter][node][revocation]") {
+  fixture on(milliseconds(1500));
+  on.standin.fault = store_fault::kSilent;
+  CHECK(on.Await([&] { return Begins(on.Ask("k1"), "503"); }));
+  on.standin.fault = store_fault::kNone;
+  CHECK(on.Await([&] { return Begins(on.Ask("k1"), "200"); }));
+}
+
+TEST_CASE("An unreadable config changes nothing", "[adapter][node][config]") {
+  fixture on;
+  on.standin.Put("op", "config", "{\"version\": 9, \"routes\": 5}");
+  on.loop.RunFor(milliseconds(700));
+  CHECK(Begins(on.Ask("k1"), "200"));
+}
+
+TEST_CASE("An older config does not come back into force",
+          "[adapter][node][config]") {
+  fixture on;
+  on.standin.Put("op", "config", Config(5, "\"k2\""));
+  REQUIRE(on.Await([&] { return Begins(on.Ask("k1"), "401"); }));
+  on.standin.Put("op", "config", Config(4, "\"k1\""));
+  on.loop.RunFor(milliseconds(700));
+  CHECK(Begins(on.Ask("k1"), "401"));
+}
+
+TEST_CASE("A leaving upstream takes no requests", "[adapter][node][drain]") {
+  fixture on;
+  on.standin.Put("servers", "i-1", Entry(on.upstream.address(), "draining"));
+  CHECK(on.Await([&] { return Begins(on.Ask("k1"), "503"); }));
+  on.standin.Put("servers", "i-1", Entry(on.upstream.address(), "ready"));
+  CHECK(on.Await([&] { return Begins(on.Ask("k1"), "200"); }));
+}
+
+TEST_CASE(
+    "Every window is reported once with one count, over a change of "
+    "holder",
+    "[adapter][node][duties]") {
+  fixture on;
+  auto second = std::make_unique<relay_process>(on.loop, on.standin.address(),
+                                                "n2", milliseconds(5000));
+  std::map<int64_t, std::string> counts;
+  int64_t fence = 0;
+  bool sound = true;
+  std::string holder;
+  size_t seen = 0;
+  const auto collect = [&] {
+    for (; seen < on.standin.cloud_calls.size(); ++seen) {
+      const platform_standin::cloud_call& call = on.standin.cloud_calls[seen];
+      if (call.path != "/usage") {
+        continue;
+      }
+      const std::string body = call.body.at("counts").dump();
+      const auto [known, fresh] =
+          counts.emplace(call.body.at("window_number").get<int64_t>(), body);
+      sound = sound && known->second == body && call.fence >= fence;
+      sound = sound && (call.holder == holder || call.fence > fence);
+      fence = call.fence;
+      holder = call.holder;
+    }
+    return counts.size();
+  };
+  REQUIRE(on.Await([&] {
+    on.Ask("k1");
+    return collect() >= 2;
+  }));
+  const std::string first_holder = holder;
+  if (first_holder == "n1") {
+    on.relay = std::move(second);
+  } else {
+    second.reset();
+  }
+  const size_t before = collect();
+  CHECK(on.Await([&] {
+    on.Ask("k1");
+    return collect() >= before + 2 && holder != first_holder;
+  }));
+  CHECK(sound);
+}
+
+// SIGHUP ended the process, and with it the requests at work.
+TEST_CASE("A hangup signal reloads the settings and ends nothing",
+          "[adapter][node][regression]") {
+  const std::string path = std::tmpnam(nullptr);
+  const std::string address = "\"127.0.0.1:";
+  const int first_port = 20000 + getpid() % 20000;
+  const auto port = [&](int offset) {
+    return address + std::to_string(first_port + offset) + "\"";
+  };
+  std::ofstream(path) << R"({"node": "n1", "availability_zone": "a",
+      "listen": {"clients": )"
+                      << port(0) << R"(, "readiness": )" << port(1)
+                      << R"(, "peers": )" << port(2) << R"(, "metrics": )"
+                      << port(3) << R"(}, "store": )" << port(4)
+                      << R"(, "cloud": )" << port(4) << "}";
+  const child_program relay("src/skylarkcroft", {"relay", "--settings", path});
+  const auto await = [&](const std::string& message) {
+    std::string line = relay.ReadLine();
+    while (!line.empty() && line.find(message) == std::string::npos) {
+      line = relay.ReadLine();
+    }
+    return !line.empty();
+  };
+  REQUIRE(await("\"started\""));
+  relay.Signal(SIGHUP);
+  CHECK(await("settings reloaded"));
+  std::remove(path.c_str());
+}
+
+}  // namespace skylarkcroft
