--- a/src/skylarkcroft/node/skylarkcroft_settings.cc
+++ b/src/skylarkcroft/node/skylarkcroft_settings.cc
@@ -4,32 +4,22 @@
 #include <utility>
 
 #include "skylarkcroft/internal/skylarkcroft_error.h"
-#include "skylarkcroft/internal/skylarkcroft_json_reader.h"
+#include "skylarkcroft/internal/skylarkcroft_settings_values.h"
 
 namespace skylarkcroft {
 namespace {
 
-constexpr int64_t kMaxMs = 24LL * 3600 * 1000;
 constexpr int64_t kMinHeaderBytes = 1024;
 constexpr int64_t kMaxHeaderBytes = 1024 * 1024;
 constexpr int64_t kMinBodyBytes = 1024;
 constexpr int64_t kMaxBodyBytes = 256LL * 1024 * 1024;
 constexpr const char* kNameCharacters = "abcdefghijklmnopqrstuvwxyz0123456789-";
 
-endpoint ReadEndpoint(const json_reader& reader, std::string_view key) {
-  return ParseEndpoint(reader.String(key), reader.PathOf(key));
-}
-
 endpoint ReadEndpointOr(const json_reader& reader, std::string_view key,
                         const endpoint& fallback) {
   return reader.Has(key) ? ReadEndpoint(reader, key) : fallback;
 }
 
-milliseconds ReadMs(const json_reader& reader, std::string_view key,
-                    milliseconds fallback) {
-  return milliseconds(reader.IntOr(key, {0, kMaxMs}, fallback.count()));
-}
-
 void ReadNode(const json_reader& root, settings& parsed) {
   const json_reader reader(root.Member("node"), root.PathOf("node"),
                            {"name", "availability_zone", "region"});
--- a/src/skylarkcroft/platform/skylarkcroft_service_caller.cc
+++ b/src/skylarkcroft/platform/skylarkcroft_service_caller.cc
@@ -1,5 +1,6 @@
 #include "skylarkcroft/platform/skylarkcroft_service_caller.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace skylarkcroft {
@@ -9,10 +10,24 @@
     : client_(client), address_(std::move(address)), timeout_(timeout) {}
 
 void service_caller::Send(const http_request& request, done_fn done) {
-  const uint64_t id = next_id_++;
   http_call_options options;
   options.progress_timeout = timeout_;
   options.total_timeout = kTotalOfTimeouts * timeout_;
+  Start(request, options, std::move(done));
+}
+
+void service_caller::SendWithin(const http_request& request, milliseconds limit,
+                                done_fn done) {
+  http_call_options options;
+  options.progress_timeout = limit;
+  options.total_timeout = limit;
+  options.connect_timeout = std::min(limit, options.connect_timeout);
+  Start(request, options, std::move(done));
+}
+
+void service_caller::Start(const http_request& request,
+                           const http_call_options& options, done_fn done) {
+  const uint64_t id = next_id_++;
   http_call_events events;
   events.on_done = [this, id,
                     done = std::move(done)](const http_result& result) {
--- a/src/skylarkcroft/platform/skylarkcroft_service_caller.h
+++ b/src/skylarkcroft/platform/skylarkcroft_service_caller.h
@@ -25,8 +25,16 @@
 
   /// Never runs `done` from inside itself. `done` may destroy the caller.
   void Send(const http_request& request, done_fn done);
+  /// The same for a request that ends within `limit`, whatever the timeout.
+  void SendWithin(const http_request& request, milliseconds limit,
+                  done_fn done);
+  /// Where later requests go.
+  void SetAddress(const endpoint& address) { address_ = address; }
 
  private:
+  void Start(const http_request& request, const http_call_options& options,
+             done_fn done);
+
   http_client& client_;
   endpoint address_;
   milliseconds timeout_;
--- a/src/skylarkcroft/relay/skylarkcroft_relay_settings.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_settings.cc
@@ -3,24 +3,14 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-#include "skylarkcroft/internal/skylarkcroft_json_reader.h"
+#include "skylarkcroft/internal/skylarkcroft_settings_values.h"
 #include "skylarkcroft/log/skylarkcroft_log_level.h"
 
 namespace skylarkcroft {
 namespace {
 
-constexpr int64_t kMaxMs = 24LL * 3600 * 1000;
 constexpr double kMaxReserve = 1e6;
 
-endpoint ReadEndpoint(const json_reader& reader, std::string_view key) {
-  return ParseEndpoint(reader.String(key), reader.PathOf(key));
-}
-
-milliseconds ReadMs(const json_reader& reader, std::string_view key,
-                    milliseconds fallback) {
-  return milliseconds(reader.IntOr(key, {1, kMaxMs}, fallback.count()));
-}
-
 relay_listen ReadListen(const json_reader& root) {
   const json_reader reader(root.Member("listen"), root.PathOf("listen"),
                            {"clients", "readiness", "peers", "metrics"});
@@ -39,19 +29,21 @@
        "repeat_window_ms", "repeat_reserve", "lease_ms", "usage_window_ms",
        "usage_lateness_ms"});
   bounds.apply_deadline =
-      ReadMs(reader, "apply_deadline_ms", bounds.apply_deadline);
-  bounds.revocation = ReadMs(reader, "revocation_ms", bounds.revocation);
-  bounds.grace_period = ReadMs(reader, "grace_period_ms", bounds.grace_period);
+      ReadMs(reader, "apply_deadline_ms", bounds.apply_deadline, 1);
+  bounds.revocation = ReadMs(reader, "revocation_ms", bounds.revocation, 1);
+  bounds.grace_period =
+      ReadMs(reader, "grace_period_ms", bounds.grace_period, 1);
   bounds.repeat_share =
       reader.NumberOr("repeat_share", {0, 1}, bounds.repeat_share);
   bounds.repeat_window =
-      ReadMs(reader, "repeat_window_ms", bounds.repeat_window);
+      ReadMs(reader, "repeat_window_ms", bounds.repeat_window, 1);
   bounds.repeat_reserve = reader.NumberOr("repeat_reserve", {0, kMaxReserve},
                                           bounds.repeat_reserve);
-  bounds.lease = ReadMs(reader, "lease_ms", bounds.lease);
-  bounds.usage_window = ReadMs(reader, "usage_window_ms", bounds.usage_window);
+  bounds.lease = ReadMs(reader, "lease_ms", bounds.lease, 1);
+  bounds.usage_window =
+      ReadMs(reader, "usage_window_ms", bounds.usage_window, 1);
   bounds.usage_lateness =
-      ReadMs(reader, "usage_lateness_ms", bounds.usage_lateness);
+      ReadMs(reader, "usage_lateness_ms", bounds.usage_lateness, 1);
   return bounds;
 }
 
