--- a/tests/cli/cli_test.cc
+++ b/tests/cli/cli_test.cc
@@ -84,10 +84,11 @@
 cli_run Run(const std::vector<std::string>& arguments) {
   std::ostringstream out;
   std::ostringstream err;
-  const int code = RunCommandLine(
-      arguments, {out, err, CheckDocuments, [](const std::string& path) -> int {
-                    throw error("cannot run " + path, "none");
-                  }});
+  const auto run = [](const std::string& path) -> int {
+    throw error("cannot run " + path, "none");
+  };
+  const int code =
+      RunCommandLine(arguments, {out, err, CheckDocuments, run, run});
   return {code, out.str(), err.str()};
 }
 
@@ -348,8 +349,9 @@
   for (const std::string shell : {"bash", "zsh"}) {
     const cli_run run = Run({"completion", shell});
     CHECK(run.code == 0);
-    CHECK_THAT(run.out, Contains("node check routes pools status requests "
-                                 "loglevel completion"));
+    CHECK_THAT(run.out,
+               Contains("node relay check routes pools status requests "
+                        "loglevel completion"));
     CHECK_THAT(run.out, Contains("get put history diff rollback"));
   }
 }
