Requests spread by what the reports do not show yet; new allotment buckets without debt

Cause: with 80 nodes a report is up to 0.4 s old, in which five requests reach each engine.

Ruled out: shorter report periods (bytes of small links), smaller samples (they ignore load when reports are fresh).

Change: figures are filled up to a common level by the requests that came in within their age, by Little's law, and an upstream is drawn by what it has left below that level; a cached prompt still draws its request home. Sums over peers are kept as reports come, so that a choice costs the same with any number of peers. The silent peers of a new bucket are taken as known.

--- a/src/skylarkcroft/limits/skylarkcroft_token_allotments.cc
+++ b/src/skylarkcroft/limits/skylarkcroft_token_allotments.cc
@@ -30,6 +30,8 @@
         start_full_
             ? limit.burst
             : limit.burst / static_cast<double>(std::max<size_t>(nodes, 1));
+    // The even part of the burst already leaves the peers theirs.
+    one.silent = silent;
   }
   const double elapsed =
       std::chrono::duration<double>(now - one.updated).count();
--- /dev/null
+++ b/src/skylarkcroft/placement/skylarkcroft_peer_loads.h
@@ -0,0 +1,58 @@
+#ifndef SKYLARKCROFT_PLACEMENT_SKYLARKCROFT_PEER_LOADS_H_
+#define SKYLARKCROFT_PLACEMENT_SKYLARKCROFT_PEER_LOADS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "skylarkcroft/internal/skylarkcroft_time.h"
+#include "skylarkcroft/placement/skylarkcroft_upstream_load.h"
+
+namespace skylarkcroft {
+
+/// What all peers together have at work at each upstream, kept as sums so that
+/// a choice costs the same with any number of peers.
+class peer_loads {
+ public:
+  /// A peer's report counts for `life` after it was heard.
+  explicit peer_loads(milliseconds life) : life_(life) {}
+
+  void SetLife(milliseconds life) {
+    life_ = life;
+    next_expiry_ = {};
+  }
+  /// Replaces what `peer` said before.
+  void Set(const std::string& peer,
+           const std::vector<peer_upstream_view>& views, time_point now);
+  /// Takes out the peers that have been silent for too long; to be called
+  /// before sums are read.
+  void Expire(time_point now);
+
+  [[nodiscard]] peer_upstream_view At(uint32_t upstream) const;
+  /// Peers that count.
+  [[nodiscard]] size_t size() const { return peers_.size(); }
+  /// Mean time since the peers that count were heard; 0 without any.
+  [[nodiscard]] milliseconds MeanAge(time_point now) const;
+  [[nodiscard]] milliseconds GreatestAge(time_point now) const;
+
+ private:
+  struct peer_state {
+    time_point heard{};
+    std::vector<peer_upstream_view> views;
+  };
+
+  void Subtract(const std::vector<peer_upstream_view>& views);
+
+  milliseconds life_;
+  /// No peer expires before this instant.
+  time_point next_expiry_{};
+  std::map<std::string, peer_state> peers_;
+  std::unordered_map<uint32_t, peer_upstream_view> sums_;
+};
+
+}  // namespace skylarkcroft
+
+#endif  // SKYLARKCROFT_PLACEMENT_SKYLARKCROFT_PEER_LOADS_H_
--- a/src/skylarkcroft/placement/skylarkcroft_upstream_board.cc
+++ b/src/skylarkcroft/placement/skylarkcroft_upstream_board.cc
@@ -24,31 +24,10 @@
                               XXH3_64bits(key.data(), key.size()));
 }
 
-void AddLoad(const upstream_load& part, upstream_load& sum) {
-  sum.running += part.running;
-  sum.memory_tokens += part.memory_tokens;
-  for (size_t i = 0; i < part.unread_tokens.size(); ++i) {
-    sum.unread_tokens[i] += part.unread_tokens[i];
-  }
-}
-
-// Tokens that are read before those of a new request of `urgency`.
-int64_t TokensAhead(const upstream_load& load, int urgency) {
-  int64_t ahead = 0;
-  for (int i = 0; i <= urgency; ++i) {
-    ahead += load.unread_tokens[static_cast<size_t>(i)];
-  }
-  return ahead;
-}
-
 }  // namespace
 
-uint32_t UpstreamKey(const std::string& id) {
-  constexpr uint64_t kSeed = 0;
-  return XXH32(id.data(), id.size(), kSeed);
-}
-
-upstream_board::upstream_board(const board_terms& terms) : terms_(terms) {}
+upstream_board::upstream_board(const board_terms& terms)
+    : terms_(terms), peers_(terms.peer_load_life) {}
 
 void upstream_board::Reset(const std::vector<upstream_entry>& entries,
                            time_point now) {
@@ -155,22 +134,12 @@
 
 upstream_board::summed upstream_board::Sum(const state& one,
                                            time_point now) const {
-  summed all{one.own, one.belief.Sums(now), milliseconds(0)};
-  for (const auto& [name, peer] : peers_) {
-    const milliseconds age =
-        std::chrono::duration_cast<milliseconds>(now - peer.heard);
-    if (age > terms_.peer_load_life) {
-      continue;
-    }
-    const auto view = peer.views.find(one.key);
-    if (view == peer.views.end()) {
-      continue;
-    }
-    AddLoad(view->second.load, all.load);
-    all.outcomes.good += view->second.outcomes.good;
-    all.outcomes.bad += view->second.outcomes.bad;
-    all.peer_age = std::max(all.peer_age, age);
-  }
+  peers_.Expire(now);
+  const peer_upstream_view told = peers_.At(one.key);
+  summed all{one.own, one.belief.Sums(now)};
+  AddLoad(told.load, all.load);
+  all.outcomes.good += told.outcomes.good;
+  all.outcomes.bad += told.outcomes.bad;
   return all;
 }
 
@@ -214,21 +183,6 @@
   return around;
 }
 
-bool upstream_board::IsSampled(const state& one,
-                               const placement_request& request,
-                               const surroundings& around) const {
-  if (&one == around.home ||
-      static_cast<double>(around.usable) <= terms_.sample) {
-    return true;
-  }
-  constexpr double kRange = 4294967296.0;
-  const uint64_t draw =
-      XXH3_64bits_withSeed(&one.key, sizeof one.key, request.sample_seed) &
-      UINT32_MAX;
-  return static_cast<double>(draw) / kRange <
-         terms_.sample / static_cast<double>(around.usable);
-}
-
 placement upstream_board::Estimate(const state& one, const summed& all,
                                    const placement_request& request,
                                    bool home) const {
@@ -236,7 +190,6 @@
   made.upstream = one.entry;
   made.running = all.load.running;
   made.unread_tokens = TokensAhead(all.load, request.urgency);
-  made.peer_age = all.peer_age;
   made.parts_cached = home || one.parts.contains(request.shape.AffinityKey());
   made.work.urgency = request.urgency;
   made.work.memory_tokens = request.shape.TotalTokens();
@@ -262,73 +215,102 @@
   return made;
 }
 
-double upstream_board::Penalty(const state& one, const summed& all,
-                               const placement& estimate,
-                               const placement_request& request,
-                               const surroundings& around,
-                               time_point now) const {
+double upstream_board::RunningCost(int slots) const {
+  return std::max(terms_.ms_per_running,
+                  terms_.ms_when_full / std::max(slots, 1));
+}
+
+spread_option upstream_board::Weigh(const state& one, const summed& all,
+                                    const placement& estimate,
+                                    const placement_request& request,
+                                    const surroundings& around,
+                                    time_point now) const {
   const double excess = FailureShare(all.outcomes) - around.failure_share -
                         terms_.failure_tolerance;
-  double penalty = terms_.failure_ms * std::max(0.0, excess);
+  spread_option option{terms_.failure_ms * std::max(0.0, excess), 0};
   if (around.avoid_full_price && !one.entry.reclaimable) {
-    penalty += terms_.full_price_ms;
+    option.cost += terms_.full_price_ms;
   }
   if (one.belief.IsAvoided(now)) {
-    penalty += kAvoidedPenalty;
+    option.cost += kAvoidedPenalty;
   }
   if (std::find(request.tried.begin(), request.tried.end(), one.entry.id) !=
       request.tried.end()) {
-    penalty += kTriedPenalty;
+    option.cost += kTriedPenalty;
   }
-  const bool other_zone =
-      one.entry.availability_zone != request.availability_zone;
   if (request.cache_tokens == 0) {
     const double busy =
         static_cast<double>(all.load.running) / std::max(one.entry.slots, 1);
-    return penalty +
-           kPlainRequestMs * (busy + (other_zone ? kOtherZonePenalty : 0));
+    const bool other_zone =
+        one.entry.availability_zone != request.availability_zone;
+    option.cost +=
+        kPlainRequestMs * (busy + (other_zone ? kOtherZonePenalty : 0));
+    return option;
+  }
+  option.cost +=
+      static_cast<double>(estimate.unread_tokens) / terms_.read_tokens_per_ms +
+      RunningCost(one.entry.slots) * estimate.running +
+      (estimate.full ? kFullPenalty : 0);
+  if (estimate.parts_cached) {
+    option.saving = terms_.reread_weight *
+                    static_cast<double>(request.shape.SharedTokens()) /
+                    terms_.read_tokens_per_ms;
+  }
+  return option;
+}
+
+double upstream_board::UnseenCost(const placement_request& request,
+                                  const std::vector<placement>& options,
+                                  time_point now) const {
+  if (peers_.size() == 0) {
+    return 0;
   }
-  penalty += static_cast<double>(estimate.expected_first.count());
-  penalty += terms_.ms_per_running * estimate.running;
-  if (!estimate.parts_cached) {
-    penalty += (terms_.reread_weight - 1) *
-               static_cast<double>(request.shape.SharedTokens()) /
-               terms_.read_tokens_per_ms;
+  const auto found = paces_.find(request.service);
+  const service_pace pace =
+      found == paces_.end() ? service_pace{} : found->second;
+  int running = 0;
+  for (const placement& option : options) {
+    running += option.running;
+  }
+  const milliseconds age = std::max(terms_.least_peer_age, peers_.MeanAge(now));
+  // What came in within the age of the reports, by Little's law; requests that
+  // are shorter than that have ended again.
+  const double share =
+      std::min(1.0, static_cast<double>(age.count()) /
+                        static_cast<double>(pace.MeanTime(now).count()));
+  const int slots = std::max(options.front().upstream.slots, 1);
+  if (request.cache_tokens == 0) {
+    return share * running * kPlainRequestMs / slots;
   }
-  return penalty + (estimate.full ? kFullPenalty : 0);
+  const double reading =
+      pace.MeanUnread(static_cast<double>(request.shape.prompt_tokens), now) /
+      terms_.read_tokens_per_ms;
+  return share * running * (RunningCost(slots) + reading);
 }
 
 std::optional<placement> upstream_board::Choose(
     const placement_request& request, time_point now) const {
   const surroundings around = Survey(request, now);
-  std::optional<placement> best = ChooseAmong(request, around, true, now);
-  if (!best.has_value() || best->full) {
-    best = ChooseAmong(request, around, false, now);
-  }
-  if (best.has_value()) {
-    best->candidates = around.usable;
-  }
-  return best;
-}
-
-std::optional<placement> upstream_board::ChooseAmong(
-    const placement_request& request, const surroundings& around, bool sampled,
-    time_point now) const {
-  std::optional<placement> best;
-  double least = 0;
+  std::vector<placement> estimates;
+  estimates.reserve(around.usable);
+  std::vector<spread_option> options;
+  options.reserve(around.usable);
   for (const auto& [id, one] : upstreams_) {
-    if (one.entry.service != request.service || !IsUsable(one) ||
-        (sampled && !IsSampled(one, request, around))) {
+    if (one.entry.service != request.service || !IsUsable(one)) {
       continue;
     }
     const summed all = Sum(one, now);
-    const placement estimate = Estimate(one, all, request, &one == around.home);
-    const double penalty = Penalty(one, all, estimate, request, around, now);
-    if (!best.has_value() || penalty < least) {
-      best = estimate;
-      least = penalty;
-    }
+    estimates.push_back(Estimate(one, all, request, &one == around.home));
+    options.push_back(Weigh(one, all, estimates.back(), request, around, now));
   }
+  if (options.empty()) {
+    return std::nullopt;
+  }
+  const size_t chosen =
+      ChooseSpread(options, UnseenCost(request, estimates, now), request.draw);
+  placement best = estimates[chosen];
+  best.candidates = around.usable;
+  best.peer_age = peers_.GreatestAge(now);
   return best;
 }
 
@@ -342,6 +324,7 @@
   if (one.own.running == 0) {
     one.last_byte = now;
   }
+  paces_[one.entry.service].NoteSent(work.unread_tokens, now);
   ++one.own.running;
   one.own.memory_tokens += work.memory_tokens;
   one.own.unread_tokens[static_cast<size_t>(work.urgency)] +=
@@ -383,6 +366,7 @@
     NoteBegun(id, work, now);
     one.last_byte = last_byte;
   }
+  paces_[one.entry.service].NoteEnded(now);
   one.own.running = std::max(0, one.own.running - 1);
   one.own.memory_tokens =
       std::max<int64_t>(0, one.own.memory_tokens - work.memory_tokens);
@@ -409,12 +393,7 @@
 void upstream_board::SetPeer(const std::string& peer,
                              const std::vector<peer_upstream_view>& views,
                              time_point now) {
-  peer_state& known = peers_[peer];
-  known.heard = now;
-  known.views.clear();
-  for (const peer_upstream_view& view : views) {
-    known.views.emplace(view.upstream, view);
-  }
+  peers_.Set(peer, views, now);
 }
 
 std::vector<peer_upstream_view> upstream_board::OwnViews(time_point now) const {
--- a/src/skylarkcroft/placement/skylarkcroft_upstream_board.h
+++ b/src/skylarkcroft/placement/skylarkcroft_upstream_board.h
@@ -1,7 +1,6 @@
 #ifndef SKYLARKCROFT_PLACEMENT_SKYLARKCROFT_UPSTREAM_BOARD_H_
 #define SKYLARKCROFT_PLACEMENT_SKYLARKCROFT_UPSTREAM_BOARD_H_
 
-#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -11,38 +10,16 @@
 #include <vector>
 
 #include "skylarkcroft/internal/skylarkcroft_time.h"
+#include "skylarkcroft/placement/skylarkcroft_peer_loads.h"
 #include "skylarkcroft/placement/skylarkcroft_prompt_parts.h"
+#include "skylarkcroft/placement/skylarkcroft_service_pace.h"
+#include "skylarkcroft/placement/skylarkcroft_spread_choice.h"
 #include "skylarkcroft/placement/skylarkcroft_upstream_belief.h"
 #include "skylarkcroft/placement/skylarkcroft_upstream_entry.h"
+#include "skylarkcroft/placement/skylarkcroft_upstream_load.h"
 
 namespace skylarkcroft {
 
-/// Urgencies that upstreams tell apart, 0 the most urgent.
-inline constexpr int kUrgencies = 10;
-
-/// Work of one sender at one upstream.
-struct upstream_load {
-  int running = 0;
-  /// Prompt tokens sent and not yet read, by urgency of their requests.
-  std::array<int64_t, kUrgencies> unread_tokens{};
-  /// Tokens that the requests may come to hold in memory.
-  int64_t memory_tokens = 0;
-
-  bool operator==(const upstream_load&) const = default;
-};
-
-/// Short name of an upstream between nodes.
-uint32_t UpstreamKey(const std::string& id);
-
-/// What one peer says of one upstream, named by its UpstreamKey().
-struct peer_upstream_view {
-  uint32_t upstream = 0;
-  upstream_load load;
-  outcome_sums outcomes;
-
-  bool operator==(const peer_upstream_view&) const = default;
-};
-
 /// Work that one request brings to an upstream.
 struct work_size {
   int urgency = 0;
@@ -61,6 +38,9 @@
   milliseconds first_token{60};
   /// Delay that each running request is taken to cause a further one.
   double ms_per_running = 4;
+  /// The same for the share of an engine's places that are taken, where it has
+  /// few: once all are, a request pushes a running stream out.
+  double ms_when_full = 256;
   /// Weight of reading a shared part again, over its time, since every reading
   /// delays all streams of the engine.
   double reread_weight = 2;
@@ -72,10 +52,9 @@
   /// Penalty of an upstream at the full price while enough others are ready,
   /// so that it is idle once it is given up.
   double full_price_ms = 150;
-  /// Upstreams compared for one request besides its home. When all nodes
-  /// compared all of them by figures of the same age, they would all send to
-  /// the same one.
-  double sample = 16;
+  /// Reports are at least this old when they decide: they travel, and requests
+  /// that other nodes place at the same moment are in none of them.
+  milliseconds least_peer_age{50};
   /// Time for which an entry removed while the store was out of reach may
   /// come back; the platform states about two seconds.
   milliseconds lapse_grace{1500};
@@ -96,8 +75,8 @@
   /// Cache of one engine of the pool, in tokens; 0 for plain services.
   int64_t cache_tokens = 0;
   std::vector<std::string> tried;
-  /// Varies the sample from one request to the next.
-  uint64_t sample_seed = 0;
+  /// Uniform in [0, 1); spreads requests over upstreams that are about equal.
+  double draw = 0;
 };
 
 /// The upstream chosen, with the inputs that decided.
@@ -152,7 +131,7 @@
   void SetPeer(const std::string& peer,
                const std::vector<peer_upstream_view>& views, time_point now);
   /// A peer's load counts for this long after it was heard.
-  void SetPeerLoadLife(milliseconds life) { terms_.peer_load_life = life; }
+  void SetPeerLoadLife(milliseconds life) { peers_.SetLife(life); }
   /// What this node says of upstreams that it uses.
   [[nodiscard]] std::vector<peer_upstream_view> OwnViews(time_point now) const;
   /// Running requests of this node and its peers at `service`.
@@ -170,21 +149,10 @@
     /// Shared parts sent there, with the time of their last use.
     std::unordered_map<std::string, time_point> parts;
   };
-  struct peer_state {
-    time_point heard{};
-    std::unordered_map<uint32_t, peer_upstream_view> views;
-  };
   struct summed {
     upstream_load load;
     outcome_sums outcomes;
-    milliseconds peer_age{0};
   };
-
-  [[nodiscard]] bool IsUsable(const state& one) const;
-  [[nodiscard]] summed Sum(const state& one, time_point now) const;
-  [[nodiscard]] placement Estimate(const state& one, const summed& all,
-                                   const placement_request& request,
-                                   bool home) const;
   /// What a choice compares an upstream with.
   struct surroundings {
     const state* home = nullptr;
@@ -193,23 +161,28 @@
     size_t usable = 0;
   };
 
-  [[nodiscard]] double Penalty(const state& one, const summed& all,
-                               const placement& estimate,
-                               const placement_request& request,
-                               const surroundings& around,
-                               time_point now) const;
+  [[nodiscard]] bool IsUsable(const state& one) const;
+  [[nodiscard]] summed Sum(const state& one, time_point now) const;
+  [[nodiscard]] placement Estimate(const state& one, const summed& all,
+                                   const placement_request& request,
+                                   bool home) const;
+  [[nodiscard]] spread_option Weigh(const state& one, const summed& all,
+                                    const placement& estimate,
+                                    const placement_request& request,
+                                    const surroundings& around,
+                                    time_point now) const;
+  /// What one running request at an engine with `slots` places costs others.
+  [[nodiscard]] double RunningCost(int slots) const;
   [[nodiscard]] surroundings Survey(const placement_request& request,
                                     time_point now) const;
-  [[nodiscard]] bool IsSampled(const state& one,
-                               const placement_request& request,
-                               const surroundings& around) const;
-  [[nodiscard]] std::optional<placement> ChooseAmong(
-      const placement_request& request, const surroundings& around,
-      bool sampled, time_point now) const;
-
+  [[nodiscard]] double UnseenCost(const placement_request& request,
+                                  const std::vector<placement>& options,
+                                  time_point now) const;
   board_terms terms_;
   std::map<std::string, state> upstreams_;
-  std::map<std::string, peer_state> peers_;
+  std::map<std::string, service_pace> paces_;
+  /// Silent peers are taken out when the sums are read.
+  mutable peer_loads peers_;
   bool store_reachable_ = false;
   std::optional<time_point> store_back_at_;
 };
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -99,8 +99,7 @@
       workspace_rank * kRanksPerWorkspaceRank +
           std::clamp(gate_.route->rank, 0, kRanksPerWorkspaceRank - 1),
       0, kUrgencies - 1);
-  constexpr double kSeeds = 1e15;
-  sample_seed_ = static_cast<uint64_t>(kSeeds * environment_.draw());
+  draw_ = environment_.draw();
   environment_.repeats.NoteRequest(service_, environment_.clock());
   TryNext();
 }
@@ -188,7 +187,7 @@
   return {service_,      environment_.availability_zone,
           shape_,        urgency_,
           cache_tokens_, tried_,
-          sample_seed_};
+          draw_};
 }
 
 void relay_request::TryNext() {
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -96,7 +96,7 @@
   generation_shape shape_;
   int urgency_ = 0;
   int64_t cache_tokens_ = 0;
-  uint64_t sample_seed_ = 0;
+  double draw_ = 0;
   double allotted_ = 0;
   time_point time_limit_{};
   std::vector<std::string> tried_;
--- a/tests/limits/token_allotments_test.cc
+++ b/tests/limits/token_allotments_test.cc
@@ -25,6 +25,14 @@
     }
   }
 
+  /// All processes end and start again at once, knowing nothing of before.
+  void RestartAll() {
+    ++incarnation_;
+    for (std::unique_ptr<token_allotments>& node : all_) {
+      node = std::make_unique<token_allotments>(false);
+    }
+  }
+
   /// Every node offers `rate` requests a second for `span`; returns the tokens
   /// granted.
   double Flood(double rate, milliseconds span, bool connected) {
@@ -51,7 +59,7 @@
     for (size_t from = 0; from < all_.size(); ++from) {
       for (size_t to = 0; to < all_.size(); ++to) {
         if (from != to) {
-          all_[to]->NotePeer("n" + std::to_string(from), 1,
+          all_[to]->NotePeer("n" + std::to_string(from), incarnation_,
                              all_[from]->OwnReports(), now_);
         }
       }
@@ -61,6 +69,7 @@
   std::vector<std::unique_ptr<token_allotments>> all_;
   time_point now_ = kStart;
   double owed_ = 0;
+  int64_t incarnation_ = 1;
 };
 
 // Tokens that all nodes may grant in a window: the stated limit with its
@@ -105,6 +114,35 @@
   CHECK(decision.wait > milliseconds(0));
 }
 
+TEST_CASE("Nodes that all start again serve what is within the limit",
+          "[limits][restart][regression]") {
+  constexpr size_t kNodes = 7;
+  constexpr double kShareOfLimit = 0.7;
+  // Requests come before the nodes have found each other again.
+  const milliseconds apart(300);
+  const milliseconds together(1700);
+  const double rate = kShareOfLimit * kLimit.per_second / kRequest / kNodes;
+  const double offered = rate * kRequest * kNodes * 2;
+  nodes all(kNodes);
+  all.Flood(rate, milliseconds(4000), true);
+  all.RestartAll();
+  const double granted =
+      all.Flood(rate, apart, false) + all.Flood(rate, together, true);
+  // The last request of the span may still be due.
+  CHECK(granted >= offered - kNodes * kRequest);
+}
+
+TEST_CASE("A flood over a restart of all nodes stays within the limit",
+          "[limits][restart][hot_tenant]") {
+  constexpr size_t kNodes = 7;
+  constexpr double kFloodRate = 500.0 / kNodes;
+  const milliseconds half(4000);
+  nodes all(kNodes);
+  const double before = all.Flood(kFloodRate, half, true);
+  all.RestartAll();
+  CHECK(before + all.Flood(kFloodRate, half, true) <= Bound(2 * half));
+}
+
 TEST_CASE("What did not run is given back", "[limits]") {
   token_allotments one(true);
   CHECK(one.Take("w", kLimit, 100000, 1, kStart).granted);
--- a/tests/placement/upstream_board_test.cc
+++ b/tests/placement/upstream_board_test.cc
@@ -199,9 +199,10 @@
   }
   board.SetPeer("peer", views, kStart);
   int to_idle = 0;
-  for (uint64_t node = 0; node < 80; ++node) {
+  constexpr int kNodes = 80;
+  for (int node = 0; node < kNodes; ++node) {
     placement_request request = Ask("s" + std::to_string(node), 0);
-    request.sample_seed = 1000 + node;
+    request.draw = static_cast<double>(node) / kNodes;
     to_idle += Chosen(board, request) == "u0" ? 1 : 0;
   }
   CHECK(to_idle < 40);
