Nodes tell each other how current their tables are; two watch the store for all

Ruled out: longer waits of a watch alone (keys may be decided on for 3.8 s only, and a deaf watch takes its wait to be found out); passing rows between nodes (the store stays the only source of what is in force).

Change: a report states as of which instant of the store's clock a table holds no newer change than a version. A node whose copy reaches that version takes it for current as of then, on its own clock by the least offset it has seen, and asks the store only when peers know of a change or are silent. Two nodes by rendezvous order watch each table. The nodes' table is read after joining and every 30 s. Peers taken for gone get one report in twenty, so that nodes that were cut off for long find each other again.

--- a/src/skylarkcroft/peers/skylarkcroft_peer_group.cc
+++ b/src/skylarkcroft/peers/skylarkcroft_peer_group.cc
@@ -9,6 +9,8 @@
 // A node that was cut off from this one may still serve clients; after this
 // time it is taken for gone.
 constexpr milliseconds kMayBeAtWork{12000};
+// Longer than any cut between nodes that is worth waiting for.
+constexpr milliseconds kForgotten{600000};
 
 }  // namespace
 
@@ -64,6 +66,17 @@
   return targets;
 }
 
+std::vector<endpoint> peer_group::Lost(time_point now) const {
+  std::vector<endpoint> targets;
+  for (const auto& [name, one] : peers_) {
+    const time_point known = one.heard_ever ? one.heard : one.listed;
+    if (!one.leaving && !MayBeAtWork(one, now) && now - known <= kForgotten) {
+      targets.push_back(one.address);
+    }
+  }
+  return targets;
+}
+
 std::vector<std::string> peer_group::Live(time_point now) const {
   std::vector<std::string> names;
   for (const auto& [name, one] : peers_) {
--- a/src/skylarkcroft/peers/skylarkcroft_peer_group.h
+++ b/src/skylarkcroft/peers/skylarkcroft_peer_group.h
@@ -27,6 +27,9 @@
 
   /// Where reports are sent.
   [[nodiscard]] std::vector<endpoint> Targets(time_point now) const;
+  /// Peers that are taken for gone; one that was only cut off hears of this
+  /// node again when it gets a report now and then.
+  [[nodiscard]] std::vector<endpoint> Lost(time_point now) const;
   /// Peers heard of late.
   [[nodiscard]] std::vector<std::string> Live(time_point now) const;
   /// A peer not heard for this long is not live.
--- a/src/skylarkcroft/peers/skylarkcroft_peer_report.cc
+++ b/src/skylarkcroft/peers/skylarkcroft_peer_report.cc
@@ -9,7 +9,7 @@
 
 using nlohmann::json;
 
-constexpr int kFormat = 1;
+constexpr int kFormat = 2;
 
 // Outcomes are sent in steps of this part of one; memory in these many tokens.
 constexpr double kOutcomeSteps = 16;
@@ -47,6 +47,21 @@
   return view;
 }
 
+json EncodePosition(const std::optional<table_position>& position) {
+  if (!position.has_value()) {
+    return json::array();
+  }
+  return json::array({position->newest_change, position->store_clock.count()});
+}
+
+std::optional<table_position> DecodePosition(const json& item) {
+  if (item.empty()) {
+    return std::nullopt;
+  }
+  return table_position{item.at(0).get<int64_t>(),
+                        milliseconds(item.at(1).get<int64_t>())};
+}
+
 peer_report DecodeMembers(const json& items) {
   peer_report report;
   report.node = items.at(1).get<std::string>();
@@ -67,6 +82,8 @@
                             item.at(1).get<std::string>(),
                             item.at(2).get<int64_t>()});
   }
+  report.tables_position = DecodePosition(items.at(9));
+  report.upstreams_position = DecodePosition(items.at(10));
   return report;
 }
 
@@ -96,9 +113,11 @@
   for (const usage_count& one : report.usage) {
     usage.push_back(json::array({one.window, one.workspace, one.begun}));
   }
-  const json items = json::array(
-      {kFormat, report.node, report.incarnation, report.sequence,
-       report.wall_ms, report.leaving, upstreams, allotments, usage});
+  const json items =
+      json::array({kFormat, report.node, report.incarnation, report.sequence,
+                   report.wall_ms, report.leaving, upstreams, allotments, usage,
+                   EncodePosition(report.tables_position),
+                   EncodePosition(report.upstreams_position)});
   const std::vector<uint8_t> bytes = json::to_cbor(items);
   return {bytes.begin(), bytes.end()};
 }
--- a/src/skylarkcroft/peers/skylarkcroft_peer_report.h
+++ b/src/skylarkcroft/peers/skylarkcroft_peer_report.h
@@ -11,7 +11,8 @@
 #include "skylarkcroft/duties/skylarkcroft_usage_ledger.h"
 #include "skylarkcroft/internal/skylarkcroft_time.h"
 #include "skylarkcroft/limits/skylarkcroft_token_allotments.h"
-#include "skylarkcroft/placement/skylarkcroft_upstream_board.h"
+#include "skylarkcroft/placement/skylarkcroft_upstream_load.h"
+#include "skylarkcroft/store/skylarkcroft_table_position.h"
 
 namespace skylarkcroft {
 
@@ -27,6 +28,9 @@
   std::vector<peer_upstream_view> upstreams;
   std::vector<allotment_report> allotments;
   std::vector<usage_count> usage;
+  /// The sender's copies of the operators' table and of the upstreams' table.
+  std::optional<table_position> tables_position;
+  std::optional<table_position> upstreams_position;
 
   bool operator==(const peer_report&) const = default;
 };
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "skylarkcroft/control/skylarkcroft_rendezvous.h"
 #include "skylarkcroft/duties/skylarkcroft_duty_keeper.h"
 #include "skylarkcroft/duties/skylarkcroft_fleet_planner.h"
 #include "skylarkcroft/duties/skylarkcroft_usage_ledger.h"
@@ -32,12 +33,23 @@
 // A peer is silent after this many periods of reports.
 constexpr int kSilentPeriods = 3;
 constexpr milliseconds kShortestSilence{700};
+// Of so many reports one goes to peers taken for gone as well.
+constexpr int64_t kReportsToLostPeers = 20;
 constexpr milliseconds kShortestLoadLife{1500};
 // Nodes hear of each other directly; the list only helps them to begin.
-constexpr milliseconds kNodesWait{20000};
-// A change of the list answers the watch at once; the wait bounds how long a
-// connection that went silent is not noticed.
-constexpr milliseconds kUpstreamsWait{4000};
+constexpr milliseconds kNodesPollAge{30000};
+// Far below the time in which upstreams lapse while the store is away.
+constexpr milliseconds kUpstreamsPollAge{3000};
+// Tables are asked for at the latest at this part of the time in which a change
+// has to be in force.
+constexpr double kTablesPollShare = 0.6;
+// Nodes that watch a table for all others; one covers for the other.
+constexpr size_t kTableWatchers = 2;
+// A table that changes is read by every node at most this often for each node,
+// so that calls stay bounded as nodes are added.
+constexpr milliseconds kChangePauseEachNode{12};
+constexpr milliseconds kShortestChangePause{500};
+constexpr milliseconds kLongestChangePause{1000};
 // Members that watch the lease; one takes over, the other covers for it.
 constexpr size_t kLeaseWatchers = 2;
 constexpr milliseconds kJoinRetry{500};
@@ -115,9 +127,8 @@
         tables_follower_(loop, store, sources.tables_table, follower_terms{},
                          TablesEvents(), clock_),
         upstreams_follower_(loop, store, sources.upstreams_table,
-                            WaitingFor(kUpstreamsWait), UpstreamsEvents(),
-                            clock_),
-        nodes_follower_(loop, store, kNodesTable, WaitingFor(kNodesWait),
+                            follower_terms{}, UpstreamsEvents(), clock_),
+        nodes_follower_(loop, store, kNodesTable, PollingEvery(kNodesPollAge),
                         NodesEvents(), clock_),
         server_(environment_, settings.listen.clients),
         readiness_(loop, settings.listen.readiness, http_server_limits{},
@@ -129,9 +140,10 @@
                 {settings.name, std::to_string(incarnation_)},
                 DutyTerms(settings)) {
     true_time_.NoteOwn(incarnation_, started_at_);
+    nodes_follower_.SetWatching(false);
+    PaceFollowers(started_at_);
     tables_follower_.Start();
     upstreams_follower_.Start();
-    nodes_follower_.Start();
     Join();
     housekeeping_timer_ =
         loop.Every(kHousekeepingPeriod, [this] { KeepHouse(); });
@@ -212,12 +224,34 @@
     environment.terms.leave_limit = settings_.bounds.grace_period - kExitMargin;
   }
 
-  static follower_terms WaitingFor(milliseconds wait) {
+  static follower_terms PollingEvery(milliseconds age) {
     follower_terms terms;
-    terms.watch_wait = wait;
+    terms.poll_age = age;
+    // A watch that is answered half as late keeps the others from polling.
+    terms.watch_wait = age / 2;
     return terms;
   }
 
+  void PaceFollowers(time_point now) {
+    const milliseconds pause =
+        std::clamp(kChangePauseEachNode *
+                       static_cast<milliseconds::rep>(group_.Counted(now)),
+                   kShortestChangePause, kLongestChangePause);
+    follower_terms tables =
+        PollingEvery(Share(settings_.bounds.apply_deadline, kTablesPollShare));
+    tables.change_pause = kShortestChangePause;
+    tables_follower_.SetTerms(tables);
+    follower_terms upstreams = PollingEvery(kUpstreamsPollAge);
+    upstreams.change_pause = pause;
+    upstreams_follower_.SetTerms(upstreams);
+    const std::vector<std::string> members = group_.Live(now);
+    const auto watches = [&](const std::string& table) {
+      return RendezvousPlace(table, settings_.name, members) < kTableWatchers;
+    };
+    tables_follower_.SetWatching(watches(sources_.tables_table));
+    upstreams_follower_.SetWatching(watches(sources_.upstreams_table));
+  }
+
   follower_events TablesEvents() {
     return {
         [this](const std::vector<stored_row>& rows, time_point /*now*/) {
@@ -410,6 +444,11 @@
     const row_transaction entry{
         {}, {{kNodesTable, settings_.name, ToString(channel_.address())}}};
     store_.Commit(entry, [this](const store_view& view) {
+      // Of two nodes that join, the one that reads later finds the other.
+      if (!nodes_followed_) {
+        nodes_followed_ = true;
+        nodes_follower_.Start();
+      }
       if (view.outcome != store_outcome::kDone) {
         join_timer_ = loop_.After(kJoinRetry, [this] { Join(); });
       }
@@ -435,12 +474,17 @@
   void Report(time_point now) {
     const milliseconds period = ReportPeriod(group_.Counted(now));
     next_report_ = now + period - kHousekeepingPeriod / 2;
+    PaceFollowers(now);
     const milliseconds silence =
         std::max(kShortestSilence, kSilentPeriods * period);
     group_.SetLiveLimit(silence);
     allotments_.SetPeerSilence(silence);
     board_.SetPeerLoadLife(std::max(kShortestLoadLife, silence));
-    const std::vector<endpoint> targets = group_.Targets(now);
+    std::vector<endpoint> targets = group_.Targets(now);
+    if (report_sequence_ % kReportsToLostPeers == 0) {
+      const std::vector<endpoint> lost = group_.Lost(now);
+      targets.insert(targets.end(), lost.begin(), lost.end());
+    }
     if (targets.empty()) {
       return;
     }
@@ -458,7 +502,9 @@
             leaving_since_.has_value(),
             board_.OwnViews(now),
             allotments_.OwnReports(),
-            ledger_.OwnCounts()};
+            ledger_.OwnCounts(),
+            tables_follower_.position(),
+            upstreams_follower_.position()};
   }
 
   void OnDatagram(const endpoint& from, std::string_view bytes) {
@@ -478,6 +524,12 @@
     ledger_.Merge(report->node + "/" + std::to_string(report->incarnation),
                   report->usage);
     true_time_.NotePeer(report->node, report->wall_ms, now);
+    if (report->tables_position.has_value()) {
+      tables_follower_.NotePeer(*report->tables_position);
+    }
+    if (report->upstreams_position.has_value()) {
+      upstreams_follower_.NotePeer(*report->upstreams_position);
+    }
   }
 
   [[nodiscard]] bool IsReady(time_point now) const {
@@ -574,6 +626,7 @@
   duty_keeper duties_;
   time_point next_report_{};
   event_loop::handle_ptr housekeeping_timer_;
+  bool nodes_followed_ = false;
   event_loop::handle_ptr join_timer_;
   event_loop::handle_ptr exit_timer_;
 };
--- a/src/skylarkcroft/store/skylarkcroft_answer_time.h
+++ b/src/skylarkcroft/store/skylarkcroft_answer_time.h
@@ -19,10 +19,17 @@
                             std::optional<milliseconds> store_clock,
                             time_point received_at);
 
+  /// An instant on this process's clock at or before the one at which the
+  /// store's clock showed `store_clock`, as another process read it. Empty
+  /// where this process has not read that clock.
+  [[nodiscard]] std::optional<time_point> OnOwnClock(milliseconds store_clock,
+                                                     time_point now) const;
+
  private:
   /// This process's clock less the store's is at least this.
   std::optional<duration> least_offset_;
   milliseconds last_store_clock_{0};
+  time_point last_received_{};
 };
 
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/store/skylarkcroft_table_follower.cc
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.cc
@@ -34,8 +34,68 @@
 
 void table_follower::Start() { Next(); }
 
+duration table_follower::RestLeft(time_point now) const {
+  if (watching_ || failures_ > 0 || !watch_from_.has_value() ||
+      !current_as_of_.has_value()) {
+    return duration(0);
+  }
+  if (peers_newest_ > *watch_from_) {
+    return called_at_ + terms_.change_pause - now;
+  }
+  return *current_as_of_ + terms_.poll_age - now;
+}
+
+void table_follower::Rest(duration span) {
+  resting_ = true;
+  timer_ = loop_.After(span, [this] { Next(); });
+}
+
 void table_follower::Next() {
+  const duration rest = RestLeft(clock_());
+  if (rest > duration(0)) {
+    Rest(rest);
+    return;
+  }
+  resting_ = false;
+  Call();
+}
+
+void table_follower::SetWatching(bool watching) {
+  if (watching_ == watching) {
+    return;
+  }
+  watching_ = watching;
+  if (resting_) {
+    Rest(duration(0));
+  }
+}
+
+void table_follower::NotePeer(const table_position& peer) {
+  if (!watch_from_.has_value()) {
+    return;
+  }
+  if (peer.newest_change > *watch_from_) {
+    const bool news = peer.newest_change > peers_newest_;
+    peers_newest_ = std::max(peers_newest_, peer.newest_change);
+    if (news && resting_) {
+      Next();
+    }
+    return;
+  }
+  const time_point now = clock_();
+  const std::optional<time_point> as_of =
+      answer_time_.OnOwnClock(peer.store_clock, now);
+  const bool later = as_of.has_value() && current_as_of_.has_value() &&
+                     *as_of > *current_as_of_;
+  if (later) {
+    current_as_of_ = as_of;
+    position_ = peer;
+  }
+}
+
+void table_follower::Call() {
   const time_point sent_at = clock_();
+  called_at_ = sent_at;
   const std::weak_ptr<bool> alive = alive_;
   if (!watch_from_.has_value()) {
     store_.Read(table_, [this, sent_at, alive](const store_view& view) {
@@ -47,8 +107,9 @@
   }
   // After a failure a call that is answered at once tells sooner whether the
   // store is back.
-  const milliseconds wait = failures_ > 0 ? milliseconds(0) : terms_.watch_wait;
-  store_.Watch(table_, *watch_from_, wait,
+  const bool waits = failures_ == 0 && watching_;
+  store_.Watch(table_, *watch_from_,
+               waits ? terms_.watch_wait : milliseconds(0),
                [this, sent_at, alive](const store_view& view) {
                  if (!alive.expired()) {
                    OnWatch(sent_at, view);
@@ -61,9 +122,10 @@
     OnFailure(view.outcome);
     return;
   }
-  OnAnswer(sent_at, view);
   watch_from_ = view.version;
   version_ = view.version;
+  // Removals leave no row to be read.
+  OnAnswer(sent_at, view, view.version);
   events_.on_reset(view.rows, clock_());
   Next();
 }
@@ -78,8 +140,12 @@
     OnFailure(view.outcome);
     return;
   }
-  OnAnswer(sent_at, view);
   watch_from_ = std::max(*watch_from_, view.version);
+  int64_t newest = position_.has_value() ? position_->newest_change : 0;
+  for (const stored_row& row : view.rows) {
+    newest = std::max(newest, row.version);
+  }
+  OnAnswer(sent_at, view, newest);
   version_ = *watch_from_;
   for (const stored_row& row : view.rows) {
     events_.on_change(row, clock_());
@@ -91,10 +157,14 @@
   timer_ = loop_.After(terms_.change_pause, [this] { Next(); });
 }
 
-void table_follower::OnAnswer(time_point sent_at, const store_view& view) {
+void table_follower::OnAnswer(time_point sent_at, const store_view& view,
+                              int64_t newest_change) {
   const time_point as_of =
       answer_time_.EarliestAnswer(sent_at, view.answered_at, clock_());
   current_as_of_ = std::max(current_as_of_.value_or(as_of), as_of);
+  if (view.answered_at.has_value()) {
+    position_ = table_position{newest_change, *view.answered_at};
+  }
   failures_ = 0;
   if (!reachable_) {
     reachable_ = true;
--- a/src/skylarkcroft/store/skylarkcroft_table_follower.h
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.h
@@ -12,6 +12,7 @@
 #include "skylarkcroft/internal/skylarkcroft_time.h"
 #include "skylarkcroft/store/skylarkcroft_answer_time.h"
 #include "skylarkcroft/store/skylarkcroft_row_store.h"
+#include "skylarkcroft/store/skylarkcroft_table_position.h"
 
 namespace skylarkcroft {
 
@@ -19,6 +20,8 @@
 struct follower_terms {
   /// Longest wait of one watch call.
   milliseconds watch_wait{2000};
+  /// A follower that does not watch asks the store when what it knows is older.
+  milliseconds poll_age{4000};
   /// Pause after a change, so that a series of changes costs few calls.
   milliseconds change_pause{500};
   /// First pause after a failed call; doubles up to the longest.
@@ -38,7 +41,10 @@
       on_contact;
 };
 
-/// Keeps a copy of one table current through watch calls, from a whole read on.
+/// Keeps a copy of one table current, from a whole read on. While it watches,
+/// a call waits at the store for changes. Otherwise it goes by what peers that
+/// watch say of the table, and asks the store only when they know of a change
+/// or are silent.
 class table_follower {
  public:
   table_follower(event_loop& loop, row_store& store, std::string table,
@@ -55,13 +61,27 @@
     return current_as_of_;
   }
   [[nodiscard]] int64_t version() const { return version_; }
+  /// Empty before the first whole read, or where the store states no clock.
+  [[nodiscard]] std::optional<table_position> position() const {
+    return position_;
+  }
+  /// What a peer says of its copy of the same table.
+  void NotePeer(const table_position& peer);
+  /// A follower watches until it is told otherwise.
+  void SetWatching(bool watching);
+  void SetTerms(const follower_terms& terms) { terms_ = terms; }
 
  private:
   void Next();
+  void Call();
+  void Rest(duration span);
+  /// Time until the store has to be asked; 0 or less when it is due.
+  [[nodiscard]] duration RestLeft(time_point now) const;
   void OnRead(time_point sent_at, const store_view& view);
   void OnWatch(time_point sent_at, const store_view& view);
   void OnFailure(store_outcome why);
-  void OnAnswer(time_point sent_at, const store_view& view);
+  void OnAnswer(time_point sent_at, const store_view& view,
+                int64_t newest_change);
 
   event_loop& loop_;
   row_store& store_;
@@ -72,7 +92,14 @@
   std::optional<int64_t> watch_from_;
   answer_time answer_time_;
   std::optional<time_point> current_as_of_;
+  std::optional<table_position> position_;
+  /// Newest change that a peer knows of.
+  int64_t peers_newest_ = 0;
   int64_t version_ = 0;
+  time_point called_at_{};
+  bool watching_ = true;
+  /// Waiting for nothing but the time to ask the store.
+  bool resting_ = false;
   int failures_ = 0;
   bool reachable_ = false;
   event_loop::handle_ptr timer_;
--- a/tests/adapter/platform_row_store_test.cc
+++ b/tests/adapter/platform_row_store_test.cc
@@ -152,6 +152,100 @@
   CHECK(contacts == std::vector<bool>{true, false, true});
 }
 
+namespace {
+
+/// A follower that does not watch, and the rows that it has seen.
+class resting_follower {
+ public:
+  explicit resting_follower(fixture& on)
+      : follower(on.loop, on.store, "t", Terms(),
+                 {[this](const std::vector<stored_row>& rows, time_point) {
+                    seen += rows.size();
+                  },
+                  [this](const stored_row&, time_point) { ++seen; },
+                  [](bool, store_outcome, time_point) {}},
+                 SteadyNow) {
+    follower.SetWatching(false);
+    follower.Start();
+    REQUIRE(on.Await([this] { return follower.position().has_value(); }));
+  }
+
+  static follower_terms Terms() {
+    follower_terms terms;
+    terms.change_pause = milliseconds(5);
+    terms.poll_age = milliseconds(200);
+    return terms;
+  }
+  static milliseconds StoreClock() {
+    return std::chrono::duration_cast<milliseconds>(
+        SteadyNow().time_since_epoch());
+  }
+
+  size_t seen = 0;
+  table_follower follower;
+};
+
+}  // namespace
+
+TEST_CASE("A follower rests while peers tell that its copy is current",
+          "[adapter][store][follower][scale]") {
+  fixture on;
+  resting_follower one(on);
+  const int calls = on.standin.store_calls;
+  const int64_t newest = one.follower.position()->newest_change;
+  for (int i = 0; i < 10; ++i) {
+    on.loop.RunFor(milliseconds(50));
+    one.follower.NotePeer({newest, resting_follower::StoreClock()});
+  }
+  CHECK(on.standin.store_calls == calls);
+  CHECK(SteadyNow() - *one.follower.current_as_of() < milliseconds(100));
+}
+
+TEST_CASE("A follower reads at once what a peer has seen before it",
+          "[adapter][store][follower]") {
+  fixture on;
+  resting_follower one(on);
+  const int64_t newest = one.follower.position()->newest_change;
+  on.standin.Put("t", "a", "1");
+  const time_point before = *one.follower.current_as_of();
+  one.follower.NotePeer({newest + 1, resting_follower::StoreClock()});
+  CHECK(*one.follower.current_as_of() == before);
+  const time_point told = SteadyNow();
+  REQUIRE(on.Await([&] { return one.seen == 1; }));
+  CHECK(SteadyNow() - told < milliseconds(150));
+  CHECK(one.follower.position()->newest_change == newest + 1);
+}
+
+TEST_CASE("A follower asks the store itself when its peers are silent",
+          "[adapter][store][follower]") {
+  fixture on;
+  resting_follower one(on);
+  on.standin.Put("t", "a", "1");
+  CHECK(on.Await([&] { return one.seen == 1; }));
+}
+
+TEST_CASE("A follower that begins to watch calls the store at once",
+          "[adapter][store][follower]") {
+  fixture on;
+  resting_follower one(on);
+  const int calls = on.standin.store_calls;
+  one.follower.SetWatching(true);
+  on.loop.RunFor(milliseconds(50));
+  CHECK(on.standin.store_calls == calls + 1);
+}
+
+TEST_CASE("A reading of another store clock says nothing",
+          "[store][answer_time]") {
+  const time_point start{std::chrono::seconds(100)};
+  answer_time time;
+  CHECK_FALSE(time.OnOwnClock(milliseconds(5), start).has_value());
+  time.EarliestAnswer(start, milliseconds(5000), start + milliseconds(4));
+  CHECK(time.OnOwnClock(milliseconds(5300), start + milliseconds(310)) ==
+        start + milliseconds(300));
+  CHECK_FALSE(time.OnOwnClock(milliseconds(900000), start + milliseconds(310))
+                  .has_value());
+}
+
 TEST_CASE("An answer that waited in a frozen process is not taken for new",
           "[store][answer_time]") {
   const time_point start{std::chrono::seconds(100)};
--- a/tests/peers/peer_report_test.cc
+++ b/tests/peers/peer_report_test.cc
@@ -28,6 +28,7 @@
   report.upstreams = {view};
   report.allotments = {{"w", 12, -3}};
   report.usage = {{4, "w", 17}};
+  report.upstreams_position = table_position{12345, milliseconds(987654321)};
   CHECK(DecodeReport(EncodeReport(report)) == report);
 }
 
@@ -57,6 +58,8 @@
     report.allotments.push_back({name, 1e6, 2e5});
     report.usage.push_back({353445120, name, 40});
   }
+  report.tables_position = table_position{1000000, milliseconds(1000000000)};
+  report.upstreams_position = report.tables_position;
   CHECK(EncodeReport(report).size() < 1400);
 }
 
@@ -104,4 +107,15 @@
   CHECK(clocks.NowMs(kStart + milliseconds(250)) == 5250);
 }
 
+TEST_CASE("A peer that was cut off for long is told of this node now and then",
+          "[peers][cut]") {
+  peer_group group("n0");
+  group.NoteHeard("n1", kAddress, 1, 1, false, kStart);
+  const time_point later = kStart + milliseconds(60000);
+  CHECK(group.Targets(later).empty());
+  CHECK(group.Lost(later) == std::vector<endpoint>{kAddress});
+  group.NoteHeard("n1", kAddress, 1, 2, false, later);
+  CHECK(group.Lost(later).empty());
+}
+
 }  // namespace skylarkcroft
