Fleet planner: no order at the full price while started upstreams announce themselves

Cause: on the grown deployment the first plan was made 1.3 s after the start, when one of 112 started upstreams had announced itself. A node that took the duties over likewise began with a plan for the load alone.

Ruled out: slow announcing (without the order the entries come within 3 s).

Change: nothing is ordered at the full price in the first 4 s; while the load is not known the plan is at least what is there of either kind; a rising plan rises by 8% at least, since each step is an order in each zone.

Tests: tests/duties [start] and [takeover], 7 checks failed before.

--- a/src/skylarkcroft/duties/skylarkcroft_fleet_planner.cc
+++ b/src/skylarkcroft/duties/skylarkcroft_fleet_planner.cc
@@ -16,6 +16,14 @@
       }));
 }
 
+int CountAll(const fleet_view& view, bool reclaimable) {
+  return static_cast<int>(std::count_if(
+      view.upstreams.begin(), view.upstreams.end(),
+      [&](const fleet_upstream& one) {
+        return !one.entry.leaving && one.entry.reclaimable == reclaimable;
+      }));
+}
+
 }  // namespace
 
 fleet_planner::fleet_planner(const fleet_terms& terms) : terms_(terms) {}
@@ -40,15 +48,15 @@
     known.since = now;
   }
   if (now - known.since < terms_.learning_time) {
-    // The load is not known yet; what the operators started stands meanwhile.
-    const auto started = static_cast<int>(std::count_if(
-        view.upstreams.begin(), view.upstreams.end(),
-        [](const fleet_upstream& one) { return !one.entry.reclaimable; }));
-    known.total = std::max(known.total, started);
+    // The load is not known yet; what is there stands meanwhile.
+    known.total =
+        std::max({known.total, CountAll(view, false), CountAll(view, true)});
     known.needed_at = now;
   }
   if (total >= known.total) {
-    known.total = total;
+    const auto raised =
+        static_cast<int>(std::ceil((1 + terms_.least_rise) * known.total));
+    known.total = total == known.total ? total : std::max(total, raised);
     known.needed_at = now;
   } else if (now - known.needed_at > terms_.fall_delay) {
     // One step at a time, since the load may return.
@@ -152,8 +160,10 @@
   for (const zone_price& zone : zones) {
     orders.push_back({view.service, zone.availability_zone, true, per_zone});
   }
-  const std::vector<fleet_order> full_price = FullPriceOrders(view, per_zone);
-  orders.insert(orders.end(), full_price.begin(), full_price.end());
+  if (now - demands_.at(view.service).since >= terms_.announce_time) {
+    const std::vector<fleet_order> full_price = FullPriceOrders(view, per_zone);
+    orders.insert(orders.end(), full_price.begin(), full_price.end());
+  }
   std::erase_if(orders, [&](const fleet_order& order) {
     const int present =
         CountReady(view, order.availability_zone, order.reclaimable);
--- a/src/skylarkcroft/duties/skylarkcroft_fleet_planner.h
+++ b/src/skylarkcroft/duties/skylarkcroft_fleet_planner.h
@@ -29,6 +29,13 @@
   /// Time after the first plan in which no fewer are planned than the operators
   /// started.
   milliseconds learning_time{9000};
+  /// Time after the first plan in which the upstreams that the operators
+  /// started announce themselves; an order at the full price would count them
+  /// as too many.
+  milliseconds announce_time{4000};
+  /// A plan that rises does so by this share at least, so that a load that
+  /// rises steadily takes few orders.
+  double least_rise = 0.08;
   /// An order that brought nothing is repeated after this time beyond the time
   /// that an upstream takes to start.
   milliseconds repeat_after{1500};
--- a/tests/duties/fleet_planner_test.cc
+++ b/tests/duties/fleet_planner_test.cc
@@ -180,6 +180,47 @@
   CHECK(cloud.Count(true) >= 27);
 }
 
+TEST_CASE("Upstreams that are still announcing themselves are not ordered away",
+          "[duties][fleet][start][regression]") {
+  cloud cloud;
+  for (const std::string zone : {"a", "b", "c"}) {
+    cloud.SetCount(zone, false, 0);
+  }
+  fleet_planner planner{fleet_terms{}};
+  for (const fleet_order& order : cloud.Run(planner, 3)) {
+    CHECK(order.reclaimable);
+  }
+}
+
+TEST_CASE("A planner that takes over keeps the fleet that it finds",
+          "[duties][fleet][takeover][regression]") {
+  cloud cloud;
+  for (const std::string zone : {"a", "b", "c"}) {
+    cloud.SetCount(zone, false, 0);
+    cloud.SetCount(zone, true, 8);
+  }
+  fleet_planner planner{fleet_terms{}};
+  cloud.SetRunning(10);
+  cloud.Run(planner, 20);
+  CHECK(cloud.Count(true) == 24);
+}
+
+TEST_CASE("A load that rises steadily is followed in few orders",
+          "[duties][fleet][burst]") {
+  cloud cloud;
+  fleet_planner planner{fleet_terms{}};
+  cloud.Run(planner, 12);
+  size_t orders = 0;
+  for (int running = 100; running <= 300; running += 4) {
+    cloud.SetRunning(running);
+    orders += cloud.Run(planner, 1).size();
+  }
+  CHECK(cloud.Count(true) >=
+        300 / static_cast<int>(fleet_terms{}.running_per_upstream));
+  // Three zones, doubling and a half in steps of a quarter.
+  CHECK(orders <= 3 * 8);
+}
+
 TEST_CASE("Upstreams on order are not called back while the load rises",
           "[duties][fleet][burst]") {
   cloud cloud;
