Placement: large prompts avoid running streams, streams avoid prompts being read

Change: a prompt costs an engine's running streams by the square of its reading time over 500 ms; less urgent prompts that are being read count half; engines with few places are planned for a quarter of them.

Tests: tests/placement [pause], both failed before.

--- a/src/skylarkcroft/duties/skylarkcroft_fleet_planner.h
+++ b/src/skylarkcroft/duties/skylarkcroft_fleet_planner.h
@@ -20,7 +20,7 @@
   double running_per_upstream = 12;
   /// The same as a share of an upstream's places, where it has few: a request
   /// that finds all of them taken pushes a running stream out.
-  double running_share = 0.35;
+  double running_share = 0.25;
   /// Upstreams planned beyond the load, as a share, for a zone taken back.
   double reserve_share = 0.4;
   int least_per_zone = 4;
--- a/src/skylarkcroft/placement/skylarkcroft_upstream_board.cc
+++ b/src/skylarkcroft/placement/skylarkcroft_upstream_board.cc
@@ -215,6 +215,16 @@
   return made;
 }
 
+double upstream_board::ReadingMs(int64_t tokens) const {
+  return static_cast<double>(tokens) / terms_.read_tokens_per_ms;
+}
+
+double upstream_board::HarmToRunning(int64_t tokens, int running) const {
+  const double reading = ReadingMs(tokens);
+  return running * reading * reading /
+         static_cast<double>(terms_.harmful_reading.count());
+}
+
 double upstream_board::RunningCost(int slots) const {
   return std::max(terms_.ms_per_running,
                   terms_.ms_when_full / std::max(slots, 1));
@@ -247,14 +257,18 @@
         kPlainRequestMs * (busy + (other_zone ? kOtherZonePenalty : 0));
     return option;
   }
-  option.cost +=
-      static_cast<double>(estimate.unread_tokens) / terms_.read_tokens_per_ms +
-      RunningCost(one.entry.slots) * estimate.running +
-      (estimate.full ? kFullPenalty : 0);
+  const int64_t less_urgent =
+      TokensAhead(all.load, kUrgencies - 1) - estimate.unread_tokens;
+  const double harm =
+      HarmToRunning(request.shape.prompt_tokens, estimate.running);
+  option.cost += ReadingMs(estimate.unread_tokens) +
+                 terms_.less_urgent_weight * ReadingMs(less_urgent) +
+                 RunningCost(one.entry.slots) * estimate.running + harm +
+                 (estimate.full ? kFullPenalty : 0);
   if (estimate.parts_cached) {
-    option.saving = terms_.reread_weight *
-                    static_cast<double>(request.shape.SharedTokens()) /
-                    terms_.read_tokens_per_ms;
+    option.saving =
+        terms_.reread_weight * ReadingMs(request.shape.SharedTokens()) + harm -
+        HarmToRunning(estimate.work.unread_tokens, estimate.running);
   }
   return option;
 }
--- a/src/skylarkcroft/placement/skylarkcroft_upstream_board.h
+++ b/src/skylarkcroft/placement/skylarkcroft_upstream_board.h
@@ -41,6 +41,13 @@
   /// The same for the share of an engine's places that are taken, where it has
   /// few: once all are, a request pushes a running stream out.
   double ms_when_full = 256;
+  /// Reading a prompt of this length makes the running streams of an engine
+  /// pause for longer than clients accept. Shorter ones harm them by the square
+  /// of their share of it.
+  milliseconds harmful_reading{500};
+  /// Weight of less urgent prompts that are being read: they do not delay the
+  /// first token, but the ones after it.
+  double less_urgent_weight = 0.5;
   /// Weight of reading a shared part again, over its time, since every reading
   /// delays all streams of the engine.
   double reread_weight = 2;
@@ -171,6 +178,9 @@
                                     const placement_request& request,
                                     const surroundings& around,
                                     time_point now) const;
+  [[nodiscard]] double ReadingMs(int64_t tokens) const;
+  /// What reading a prompt costs the streams that run at the engine.
+  [[nodiscard]] double HarmToRunning(int64_t tokens, int running) const;
   /// What one running request at an engine with `slots` places costs others.
   [[nodiscard]] double RunningCost(int slots) const;
   [[nodiscard]] surroundings Survey(const placement_request& request,
--- a/tests/placement/upstream_board_test.cc
+++ b/tests/placement/upstream_board_test.cc
@@ -128,6 +128,35 @@
   CHECK(board.Choose(late, kStart)->unread_tokens == 92000);
 }
 
+TEST_CASE("A large prompt goes where it makes few streams pause",
+          "[placement][pause]") {
+  upstream_board board = Board(2);
+  peer_upstream_view view;
+  view.load.running = 2;
+  view.upstream = UpstreamKey("u0");
+  board.SetPeer("peer", {view}, kStart);
+  placement_request large = Ask("s", 0, 50000);
+  std::map<std::string, int> uses;
+  for (int i = 0; i < 20; ++i) {
+    large.shape.parts = {{"s" + std::to_string(i), 0}, {"own", 50000}};
+    large.draw = i / 20.0;
+    ++uses[Chosen(board, large)];
+  }
+  CHECK(uses["u1"] == 20);
+}
+
+TEST_CASE("A stream stays away from less urgent prompts that are being read",
+          "[placement][pause]") {
+  upstream_board board = Board(2);
+  peer_upstream_view view;
+  view.load.unread_tokens[kUrgencies - 1] = 50000;
+  view.upstream = UpstreamKey("u0");
+  board.SetPeer("peer", {view}, kStart);
+  for (int i = 0; i < 20; ++i) {
+    CHECK(Chosen(board, Ask("s" + std::to_string(i), 100, 500)) == "u1");
+  }
+}
+
 TEST_CASE("An upstream whose memory is planned for is passed over",
           "[placement][memory]") {
   upstream_board board = Board(2);
