Reports between nodes: datagrams of one packet, spread over their period

Cause: with 80 nodes a node sent its report to all others at once, about 100 KB onto a link of 10 Mbit/s, and reports that name 60 upstreams and more were larger than a packet.

Ruled out: the holder of the duty (one throughout), frozen or cut nodes (none at that time), requests counted at another time (the same windows by the logs).

Change: a report is divided into datagrams below 1,200 bytes, each replacing the same part of the one before; allotments stay together. Peers are told in turn within a period.

Tests: tests/peers [regression] [small_link], tests/placement [peers].

--- a/src/skylarkcroft/peers/skylarkcroft_peer_report.cc
+++ b/src/skylarkcroft/peers/skylarkcroft_peer_report.cc
@@ -9,12 +9,21 @@
 
 using nlohmann::json;
 
-constexpr int kFormat = 2;
+constexpr int kFormat = 3;
 
 // Outcomes are sent in steps of this part of one; memory in these many tokens.
 constexpr double kOutcomeSteps = 16;
 constexpr int64_t kMemoryStep = 64;
 
+// Below the payload of a packet on any usual network.
+constexpr size_t kLargestDatagram = 1200;
+constexpr size_t kMostParts = 64;
+// Upper bounds of the encoded sizes, beside names.
+constexpr size_t kHeadBytes = 80;
+constexpr size_t kViewBytes = 24;
+constexpr size_t kAllotmentBytes = 16;
+constexpr size_t kUsageBytes = 7;
+
 // Flat, and unread tokens only of the urgencies that have some: a report names
 // dozens of upstreams and goes to every node.
 json EncodeView(const peer_upstream_view& view) {
@@ -47,6 +56,31 @@
   return view;
 }
 
+// An array for each window: its number, then names and counts in turn.
+json EncodeUsage(const std::vector<usage_count>& usage) {
+  json windows = json::array();
+  for (const usage_count& one : usage) {
+    if (windows.empty() || windows.back().front() != one.window) {
+      windows.push_back(json::array({one.window}));
+    }
+    windows.back().push_back(one.workspace);
+    windows.back().push_back(one.begun);
+  }
+  return windows;
+}
+
+std::vector<usage_count> DecodeUsage(const json& windows) {
+  std::vector<usage_count> usage;
+  for (const json& window : windows) {
+    for (size_t i = 1; i + 1 < window.size(); i += 2) {
+      usage.push_back({window.at(0).get<int64_t>(),
+                       window.at(i).get<std::string>(),
+                       window.at(i + 1).get<int64_t>()});
+    }
+  }
+  return usage;
+}
+
 json EncodePosition(const std::optional<table_position>& position) {
   if (!position.has_value()) {
     return json::array();
@@ -77,13 +111,14 @@
                                  item.at(1).get<double>(),
                                  item.at(2).get<double>()});
   }
-  for (const json& item : items.at(8)) {
-    report.usage.push_back({item.at(0).get<int64_t>(),
-                            item.at(1).get<std::string>(),
-                            item.at(2).get<int64_t>()});
-  }
+  report.usage = DecodeUsage(items.at(8));
   report.tables_position = DecodePosition(items.at(9));
   report.upstreams_position = DecodePosition(items.at(10));
+  report.part = items.at(11).get<size_t>();
+  report.parts = items.at(12).get<size_t>();
+  if (report.part >= report.parts || report.parts > kMostParts) {
+    throw std::out_of_range("part of a report");
+  }
   return report;
 }
 
@@ -98,7 +133,9 @@
   return std::max(kShortest, kEachNode * static_cast<milliseconds::rep>(nodes));
 }
 
-std::string EncodeReport(const peer_report& report) {
+namespace {
+
+std::string EncodePart(const peer_report& report) {
   json upstreams = json::array();
   for (const peer_upstream_view& view : report.upstreams) {
     upstreams.push_back(EncodeView(view));
@@ -109,19 +146,71 @@
         json::array({one.workspace, static_cast<int64_t>(one.taken),
                      static_cast<int64_t>(one.level)}));
   }
-  json usage = json::array();
-  for (const usage_count& one : report.usage) {
-    usage.push_back(json::array({one.window, one.workspace, one.begun}));
-  }
-  const json items =
-      json::array({kFormat, report.node, report.incarnation, report.sequence,
-                   report.wall_ms, report.leaving, upstreams, allotments, usage,
-                   EncodePosition(report.tables_position),
-                   EncodePosition(report.upstreams_position)});
+  const json items = json::array(
+      {kFormat, report.node, report.incarnation, report.sequence,
+       report.wall_ms, report.leaving, upstreams, allotments,
+       EncodeUsage(report.usage), EncodePosition(report.tables_position),
+       EncodePosition(report.upstreams_position), report.part, report.parts});
   const std::vector<uint8_t> bytes = json::to_cbor(items);
   return {bytes.begin(), bytes.end()};
 }
 
+// Divides a report so that each part stays below the largest datagram.
+class report_divider {
+ public:
+  explicit report_divider(const peer_report& whole) : empty_(whole) {
+    empty_.upstreams.clear();
+    empty_.allotments.clear();
+    empty_.usage.clear();
+    Open();
+    for (const allotment_report& one : whole.allotments) {
+      bytes_ += kAllotmentBytes + one.workspace.size();
+      parts_.back().allotments.push_back(one);
+    }
+    for (const usage_count& one : whole.usage) {
+      Reserve(kUsageBytes + one.workspace.size());
+      parts_.back().usage.push_back(one);
+    }
+    for (const peer_upstream_view& view : whole.upstreams) {
+      Reserve(kViewBytes);
+      parts_.back().upstreams.push_back(view);
+    }
+  }
+
+  [[nodiscard]] std::vector<std::string> Encode() {
+    std::vector<std::string> datagrams;
+    for (size_t i = 0; i < parts_.size() && i < kMostParts; ++i) {
+      parts_[i].part = i;
+      parts_[i].parts = std::min(parts_.size(), kMostParts);
+      parts_[i].sequence += static_cast<int64_t>(i);
+      datagrams.push_back(EncodePart(parts_[i]));
+    }
+    return datagrams;
+  }
+
+ private:
+  void Open() {
+    parts_.push_back(empty_);
+    bytes_ = kHeadBytes + empty_.node.size();
+  }
+  void Reserve(size_t bytes) {
+    if (bytes_ + bytes > kLargestDatagram) {
+      Open();
+    }
+    bytes_ += bytes;
+  }
+
+  peer_report empty_;
+  std::vector<peer_report> parts_;
+  size_t bytes_ = 0;
+};
+
+}  // namespace
+
+std::vector<std::string> EncodeReport(const peer_report& report) {
+  return report_divider(report).Encode();
+}
+
 std::optional<peer_report> DecodeReport(std::string_view bytes) {
   const json items = json::from_cbor(bytes.begin(), bytes.end(), true, false);
   if (!items.is_array() || items.empty() || items.front() != kFormat) {
--- a/src/skylarkcroft/peers/skylarkcroft_peer_report.h
+++ b/src/skylarkcroft/peers/skylarkcroft_peer_report.h
@@ -17,11 +17,14 @@
 namespace skylarkcroft {
 
 /// What a node tells every peer, each time in full. Reports may be lost, late
-/// or repeated; `sequence` orders those of one process.
+/// or repeated; `sequence` orders the datagrams of one process.
 struct peer_report {
   std::string node;
   int64_t incarnation = 0;
   int64_t sequence = 0;
+  /// Which of how many datagrams this is.
+  size_t part = 0;
+  size_t parts = 1;
   /// Wall clock of the sender, in milliseconds since the Unix epoch.
   int64_t wall_ms = 0;
   bool leaving = false;
@@ -39,10 +42,13 @@
 /// that a node sends and receives stay bounded as nodes are added.
 milliseconds ReportPeriod(size_t nodes);
 
-/// CBOR with positional members. Fractions of allotments are left out.
-std::string EncodeReport(const peer_report& report);
+/// The whole report as datagrams that fit into one packet each, since networks
+/// lose larger ones; numbered from `report.sequence` on. CBOR with positional
+/// members; fractions of allotments are left out. Allotments are all in the
+/// first datagram.
+std::vector<std::string> EncodeReport(const peer_report& report);
 
-/// Empty when `bytes` is not a report.
+/// One datagram; empty when `bytes` is not a report.
 std::optional<peer_report> DecodeReport(std::string_view bytes);
 
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/placement/skylarkcroft_peer_loads.cc
+++ b/src/skylarkcroft/placement/skylarkcroft_peer_loads.cc
@@ -1,6 +1,7 @@
 #include "skylarkcroft/placement/skylarkcroft_peer_loads.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace skylarkcroft {
 
@@ -13,13 +14,17 @@
   }
 }
 
-void peer_loads::Set(const std::string& peer,
+void peer_loads::Set(const report_part& of,
                      const std::vector<peer_upstream_view>& views,
                      time_point now) {
-  peer_state& known = peers_[peer];
-  Subtract(known.views);
-  known.heard = now;
-  known.views = views;
+  peer_state& known = peers_[of.peer];
+  for (size_t gone = of.parts; gone < known.size(); ++gone) {
+    Subtract(known[gone].views);
+  }
+  known.resize(std::max(of.parts, of.part + 1));
+  part_state& part = known[of.part];
+  Subtract(part.views);
+  part = {now, views};
   next_expiry_ = std::min(next_expiry_, now + life_);
   for (const peer_upstream_view& view : views) {
     peer_upstream_view& sum = sums_[view.upstream];
@@ -30,19 +35,27 @@
   }
 }
 
+bool peer_loads::IsSilent(const peer_state& peer, time_point now) const {
+  return std::all_of(peer.begin(), peer.end(), [&](const part_state& part) {
+    return now - part.heard > life_;
+  });
+}
+
 void peer_loads::Expire(time_point now) {
   if (now <= next_expiry_) {
     return;
   }
   next_expiry_ = now + life_;
   for (auto at = peers_.begin(); at != peers_.end();) {
-    if (now - at->second.heard <= life_) {
-      next_expiry_ = std::min(next_expiry_, at->second.heard + life_);
-      ++at;
-      continue;
+    for (part_state& part : at->second) {
+      if (now - part.heard <= life_) {
+        next_expiry_ = std::min(next_expiry_, part.heard + life_);
+        continue;
+      }
+      Subtract(part.views);
+      part.views.clear();
     }
-    Subtract(at->second.views);
-    at = peers_.erase(at);
+    at = IsSilent(at->second, now) ? peers_.erase(at) : std::next(at);
   }
   if (peers_.empty()) {
     // Upstreams that are gone, and what rounding left.
@@ -62,21 +75,25 @@
 }
 
 milliseconds peer_loads::MeanAge(time_point now) const {
-  if (peers_.empty()) {
-    return milliseconds(0);
-  }
   duration total{0};
+  duration::rep parts = 0;
   for (const auto& [name, peer] : peers_) {
-    total += now - peer.heard;
+    for (const part_state& part : peer) {
+      total += std::min<duration>(now - part.heard, life_);
+      ++parts;
+    }
   }
   return std::chrono::duration_cast<milliseconds>(
-      total / static_cast<duration::rep>(peers_.size()));
+      total / std::max<duration::rep>(parts, 1));
 }
 
 milliseconds peer_loads::GreatestAge(time_point now) const {
   duration greatest{0};
   for (const auto& [name, peer] : peers_) {
-    greatest = std::max<duration>(greatest, now - peer.heard);
+    for (const part_state& part : peer) {
+      greatest =
+          std::max(greatest, std::min<duration>(now - part.heard, life_));
+    }
   }
   return std::chrono::duration_cast<milliseconds>(greatest);
 }
--- a/src/skylarkcroft/placement/skylarkcroft_peer_loads.h
+++ b/src/skylarkcroft/placement/skylarkcroft_peer_loads.h
@@ -13,6 +13,16 @@
 
 namespace skylarkcroft {
 
+/// One datagram of a peer's report. A report that names many upstreams is sent
+/// in several parts, each of which replaces the same part of the one before.
+struct report_part {
+  std::string peer;
+  size_t part = 0;
+  size_t parts = 1;
+
+  bool operator==(const report_part&) const = default;
+};
+
 /// What all peers together have at work at each upstream, kept as sums so that
 /// a choice costs the same with any number of peers.
 class peer_loads {
@@ -24,9 +34,9 @@
     life_ = life;
     next_expiry_ = {};
   }
-  /// Replaces what `peer` said before.
-  void Set(const std::string& peer,
-           const std::vector<peer_upstream_view>& views, time_point now);
+  /// Replaces what the peer said in that part before.
+  void Set(const report_part& of, const std::vector<peer_upstream_view>& views,
+           time_point now);
   /// Takes out the peers that have been silent for too long; to be called
   /// before sums are read.
   void Expire(time_point now);
@@ -39,10 +49,13 @@
   [[nodiscard]] milliseconds GreatestAge(time_point now) const;
 
  private:
-  struct peer_state {
+  struct part_state {
     time_point heard{};
     std::vector<peer_upstream_view> views;
   };
+  using peer_state = std::vector<part_state>;
+
+  [[nodiscard]] bool IsSilent(const peer_state& peer, time_point now) const;
 
   void Subtract(const std::vector<peer_upstream_view>& views);
 
--- a/src/skylarkcroft/placement/skylarkcroft_upstream_board.cc
+++ b/src/skylarkcroft/placement/skylarkcroft_upstream_board.cc
@@ -404,21 +404,25 @@
                                                   found->second.last_byte);
 }
 
-void upstream_board::SetPeer(const std::string& peer,
+void upstream_board::SetPeer(const report_part& of,
                              const std::vector<peer_upstream_view>& views,
                              time_point now) {
-  peers_.Set(peer, views, now);
+  peers_.Set(of, views, now);
 }
 
 std::vector<peer_upstream_view> upstream_board::OwnViews(time_point now) const {
-  constexpr double kLeastOutcome = 0.05;
+  // An outcome counts about this much after the half-life of outcomes; older
+  // successes say little and would fill every report.
+  constexpr double kLeastOutcome = 0.5;
+  constexpr double kLeastFailure = 0.1;
   std::vector<peer_upstream_view> views;
   for (const auto& [id, one] : upstreams_) {
     const outcome_sums outcomes = one.belief.Sums(now);
-    if (one.own.running == 0 && outcomes.good + outcomes.bad < kLeastOutcome) {
-      continue;
+    const bool told = one.own.running > 0 || outcomes.bad >= kLeastFailure ||
+                      outcomes.good >= kLeastOutcome;
+    if (told) {
+      views.push_back({one.key, one.own, outcomes});
     }
-    views.push_back({one.key, one.own, outcomes});
   }
   return views;
 }
--- a/src/skylarkcroft/placement/skylarkcroft_upstream_board.h
+++ b/src/skylarkcroft/placement/skylarkcroft_upstream_board.h
@@ -135,7 +135,7 @@
   [[nodiscard]] milliseconds Silence(const std::string& id,
                                      time_point now) const;
 
-  void SetPeer(const std::string& peer,
+  void SetPeer(const report_part& of,
                const std::vector<peer_upstream_view>& views, time_point now);
   /// A peer's load counts for this long after it was heard.
   void SetPeerLoadLife(milliseconds life) { peers_.SetLife(life); }
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -17,6 +17,7 @@
 #include "skylarkcroft/peers/skylarkcroft_peer_channel.h"
 #include "skylarkcroft/peers/skylarkcroft_peer_group.h"
 #include "skylarkcroft/peers/skylarkcroft_peer_report.h"
+#include "skylarkcroft/peers/skylarkcroft_report_schedule.h"
 #include "skylarkcroft/peers/skylarkcroft_true_time.h"
 #include "skylarkcroft/placement/skylarkcroft_upstream_board.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_environment.h"
@@ -33,8 +34,8 @@
 // A peer is silent after this many periods of reports.
 constexpr int kSilentPeriods = 3;
 constexpr milliseconds kShortestSilence{700};
-// Of so many reports one goes to peers taken for gone as well.
-constexpr int64_t kReportsToLostPeers = 20;
+// Peers taken for gone get a report this often.
+constexpr milliseconds kLostPeersPeriod{2000};
 constexpr milliseconds kShortestLoadLife{1500};
 // Nodes hear of each other directly; the list only helps them to begin.
 constexpr milliseconds kNodesPollAge{30000};
@@ -468,38 +469,45 @@
           {{"upstream", id}, {"state", "lapsed"}});
     }
     metrics_.SetClients(server_.clients());
-    if (now >= next_report_) {
-      Report(now);
-    }
+    Report(now);
   }
 
   void Report(time_point now) {
     const milliseconds period = ReportPeriod(group_.Counted(now));
-    next_report_ = now + period - kHousekeepingPeriod / 2;
     PaceFollowers(now);
     const milliseconds silence =
         std::max(kShortestSilence, kSilentPeriods * period);
     group_.SetLiveLimit(silence);
     allotments_.SetPeerSilence(silence);
     board_.SetPeerLoadLife(std::max(kShortestLoadLife, silence));
-    std::vector<endpoint> targets = group_.Targets(now);
-    if (report_sequence_ % kReportsToLostPeers == 0) {
+    std::vector<endpoint> targets =
+        report_schedule_.Due(group_.Targets(now), period, now);
+    if (now >= next_lost_report_) {
+      next_lost_report_ = now + kLostPeersPeriod;
       const std::vector<endpoint> lost = group_.Lost(now);
       targets.insert(targets.end(), lost.begin(), lost.end());
     }
-    if (targets.empty()) {
-      return;
+    if (!targets.empty()) {
+      Send(OwnReport(now), targets);
     }
-    const std::string bytes = EncodeReport(OwnReport(now));
+  }
+
+  void Send(const peer_report& report, const std::vector<endpoint>& targets) {
+    const std::vector<std::string> datagrams = EncodeReport(report);
+    report_sequence_ += static_cast<int64_t>(datagrams.size());
     for (const endpoint& target : targets) {
-      channel_.Send(target, bytes);
+      for (const std::string& bytes : datagrams) {
+        channel_.Send(target, bytes);
+      }
     }
   }
 
   peer_report OwnReport(time_point now) {
     return {settings_.name,
             incarnation_,
-            ++report_sequence_,
+            report_sequence_ + 1,
+            0,
+            1,
             wall_clock_(),
             leaving_since_.has_value(),
             board_.OwnViews(now),
@@ -520,9 +528,12 @@
                           report->sequence, report->leaving, now)) {
       return;
     }
-    board_.SetPeer(report->node, report->upstreams, now);
-    allotments_.NotePeer(report->node, report->incarnation, report->allotments,
-                         now);
+    board_.SetPeer({report->node, report->part, report->parts},
+                   report->upstreams, now);
+    if (report->part == 0) {
+      allotments_.NotePeer(report->node, report->incarnation,
+                           report->allotments, now);
+    }
     ledger_.Merge(report->node + "/" + std::to_string(report->incarnation),
                   report->usage);
     true_time_.NotePeer(report->node, report->wall_ms, now);
@@ -626,7 +637,8 @@
   http_server readiness_;
   http_server metrics_server_;
   duty_keeper duties_;
-  time_point next_report_{};
+  time_point next_lost_report_{};
+  report_schedule report_schedule_;
   event_loop::handle_ptr housekeeping_timer_;
   bool nodes_followed_ = false;
   event_loop::handle_ptr join_timer_;
--- a/tests/peers/peer_report_test.cc
+++ b/tests/peers/peer_report_test.cc
@@ -2,6 +2,7 @@
 
 #include "skylarkcroft/peers/skylarkcroft_peer_group.h"
 #include "skylarkcroft/peers/skylarkcroft_peer_report.h"
+#include "skylarkcroft/peers/skylarkcroft_report_schedule.h"
 #include "skylarkcroft/peers/skylarkcroft_true_time.h"
 
 namespace skylarkcroft {
@@ -29,7 +30,9 @@
   report.allotments = {{"w", 12, -3}};
   report.usage = {{4, "w", 17}};
   report.upstreams_position = table_position{12345, milliseconds(987654321)};
-  CHECK(DecodeReport(EncodeReport(report)) == report);
+  const std::vector<std::string> datagrams = EncodeReport(report);
+  REQUIRE(datagrams.size() == 1);
+  CHECK(DecodeReport(datagrams.front()) == report);
 }
 
 TEST_CASE("What a node sends does not grow with the nodes", "[peers][scale]") {
@@ -38,12 +41,15 @@
   CHECK(ReportPeriod(350) == milliseconds(1750));
 }
 
-TEST_CASE("A report of a busy node fits into one packet", "[peers][scale]") {
-  constexpr int kUpstreams = 30;
+TEST_CASE("Every datagram of a busy node's report fits into one packet",
+          "[peers][scale][regression]") {
+  constexpr int kUpstreams = 170;
   constexpr int kWorkspaces = 16;
+  constexpr size_t kPacketBytes = 1400;
   peer_report report;
   report.node = "frontend-zone-a-12";
   report.incarnation = 1700000000000;
+  report.sequence = 100;
   for (int i = 0; i < kUpstreams; ++i) {
     peer_upstream_view view;
     view.upstream = UpstreamKey(std::to_string(i));
@@ -53,14 +59,81 @@
     view.outcomes = {4, 0};
     report.upstreams.push_back(view);
   }
+  for (const int64_t window : {353445119, 353445120}) {
+    for (int i = 0; i < kWorkspaces; ++i) {
+      report.usage.push_back({window, "name" + std::to_string(i), 400});
+    }
+  }
   for (int i = 0; i < kWorkspaces; ++i) {
-    const std::string name = "name" + std::to_string(i);
-    report.allotments.push_back({name, 1e6, 2e5});
-    report.usage.push_back({353445120, name, 40});
+    report.allotments.push_back({"name" + std::to_string(i), 1e6, 2e5});
   }
   report.tables_position = table_position{1000000, milliseconds(1000000000)};
   report.upstreams_position = report.tables_position;
-  CHECK(EncodeReport(report).size() < 1400);
+  peer_report joined = report;
+  joined.upstreams.clear();
+  joined.usage.clear();
+  int64_t sequence = report.sequence;
+  for (const std::string& bytes : EncodeReport(report)) {
+    CHECK(bytes.size() < kPacketBytes);
+    const std::optional<peer_report> part = DecodeReport(bytes);
+    REQUIRE(part.has_value());
+    CHECK(part->sequence == sequence++);
+    joined.upstreams.insert(joined.upstreams.end(), part->upstreams.begin(),
+                            part->upstreams.end());
+    joined.usage.insert(joined.usage.end(), part->usage.begin(),
+                        part->usage.end());
+  }
+  CHECK(joined == report);
+}
+
+TEST_CASE("The usual report of one of many nodes is a single datagram",
+          "[peers][scale]") {
+  constexpr int kUpstreams = 18;
+  constexpr int kWorkspaces = 16;
+  peer_report report;
+  report.node = "frontend-zone-a-12";
+  for (int i = 0; i < kUpstreams; ++i) {
+    peer_upstream_view view;
+    view.upstream = UpstreamKey(std::to_string(i));
+    report.upstreams.push_back(view);
+  }
+  for (int i = 0; i < kWorkspaces; ++i) {
+    const std::string name = "work" + std::to_string(i);
+    report.allotments.push_back({name, 1e6, 2e5});
+    report.usage.push_back({1, name, 40});
+  }
+  CHECK(EncodeReport(report).size() == 1);
+}
+
+TEST_CASE("Reports to many peers are spread over the period",
+          "[peers][scale][small_link]") {
+  constexpr size_t kPeers = 80;
+  constexpr size_t kMostAtOnce = 24;
+  const milliseconds period = ReportPeriod(kPeers);
+  const milliseconds tick(100);
+  std::vector<endpoint> targets;
+  for (size_t i = 0; i < kPeers; ++i) {
+    targets.push_back({"10.0.0.1", static_cast<uint16_t>(1000 + i)});
+  }
+  report_schedule schedule;
+  schedule.Due(targets, period, kStart);
+  std::vector<endpoint> told;
+  for (milliseconds passed = tick; passed <= period; passed += tick) {
+    const std::vector<endpoint> due =
+        schedule.Due(targets, period, kStart + passed);
+    CHECK(due.size() <= kMostAtOnce);
+    told.insert(told.end(), due.begin(), due.end());
+  }
+  CHECK(told == targets);
+}
+
+TEST_CASE("Few peers all hear of every change", "[peers]") {
+  const std::vector<endpoint> targets = {kAddress, {"10.0.0.2", 7600}};
+  report_schedule schedule;
+  for (int i = 0; i < 10; ++i) {
+    CHECK(schedule.Due(targets, ReportPeriod(3),
+                       kStart + i * milliseconds(100)) == targets);
+  }
 }
 
 TEST_CASE("Bytes that are no report are told apart", "[peers]") {
--- a/tests/placement/herd_test.cc
+++ b/tests/placement/herd_test.cc
@@ -111,7 +111,7 @@
       const std::vector<peer_upstream_view> views = nodes_[from].OwnViews(now_);
       for (size_t to = 0; to < nodes_.size(); ++to) {
         if (to != from) {
-          nodes_[to].SetPeer(std::to_string(from), views, now_);
+          nodes_[to].SetPeer({std::to_string(from)}, views, now_);
         }
       }
     }
--- a/tests/placement/spread_choice_test.cc
+++ b/tests/placement/spread_choice_test.cc
@@ -44,17 +44,24 @@
   peer_upstream_view view;
   view.upstream = 7;
   view.load.running = 3;
-  loads.Set("a", {view}, kStart);
-  loads.Set("b", {view}, kStart + milliseconds(600));
+  loads.Set({"a"}, {view}, kStart);
+  loads.Set({"b"}, {view}, kStart + milliseconds(600));
   loads.Expire(kStart + milliseconds(600));
   CHECK(loads.At(7).load.running == 6);
   CHECK(loads.MeanAge(kStart + milliseconds(800)) == milliseconds(500));
   CHECK(loads.GreatestAge(kStart + milliseconds(800)) == milliseconds(800));
   SECTION("a peer's next report replaces its last one") {
     view.load.running = 1;
-    loads.Set("a", {view}, kStart + milliseconds(900));
+    loads.Set({"a"}, {view}, kStart + milliseconds(900));
     CHECK(loads.At(7).load.running == 4);
   }
+  SECTION("a report in parts counts part by part") {
+    loads.Set({"a", 0, 2}, {view}, kStart + milliseconds(900));
+    loads.Set({"a", 1, 2}, {view}, kStart + milliseconds(900));
+    CHECK(loads.At(7).load.running == 9);
+    loads.Set({"a", 0, 1}, {view}, kStart + milliseconds(950));
+    CHECK(loads.At(7).load.running == 6);
+  }
   SECTION("a silent peer does not count") {
     loads.Expire(kStart + milliseconds(1100));
     CHECK(loads.At(7).load.running == 3);
--- a/tests/placement/upstream_board_test.cc
+++ b/tests/placement/upstream_board_test.cc
@@ -107,7 +107,7 @@
   view.upstream = UpstreamKey(home);
   view.load.running = 40;
   view.load.unread_tokens[0] = 60000;
-  board.SetPeer("peer", {view}, kStart);
+  board.SetPeer({"peer"}, {view}, kStart);
   CHECK(Chosen(board, request) != home);
   SECTION("until the peer has been silent for long") {
     CHECK(Chosen(board, request, kStart + milliseconds(1501)) == home);
@@ -120,7 +120,7 @@
   peer_upstream_view view;
   view.upstream = UpstreamKey("u0");
   view.load.unread_tokens[8] = 92000;
-  board.SetPeer("peer", {view}, kStart);
+  board.SetPeer({"peer"}, {view}, kStart);
   placement_request urgent = Ask("s");
   placement_request late = Ask("s");
   late.urgency = 9;
@@ -134,7 +134,7 @@
   peer_upstream_view view;
   view.load.running = 2;
   view.upstream = UpstreamKey("u0");
-  board.SetPeer("peer", {view}, kStart);
+  board.SetPeer({"peer"}, {view}, kStart);
   placement_request large = Ask("s", 0, 50000);
   std::map<std::string, int> uses;
   for (int i = 0; i < 20; ++i) {
@@ -151,7 +151,7 @@
   peer_upstream_view view;
   view.load.unread_tokens[kUrgencies - 1] = 50000;
   view.upstream = UpstreamKey("u0");
-  board.SetPeer("peer", {view}, kStart);
+  board.SetPeer({"peer"}, {view}, kStart);
   for (int i = 0; i < 20; ++i) {
     CHECK(Chosen(board, Ask("s" + std::to_string(i), 100, 500)) == "u1");
   }
@@ -226,7 +226,7 @@
     view.upstream = UpstreamKey("u" + std::to_string(i));
     views.push_back(view);
   }
-  board.SetPeer("peer", views, kStart);
+  board.SetPeer({"peer"}, views, kStart);
   int to_idle = 0;
   constexpr int kNodes = 80;
   for (int node = 0; node < kNodes; ++node) {
