Overload: full price where reclaimable upstreams cannot be had, busy engines are not silent

Ruled out: lost reports (the sums fit), a late lease (8 s, core unstable until 6.3 s).

Change: only what is ready or starting takes room; the wait for announcements is for a system without load; full price after 1.5 s of shortage, given up when those at work exceed the need of 8 s by 15%. Reports tell how long an upstream has been quiet, and it is silent after 1.2 s to all, after 3 s to one node.

Tests: tests/duties [regression] three cases, two seen failing (15 of 30 upstreams, 0 at takeover); tests/placement [overload].

--- a/src/skylarkcroft/duties/skylarkcroft_fleet_planner.cc
+++ b/src/skylarkcroft/duties/skylarkcroft_fleet_planner.cc
@@ -37,6 +37,37 @@
       std::ceil(static_cast<double>(view.running) / std::max(each, 1.0)));
 }
 
+void fleet_planner::NoteNeed(demand& known, int needed, time_point now) const {
+  if (needed >= known.recent_need ||
+      now - known.recent_at > terms_.need_memory) {
+    known.recent_need = needed;
+    known.recent_at = now;
+  }
+}
+
+int fleet_planner::Missing(const fleet_view& view, int coming, time_point now) {
+  demand& known = demands_.at(view.service);
+  const int missing = std::max(0, Needed(view) - coming);
+  if (missing == 0) {
+    known.short_since.reset();
+    return 0;
+  }
+  known.short_since = known.short_since.value_or(now);
+  return now - *known.short_since >= terms_.shortage_time ? missing : 0;
+}
+
+bool fleet_planner::IsEnough(const fleet_view& view, int ready, int planned,
+                             time_point now) const {
+  if (ready >= static_cast<int>(std::ceil(terms_.ready_share * planned))) {
+    return true;
+  }
+  const demand& known = demands_.at(view.service);
+  const bool learned = now - known.since >= terms_.learning_time;
+  return learned && view.running > 0 &&
+         ready >= static_cast<int>(
+                      std::ceil((1 + terms_.spare_share) * known.recent_need));
+}
+
 int fleet_planner::Total(const fleet_view& view, time_point now) {
   const auto zones = static_cast<int>(view.scaling.zone_prices.size());
   const int with_reserve =
@@ -47,6 +78,7 @@
   if (first) {
     known.since = now;
   }
+  NoteNeed(known, Needed(view), now);
   if (now - known.since < terms_.learning_time) {
     // The load is not known yet; what is there stands meanwhile.
     known.total =
@@ -102,8 +134,25 @@
   return true;
 }
 
+int fleet_planner::Accepted(const std::string& service, const std::string& zone,
+                            bool reclaimable) const {
+  const auto last = orders_.find({service, zone, reclaimable});
+  return last == orders_.end() ? 0 : last->second.count.value_or(0);
+}
+
+int fleet_planner::Coming(const fleet_view& view, const std::string& zone,
+                          time_point now) const {
+  const int ready = CountReady(view, zone, true);
+  const auto last = orders_.find({view.service, zone, true});
+  const bool starting =
+      last != orders_.end() &&
+      now - last->second.at <= view.scaling.boot_time + terms_.repeat_after;
+  return starting ? std::max(ready, last->second.count.value_or(0)) : ready;
+}
+
 std::vector<fleet_order> fleet_planner::FullPriceOrders(const fleet_view& view,
-                                                        int per_zone) const {
+                                                        int per_zone,
+                                                        time_point now) {
   std::vector<zone_price> zones = view.scaling.zone_prices;
   std::sort(zones.begin(), zones.end(),
             [](const zone_price& a, const zone_price& b) {
@@ -111,21 +160,23 @@
             });
   const auto zone_count = static_cast<int>(zones.size());
   int ready = 0;
+  int coming = 0;
   for (const zone_price& zone : zones) {
     ready += CountReady(view, zone.availability_zone, true);
+    coming += Coming(view, zone.availability_zone, now);
   }
-  const bool enough =
-      ready >=
-      static_cast<int>(std::ceil(terms_.ready_share * per_zone * zone_count));
+  const bool enough = IsEnough(view, ready, per_zone * zone_count, now);
   // What the reclaimable ones cannot carry, the cheapest zones first.
-  int missing = std::max(0, Needed(view) - ready);
+  int missing = Missing(view, coming, now);
   std::vector<fleet_order> orders;
   for (const zone_price& zone : zones) {
     const std::string& name = zone.availability_zone;
     const int there = CountReady(view, name, false);
-    const int reclaimable = CountReady(view, name, true);
-    const int least = std::max(0, view.scaling.min_per_zone - reclaimable);
-    const int room = std::max(0, view.scaling.max_per_zone - per_zone);
+    const int least =
+        std::max(0, view.scaling.min_per_zone - CountReady(view, name, true));
+    // Reclaimable ones that cannot be had take no room.
+    const int room =
+        std::max(0, view.scaling.max_per_zone - Coming(view, name, now));
     const int part = std::max(least, std::clamp(missing, 0, room));
     missing -= std::max(part, there);
     if (enough) {
@@ -133,10 +184,7 @@
       continue;
     }
     // Those that are on their way are not called back.
-    const auto last = orders_.find({view.service, name, false});
-    const int on_order =
-        last == orders_.end() ? 0 : last->second.count.value_or(0);
-    const int wanted = std::max(part, on_order);
+    const int wanted = std::max(part, Accepted(view.service, name, false));
     if (wanted > there) {
       orders.push_back({view.service, name, false, wanted});
     }
@@ -160,8 +208,12 @@
   for (const zone_price& zone : zones) {
     orders.push_back({view.service, zone.availability_zone, true, per_zone});
   }
-  if (now - demands_.at(view.service).since >= terms_.announce_time) {
-    const std::vector<fleet_order> full_price = FullPriceOrders(view, per_zone);
+  const bool announcing =
+      view.running == 0 &&
+      now - demands_.at(view.service).since < terms_.announce_time;
+  if (!announcing) {
+    const std::vector<fleet_order> full_price =
+        FullPriceOrders(view, per_zone, now);
     orders.insert(orders.end(), full_price.begin(), full_price.end());
   }
   std::erase_if(orders, [&](const fleet_order& order) {
@@ -185,6 +237,7 @@
       last.count = order.count;
       return;
     case duty_outcome::kUnavailable:
+      last.count.reset();
       last.not_before = now + terms_.unavailable_pause;
       return;
     case duty_outcome::kRefused:
--- a/src/skylarkcroft/duties/skylarkcroft_fleet_planner.h
+++ b/src/skylarkcroft/duties/skylarkcroft_fleet_planner.h
@@ -29,9 +29,9 @@
   /// Time after the first plan in which no fewer are planned than the operators
   /// started.
   milliseconds learning_time{9000};
-  /// Time after the first plan in which the upstreams that the operators
-  /// started announce themselves; an order at the full price would count them
-  /// as too many.
+  /// Time after the first plan in which, without load, the upstreams that the
+  /// operators started announce themselves; an order at the full price would
+  /// call those back that have not yet.
   milliseconds announce_time{4000};
   /// A plan that rises does so by this share at least, so that a load that
   /// rises steadily takes few orders.
@@ -44,6 +44,15 @@
   /// Upstreams with requests at work are given up only after this time, which
   /// is longer than most requests run.
   milliseconds longest_retirement{8000};
+  /// Reclaimable upstreams must have been too few for this long before others
+  /// are ordered: a short disturbance is over before they have started.
+  milliseconds shortage_time{1500};
+  /// Share by which the reclaimable ones that are ready must exceed the need of
+  /// late before upstreams at the full price are given up, even where the plan
+  /// asks for more.
+  double spare_share = 0.15;
+  /// The need of late is the greatest one in about this time.
+  milliseconds need_memory{8000};
   /// Share of the plan that must be ready before upstreams at the full price
   /// are given up.
   double ready_share = 0.75;
@@ -99,12 +108,29 @@
     int total = 0;
     time_point needed_at{};
     time_point since{};
+    std::optional<time_point> short_since;
+    int recent_need = 0;
+    time_point recent_at{};
   };
 
   [[nodiscard]] int Needed(const fleet_view& view) const;
+  /// Whether the reclaimable upstreams that are ready can do alone.
+  [[nodiscard]] bool IsEnough(const fleet_view& view, int ready, int planned,
+                              time_point now) const;
+  /// What reclaimable upstreams, of which `coming` are ready or starting, have
+  /// been too few by for some time.
+  int Missing(const fleet_view& view, int coming, time_point now);
+  void NoteNeed(demand& known, int needed, time_point now) const;
   int Total(const fleet_view& view, time_point now);
+  /// The count last accepted; 0 before any.
+  [[nodiscard]] int Accepted(const std::string& service,
+                             const std::string& zone, bool reclaimable) const;
+  /// Reclaimable upstreams of a zone that are ready or starting.
+  [[nodiscard]] int Coming(const fleet_view& view, const std::string& zone,
+                           time_point now) const;
   [[nodiscard]] std::vector<fleet_order> FullPriceOrders(const fleet_view& view,
-                                                         int per_zone) const;
+                                                         int per_zone,
+                                                         time_point now);
   [[nodiscard]] bool IsDue(const fleet_order& order, int present,
                            const fleet_view& view, time_point now) const;
   bool MayRetire(const fleet_order& order, const fleet_view& view,
--- a/src/skylarkcroft/peers/skylarkcroft_peer_report.cc
+++ b/src/skylarkcroft/peers/skylarkcroft_peer_report.cc
@@ -9,18 +9,20 @@
 
 using nlohmann::json;
 
-constexpr int kFormat = 3;
+constexpr int kFormat = 4;
 
-// Outcomes are sent in steps of this part of one; memory in these many tokens.
+// Outcomes are sent in steps of this part of one; memory in these many tokens;
+// quiet times in these steps.
 constexpr double kOutcomeSteps = 16;
 constexpr int64_t kMemoryStep = 64;
+constexpr milliseconds kQuietStep{50};
 
 // Below the payload of a packet on any usual network.
 constexpr size_t kLargestDatagram = 1200;
 constexpr size_t kMostParts = 64;
 // Upper bounds of the encoded sizes, beside names.
 constexpr size_t kHeadBytes = 80;
-constexpr size_t kViewBytes = 24;
+constexpr size_t kViewBytes = 26;
 constexpr size_t kAllotmentBytes = 16;
 constexpr size_t kUsageBytes = 7;
 
@@ -31,7 +33,8 @@
       json::array({view.upstream, view.load.running,
                    (view.load.memory_tokens + kMemoryStep - 1) / kMemoryStep,
                    static_cast<int64_t>(kOutcomeSteps * view.outcomes.good),
-                   static_cast<int64_t>(kOutcomeSteps * view.outcomes.bad)});
+                   static_cast<int64_t>(kOutcomeSteps * view.outcomes.bad),
+                   view.quiet / kQuietStep});
   for (size_t i = 0; i < view.load.unread_tokens.size(); ++i) {
     if (view.load.unread_tokens[i] > 0) {
       item.push_back(i);
@@ -42,13 +45,14 @@
 }
 
 peer_upstream_view DecodeView(const json& item) {
-  constexpr size_t kFixed = 5;
+  constexpr size_t kFixed = 6;
   peer_upstream_view view;
   view.upstream = item.at(0).get<uint32_t>();
   view.load.running = item.at(1).get<int>();
   view.load.memory_tokens = kMemoryStep * item.at(2).get<int64_t>();
   view.outcomes = {item.at(3).get<double>() / kOutcomeSteps,
                    item.at(4).get<double>() / kOutcomeSteps};
+  view.quiet = kQuietStep * item.at(5).get<milliseconds::rep>();
   for (size_t i = kFixed; i + 1 < item.size(); i += 2) {
     view.load.unread_tokens.at(item.at(i).get<size_t>()) =
         item.at(i + 1).get<int64_t>();
--- a/src/skylarkcroft/placement/skylarkcroft_peer_loads.cc
+++ b/src/skylarkcroft/placement/skylarkcroft_peer_loads.cc
@@ -32,6 +32,10 @@
     AddLoad(view.load, sum.load);
     sum.outcomes.good += view.outcomes.good;
     sum.outcomes.bad += view.outcomes.bad;
+    if (view.quiet < kLongestQuiet) {
+      time_point& last = last_bytes_[view.upstream];
+      last = std::max(last, now - view.quiet);
+    }
   }
 }
 
@@ -60,13 +64,14 @@
   if (peers_.empty()) {
     // Upstreams that are gone, and what rounding left.
     sums_.clear();
+    last_bytes_.clear();
   }
 }
 
 peer_upstream_view peer_loads::At(uint32_t upstream) const {
   const auto found = sums_.find(upstream);
   if (found == sums_.end()) {
-    return {upstream, {}, {}};
+    return {upstream, {}, {}, kLongestQuiet};
   }
   peer_upstream_view sum = found->second;
   sum.outcomes.good = std::max(0.0, sum.outcomes.good);
@@ -74,6 +79,12 @@
   return sum;
 }
 
+std::optional<time_point> peer_loads::LastByte(uint32_t upstream) const {
+  const auto found = last_bytes_.find(upstream);
+  return found == last_bytes_.end() ? std::nullopt
+                                    : std::optional<time_point>(found->second);
+}
+
 milliseconds peer_loads::MeanAge(time_point now) const {
   duration total{0};
   duration::rep parts = 0;
--- a/src/skylarkcroft/placement/skylarkcroft_peer_loads.h
+++ b/src/skylarkcroft/placement/skylarkcroft_peer_loads.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -42,6 +43,8 @@
   void Expire(time_point now);
 
   [[nodiscard]] peer_upstream_view At(uint32_t upstream) const;
+  /// When any peer last got a byte from the upstream; empty where none did.
+  [[nodiscard]] std::optional<time_point> LastByte(uint32_t upstream) const;
   /// Peers that count.
   [[nodiscard]] size_t size() const { return peers_.size(); }
   /// Mean time since the peers that count were heard; 0 without any.
@@ -64,6 +67,7 @@
   time_point next_expiry_{};
   std::map<std::string, peer_state> peers_;
   std::unordered_map<uint32_t, peer_upstream_view> sums_;
+  std::unordered_map<uint32_t, time_point> last_bytes_;
 };
 
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/placement/skylarkcroft_upstream_board.cc
+++ b/src/skylarkcroft/placement/skylarkcroft_upstream_board.cc
@@ -391,6 +391,7 @@
   const auto found = upstreams_.find(id);
   if (found != upstreams_.end()) {
     found->second.last_byte = now;
+    found->second.heard = now;
   }
 }
 
@@ -404,12 +405,31 @@
                                                   found->second.last_byte);
 }
 
+milliseconds upstream_board::SilenceToAll(const std::string& id,
+                                          time_point now) const {
+  const milliseconds own = Silence(id, now);
+  const std::optional<time_point> to_peers = peers_.LastByte(UpstreamKey(id));
+  if (!to_peers.has_value()) {
+    return own;
+  }
+  return std::min(own,
+                  std::chrono::duration_cast<milliseconds>(now - *to_peers));
+}
+
 void upstream_board::SetPeer(const report_part& of,
                              const std::vector<peer_upstream_view>& views,
                              time_point now) {
   peers_.Set(of, views, now);
 }
 
+milliseconds upstream_board::QuietTime(const state& one, time_point now) {
+  if (!one.heard.has_value()) {
+    return kLongestQuiet;
+  }
+  return std::min(kLongestQuiet,
+                  std::chrono::duration_cast<milliseconds>(now - *one.heard));
+}
+
 std::vector<peer_upstream_view> upstream_board::OwnViews(time_point now) const {
   // An outcome counts about this much after the half-life of outcomes; older
   // successes say little and would fill every report.
@@ -421,7 +441,7 @@
     const bool told = one.own.running > 0 || outcomes.bad >= kLeastFailure ||
                       outcomes.good >= kLeastOutcome;
     if (told) {
-      views.push_back({one.key, one.own, outcomes});
+      views.push_back({one.key, one.own, outcomes, QuietTime(one, now)});
     }
   }
   return views;
--- a/src/skylarkcroft/placement/skylarkcroft_upstream_board.h
+++ b/src/skylarkcroft/placement/skylarkcroft_upstream_board.h
@@ -131,9 +131,13 @@
                  upstream_outcome outcome, time_point now);
   /// A byte came from the upstream.
   void NoteByte(const std::string& id, time_point now);
-  /// Time since the upstream last sent a byte.
+  /// Time since the upstream last sent a byte to this node.
   [[nodiscard]] milliseconds Silence(const std::string& id,
                                      time_point now) const;
+  /// Time since it last sent a byte to this node or, as far as is known, to a
+  /// peer.
+  [[nodiscard]] milliseconds SilenceToAll(const std::string& id,
+                                          time_point now) const;
 
   void SetPeer(const report_part& of,
                const std::vector<peer_upstream_view>& views, time_point now);
@@ -151,7 +155,9 @@
     uint32_t key = 0;
     upstream_load own;
     upstream_belief belief;
+    /// Of the last byte, or of the first request after none was at work.
     time_point last_byte{};
+    std::optional<time_point> heard;
     std::optional<time_point> lapsed_at;
     /// Shared parts sent there, with the time of their last use.
     std::unordered_map<std::string, time_point> parts;
@@ -169,6 +175,7 @@
   };
 
   [[nodiscard]] bool IsUsable(const state& one) const;
+  [[nodiscard]] static milliseconds QuietTime(const state& one, time_point now);
   [[nodiscard]] summed Sum(const state& one, time_point now) const;
   [[nodiscard]] placement Estimate(const state& one, const summed& all,
                                    const placement_request& request,
--- a/src/skylarkcroft/placement/skylarkcroft_upstream_load.h
+++ b/src/skylarkcroft/placement/skylarkcroft_upstream_load.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 
+#include "skylarkcroft/internal/skylarkcroft_time.h"
 #include "skylarkcroft/placement/skylarkcroft_upstream_belief.h"
 
 namespace skylarkcroft {
@@ -32,11 +33,16 @@
 /// Short name of an upstream between nodes.
 uint32_t UpstreamKey(const std::string& id);
 
+/// Longest quiet time that reports tell apart.
+inline constexpr milliseconds kLongestQuiet{10000};
+
 /// What one peer says of one upstream, named by its UpstreamKey().
 struct peer_upstream_view {
   uint32_t upstream = 0;
   upstream_load load;
   outcome_sums outcomes;
+  /// Time since the peer last got a byte from it, at most kLongestQuiet.
+  milliseconds quiet = kLongestQuiet;
 
   bool operator==(const peer_upstream_view&) const = default;
 };
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -497,6 +497,17 @@
   CheckSilence(now);
 }
 
+bool relay_request::IsEngineSilent(milliseconds quiet, time_point now) const {
+  const relay_terms& terms = environment_.terms;
+  const std::string& id = attempt_->placed.upstream.id;
+  const bool to_this_node =
+      quiet > terms.engine_silence &&
+      environment_.board.Silence(id, now) > terms.engine_silence;
+  const bool to_all =
+      environment_.board.SilenceToAll(id, now) > terms.engine_silence;
+  return to_this_node && (to_all || quiet > terms.engine_silence_to_one);
+}
+
 void relay_request::CheckSilence(time_point now) {
   if (attempt_ == nullptr || attempt_->paused || !attempt_->exchange->sent()) {
     return;
@@ -507,11 +518,7 @@
   const milliseconds quiet =
       std::chrono::duration_cast<milliseconds>(now - attempt_->last_byte);
   if (cache_tokens_ > 0) {
-    const milliseconds limit = environment_.terms.engine_silence;
-    const bool silent =
-        quiet > limit &&
-        environment_.board.Silence(attempt_->placed.upstream.id, now) > limit;
-    if (silent && could_go_on) {
+    if (could_go_on && IsEngineSilent(quiet, now)) {
       Fail(attempt_failure::kSilent);
     }
     return;
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -80,6 +80,7 @@
   void Fail(attempt_failure failure);
   void CloseAttempt(upstream_outcome outcome);
   void CheckSilence(time_point now);
+  [[nodiscard]] bool IsEngineSilent(milliseconds quiet, time_point now) const;
   void CheckBacklog();
   void EndWithout(final_answer how, const std::string& reason,
                   milliseconds retry_after);
--- a/src/skylarkcroft/relay/skylarkcroft_relay_terms.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_terms.h
@@ -14,6 +14,9 @@
   /// An engine at work sends a token within some ten milliseconds; one that
   /// has sent nothing at all for this long is taken for silent.
   milliseconds engine_silence{1200};
+  /// The same where peers still hear from the engine: it is busy, or only this
+  /// node's connection is silent.
+  milliseconds engine_silence_to_one{3000};
   /// The same for a plain service, as a share of the time left.
   double plain_silence_share = 0.4;
   /// Time a client without a stated limit waits; 0 in the table sets none.
--- a/tests/duties/fleet_planner_test.cc
+++ b/tests/duties/fleet_planner_test.cc
@@ -205,6 +205,50 @@
   CHECK(cloud.Count(true) == 24);
 }
 
+TEST_CASE(
+    "What reclaimable upstreams cannot carry is ordered at the full price",
+    "[duties][fleet][reclaim][burst][regression]") {
+  cloud cloud;
+  fleet_planner planner{fleet_terms{}};
+  cloud.SetRunning(60);
+  cloud.Run(planner, 12);
+  cloud.Withhold(true);
+  // More is wanted than one zone may have; no more reclaimable ones come.
+  cloud.SetRunning(1000);
+  cloud.Run(planner, 5);
+  CHECK(cloud.Count(false) + cloud.Count(true) == 30);
+}
+
+TEST_CASE("Upstreams at the full price go when the load no longer needs them",
+          "[duties][fleet][burst][regression]") {
+  cloud cloud;
+  fleet_planner planner{fleet_terms{}};
+  cloud.SetRunning(100);
+  cloud.Run(planner, 12);
+  cloud.Withhold(true);
+  cloud.SetRunning(400);
+  cloud.Run(planner, 5);
+  CHECK(cloud.Count(false) > 0);
+  // The plan stays high for a while; no more reclaimable ones come.
+  cloud.SetRunning(100);
+  cloud.Run(planner, 20);
+  CHECK(cloud.Count(false) == 0);
+}
+
+TEST_CASE("A planner that takes over under load orders at once",
+          "[duties][fleet][takeover][regression]") {
+  cloud cloud;
+  for (const std::string zone : {"a", "b", "c"}) {
+    cloud.SetCount(zone, false, 0);
+    cloud.SetCount(zone, true, 4);
+  }
+  cloud.Withhold(true);
+  cloud.SetRunning(200);
+  fleet_planner planner{fleet_terms{}};
+  cloud.Run(planner, 3);
+  CHECK(cloud.Count(false) > 0);
+}
+
 TEST_CASE("A load that rises steadily is followed in few orders",
           "[duties][fleet][burst]") {
   cloud cloud;
--- a/tests/peers/peer_report_test.cc
+++ b/tests/peers/peer_report_test.cc
@@ -26,6 +26,7 @@
   view.load.unread_tokens[2] = 700;
   view.load.memory_tokens = 1280;
   view.outcomes = {1.5, 0.25};
+  view.quiet = milliseconds(350);
   report.upstreams = {view};
   report.allotments = {{"w", 12, -3}};
   report.usage = {{4, "w", 17}};
--- a/tests/placement/upstream_board_test.cc
+++ b/tests/placement/upstream_board_test.cc
@@ -248,6 +248,26 @@
   }
 }
 
+TEST_CASE("An engine that sends bytes to peers is busy, not silent",
+          "[placement][overload][regression]") {
+  upstream_board board = Board(1);
+  Send(board, Ask("s"));
+  const time_point later = kStart + milliseconds(1500);
+  CHECK(board.SilenceToAll("u0", later) == milliseconds(1500));
+  peer_upstream_view view;
+  view.upstream = UpstreamKey("u0");
+  SECTION("a peer that never heard of it says nothing") {
+    board.SetPeer({"peer"}, {view}, later);
+    CHECK(board.SilenceToAll("u0", later) == milliseconds(1500));
+  }
+  SECTION("a peer that hears it does") {
+    view.quiet = milliseconds(100);
+    board.SetPeer({"peer"}, {view}, later);
+    CHECK(board.SilenceToAll("u0", later) == milliseconds(100));
+    CHECK(board.Silence("u0", later) == milliseconds(1500));
+  }
+}
+
 TEST_CASE("When every upstream is avoided one is used all the same",
           "[placement][crash]") {
   upstream_board board = Board(2);
--- /dev/null
+++ b/tests/relay_soak/soak_upstream.cc
@@ -0,0 +1,150 @@
+#include "tests/relay_soak/soak_upstream.h"
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+
+namespace skylarkcroft::soak {
+namespace {
+
+constexpr milliseconds kEventGap{15};
+constexpr int kPercent = 100;
+constexpr int kDeclinedPercent = 3;
+constexpr int kUnavailable = 503;
+constexpr int kOtherProcess = 421;
+// Long enough to come in several reads.
+constexpr size_t kPlainBytes = 3000;
+
+request_kind KindOf(const std::string& target) {
+  if (target.starts_with("/safe/")) {
+    return request_kind::kSafe;
+  }
+  if (target.starts_with("/once/")) {
+    return request_kind::kOnce;
+  }
+  return target.starts_with("/resume/") ? request_kind::kResumable
+                                        : request_kind::kStream;
+}
+
+std::string Event(const std::string& request, int number) {
+  const std::string text = std::to_string(number);
+  return "id: " + text + "\ndata: " + request + " " + text + "\n\n";
+}
+
+std::string Chunk(const std::string& text) {
+  std::string size;
+  constexpr size_t kHex = 16;
+  for (size_t left = text.size(); left > 0; left /= kHex) {
+    size.insert(size.begin(), "0123456789abcdef"[left % kHex]);
+  }
+  return size + "\r\n" + text + "\r\n";
+}
+
+std::string Head(const std::string& id, const std::string& status) {
+  return "HTTP/1.1 " + status + "\r\nX-Attempt-Id: " + id +
+         "\r\nX-Response-Signature: s\r\n";
+}
+
+}  // namespace
+
+std::string ExpectedBody(request_kind kind, const std::string& request) {
+  std::string body;
+  if (kind == request_kind::kSafe || kind == request_kind::kOnce) {
+    while (body.size() < kPlainBytes) {
+      body += request + " ";
+    }
+    return body;
+  }
+  for (int i = 1; i <= kStreamEvents; ++i) {
+    body += Event(request, i);
+  }
+  return body;
+}
+
+soak_upstream::soak_upstream(event_loop& loop, history& seen,
+                             const std::string& id, uint32_t seed)
+    : loop_(loop),
+      seen_(seen),
+      id_(id),
+      upstream_(loop),
+      proxy_(loop, upstream_.address()),
+      random_(seed) {
+  upstream_.Answer(
+      [this](const scripted_upstream::arrival& to) { Handle(to); });
+}
+
+std::string soak_upstream::Entry(const std::string& service,
+                                 const std::string& state) const {
+  return nlohmann::json{{"service", service},
+                        {"address", ToString(proxy_.address())},
+                        {"zone", "a"},
+                        {"slots", 64},
+                        {"state", state},
+                        {"born", 1}}
+      .dump();
+}
+
+void soak_upstream::Later(milliseconds delay, std::function<void()> call) {
+  timers_.push_back(loop_.After(delay, std::move(call)));
+}
+
+void soak_upstream::Decline(const scripted_upstream::arrival& to, int status) {
+  const std::string id = to.head.headers.Get("X-Attempt-Id");
+  to.write(Head(id, std::to_string(status) + " No") +
+           "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+}
+
+void soak_upstream::Handle(const scripted_upstream::arrival& to) {
+  const http_headers& headers = to.head.headers;
+  const std::string expected = headers.Get("X-Expected-Instance");
+  if (!expected.empty() && expected != id_) {
+    Decline(to, kOtherProcess);
+    return;
+  }
+  if (static_cast<int>(random_() % kPercent) < kDeclinedPercent) {
+    Decline(to, kUnavailable);
+    return;
+  }
+  const request_kind kind = KindOf(to.head.target);
+  const size_t run = seen_.runs.size();
+  seen_.runs.push_back({headers.Get("X-Attempt-Id"), id_, headers.Get("X-Key"),
+                        SteadyNow(), std::nullopt});
+  if (loses_answers_ && random_() % 2 == 0) {
+    to.close();
+    return;
+  }
+  if (kind == request_kind::kSafe || kind == request_kind::kOnce) {
+    AnswerPlain(to, kind);
+    return;
+  }
+  const std::string last = headers.Get("Last-Event-Id");
+  to.write(Head(headers.Get("X-Attempt-Id"), "200 OK") +
+           "Content-Type: text/event-stream\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n");
+  Stream(to, run, last.empty() ? 1 : std::stoi(last) + 1);
+}
+
+void soak_upstream::AnswerPlain(const scripted_upstream::arrival& to,
+                                request_kind kind) {
+  constexpr int kLongestWorkMs = 25;
+  Later(milliseconds(random_() % kLongestWorkMs), [this, to, kind] {
+    const std::string id = to.head.headers.Get("X-Attempt-Id");
+    const std::string body = ExpectedBody(kind, id);
+    to.write(Head(id, "200 OK") +
+             "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+             body);
+  });
+}
+
+void soak_upstream::Stream(const scripted_upstream::arrival& to, size_t run,
+                           int next) {
+  if (*to.closed || next > kStreamEvents) {
+    seen_.runs[run].ended_at = SteadyNow();
+    to.write("0\r\n\r\n");
+    return;
+  }
+  to.write(Chunk(Event(to.head.headers.Get("X-Attempt-Id"), next)));
+  Later(kEventGap, [this, to, run, next] { Stream(to, run, next + 1); });
+}
+
+}  // namespace skylarkcroft::soak
