Allotments count what peers take between reports; a soak of relay processes

What peers take between two reports was not counted, and a level was told as of the node's last request of that workspace, at the rate of that time, so that nodes that met the workspace late began far off.

Ruled out: lost reports alone (they were spread by then).

Change: between reports peers are taken to go on as in the last half second; levels are brought up to date before they are told; 0.35 of the tolerance is used instead of half.

The soak: scripts/relay_soak runs relay processes on loopback behind proxies that delay, refuse, silence and cut one way, kills, pauses, ends and hangs them up, harms the platform's stand-in (refusals, silence, lost answers, lost history, clock steps), drains upstreams, takes keys away. It checks runs at most once, true refusals, whole answers, revoked keys, leaving upstreams, fences and usage, planned work, and service in the calm end; each check is shown to catch a planted fault.

--- a/src/skylarkcroft/limits/skylarkcroft_token_allotments.cc
+++ b/src/skylarkcroft/limits/skylarkcroft_token_allotments.cc
@@ -1,12 +1,13 @@
 #include "skylarkcroft/limits/skylarkcroft_token_allotments.h"
 
 #include <algorithm>
+#include <numbers>
 
 namespace skylarkcroft {
 namespace {
 
 constexpr double kMillisPerSecond = 1000;
-constexpr double kToleranceUsed = 0.5;
+constexpr double kToleranceUsed = 0.35;
 
 }  // namespace
 
@@ -19,12 +20,29 @@
 
 token_allotments::token_allotments(bool start_full) : start_full_(start_full) {}
 
-size_t token_allotments::Silent(size_t nodes, time_point now) const {
-  size_t heard = 1;
+token_allotments::hearing token_allotments::Hearing(time_point now) const {
+  hearing known;
+  duration ages{0};
   for (const auto& [name, peer] : peers_) {
-    heard += now - peer.heard <= peer_silence_ ? 1 : 0;
+    if (now - peer.heard <= peer_silence_) {
+      ++known.heard;
+      ages += now - peer.heard;
+    }
+  }
+  if (known.heard > 1) {
+    known.mean_age_seconds = std::chrono::duration<double>(ages).count() /
+                             static_cast<double>(known.heard - 1);
   }
-  return nodes > heard ? nodes - heard : 0;
+  return known;
+}
+
+double token_allotments::Unreported(const bucket& one, const hearing& known,
+                                    time_point now) {
+  constexpr double kHalfLifeSeconds =
+      std::chrono::duration<double>(kPeersHalfLife).count();
+  const double per_second =
+      one.peers_recent.Value(now) * std::numbers::ln2 / kHalfLifeSeconds;
+  return per_second * known.mean_age_seconds;
 }
 
 std::optional<double> token_allotments::PeersLevel(const std::string& workspace,
@@ -40,12 +58,6 @@
   return least;
 }
 
-double token_allotments::LevelAt(const bucket& one, time_point now) {
-  const double elapsed =
-      std::chrono::duration<double>(now - one.updated).count();
-  return std::min(one.limit.burst, one.level + elapsed * one.own_rate);
-}
-
 token_allotments::bucket& token_allotments::Refilled(
     const std::string& workspace, const allotment_limit& limit, size_t silent,
     size_t nodes, time_point now) {
@@ -60,14 +72,21 @@
     // The even part of the burst already leaves the peers theirs.
     one.silent = silent;
   }
+  one.limit = limit;
+  Refill(one, silent, nodes, now);
+  return one;
+}
+
+void token_allotments::Refill(bucket& one, size_t silent, size_t nodes,
+                              time_point now) const {
+  const double elapsed =
+      std::chrono::duration<double>(now - one.updated).count();
   const double even_part =
-      limit.per_second /
+      one.limit.per_second /
       static_cast<double>(std::max<size_t>(nodes, silent + 1));
   const double own_rate =
-      limit.per_second - even_part * static_cast<double>(silent);
-  one.limit = limit;
-  one.own_rate = own_rate;
-  one.level = LevelAt(one, now);
+      one.limit.per_second - even_part * static_cast<double>(silent);
+  one.level = std::min(one.limit.burst, one.level + elapsed * own_rate);
   if (silent > one.silent) {
     // What they took since they were last heard, before that was known.
     one.level -= even_part * static_cast<double>(silent - one.silent) *
@@ -75,25 +94,26 @@
   }
   one.silent = silent;
   one.updated = now;
-  return one;
 }
 
 allotment_decision token_allotments::Take(const std::string& workspace,
                                           const allotment_limit& limit,
                                           double amount, size_t nodes,
                                           time_point now) {
-  const size_t silent = Silent(nodes, now);
+  const hearing known = Hearing(now);
+  const size_t silent = known.Silent(nodes);
   bucket& one = Refilled(workspace, limit, silent, nodes, now);
-  allotment_decision decision{true, one.level, milliseconds(0), silent};
+  const double level = one.level - Unreported(one, known, now);
+  allotment_decision decision{true, level, milliseconds(0), silent};
   if (limit.per_second <= 0) {
     return decision;
   }
   // A request larger than the whole burst passes when the bucket is full.
   const double needed = std::min(amount, limit.burst);
-  if (one.level < needed) {
+  if (level < needed) {
     decision.granted = false;
     decision.wait = milliseconds(static_cast<milliseconds::rep>(
-        kMillisPerSecond * (needed - one.level) / limit.per_second));
+        kMillisPerSecond * (needed - level) / limit.per_second));
     return decision;
   }
   one.level -= amount;
@@ -136,6 +156,7 @@
     const bool charged = !first && gap <= peer_silence_;
     if (own != buckets_.end() && charged) {
       own->second.level -= report.taken - counted.taken;
+      own->second.peers_recent.Add(report.taken - counted.taken, now);
     }
     if (own != buckets_.end() && !start_full_ && !adopted_) {
       own->second.level = std::min(own->second.level, report.level);
@@ -145,11 +166,13 @@
   adopted_ = adopted_ || !reports.empty();
 }
 
-std::vector<allotment_report> token_allotments::OwnReports(
-    time_point now) const {
+std::vector<allotment_report> token_allotments::OwnReports(size_t nodes,
+                                                           time_point now) {
+  const size_t silent = Hearing(now).Silent(nodes);
   std::vector<allotment_report> reports;
-  for (const auto& [workspace, one] : buckets_) {
-    reports.push_back({workspace, one.taken, LevelAt(one, now)});
+  for (auto& [workspace, one] : buckets_) {
+    Refill(one, silent, nodes, now);
+    reports.push_back({workspace, one.taken, one.level});
   }
   return reports;
 }
--- a/src/skylarkcroft/limits/skylarkcroft_token_allotments.h
+++ b/src/skylarkcroft/limits/skylarkcroft_token_allotments.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "skylarkcroft/internal/skylarkcroft_time.h"
+#include "skylarkcroft/placement/skylarkcroft_decaying_sum.h"
 
 namespace skylarkcroft {
 
@@ -68,7 +69,8 @@
   void Return(const std::string& workspace, double amount);
   void NotePeer(const std::string& peer, int64_t incarnation,
                 const std::vector<allotment_report>& reports, time_point now);
-  [[nodiscard]] std::vector<allotment_report> OwnReports(time_point now) const;
+  /// What the peers are to know; `nodes` as for Take().
+  std::vector<allotment_report> OwnReports(size_t nodes, time_point now);
   /// A peer not heard for this long is charged with its even part.
   void SetPeerSilence(milliseconds silence) { peer_silence_ = silence; }
 
@@ -77,7 +79,8 @@
     allotment_limit limit;
     double level = 0;
     double taken = 0;
-    double own_rate = 0;  ///< At which the level rises.
+    double own_rate = 0;                        ///< At which the level rises.
+    decaying_sum peers_recent{kPeersHalfLife};  ///< What peers took of late.
     time_point updated{};
     size_t silent = 0;  ///< Peers charged with their even part.
   };
@@ -87,12 +90,27 @@
     std::map<std::string, allotment_report> reports;
   };
 
-  [[nodiscard]] size_t Silent(size_t nodes, time_point now) const;
+  static constexpr milliseconds kPeersHalfLife{500};
+
+  /// Peers heard of late, this node included, and how old their reports are.
+  struct hearing {
+    size_t heard = 1;
+    double mean_age_seconds = 0;
+
+    [[nodiscard]] size_t Silent(size_t nodes) const {
+      return nodes > heard ? nodes - heard : 0;
+    }
+  };
+
+  [[nodiscard]] hearing Hearing(time_point now) const;
+  /// What peers are taken to have taken since their last reports.
+  [[nodiscard]] static double Unreported(const bucket& one,
+                                         const hearing& known, time_point now);
   /// The least level that peers heard of late state; a bucket that this node
   /// had no use for so far begins with it.
   [[nodiscard]] std::optional<double> PeersLevel(const std::string& workspace,
                                                  time_point now) const;
-  [[nodiscard]] static double LevelAt(const bucket& one, time_point now);
+  void Refill(bucket& one, size_t silent, size_t nodes, time_point now) const;
   bucket& Refilled(const std::string& workspace, const allotment_limit& limit,
                    size_t silent, size_t nodes, time_point now);
 
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -511,7 +511,7 @@
             wall_clock_(),
             leaving_since_.has_value(),
             board_.OwnViews(now),
-            allotments_.OwnReports(now),
+            allotments_.OwnReports(group_.Counted(now), now),
             ledger_.OwnCounts(),
             tables_follower_.position(),
             upstreams_follower_.position()};
--- a/tests/adapter/platform_standin.h
+++ b/tests/adapter/platform_standin.h
@@ -56,6 +56,8 @@
   };
 
   store_fault fault = store_fault::kNone;
+  /// Added to the clock that answers state.
+  milliseconds clock_step{0};
   int cloud_status = 200;
   std::vector<cloud_call> cloud_calls;
   int store_calls = 0;
@@ -127,9 +129,10 @@
   void Reply(const http_exchange_ptr& call, int status,
              nlohmann::json body) const {
     body["row_version"] = version_;
-    body["now_ms"] =
-        std::chrono::duration_cast<milliseconds>(SteadyNow().time_since_epoch())
-            .count();
+    body["now_ms"] = (std::chrono::duration_cast<milliseconds>(
+                          SteadyNow().time_since_epoch()) +
+                      clock_step)
+                         .count();
     call->Reply({status, {{"Content-Type", "application/json"}}, body.dump()});
   }
 
--- a/tests/adapter/relay_node_test.cc
+++ b/tests/adapter/relay_node_test.cc
@@ -16,6 +16,7 @@
 #include "skylarkcroft/relay/skylarkcroft_relay_node.h"
 #include "tests/adapter/platform_standin.h"
 #include "tests/child_program.h"
+#include "tests/free_ports.h"
 #include "tests/relay/relay_fixture.h"
 
 namespace skylarkcroft {
@@ -238,9 +239,10 @@
           "[adapter][node][regression]") {
   const std::string path = std::tmpnam(nullptr);
   const std::string address = "\"127.0.0.1:";
-  const int first_port = 20000 + getpid() % 20000;
-  const auto port = [&](int offset) {
-    return address + std::to_string(first_port + offset) + "\"";
+  constexpr size_t kPorts = 5;
+  const std::vector<uint16_t> ports = FreePorts(kPorts);
+  const auto port = [&](size_t which) {
+    return address + std::to_string(ports[which]) + "\"";
   };
   std::ofstream(path) << R"({"node": "n1", "availability_zone": "a",
       "listen": {"clients": )"
--- a/tests/limits/many_nodes_test.cc
+++ b/tests/limits/many_nodes_test.cc
@@ -64,7 +64,10 @@
   }
 
   void Ask(double amount) {
-    token_allotments& node = *nodes_[random_() % nodes_.size()];
+    // Some nodes get several times as many requests as others.
+    const size_t a = random_() % nodes_.size();
+    const size_t b = random_() % nodes_.size();
+    token_allotments& node = *nodes_[std::min(a, b)];
     const allotment_limit limit =
         WithTolerance({per_second_, per_second_}, {kOverage, kSlack});
     if (!node.Take("w", limit, amount, nodes_.size(), now_).granted) {
@@ -89,7 +92,7 @@
         continue;
       }
       const std::vector<allotment_report> reports =
-          nodes_[static_cast<size_t>(from)]->OwnReports(now_);
+          nodes_[static_cast<size_t>(from)]->OwnReports(nodes_.size(), now_);
       for (milliseconds::rep to = 0; to < count; ++to) {
         if (to != from) {
           nodes_[static_cast<size_t>(to)]->NotePeer("n" + std::to_string(from),
--- a/tests/limits/token_allotments_test.cc
+++ b/tests/limits/token_allotments_test.cc
@@ -60,7 +60,7 @@
       for (size_t to = 0; to < all_.size(); ++to) {
         if (from != to) {
           all_[to]->NotePeer("n" + std::to_string(from), incarnation_,
-                             all_[from]->OwnReports(now_), now_);
+                             all_[from]->OwnReports(all_.size(), now_), now_);
         }
       }
     }
--- a/tests/relay_soak/loopback_proxy.cc
+++ b/tests/relay_soak/loopback_proxy.cc
@@ -92,16 +92,23 @@
       (to_target ? at->second.target : at->second.caller)->Write(text);
     }
   };
-  if (mode_ != proxy_mode::kDelay) {
+  int& late = to_target ? one.late_to_target : one.late_to_caller;
+  // Bytes never overtake those that are still on their way.
+  if (mode_ != proxy_mode::kDelay && late == 0) {
     write(std::string(bytes));
     return bytes.size();
   }
+  ++late;
   const uint64_t timer = ++next_;
-  late_[timer] =
-      loop_.After(kDelay, [this, write, timer, text = std::string(bytes)] {
-        write(text);
-        late_.erase(timer);
-      });
+  late_[timer] = loop_.After(kDelay, [this, number, to_target, write, timer,
+                                      text = std::string(bytes)] {
+    const auto at = pairs_.find(number);
+    if (at != pairs_.end()) {
+      --(to_target ? at->second.late_to_target : at->second.late_to_caller);
+    }
+    write(text);
+    late_.erase(timer);
+  });
   return bytes.size();
 }
 
--- a/tests/relay_soak/loopback_proxy.h
+++ b/tests/relay_soak/loopback_proxy.h
@@ -16,10 +16,10 @@
 
 enum class proxy_mode {
   kPass,
-  kDelay,      ///< Bytes arrive late.
-  kRefuse,     ///< Connections are closed, new ones too.
-  kSilent,     ///< Open connections carry nothing and stay open for good.
-  kOneWayIn,   ///< What the target sends is lost.
+  kDelay,     ///< Bytes arrive late.
+  kRefuse,    ///< Connections are closed, new ones too.
+  kSilent,    ///< Open connections carry nothing and stay open for good.
+  kOneWayIn,  ///< What the target sends is lost.
 };
 
 /// Carries TCP connections to one target and harms them on demand.
@@ -40,6 +40,8 @@
     std::unique_ptr<stream_socket> target;
     bool dead = false;  ///< Lost bytes; carries nothing any more.
     bool ending = false;
+    int late_to_target = 0;
+    int late_to_caller = 0;
   };
 
   void Accept(int fd);
--- a/tests/relay_soak/relay_program.cc
+++ b/tests/relay_soak/relay_program.cc
@@ -16,8 +16,7 @@
 
 namespace skylarkcroft::soak {
 
-relay_program::relay_program(const relay_program_terms& terms)
-    : terms_(terms) {
+relay_program::relay_program(const relay_program_terms& terms) : terms_(terms) {
   constexpr size_t kPorts = 4;
   const std::vector<uint16_t> ports = FreePorts(kPorts);
   const std::string host = "127.0.0.1";
--- a/tests/relay_soak/soak_client.cc
+++ b/tests/relay_soak/soak_client.cc
@@ -50,8 +50,8 @@
 void soak_client::Disconnect() {
   // May be called by the socket itself.
   if (socket_ != nullptr) {
-    loop_.Defer([dropped = std::shared_ptr<stream_socket>(
-                     std::move(socket_))] {});
+    loop_.Defer(
+        [dropped = std::shared_ptr<stream_socket>(std::move(socket_))] {});
   }
   on_connection_ = 0;
 }
@@ -65,9 +65,8 @@
     keep_alive_ = true;
     socket_ = std::make_unique<stream_socket>(
         loop_, target_.address, kConnectLimit,
-        socket_events{
-            [this](std::string_view bytes) { return OnBytes(bytes); }, [] {},
-            [this](bool clean) { OnClosed(clean); }});
+        socket_events{[this](std::string_view bytes) { return OnBytes(bytes); },
+                      [] {}, [this](bool clean) { OnClosed(clean); }});
   }
   reader_ = std::make_unique<message_reader>(
       message_kind::kResponse, kHeadBytes,
@@ -86,11 +85,11 @@
   made.sent_at = SteadyNow();
   made.kept_open = on_connection_++ > 0;
   seen_.requests[request_] = made;
-  socket_->Write("POST " + std::string(kind.path) +
-                 "x HTTP/1.1\r\nHost: shop\r\nX-Attempt-Id: " + request_ +
-                 "\r\nX-Key: " + target_.key + "\r\nX-Remaining-Milliseconds: " +
-                 std::to_string(kDeadline.count()) +
-                 "\r\nContent-Length: 2\r\n\r\nhi");
+  socket_->Write(
+      "POST " + std::string(kind.path) +
+      "x HTTP/1.1\r\nHost: shop\r\nX-Attempt-Id: " + request_ +
+      "\r\nX-Key: " + target_.key + "\r\nX-Remaining-Milliseconds: " +
+      std::to_string(kDeadline.count()) + "\r\nContent-Length: 2\r\n\r\nhi");
   deadline_ = loop_.After(kDeadline, [this] { OnDeadline(); });
 }
 
--- a/tests/relay_soak/soak_history.cc
+++ b/tests/relay_soak/soak_history.cc
@@ -137,7 +137,8 @@
   double asked = 0;
   double served = 0;
   for (const auto& [id, request] : seen.requests) {
-    if (request.sent_at < seen.calm_from || seen.revoked.contains(request.key)) {
+    if (request.sent_at < seen.calm_from ||
+        seen.revoked.contains(request.key)) {
       continue;
     }
     ++asked;
--- a/tests/relay_soak/soak_history.h
+++ b/tests/relay_soak/soak_history.h
@@ -20,11 +20,11 @@
   std::string key;
   time_point sent_at{};
   time_point ended_at{};
-  int status = 0;         ///< 0 where no answer came.
-  bool whole = false;     ///< The answer's framing says that it is complete.
-  bool matches = false;   ///< Its bytes are the upstream's.
-  bool gave_up = false;   ///< The client left at its deadline.
-  bool kept_open = false; ///< Not the first request of its connection.
+  int status = 0;          ///< 0 where no answer came.
+  bool whole = false;      ///< The answer's framing says that it is complete.
+  bool matches = false;    ///< Its bytes are the upstream's.
+  bool gave_up = false;    ///< The client left at its deadline.
+  bool kept_open = false;  ///< Not the first request of its connection.
 };
 
 /// A run as its upstream saw it.
--- a/tests/relay_soak/soak_upstream.cc
+++ b/tests/relay_soak/soak_upstream.cc
@@ -75,12 +75,10 @@
 
 std::string soak_upstream::Entry(const std::string& service,
                                  const std::string& state) const {
-  return nlohmann::json{{"service", service},
-                        {"address", ToString(proxy_.address())},
-                        {"zone", "a"},
-                        {"slots", 64},
-                        {"state", state},
-                        {"born", 1}}
+  return nlohmann::json{
+      {"service", service}, {"address", ToString(proxy_.address())},
+      {"zone", "a"},        {"slots", 64},
+      {"state", state},     {"born", 1}}
       .dump();
 }
 
@@ -130,9 +128,8 @@
   Later(milliseconds(random_() % kLongestWorkMs), [this, to, kind] {
     const std::string id = to.head.headers.Get("X-Attempt-Id");
     const std::string body = ExpectedBody(kind, id);
-    to.write(Head(id, "200 OK") +
-             "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-             body);
+    to.write(Head(id, "200 OK") + "Content-Length: " +
+             std::to_string(body.size()) + "\r\n\r\n" + body);
   });
 }
 
