--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -6,7 +6,6 @@
 #include <utility>
 #include <vector>
 
-#include "skylarkcroft/control/skylarkcroft_rendezvous.h"
 #include "skylarkcroft/duties/skylarkcroft_duty_keeper.h"
 #include "skylarkcroft/duties/skylarkcroft_fleet_planner.h"
 #include "skylarkcroft/duties/skylarkcroft_usage_ledger.h"
@@ -23,13 +22,12 @@
 #include "skylarkcroft/relay/skylarkcroft_relay_environment.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_metrics.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_server.h"
+#include "skylarkcroft/relay/skylarkcroft_store_copies.h"
 #include "skylarkcroft/relay/skylarkcroft_upstream_links.h"
-#include "skylarkcroft/store/skylarkcroft_table_follower.h"
 
 namespace skylarkcroft {
 namespace {
 
-constexpr const char* kNodesTable = "nodes";
 constexpr milliseconds kHousekeepingPeriod{100};
 // A peer is silent after this many periods of reports.
 constexpr int kSilentPeriods = 3;
@@ -37,23 +35,8 @@
 // Peers taken for gone get a report this often.
 constexpr milliseconds kLostPeersPeriod{2000};
 constexpr milliseconds kShortestLoadLife{1500};
-// Nodes hear of each other directly; the list only helps them to begin.
-constexpr milliseconds kNodesPollAge{30000};
-// Far below the time in which upstreams lapse while the store is away.
-constexpr milliseconds kUpstreamsPollAge{3000};
-// Tables are asked for at the latest at this part of the time in which a change
-// has to be in force.
-constexpr double kTablesPollShare = 0.6;
-// Nodes that watch a table for all others; one covers for the other.
-constexpr size_t kTableWatchers = 2;
-// A table that changes is read by every node at most this often for each node,
-// so that calls stay bounded as nodes are added.
-constexpr milliseconds kChangePauseEachNode{12};
-constexpr milliseconds kShortestChangePause{500};
-constexpr milliseconds kLongestChangePause{1000};
 // Members that watch the lease; one takes over, the other covers for it.
 constexpr size_t kLeaseWatchers = 2;
-constexpr milliseconds kJoinRetry{500};
 constexpr milliseconds kExitCheckPeriod{50};
 constexpr milliseconds kIdleCloseAfter{2500};
 // Windows of usage told to peers; a report is due two windows later.
@@ -105,7 +88,6 @@
       : loop_(loop),
         settings_(settings),
         sources_(sources),
-        store_(store),
         log_(log),
         clock_(std::move(clock)),
         wall_clock_(std::move(wall_clock)),
@@ -125,27 +107,26 @@
                  [this](const endpoint& from, std::string_view bytes) {
                    OnDatagram(from, bytes);
                  }),
-        tables_follower_(loop, store, sources.tables_table, follower_terms{},
-                         TablesEvents(), clock_),
-        upstreams_follower_(loop, store, sources.upstreams_table,
-                            follower_terms{}, UpstreamsEvents(), clock_),
-        nodes_follower_(loop, store, kNodesTable, PollingEvery(kNodesPollAge),
-                        NodesEvents(), clock_),
+        copies_({loop, store, sources_, board_, group_, clock_,
+                 [this](const std::string& table, bool reachable) {
+                   metrics_.NoteStoreContact(table, reachable);
+                 },
+                 [this](log_level level, const std::string& message,
+                        const std::vector<log_field>& fields) {
+                   Say(level, message, fields);
+                 }},
+                settings.name, settings.bounds.apply_deadline),
         server_(environment_, settings.listen.clients),
         readiness_(loop, settings.listen.readiness, http_server_limits{},
                    [this](const http_exchange_ptr& asked) { OnProbe(asked); }),
         metrics_server_(
             loop, settings.listen.metrics, http_server_limits{},
             [this](const http_exchange_ptr& asked) { OnMetrics(asked); }),
-        duties_(DutyEnvironment(calls),
+        duties_(DutyEnvironment(store, calls),
                 {settings.name, std::to_string(incarnation_)},
                 DutyTerms(settings)) {
     true_time_.NoteOwn(incarnation_, started_at_);
-    nodes_follower_.SetWatching(false);
-    PaceFollowers(started_at_);
-    tables_follower_.Start();
-    upstreams_follower_.Start();
-    Join();
+    copies_.Start(channel_.address(), started_at_);
     housekeeping_timer_ =
         loop.Every(kHousekeepingPeriod, [this] { KeepHouse(); });
     Say(log_level::kInfo, "started",
@@ -157,6 +138,7 @@
   void Reload(const relay_settings& settings) {
     settings_.bounds = settings.bounds;
     repeats_.SetTerms(RepeatTerms(settings.bounds));
+    copies_.SetApplyDeadline(settings.bounds.apply_deadline);
     ApplyBounds(environment_);
     log_.SetLevel(ParseLogLevel(settings.log_level).value_or(log_level::kInfo));
     Say(log_level::kInfo, "settings reloaded", {});
@@ -195,9 +177,7 @@
                            {},
                            {}};
     ApplyBounds(made);
-    made.tables = [this] {
-      return gate_view{tables_, tables_follower_.current_as_of()};
-    };
+    made.tables = [this] { return copies_.tables(); };
     made.nodes = [this] { return group_.Counted(clock_()); };
     made.draw = [this] {
       return std::uniform_real_distribution<double>(0, 1)(random_);
@@ -227,85 +207,10 @@
     environment.terms.leave_limit = settings_.bounds.grace_period - kExitMargin;
   }
 
-  static follower_terms PollingEvery(milliseconds age) {
-    follower_terms terms;
-    terms.poll_age = age;
-    // A watch that is answered half as late keeps the others from polling.
-    terms.watch_wait = age / 2;
-    return terms;
-  }
-
-  void PaceFollowers(time_point now) {
-    const milliseconds pause =
-        std::clamp(kChangePauseEachNode *
-                       static_cast<milliseconds::rep>(group_.Counted(now)),
-                   kShortestChangePause, kLongestChangePause);
-    follower_terms tables =
-        PollingEvery(Share(settings_.bounds.apply_deadline, kTablesPollShare));
-    tables.change_pause = kShortestChangePause;
-    tables_follower_.SetTerms(tables);
-    follower_terms upstreams = PollingEvery(kUpstreamsPollAge);
-    upstreams.change_pause = pause;
-    upstreams_follower_.SetTerms(upstreams);
-    const std::vector<std::string> members = group_.Live(now);
-    const auto watches = [&](const std::string& table) {
-      return RendezvousPlace(table, settings_.name, members) < kTableWatchers;
-    };
-    tables_follower_.SetWatching(watches(sources_.tables_table));
-    upstreams_follower_.SetWatching(watches(sources_.upstreams_table));
-  }
-
-  follower_events TablesEvents() {
-    return {
-        [this](const std::vector<stored_row>& rows, time_point /*now*/) {
-          for (const stored_row& row : rows) {
-            TakeTables(row);
-          }
-        },
-        [this](const stored_row& row, time_point /*now*/) { TakeTables(row); },
-        [this](bool reachable, store_outcome why, time_point /*now*/) {
-          SayContact(sources_.tables_table, reachable, why);
-        }};
-  }
-
-  follower_events UpstreamsEvents() {
-    return {[this](const std::vector<stored_row>& rows, time_point now) {
-              std::vector<upstream_entry> entries;
-              for (const stored_row& row : rows) {
-                const std::optional<upstream_entry> entry = ReadUpstream(row);
-                if (entry.has_value()) {
-                  entries.push_back(*entry);
-                }
-              }
-              board_.Reset(entries, now);
-              Say(log_level::kInfo, "upstreams read",
-                  {{"entries", std::to_string(entries.size())},
-                   {"version", std::to_string(upstreams_follower_.version())}});
-            },
-            [this](const stored_row& row, time_point now) {
-              OnUpstreamRow(row, now);
-            },
-            [this](bool reachable, store_outcome why, time_point now) {
-              board_.NoteStoreContact(reachable, now);
-              SayContact(sources_.upstreams_table, reachable, why);
-            }};
-  }
-
-  follower_events NodesEvents() {
-    return {
-        [this](const std::vector<stored_row>& rows, time_point now) {
-          for (const stored_row& row : rows) {
-            TakeNode(row, now);
-          }
-        },
-        [this](const stored_row& row, time_point now) { TakeNode(row, now); },
-        [](bool /*reachable*/, store_outcome /*why*/, time_point) {}};
-  }
-
-  duty_environment DutyEnvironment(duty_calls& calls) {
+  duty_environment DutyEnvironment(row_store& store, duty_calls& calls) {
     return {
         loop_,
-        store_,
+        store,
         calls,
         ledger_,
         [this] {
@@ -329,10 +234,11 @@
 
   std::vector<fleet_order> PlanFleet(time_point now) {
     std::vector<fleet_order> orders;
-    if (tables_ == nullptr) {
+    const gate_view view_of_tables = copies_.tables();
+    if (view_of_tables.tables == nullptr) {
       return orders;
     }
-    for (const service_pool& pool : tables_->map().pools) {
+    for (const service_pool& pool : view_of_tables.tables->map().pools) {
       if (!pool.scaling.has_value()) {
         continue;
       }
@@ -363,101 +269,6 @@
          {"outcome", std::string(ToString(outcome))}});
   }
 
-  void TakeTables(const stored_row& row) {
-    if (row.key != sources_.tables_key || row.removed) {
-      return;
-    }
-    std::optional<service_map> read = sources_.read_tables(row.value);
-    if (!read.has_value()) {
-      Say(log_level::kError, "tables unreadable",
-          {{"row_version", std::to_string(row.version)}});
-      return;
-    }
-    const bool older =
-        tables_ != nullptr && read->version < tables_->map().version;
-    if (older) {
-      Say(log_level::kWarn, "older tables ignored",
-          {{"version", std::to_string(read->version)},
-           {"in_force", std::to_string(tables_->map().version)}});
-      return;
-    }
-    Say(log_level::kInfo, "tables in force",
-        {{"version", std::to_string(read->version)},
-         {"routes", std::to_string(read->routes.size())},
-         {"row_version", std::to_string(row.version)}});
-    tables_ = std::make_shared<const service_lookup>(*std::move(read));
-  }
-
-  std::optional<upstream_entry> ReadUpstream(const stored_row& row) {
-    std::optional<upstream_entry> entry =
-        sources_.read_upstream(row.key, row.value);
-    if (!entry.has_value()) {
-      Say(log_level::kWarn, "upstream entry unreadable",
-          {{"upstream", row.key},
-           {"row_version", std::to_string(row.version)}});
-    }
-    return entry;
-  }
-
-  void OnUpstreamRow(const stored_row& row, time_point now) {
-    const upstream_entry* known = board_.Find(row.key);
-    if (row.removed) {
-      board_.Remove(row.key, now);
-      SayUpstream(row, "removed");
-      return;
-    }
-    const std::optional<upstream_entry> entry = ReadUpstream(row);
-    if (!entry.has_value()) {
-      board_.Remove(row.key, now);
-      return;
-    }
-    if (known == nullptr || !(*known == *entry)) {
-      SayUpstream(row, entry->leaving ? "leaving" : "ready");
-    }
-    board_.Put(*entry, now);
-  }
-
-  void SayUpstream(const stored_row& row, const std::string& state) {
-    Say(log_level::kInfo, "upstream changed",
-        {{"upstream", row.key},
-         {"state", state},
-         {"row_version", std::to_string(row.version)}});
-  }
-
-  void SayContact(const std::string& table, bool reachable, store_outcome why) {
-    metrics_.NoteStoreContact(table, reachable);
-    Say(reachable ? log_level::kInfo : log_level::kWarn,
-        reachable ? "store regained" : "store lost",
-        {{"table", table}, {"outcome", std::string(ToString(why))}});
-  }
-
-  void TakeNode(const stored_row& row, time_point now) {
-    if (row.removed) {
-      return;
-    }
-    try {
-      group_.NoteListed(row.key, ParseEndpoint(row.value, "$"), now);
-    } catch (const config_error& failure) {
-      Say(log_level::kWarn, "node entry unreadable",
-          {{"node", row.key}, {"error", failure.what()}});
-    }
-  }
-
-  void Join() {
-    const row_transaction entry{
-        {}, {{kNodesTable, settings_.name, ToString(channel_.address())}}};
-    store_.Commit(entry, [this](const store_view& view) {
-      // Of two nodes that join, the one that reads later finds the other.
-      if (!nodes_followed_) {
-        nodes_followed_ = true;
-        nodes_follower_.Start();
-      }
-      if (view.outcome != store_outcome::kDone) {
-        join_timer_ = loop_.After(kJoinRetry, [this] { Join(); });
-      }
-    });
-  }
-
   void KeepHouse() {
     const time_point now = clock_();
     // A suspended or frozen host must not go by its old clock reading.
@@ -474,7 +285,7 @@
 
   void Report(time_point now) {
     const milliseconds period = ReportPeriod(group_.Counted(now));
-    PaceFollowers(now);
+    copies_.Pace(now);
     const milliseconds silence =
         std::max(kShortestSilence, kSilentPeriods * period);
     group_.SetLiveLimit(silence);
@@ -513,8 +324,8 @@
             board_.OwnViews(now),
             allotments_.OwnReports(group_.Counted(now), now),
             ledger_.OwnCounts(),
-            tables_follower_.position(),
-            upstreams_follower_.position()};
+            copies_.tables_position(),
+            copies_.upstreams_position()};
   }
 
   void OnDatagram(const endpoint& from, std::string_view bytes) {
@@ -537,21 +348,16 @@
     ledger_.Merge(report->node + "/" + std::to_string(report->incarnation),
                   report->usage);
     true_time_.NotePeer(report->node, report->wall_ms, now);
-    if (report->tables_position.has_value()) {
-      tables_follower_.NotePeer(*report->tables_position);
-    }
-    if (report->upstreams_position.has_value()) {
-      upstreams_follower_.NotePeer(*report->upstreams_position);
-    }
+    copies_.NotePeer(report->tables_position, report->upstreams_position);
   }
 
   [[nodiscard]] bool IsReady(time_point now) const {
-    const std::optional<time_point> current = tables_follower_.current_as_of();
-    return !leaving_since_.has_value() && tables_ != nullptr &&
-           current.has_value() &&
-           now - *current <=
+    const gate_view known = copies_.tables();
+    return !leaving_since_.has_value() && known.tables != nullptr &&
+           known.current_as_of.has_value() &&
+           now - *known.current_as_of <=
                Share(settings_.bounds.revocation, kReadyAgeShare) &&
-           upstreams_follower_.current_as_of().has_value();
+           copies_.upstreams_known();
   }
 
   void OnProbe(const http_exchange_ptr& asked) {
@@ -608,7 +414,6 @@
   event_loop& loop_;
   relay_settings settings_;
   relay_sources sources_;
-  row_store& store_;
   logger& log_;
   clock_fn clock_;
   wall_clock_fn wall_clock_;
@@ -618,7 +423,6 @@
   std::mt19937 random_;
   log_bound log_bound_;
   relay_metrics metrics_;
-  std::shared_ptr<const service_lookup> tables_;
   std::optional<time_point> leaving_since_;
   upstream_board board_;
   upstream_links links_;
@@ -630,9 +434,7 @@
   true_time true_time_;
   relay_environment environment_;
   peer_channel channel_;
-  table_follower tables_follower_;
-  table_follower upstreams_follower_;
-  table_follower nodes_follower_;
+  store_copies copies_;
   relay_server server_;
   http_server readiness_;
   http_server metrics_server_;
@@ -640,8 +442,6 @@
   time_point next_lost_report_{};
   report_schedule report_schedule_;
   event_loop::handle_ptr housekeeping_timer_;
-  bool nodes_followed_ = false;
-  event_loop::handle_ptr join_timer_;
   event_loop::handle_ptr exit_timer_;
 };
 
