Plans fall within a minute of a burst; a store clock that jumps ahead is another

Reports are whole now, so that the sums of running requests are about half again as high as when a quarter of the places was chosen.

Change: after 20 s of lower load the plan falls by a fifth every 4 s; engines with few places are planned for 0.4 of them. A store clock more than 15 s ahead of what a call can have waited for is taken for another clock, since a peer's reading of it would otherwise count as newer than it is.

--- a/src/skylarkcroft/duties/skylarkcroft_fleet_planner.cc
+++ b/src/skylarkcroft/duties/skylarkcroft_fleet_planner.cc
@@ -91,9 +91,11 @@
     known.total = total == known.total ? total : std::max(total, raised);
     known.needed_at = now;
   } else if (now - known.needed_at > terms_.fall_delay) {
-    // One step at a time, since the load may return.
-    known.total = std::max(total, known.total - zones);
-    known.needed_at = now;
+    // In steps, since the load may return.
+    const auto lowered =
+        static_cast<int>(std::floor((1 - terms_.fall_share) * known.total));
+    known.total = std::max(total, std::min(lowered, known.total - zones));
+    known.needed_at += terms_.fall_period;
   }
   return known.total;
 }
--- a/src/skylarkcroft/duties/skylarkcroft_fleet_planner.h
+++ b/src/skylarkcroft/duties/skylarkcroft_fleet_planner.h
@@ -20,12 +20,16 @@
   double running_per_upstream = 12;
   /// The same as a share of an upstream's places, where it has few: a request
   /// that finds all of them taken pushes a running stream out.
-  double running_share = 0.25;
+  double running_share = 0.4;
   /// Upstreams planned beyond the load, as a share, for a zone taken back.
   double reserve_share = 0.4;
   int least_per_zone = 4;
-  /// The plan falls only after the load has been lower for this long.
-  milliseconds fall_delay{40000};
+  /// The plan falls only after the load has been lower for this long, which is
+  /// longer than most bursts and lulls.
+  milliseconds fall_delay{20000};
+  /// Then it falls by this share in each such period.
+  double fall_share = 0.2;
+  milliseconds fall_period{4000};
   /// Time after the first plan in which no fewer are planned than the operators
   /// started.
   milliseconds learning_time{9000};
--- a/src/skylarkcroft/store/skylarkcroft_answer_time.cc
+++ b/src/skylarkcroft/store/skylarkcroft_answer_time.cc
@@ -7,6 +7,9 @@
 
 // Answers may be this late; a clock that is further ahead is another one.
 constexpr milliseconds kLongestAnswerDelay{1000};
+// Calls wait at the store for far less; one that seems to have waited for longer
+// was answered by a clock that is ahead of the former.
+constexpr milliseconds kLongestWait{15000};
 
 }  // namespace
 
@@ -16,13 +19,15 @@
   if (!store_clock.has_value()) {
     return sent_at;
   }
-  if (*store_clock < last_store_clock_) {
-    // Another clock than before.
+  const duration offset = sent_at.time_since_epoch() - *store_clock;
+  const bool other_clock =
+      *store_clock < last_store_clock_ ||
+      (least_offset_.has_value() && *least_offset_ - offset > kLongestWait);
+  if (other_clock) {
     least_offset_.reset();
   }
   last_store_clock_ = *store_clock;
   last_received_ = received_at;
-  const duration offset = sent_at.time_since_epoch() - *store_clock;
   least_offset_ = std::max(least_offset_.value_or(offset), offset);
   const time_point given(*store_clock + *least_offset_);
   return std::clamp(given, sent_at, std::max(sent_at, received_at));
--- a/tests/adapter/platform_row_store_test.cc
+++ b/tests/adapter/platform_row_store_test.cc
@@ -152,6 +152,25 @@
   CHECK(contacts == std::vector<bool>{true, false, true});
 }
 
+TEST_CASE("A change during a fault of the store is told by a pending watch",
+          "[adapter][store][follower][regression]") {
+  fixture on;
+  follower_terms terms;
+  terms.watch_wait = milliseconds(150);
+  size_t seen = 0;
+  table_follower follower(on.loop, on.store, "t", terms,
+                          {[](const std::vector<stored_row>&, time_point) {},
+                           [&](const stored_row&, time_point) { ++seen; },
+                           [](bool, store_outcome, time_point) {}},
+                          SteadyNow);
+  follower.Start();
+  REQUIRE(on.Await([&] { return on.standin.store_calls == 2; }));
+  on.standin.fault = store_fault::kSilent;
+  on.standin.Put("t", "a", "1");
+  on.standin.fault = store_fault::kNone;
+  CHECK(on.Await([&] { return seen == 1; }));
+}
+
 namespace {
 
 /// A follower that does not watch, and the rows that it has seen.
@@ -234,6 +253,18 @@
   CHECK(on.standin.store_calls == calls + 1);
 }
 
+TEST_CASE("A store clock that jumped ahead is another clock",
+          "[store][answer_time][regression]") {
+  const time_point start{std::chrono::seconds(100)};
+  answer_time time;
+  time.EarliestAnswer(start, milliseconds(5000), start + milliseconds(4));
+  const time_point later = start + milliseconds(1000);
+  time.EarliestAnswer(later, milliseconds(46000), later + milliseconds(4));
+  // A peer's reading of the same clock, two seconds old when it arrives.
+  CHECK(time.OnOwnClock(milliseconds(46500), later + milliseconds(2500)) ==
+        later + milliseconds(500));
+}
+
 TEST_CASE("A reading of another store clock says nothing",
           "[store][answer_time]") {
   const time_point start{std::chrono::seconds(100)};
