Every node asks the store for upstreams within the drain bound itself

Nodes that do not watch a table asked for it at an age of 3 s, longer than the bound of 2 s, and relied on the two watching nodes.

Change: every table is asked for at 0.6 of the time in which a change of it has to be acted on; the drain bound comes from the settings (bounds.drain_ms).

Test: tests/adapter store_copies [drain] [regression]: fails with an age above the bound, passes now.

--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -115,7 +115,8 @@
                         const std::vector<log_field>& fields) {
                    Say(level, message, fields);
                  }},
-                settings.name, settings.bounds.apply_deadline),
+                settings.name,
+                {settings.bounds.apply_deadline, settings.bounds.drain}),
         server_(environment_, settings.listen.clients),
         readiness_(loop, settings.listen.readiness, http_server_limits{},
                    [this](const http_exchange_ptr& asked) { OnProbe(asked); }),
@@ -138,7 +139,8 @@
   void Reload(const relay_settings& settings) {
     settings_.bounds = settings.bounds;
     repeats_.SetTerms(RepeatTerms(settings.bounds));
-    copies_.SetApplyDeadline(settings.bounds.apply_deadline);
+    copies_.SetDeadlines(
+        {settings.bounds.apply_deadline, settings.bounds.drain});
     ApplyBounds(environment_);
     log_.SetLevel(ParseLogLevel(settings.log_level).value_or(log_level::kInfo));
     Say(log_level::kInfo, "settings reloaded", {});
--- a/src/skylarkcroft/relay/skylarkcroft_relay_settings.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_settings.h
@@ -26,6 +26,7 @@
 struct relay_bounds {
   milliseconds apply_deadline{2000};
   milliseconds revocation{5000};
+  milliseconds drain{2000};
   milliseconds grace_period{8000};
   double repeat_share = 0.2;
   milliseconds repeat_window{10000};
--- a/src/skylarkcroft/relay/skylarkcroft_store_copies.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_store_copies.cc
@@ -12,11 +12,9 @@
 constexpr const char* kNodesTable = "nodes";
 // Nodes hear of each other directly; the list only helps them to begin.
 constexpr milliseconds kNodesPollAge{30000};
-// Far below the time in which upstreams lapse while the store is away.
-constexpr milliseconds kUpstreamsPollAge{3000};
-// Tables are asked for at the latest at this part of the time in which a change
-// has to be in force.
-constexpr double kTablesPollShare = 0.6;
+// A table is asked for at the latest at this part of the time in which a change
+// has to be acted on, whatever the nodes that watch it do.
+constexpr double kPollShare = 0.6;
 // Nodes that watch a table for all others; one covers for the other.
 constexpr size_t kTableWatchers = 2;
 // A table that changes is read by every node at most this often for each node,
@@ -34,18 +32,18 @@
   return terms;
 }
 
-milliseconds PollAge(milliseconds apply_deadline) {
+milliseconds PollAge(milliseconds deadline) {
   return milliseconds(static_cast<milliseconds::rep>(
-      kTablesPollShare * static_cast<double>(apply_deadline.count())));
+      kPollShare * static_cast<double>(deadline.count())));
 }
 
 }  // namespace
 
 store_copies::store_copies(store_copies_environment environment,
-                           std::string node, milliseconds apply_deadline)
+                           std::string node, const copy_deadlines& deadlines)
     : environment_(std::move(environment)),
       node_(std::move(node)),
-      apply_deadline_(apply_deadline),
+      deadlines_(deadlines),
       tables_follower_(environment_.loop, environment_.store,
                        environment_.sources.tables_table, follower_terms{},
                        TablesEvents(), environment_.clock),
@@ -81,10 +79,10 @@
       kChangePauseEachNode *
           static_cast<milliseconds::rep>(environment_.group.Counted(now)),
       kShortestChangePause, kLongestChangePause);
-  follower_terms tables = PollingEvery(PollAge(apply_deadline_));
+  follower_terms tables = PollingEvery(PollAge(deadlines_.apply));
   tables.change_pause = kShortestChangePause;
   tables_follower_.SetTerms(tables);
-  follower_terms upstreams = PollingEvery(kUpstreamsPollAge);
+  follower_terms upstreams = PollingEvery(PollAge(deadlines_.drain));
   upstreams.change_pause = pause;
   upstreams_follower_.SetTerms(upstreams);
   const std::vector<std::string> members = environment_.group.Live(now);
--- a/src/skylarkcroft/relay/skylarkcroft_store_copies.h
+++ b/src/skylarkcroft/relay/skylarkcroft_store_copies.h
@@ -33,6 +33,14 @@
       log;
 };
 
+/// Times within which nodes have to act on what the store says.
+struct copy_deadlines {
+  milliseconds apply{2000};  ///< On a change of the operators' tables.
+  milliseconds drain{2000};  ///< On an upstream that leaves.
+
+  bool operator==(const copy_deadlines&) const = default;
+};
+
 /// What a node knows from the store: the operators' tables, the upstreams and
 /// the other nodes. Two nodes watch each table for all; the others go by what
 /// those tell of it.
@@ -40,11 +48,11 @@
  public:
   /// `node` is the name of this node.
   store_copies(store_copies_environment environment, std::string node,
-               milliseconds apply_deadline);
+               const copy_deadlines& deadlines);
 
   /// Begins to read, and enters this node, which hears its peers at `peers`.
   void Start(const endpoint& peers, time_point now);
-  void SetApplyDeadline(milliseconds deadline) { apply_deadline_ = deadline; }
+  void SetDeadlines(const copy_deadlines& deadlines) { deadlines_ = deadlines; }
   /// Settles whether this node watches; to be called often.
   void Pace(time_point now);
   /// What a peer says of its copies.
@@ -78,7 +86,7 @@
 
   store_copies_environment environment_;
   std::string node_;
-  milliseconds apply_deadline_;
+  copy_deadlines deadlines_;
   endpoint peers_;
   std::shared_ptr<const service_lookup> tables_;
   table_follower tables_follower_;
--- /dev/null
+++ b/tests/adapter/store_copies_test.cc
@@ -0,0 +1,116 @@
+#include <catch2/catch.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "platform/platform_documents.h"
+#include "platform/platform_names.h"
+#include "platform/platform_row_store.h"
+#include "skylarkcroft/control/skylarkcroft_rendezvous.h"
+#include "skylarkcroft/http/skylarkcroft_http_client.h"
+#include "skylarkcroft/relay/skylarkcroft_store_copies.h"
+#include "tests/adapter/platform_standin.h"
+
+namespace skylarkcroft {
+namespace {
+
+constexpr int kPeers = 6;
+constexpr milliseconds kDrain{1000};
+
+std::string Entry(const std::string& state) {
+  return R"({"service": "desk", "address": "127.0.0.1:9", "zone": "a",
+            "slots": 8, "state": ")" +
+         state + R"(", "born": 1})";
+}
+
+/// A node whose peers are to watch the tables for it.
+class resting_node {
+ public:
+  resting_node()
+      : client_(loop),
+        store_(client_, standin.address()),
+        group(Name()),
+        copies({loop, store_, sources_, board, group, SteadyNow,
+                [](const std::string&, bool) {},
+                [](log_level, const std::string&,
+                   const std::vector<log_field>&) {}},
+               Name(), {kDrain, kDrain}) {
+    standin.Put("servers", "i-1", Entry("ready"));
+    HearPeers();
+    copies.Start({"127.0.0.1", 9}, SteadyNow());
+  }
+
+  /// A name of low rank among the peers, for both tables.
+  static std::string Name() {
+    std::vector<std::string> members;
+    for (int i = 0; i < kPeers; ++i) {
+      members.push_back("peer" + std::to_string(i));
+    }
+    for (int i = 0;; ++i) {
+      const std::string name = "node" + std::to_string(i);
+      if (RendezvousPlace(platform::kUpstreamTable, name, members) >= 2 &&
+          RendezvousPlace(platform::kOperatorTable, name, members) >= 2) {
+        return name;
+      }
+    }
+  }
+
+  /// The peers are alive but tell nothing of the tables.
+  void HearPeers() {
+    ++sequence_;
+    for (int i = 0; i < kPeers; ++i) {
+      group.NoteHeard("peer" + std::to_string(i), {"127.0.0.1", 9}, 1,
+                      sequence_, false, SteadyNow());
+    }
+  }
+
+  bool Await(milliseconds limit, const std::function<bool()>& done) {
+    const time_point end = SteadyNow() + limit;
+    while (!done() && SteadyNow() < end) {
+      loop.RunFor(milliseconds(20));
+      HearPeers();
+      copies.Pace(SteadyNow());
+    }
+    return done();
+  }
+
+  event_loop loop;
+  platform_standin standin{loop};
+  upstream_board board{board_terms{}};
+
+ private:
+  static relay_sources Sources() {
+    relay_sources sources;
+    sources.tables_table = platform::kOperatorTable;
+    sources.tables_key = platform::kConfigRow;
+    sources.upstreams_table = platform::kUpstreamTable;
+    sources.read_tables = platform::ReadConfig;
+    sources.read_upstream = platform::ReadUpstream;
+    return sources;
+  }
+
+  relay_sources sources_ = Sources();
+  http_client client_;
+  platform::platform_row_store store_;
+  int64_t sequence_ = 0;
+
+ public:
+  peer_group group;
+  store_copies copies;
+};
+
+}  // namespace
+
+TEST_CASE(
+    "A leaving upstream is known in time when the watching nodes are deaf",
+    "[adapter][store][drain][regression]") {
+  resting_node node;
+  REQUIRE(node.Await(milliseconds(2000),
+                     [&] { return node.board.Usable("desk") == 1; }));
+  // No longer in the first, whole read or a watch begun before peers counted.
+  node.Await(milliseconds(1500), [] { return false; });
+  node.standin.Put("servers", "i-1", Entry("draining"));
+  CHECK(node.Await(kDrain, [&] { return node.board.Usable("desk") == 0; }));
+}
+
+}  // namespace skylarkcroft
