--- a/src/skylarkcroft/store/skylarkcroft_answer_time.cc
+++ b/src/skylarkcroft/store/skylarkcroft_answer_time.cc
@@ -7,8 +7,8 @@
 
 // Answers may be this late; a clock that is further ahead is another one.
 constexpr milliseconds kLongestAnswerDelay{1000};
-// Calls wait at the store for far less; one that seems to have waited for longer
-// was answered by a clock that is ahead of the former.
+// Calls wait at the store for far less; one that seems to have waited for
+// longer was answered by a clock that is ahead of the former.
 constexpr milliseconds kLongestWait{15000};
 
 }  // namespace
--- a/tests/adapter/store_copies_test.cc
+++ b/tests/adapter/store_copies_test.cc
@@ -43,11 +43,12 @@
   /// A name of low rank among the peers, for both tables.
   static std::string Name() {
     std::vector<std::string> members;
+    members.reserve(kPeers);
     for (int i = 0; i < kPeers; ++i) {
       members.push_back("peer" + std::to_string(i));
     }
     for (int i = 0;; ++i) {
-      const std::string name = "node" + std::to_string(i);
+      std::string name = "node" + std::to_string(i);
       if (RendezvousPlace(platform::kUpstreamTable, name, members) >= 2 &&
           RendezvousPlace(platform::kOperatorTable, name, members) >= 2) {
         return name;
--- a/tests/relay_soak/relay_soak_test.cc
+++ b/tests/relay_soak/relay_soak_test.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr time_point kStart{std::chrono::seconds(100)};
+constexpr uint32_t kFirstSeed = 1;
 constexpr milliseconds kShortSpan{8000};
 constexpr milliseconds kFullSpan{12000};
 
@@ -125,13 +126,11 @@
 
 TEST_CASE("Signals, drains and changes of the tables cut nothing off",
           "[soak][planned]") {
-  constexpr uint32_t seed = 1;
-  CheckVerdict(seed, Soak(seed, kShortSpan, true));
+  CheckVerdict(kFirstSeed, Soak(kFirstSeed, kShortSpan, true));
 }
 
 TEST_CASE("The promises hold under faults", "[soak][faults]") {
-  constexpr uint32_t seed = 1;
-  CheckVerdict(seed, Soak(seed, kShortSpan, false));
+  CheckVerdict(kFirstSeed, Soak(kFirstSeed, kShortSpan, false));
 }
 
 // 106: the proxy let bytes overtake delayed ones when a delay ended. 208: the
--- a/tests/relay_soak/soak_upstream.cc
+++ b/tests/relay_soak/soak_upstream.cc
@@ -125,7 +125,7 @@
 void soak_upstream::AnswerPlain(const scripted_upstream::arrival& to,
                                 request_kind kind) {
   constexpr int kLongestWorkMs = 25;
-  Later(milliseconds(random_() % kLongestWorkMs), [this, to, kind] {
+  Later(milliseconds(random_() % kLongestWorkMs), [to, kind] {
     const std::string id = to.head.headers.Get("X-Attempt-Id");
     const std::string body = ExpectedBody(kind, id);
     to.write(Head(id, "200 OK") + "Content-Length: " +
