--- a/tests/relay_soak/soak_world.cc
+++ b/tests/relay_soak/soak_world.cc
@@ -143,8 +143,7 @@
 void soak_world::Terminate(node& one) {
   one.stopping = true;
   one.program->Signal(SIGTERM);
-  // The store's list and the readiness checks are none of the harness's; the
-  // process ends by itself within its grace period.
+  // The process ends by itself within its grace period.
   const auto check = std::make_shared<std::function<void()>>();
   *check = [this, &one, check] {
     if (one.program->HasEnded()) {
