Order on-demand upstreams while reclaimed zones are still few

On-demand ones were ordered only when the load had exceeded what was left for 1.5 s, so that seconds 18 to 22 had one engine. Requests that piled up there counted as load: 10 on-demand engines were ordered for a need of 4, six of them in one zone, where they filled the zone's maximum, so that reclaimable ones could not return before second 54. Ruled out: a higher number of upstreams in each zone (a zone goes as a whole). Change: the share of zones without reclaimable upstreams decides how much of the need is covered by on-demand ones at once; the need is bounded by its mean while upstreams are missing; on-demand orders leave the places of planned reclaimable ones free. A draining upstream takes requests that end before it exits, and one removed unannounced that still answers counts as draining. Tests: zones reclaimed by turns, and requests that pile up, failed on the code before (5 on-demand in a zone for at most 2; 14 for at most 8).

--- a/src/skylarkcroft/duties/skylarkcroft_fleet_planner.cc
+++ b/src/skylarkcroft/duties/skylarkcroft_fleet_planner.cc
@@ -41,55 +41,106 @@
                                     std::max(per_upstream, 1.0)));
 }
 
-void fleet_planner::RecordNeed(demand_history& history, int needed,
+void fleet_planner::RecordNeed(demand_history& history, const fleet_view& view,
                                time_point now) const {
-  if (needed >= history.recent_peak_need ||
+  const int required = RequiredCount(view);
+  const int present = CountPresent(view, false) + CountPresent(view, true);
+  const bool strained = required > present;
+  if (!history.mean_need.has_value() && view.in_flight > 0) {
+    history.mean_need = required;
+  } else if (history.mean_need.has_value()) {
+    const milliseconds time_constant =
+        strained ? parameters_.strained_need_time_constant
+                 : parameters_.need_time_constant;
+    const double weight =
+        1 -
+        std::exp(-std::chrono::duration<double>(now - history.mean_need_at) /
+                 std::chrono::duration<double>(time_constant));
+    *history.mean_need += weight * (required - *history.mean_need);
+  }
+  history.mean_need_at = now;
+  const bool upstreams_missing =
+      present < static_cast<int>(
+                    std::ceil(parameters_.min_ready_fraction * history.total));
+  history.need = required;
+  if (strained && upstreams_missing) {
+    const auto limit = static_cast<int>(std::ceil(
+        parameters_.max_strained_need * history.mean_need.value_or(required)));
+    history.need = std::min(required, limit);
+  }
+  if (history.need >= history.recent_peak_need ||
       now - history.recent_peak_at > parameters_.recent_need_window) {
-    history.recent_peak_need = needed;
+    history.recent_peak_need = history.need;
     history.recent_peak_at = now;
   }
 }
 
-int fleet_planner::Shortage(const fleet_view& view, int expected,
+fleet_planner::reclaimable_counts fleet_planner::CountReclaimable(
+    const fleet_view& view, time_point now) const {
+  reclaimable_counts counts;
+  for (const zone_price& zone : view.scaling.zone_prices) {
+    const int expected = ReadyOrStarting(view, zone.availability_zone, now);
+    counts.ready += CountPresentIn(view, zone.availability_zone, true);
+    counts.expected += expected;
+    counts.zones += expected > 0 ? 1 : 0;
+  }
+  return counts;
+}
+
+int fleet_planner::Shortage(const fleet_view& view,
+                            const reclaimable_counts& reclaimable,
                             time_point now) {
   demand_history& history = demand_.at(view.service);
-  const int shortage = std::max(0, RequiredCount(view) - expected);
+  // The zones that are left are likely to be reclaimed soon. Unless all but one
+  // are lost, on-demand upstreams for a part of the load are enough.
+  const auto zones = static_cast<int>(view.scaling.zone_prices.size());
+  const double share_at_risk =
+      zones <= 1
+          ? 0.0
+          : std::min(1.0, static_cast<double>(zones - reclaimable.zones) /
+                              static_cast<double>(zones - 1));
+  const auto uncovered =
+      static_cast<int>(std::ceil(parameters_.emergency_fraction *
+                                 share_at_risk * history.recent_peak_need));
+  const int shortage = std::max(0, history.need - reclaimable.expected);
   if (shortage == 0) {
     history.shortage_since.reset();
-    return 0;
+    return uncovered;
   }
   history.shortage_since = history.shortage_since.value_or(now);
-  return now - *history.shortage_since >= parameters_.shortage_delay ? shortage
-                                                                     : 0;
+  const bool lasting =
+      now - *history.shortage_since >= parameters_.shortage_delay;
+  return lasting ? std::max(shortage, uncovered) : uncovered;
 }
 
-bool fleet_planner::ReclaimableSuffice(const fleet_view& view, int ready,
+bool fleet_planner::ReclaimableSuffice(const fleet_view& view,
+                                       const reclaimable_counts& reclaimable,
                                        int planned, time_point now) const {
-  if (ready >=
+  if (reclaimable.ready >=
       static_cast<int>(std::ceil(parameters_.min_ready_fraction * planned))) {
     return true;
   }
   const demand_history& history = demand_.at(view.service);
   const bool hold_over =
       now - history.first_planned_at >= parameters_.initial_hold_time;
-  return hold_over && view.in_flight > 0 &&
-         ready >=
+  return hold_over && view.in_flight > 0 && reclaimable.zones > 1 &&
+         reclaimable.ready >=
              static_cast<int>(std::ceil((1 + parameters_.headroom_fraction) *
                                         history.recent_peak_need));
 }
 
 int fleet_planner::TargetTotal(const fleet_view& view, time_point now) {
   const auto zones = static_cast<int>(view.scaling.zone_prices.size());
-  const int with_reserve = static_cast<int>(
-      std::ceil((1 + parameters_.reserve_fraction) * RequiredCount(view)));
-  const int total =
-      std::max(with_reserve, zones * parameters_.baseline_per_zone);
   const auto [found, first] = demand_.try_emplace(view.service);
   demand_history& history = found->second;
   if (first) {
     history.first_planned_at = now;
   }
-  RecordNeed(history, RequiredCount(view), now);
+  RecordNeed(history, view, now);
+  const int with_reserve = static_cast<int>(
+      std::ceil((1 + parameters_.reserve_fraction) * history.need));
+  const int total =
+      std::max(with_reserve, zones * parameters_.baseline_per_zone);
   if (now - history.first_planned_at < parameters_.initial_hold_time) {
     // The load is not known yet; meanwhile the upstreams present are kept.
     history.total = std::max(
@@ -178,43 +229,66 @@
               return a.price < b.price;
             });
   const auto zone_count = static_cast<int>(zones.size());
-  int ready = 0;
-  int expected = 0;
-  for (const zone_price& zone : zones) {
-    ready += CountPresentIn(view, zone.availability_zone, true);
-    expected += ReadyOrStarting(view, zone.availability_zone, now);
-  }
+  const reclaimable_counts reclaimable = CountReclaimable(view, now);
   const bool enough =
-      ReclaimableSuffice(view, ready, per_zone * zone_count, now);
-  // On-demand upstreams cover the shortage, in the cheapest zones first.
-  int shortage = Shortage(view, expected, now);
+      ReclaimableSuffice(view, reclaimable, per_zone * zone_count, now);
+  const std::vector<int> targets = OnDemandTargets(
+      view, zones, per_zone, Shortage(view, reclaimable, now), now);
   std::vector<fleet_order> orders;
-  for (const zone_price& zone : zones) {
-    const std::string& name = zone.availability_zone;
-    const int present = CountPresentIn(view, name, false);
-    const int minimum = std::max(
-        0, view.scaling.min_per_zone - CountPresentIn(view, name, true));
-    // Ordered reclaimable upstreams that are neither ready nor starting do not
-    // count towards the maximum per zone.
-    const int room = std::max(
-        0, view.scaling.max_per_zone - ReadyOrStarting(view, name, now));
-    const int target = std::max(minimum, std::clamp(shortage, 0, room));
-    shortage -= std::max(target, present);
+  for (size_t i = 0; i < zones.size(); ++i) {
+    const std::string& name = zones[i].availability_zone;
     if (enough) {
-      orders.push_back({view.service, name, false, minimum});
+      orders.push_back(
+          {view.service, name, false, MissingForMinimum(view, name)});
       continue;
     }
     // A lower count than the accepted one would terminate upstreams that are
     // still starting.
     const int count =
-        std::max(target, LastAcceptedCount(view.service, name, false));
-    if (count > present) {
+        std::max(targets[i], LastAcceptedCount(view.service, name, false));
+    if (count > CountPresentIn(view, name, false)) {
       orders.push_back({view.service, name, false, count});
     }
   }
   return orders;
 }
 
+int fleet_planner::MissingForMinimum(const fleet_view& view,
+                                     const std::string& zone) {
+  return std::max(0,
+                  view.scaling.min_per_zone - CountPresentIn(view, zone, true));
+}
+
+std::vector<int> fleet_planner::OnDemandTargets(
+    const fleet_view& view, const std::vector<zone_price>& zones, int per_zone,
+    int shortage, time_point now) const {
+  std::vector<int> targets;
+  targets.reserve(zones.size());
+  for (const zone_price& zone : zones) {
+    const std::string& name = zone.availability_zone;
+    targets.push_back(MissingForMinimum(view, name));
+    shortage -= std::max(targets.back(), CountPresentIn(view, name, false));
+  }
+  // First without using the places of planned reclaimable upstreams, which
+  // could otherwise not return to the zone, then up to the maximum.
+  for (const bool keep_places : {true, false}) {
+    for (size_t i = 0; i < zones.size() && shortage > 0; ++i) {
+      const std::string& name = zones[i].availability_zone;
+      const int taken = ReadyOrStarting(view, name, now);
+      const int reserved = keep_places ? std::max(per_zone, taken) : taken;
+      const int present =
+          std::max(targets[i], CountPresentIn(view, name, false));
+      const int added = std::clamp(
+          view.scaling.max_per_zone - reserved - present, 0, shortage);
+      if (added > 0) {
+        targets[i] = present + added;
+        shortage -= added;
+      }
+    }
+  }
+  return targets;
+}
+
 std::vector<fleet_order> fleet_planner::Plan(const fleet_view& view,
                                              time_point now) {
   const std::vector<zone_price>& zones = view.scaling.zone_prices;
--- a/src/skylarkcroft/duties/skylarkcroft_fleet_planner.h
+++ b/src/skylarkcroft/duties/skylarkcroft_fleet_planner.h
@@ -58,12 +58,23 @@
   /// on-demand ones are ordered: a shorter disturbance is over before those
   /// have started.
   milliseconds shortage_delay{1500};
+  /// Fraction of the needed upstreams with which a service gets by for a short
+  /// time.
+  double emergency_fraction = 0.6;
   /// Fraction by which the ready reclaimable upstreams must exceed the recent
   /// peak need before on-demand upstreams are terminated although the plan
   /// asks for more.
   double headroom_fraction = 0.15;
   /// The recent peak need is the greatest need in about this time.
   milliseconds recent_need_window{8000};
+  /// Time constant of the mean need while the upstreams present carry it.
+  milliseconds need_time_constant{2000};
+  /// The same while they do not. Requests then take longer, so that more are in
+  /// flight than the load alone explains.
+  milliseconds strained_need_time_constant{20000};
+  /// While upstreams are missing, the need is taken to be at most this multiple
+  /// of the mean need.
+  double max_strained_need = 1.5;
   /// Fraction of the planned total that must be ready as reclaimable upstreams
   /// before on-demand upstreams are terminated.
   double min_ready_fraction = 0.75;
@@ -125,21 +136,38 @@
     time_point last_needed_at{};
     time_point first_planned_at{};
     std::optional<time_point> shortage_since;
+    int need = 0;  ///< Upstreams that the present load requires.
     int recent_peak_need = 0;
     time_point recent_peak_at{};
+    /// Mean need; empty before the first request.
+    std::optional<double> mean_need;
+    time_point mean_need_at{};
+  };
+  /// Reclaimable upstreams of a service over its zones.
+  struct reclaimable_counts {
+    int ready = 0;
+    int expected = 0;  ///< Ready or starting.
+    int zones = 0;     ///< Zones that have expected ones.
   };
 
-  /// Upstreams that the present load requires, without reserve.
+  /// Upstreams that the requests in flight require, without reserve.
   [[nodiscard]] int RequiredCount(const fleet_view& view) const;
-  /// Whether the service can do without on-demand upstreams when `ready`
-  /// reclaimable ones are ready and `planned` are planned.
-  [[nodiscard]] bool ReclaimableSuffice(const fleet_view& view, int ready,
+  /// Whether the service can do without on-demand upstreams when `planned`
+  /// reclaimable ones are planned.
+  [[nodiscard]] bool ReclaimableSuffice(const fleet_view& view,
+                                        const reclaimable_counts& reclaimable,
                                         int planned, time_point now) const;
-  /// How many upstreams the load requires beyond the `expected` reclaimable
-  /// ones that are ready or starting; 0 until the shortage has lasted for the
-  /// shortage delay.
-  int Shortage(const fleet_view& view, int expected, time_point now);
-  void RecordNeed(demand_history& history, int needed, time_point now) const;
+  [[nodiscard]] reclaimable_counts CountReclaimable(const fleet_view& view,
+                                                    time_point now) const;
+  /// How many on-demand upstreams are needed beside the reclaimable ones: for
+  /// the load that exceeds these, once that has lasted for the shortage delay,
+  /// and at once for the load that would be left without an upstream if one
+  /// more zone was reclaimed.
+  int Shortage(const fleet_view& view, const reclaimable_counts& reclaimable,
+               time_point now);
+  /// Updates the need of the service from the requests in flight.
+  void RecordNeed(demand_history& history, const fleet_view& view,
+                  time_point now) const;
   /// Planned number of upstreams of the service over all zones.
   int TargetTotal(const fleet_view& view, time_point now);
   /// Count of the last order if the cloud accepted it, else 0.
@@ -153,6 +181,14 @@
   [[nodiscard]] std::vector<fleet_order> OnDemandOrders(const fleet_view& view,
                                                         int per_zone,
                                                         time_point now);
+  /// On-demand upstreams that a zone lacks for the minimum per zone.
+  [[nodiscard]] static int MissingForMinimum(const fleet_view& view,
+                                             const std::string& zone);
+  /// On-demand upstreams of each of `zones`, which are sorted by price, such
+  /// that `shortage` is covered.
+  [[nodiscard]] std::vector<int> OnDemandTargets(
+      const fleet_view& view, const std::vector<zone_price>& zones,
+      int per_zone, int shortage, time_point now) const;
   /// Whether the order has to be sent, given `present` upstreams that are not
   /// draining.
   [[nodiscard]] bool IsDue(const fleet_order& order, int present,
--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer.cc
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer.cc
@@ -70,18 +70,34 @@
   upstream.entry = entry;
   upstream.key = UpstreamKey(entry.id);
   upstream.removed_at.reset();
+  if (!entry.is_draining) {
+    upstream.serves_until.reset();
+  }
 }
 
-void load_balancer::Remove(const std::string& id, time_point now) {
+void load_balancer::AllowWhileDraining(const std::string& id,
+                                       time_point serves_until) {
   const auto found = upstreams_.find(id);
-  if (found == upstreams_.end()) {
-    return;
+  if (found != upstreams_.end()) {
+    found->second.serves_until = serves_until;
   }
+}
+
+bool load_balancer::MayRegisterAgain(const upstream_state& upstream,
+                                     time_point now) const {
   const bool after_outage =
       !store_reachable_ ||
       (store_reachable_since_.has_value() &&
        now - *store_reachable_since_ < parameters_.removal_grace);
-  if (!after_outage || found->second.entry.is_draining) {
+  return after_outage && !upstream.entry.is_draining;
+}
+
+void load_balancer::Remove(const std::string& id, time_point now) {
+  const auto found = upstreams_.find(id);
+  if (found == upstreams_.end()) {
+    return;
+  }
+  if (!MayRegisterAgain(found->second, now)) {
     upstreams_.erase(found);
     return;
   }
@@ -90,6 +106,21 @@
   }
 }
 
+void load_balancer::RemoveUnannounced(const std::string& id,
+                                      time_point serves_until, time_point now) {
+  const auto found = upstreams_.find(id);
+  const bool drains =
+      found != upstreams_.end() && !MayRegisterAgain(found->second, now) &&
+      TimeSinceAnyByte(id, now) <= parameters_.max_silence_after_removal;
+  if (!drains) {
+    Remove(id, now);
+    return;
+  }
+  found->second.entry.is_draining = true;
+  found->second.serves_until = serves_until;
+  found->second.removed_at = now;
+}
+
 void load_balancer::OnStoreContact(bool reachable, time_point now) {
   if (reachable && !store_reachable_ && !upstreams_.empty()) {
     store_reachable_since_ = now;
@@ -120,6 +151,23 @@
   return !upstream.entry.is_draining;
 }
 
+bool load_balancer::CanFinishBeforeExit(const upstream_state& upstream,
+                                        const placement_request& request,
+                                        const placement& estimate,
+                                        time_point now) const {
+  if (!upstream.serves_until.has_value()) {
+    return false;
+  }
+  const milliseconds expected =
+      request.cache_tokens == 0
+          ? parameters_.max_plain_request_time
+          : estimate.expected_first +
+                milliseconds(static_cast<milliseconds::rep>(
+                    parameters_.max_token_latency_ms *
+                    static_cast<double>(request.shape.max_output_tokens)));
+  return now + expected <= *upstream.serves_until;
+}
+
 size_t load_balancer::UsableCount(const std::string& service) const {
   return static_cast<size_t>(
       std::count_if(upstreams_.begin(), upstreams_.end(), [&](const auto& e) {
@@ -253,6 +301,9 @@
   if (summary.avoid_on_demand && !upstream.entry.reclaimable) {
     option.cost += parameters_.on_demand_penalty_ms;
   }
+  if (upstream.entry.is_draining) {
+    option.cost += parameters_.draining_penalty_ms;
+  }
   if (upstream.health.IsAvoided(now)) {
     option.cost += kAvoidedPenalty;
   }
@@ -327,14 +378,20 @@
   std::vector<placement_option> options;
   options.reserve(summary.usable);
   for (const auto& [id, upstream] : upstreams_) {
-    if (upstream.entry.service != request.service || !IsUsable(upstream)) {
+    const bool may_serve =
+        IsUsable(upstream) || upstream.serves_until.has_value();
+    if (upstream.entry.service != request.service || !may_serve) {
       continue;
     }
     const total_load total = TotalLoad(upstream, now);
-    estimates.push_back(
-        Estimate(upstream, total, request, &upstream == summary.preferred));
-    options.push_back(
-        CostOf(upstream, total, estimates.back(), request, summary, now));
+    const placement estimate =
+        Estimate(upstream, total, request, &upstream == summary.preferred);
+    if (!IsUsable(upstream) &&
+        !CanFinishBeforeExit(upstream, request, estimate, now)) {
+      continue;
+    }
+    estimates.push_back(estimate);
+    options.push_back(CostOf(upstream, total, estimate, request, summary, now));
   }
   if (options.empty()) {
     return std::nullopt;
@@ -342,7 +399,7 @@
   const size_t chosen = ChooseByWaterFilling(
       options, UnreportedCost(request, estimates, now), request.draw);
   placement best = estimates[chosen];
-  best.candidates = summary.usable;
+  best.candidates = options.size();
   best.peer_age = peers_.MaxAge(now);
   return best;
 }
--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
@@ -75,6 +75,16 @@
   milliseconds removal_grace{1500};
   /// A peer's report is counted until it reaches this age.
   milliseconds peer_report_max_age{1500};
+  /// Penalty for an upstream that drains, so that it is used only while the
+  /// others are busy.
+  double draining_penalty_ms = 100;
+  /// An upstream that was removed unannounced is used further only if a byte
+  /// arrived from it within this time.
+  milliseconds max_silence_after_removal{500};
+  /// Longest time that an engine is assumed to need for an output token.
+  double max_token_latency_ms = 5;
+  /// Longest time that a plain service is assumed to need for a request.
+  milliseconds max_plain_request_time{300};
   /// Share of an engine's KV cache that requests are planned to fill.
   double max_kv_cache_share = 0.92;
 
@@ -121,6 +131,14 @@
   /// removed as by Remove().
   void Reset(const std::vector<upstream_entry>& entries, time_point now);
   void Put(const upstream_entry& entry, time_point now);
+  /// Lets a draining upstream take requests that are expected to end before
+  /// `serves_until`.
+  void AllowWhileDraining(const std::string& id, time_point serves_until);
+  /// Removes an upstream that has not announced that it drains. Such a one
+  /// either drains unannounced or has failed: if it has answered recently, it
+  /// is kept as draining until `serves_until`.
+  void RemoveUnannounced(const std::string& id, time_point serves_until,
+                         time_point now);
   /// Removes the upstream, or keeps it until DropRemoved() if the store is or
   /// was recently unreachable and the upstream is not draining.
   void Remove(const std::string& id, time_point now);
@@ -188,6 +206,9 @@
     std::optional<time_point> last_byte_at;
     /// When the entry was removed, if it is kept after a store outage.
     std::optional<time_point> removed_at;
+    /// Requests that end before this time may be sent although the upstream
+    /// drains; empty when none may.
+    std::optional<time_point> serves_until;
     /// Affinity keys of requests sent there, with the time of their last use.
     std::unordered_map<std::string, time_point> parts;
   };
@@ -207,6 +228,14 @@
   };
 
   [[nodiscard]] bool IsUsable(const upstream_state& upstream) const;
+  /// Whether the entry may have lapsed only because the store was unreachable.
+  [[nodiscard]] bool MayRegisterAgain(const upstream_state& upstream,
+                                      time_point now) const;
+  /// Whether the upstream drains but the request is expected to end in time.
+  [[nodiscard]] bool CanFinishBeforeExit(const upstream_state& upstream,
+                                         const placement_request& request,
+                                         const placement& estimate,
+                                         time_point now) const;
   [[nodiscard]] static milliseconds TimeSinceByte(
       const upstream_state& upstream, time_point now);
   [[nodiscard]] total_load TotalLoad(const upstream_state& upstream,
--- a/src/skylarkcroft/placement/skylarkcroft_upstream_entry.h
+++ b/src/skylarkcroft/placement/skylarkcroft_upstream_entry.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "skylarkcroft/internal/skylarkcroft_endpoint.h"
+#include "skylarkcroft/internal/skylarkcroft_time.h"
 
 namespace skylarkcroft {
 
@@ -18,6 +19,8 @@
   bool is_draining = false;  ///< It is draining and takes no more requests.
   bool reclaimable = false;  ///< The cloud may reclaim it at short notice.
   int64_t incarnation = 0;   ///< Differs with every start under the same id.
+  /// Time from the start of draining until it exits; 0 when it is not known.
+  milliseconds exits_after{0};
 
   bool operator==(const upstream_entry&) const = default;
 };
--- a/tests/duties/fleet_planner_test.cc
+++ b/tests/duties/fleet_planner_test.cc
@@ -53,6 +53,20 @@
                         return upstream.entry.availability_zone == zone;
                       }));
   }
+  [[nodiscard]] int CountIn(const std::string& zone, bool reclaimable) const {
+    return static_cast<int>(
+        std::count_if(view_.upstreams.begin(), view_.upstreams.end(),
+                      [&](const fleet_upstream& upstream) {
+                        return upstream.entry.availability_zone == zone &&
+                               upstream.entry.reclaimable == reclaimable;
+                      }));
+  }
+  /// Sets a maximum for upstreams of both kinds together, which the cloud
+  /// enforces.
+  void EnforceMaxPerZone(int count) {
+    view_.scaling.max_per_zone = count;
+    enforces_maximum_ = true;
+  }
   void SetInFlight(int in_flight) { view_.in_flight = in_flight; }
   void SetReclaimableUnavailable(bool unavailable) {
     reclaimable_unavailable_ = unavailable;
@@ -78,7 +92,8 @@
             refused ? duty_outcome::kUnavailable : duty_outcome::kAccepted,
             now_);
         if (!refused) {
-          SetCount(order.availability_zone, order.reclaimable, order.count);
+          SetCount(order.availability_zone, order.reclaimable,
+                   AllowedCount(order));
         }
         all.push_back(order);
       }
@@ -87,7 +102,16 @@
   }
 
  private:
+  [[nodiscard]] int AllowedCount(const fleet_order& order) const {
+    if (!enforces_maximum_) {
+      return order.count;
+    }
+    const int others = CountIn(order.availability_zone, !order.reclaimable);
+    return std::clamp(view_.scaling.max_per_zone - others, 0, order.count);
+  }
+
   fleet_view view_;
+  bool enforces_maximum_ = false;
   bool reclaimable_unavailable_ = false;
   bool busy_ = false;
   time_point now_ = kStart;
@@ -314,6 +338,60 @@
   }
 }
 
+TEST_CASE(
+    "Zones reclaimed by turns: on-demand upstreams are ordered while one zone "
+    "is left",
+    "[duties][fleet][reclaim][regression]") {
+  cloud cloud;
+  fleet_planner planner{fleet_planner_parameters{}};
+  cloud.SetInFlight(40);
+  // Until the plan has come down to four upstreams in each zone.
+  cloud.Run(planner, 60);
+  REQUIRE(cloud.Count(false) == 0);
+  cloud.EnforceMaxPerZone(6);
+  cloud.SetReclaimableUnavailable(true);
+  cloud.SetCount("a", true, 0);
+  cloud.Run(planner, 1);
+  cloud.SetCount("b", true, 0);
+  cloud.Run(planner, 1);
+  // What is left can carry the load, but may be reclaimed at any moment.
+  CHECK(cloud.Count(false) >= 2);
+  SECTION("and they leave room for the reclaimable ones to return") {
+    cloud.SetCount("c", true, 0);
+    cloud.SetInFlight(60);
+    cloud.Run(planner, 5);
+    for (const std::string zone : {"a", "b", "c"}) {
+      CHECK(cloud.CountIn(zone, false) <= 2);
+    }
+    cloud.SetInFlight(40);
+    cloud.SetReclaimableUnavailable(false);
+    cloud.Run(planner, 12);
+    CHECK(cloud.Count(false) == 0);
+  }
+}
+
+TEST_CASE(
+    "Requests that pile up at too few upstreams do not raise the plan like a "
+    "higher load",
+    "[duties][fleet][reclaim][regression]") {
+  cloud cloud;
+  fleet_planner planner{fleet_planner_parameters{}};
+  cloud.SetInFlight(40);
+  cloud.Run(planner, 12);
+  cloud.SetReclaimableUnavailable(true);
+  for (const std::string zone : {"a", "b", "c"}) {
+    cloud.SetCount(zone, true, 0);
+  }
+  cloud.SetInFlight(150);
+  cloud.Run(planner, 3);
+  CHECK(cloud.Count(false) >= 4);
+  CHECK(cloud.Count(false) <= 8);
+  SECTION("but a higher load does if it lasts") {
+    cloud.Run(planner, 20);
+    CHECK(cloud.Count(false) >= 12);
+  }
+}
+
 TEST_CASE("A plan that has converged issues no orders", "[duties][fleet]") {
   cloud cloud;
   fleet_planner planner{fleet_planner_parameters{}};
--- a/tests/placement/load_balancer_test.cc
+++ b/tests/placement/load_balancer_test.cc
@@ -299,6 +299,60 @@
   CHECK(balancer.UsableCount("pool") == 0);
 }
 
+TEST_CASE(
+    "A zone starts to drain: short requests go there until just before the end",
+    "[placement][drain][reclaim][regression]") {
+  load_balancer balancer = Balancer(2);
+  upstream_entry draining = Entry("u0");
+  draining.is_draining = true;
+  balancer.Put(draining, kStart);
+  balancer.AllowWhileDraining("u0", kStart + milliseconds(1800));
+  placement_request brief = Request("s");
+  brief.shape.max_output_tokens = 20;
+  placement_request lengthy = Request("s");
+  lengthy.shape.max_output_tokens = 800;
+  SECTION("not while other upstreams are idle") {
+    CHECK(ChosenId(balancer, brief) == "u1");
+  }
+  SECTION("when the others are busy") {
+    for (int i = 0; i < 40; ++i) {
+      balancer.RecordRequestSent("u1", {0, 5000, 6000}, lengthy.shape, kStart);
+    }
+    CHECK(ChosenId(balancer, brief) == "u0");
+    CHECK(ChosenId(balancer, brief, kStart + milliseconds(1700)) == "u1");
+  }
+  SECTION("not requests that would outlast it") {
+    for (int i = 0; i < 40; ++i) {
+      balancer.RecordRequestSent("u1", {0, 5000, 6000}, lengthy.shape, kStart);
+    }
+    CHECK(ChosenId(balancer, lengthy) == "u1");
+  }
+  SECTION("it does not count as usable") {
+    CHECK(balancer.UsableCount("pool") == 1);
+  }
+}
+
+TEST_CASE("An upstream removed unannounced is used on only if it answers",
+          "[placement][drain][reclaim]") {
+  load_balancer balancer = Balancer(1);
+  const time_point now = kStart + milliseconds(10000);
+  placement_request brief = Request("s");
+  brief.shape.max_output_tokens = 20;
+  SECTION("as one that drains") {
+    balancer.RecordByte("u0", now - milliseconds(100));
+    balancer.RemoveUnannounced("u0", now + milliseconds(1800), now);
+    CHECK(ChosenId(balancer, brief, now) == "u0");
+    CHECK(ChosenId(balancer, brief, now + milliseconds(1700)).empty());
+    CHECK(balancer.DropRemoved(now + milliseconds(2000)) ==
+          std::vector<std::string>{"u0"});
+  }
+  SECTION("not after a silence") {
+    balancer.RecordByte("u0", now - milliseconds(900));
+    balancer.RemoveUnannounced("u0", now + milliseconds(1800), now);
+    CHECK(ChosenId(balancer, brief, now).empty());
+  }
+}
+
 TEST_CASE("An entry removed during a store outage is kept for a grace period",
           "[placement][lapse]") {
   load_balancer balancer = Balancer(2);
