Nodes that watch a table pass its changed rows on to the others

Cause: every node read each change of the upstreams' table from the store. Ruled out: polls for age (1 in 20 of the calls) and the watching nodes' own calls (313, which do not grow with the nodes). Change: a watching node sends the rows that a watch returned to all peers, as ranges of versions that fit one packet, paced below the slowest link. A follower applies a range that adjoins what it knows; after a gap, a lost datagram or a row that is too large it reads the store as before, 0.4 s after a peer's report. One follower test now sets the new delay to 0, which is what it relied on.

--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -13,6 +13,7 @@
 #include "skylarkcroft/limits/skylarkcroft_service_retry_budget.h"
 #include "skylarkcroft/limits/skylarkcroft_token_quotas.h"
 #include "skylarkcroft/log/skylarkcroft_log_bound.h"
+#include "skylarkcroft/peers/skylarkcroft_broadcast_queue.h"
 #include "skylarkcroft/peers/skylarkcroft_median_clock.h"
 #include "skylarkcroft/peers/skylarkcroft_peer_channel.h"
 #include "skylarkcroft/peers/skylarkcroft_peer_group.h"
@@ -39,6 +40,9 @@
 // Nodes that watch the lease: one to take it over, one in case that one fails.
 constexpr size_t kLeaseWatchers = 2;
 constexpr milliseconds kExitCheckInterval{50};
+constexpr milliseconds kBroadcastInterval{10};
+// Below the rate of the slowest links (10 Mbit/s), which also carry requests.
+constexpr double kBroadcastBytesPerSecond = 800000;
 constexpr milliseconds kCloseIdleClientsAfter{2500};
 // Usage windows sent to peers; the report of a window is due two
 // windows later.
@@ -120,7 +124,8 @@
                   [this](log_level level, const std::string& message,
                          const std::vector<log_field>& fields) {
                     LogEvent(level, message, fields);
-                  }},
+                  },
+                  [this](const table_changes& changes) { PassOn(changes); }},
                  settings.name,
                  {settings.bounds.apply_deadline, settings.bounds.drain}),
         server_(environment_, settings.listen.clients),
@@ -343,12 +348,32 @@
             replica_.upstreams_position()};
   }
 
+  void PassOn(const table_changes& changes) {
+    broadcasts_.Add(EncodeChanges(changes), group_.ReportTargets(clock_()));
+    SendBroadcasts();
+  }
+
+  void SendBroadcasts() {
+    for (const broadcast_item& item : broadcasts_.NextDue(clock_())) {
+      channel_.Send(item.target, *item.datagram);
+    }
+    broadcast_timer_ =
+        broadcasts_.empty()
+            ? nullptr
+            : loop_.After(kBroadcastInterval, [this] { SendBroadcasts(); });
+  }
+
   void OnDatagram(const endpoint& from, std::string_view bytes) {
     const std::optional<peer_report> report = DecodeReport(bytes);
-    metrics_.RecordDatagram(report.has_value());
     if (!report.has_value()) {
+      const std::optional<table_changes> changes = DecodeChanges(bytes);
+      metrics_.RecordDatagram(changes.has_value());
+      if (changes.has_value()) {
+        replica_.OnPeerChanges(*changes);
+      }
       return;
     }
+    metrics_.RecordDatagram(true);
     const time_point now = clock_();
     if (!group_.OnReport(report->node, from, report->incarnation,
                          report->sequence, report->is_draining, now)) {
@@ -461,6 +486,8 @@
   duty_runner duties_;
   time_point next_lost_peer_report_{};
   report_schedule report_schedule_;
+  broadcast_queue broadcasts_{kBroadcastBytesPerSecond};
+  event_loop::handle_ptr broadcast_timer_;
   event_loop::handle_ptr housekeeping_timer_;
   event_loop::handle_ptr exit_timer_;
 };
--- a/src/skylarkcroft/relay/skylarkcroft_store_replica.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_store_replica.cc
@@ -26,6 +26,8 @@
 constexpr milliseconds kMinChangePause{500};
 constexpr milliseconds kMaxChangePause{1000};
 constexpr milliseconds kJoinRetryDelay{500};
+// Requests to a draining upstream have to end this long before it may exit.
+constexpr milliseconds kDrainMargin{200};
 
 table_follower_parameters MakePollingParameters(milliseconds max_age) {
   table_follower_parameters parameters;
@@ -81,6 +83,14 @@
   }
 }
 
+void store_replica::OnPeerChanges(const table_changes& changes) {
+  if (changes.table == environment_.adapter.operator_tables_table) {
+    tables_follower_.OnPeerChanges(changes);
+  } else if (changes.table == environment_.adapter.upstreams_table) {
+    upstreams_follower_.OnPeerChanges(changes);
+  }
+}
+
 void store_replica::UpdatePolling(time_point now) {
   const milliseconds upstreams_pause = std::clamp(
       kChangePausePerNode *
@@ -116,7 +126,8 @@
           [this](bool reachable, store_outcome outcome, time_point /*now*/) {
             LogStoreContact(environment_.adapter.operator_tables_table,
                             reachable, outcome);
-          }};
+          },
+          environment_.pass_on};
 }
 
 table_follower_callbacks store_replica::UpstreamsEvents() {
@@ -141,7 +152,8 @@
             environment_.balancer.OnStoreContact(reachable, now);
             LogStoreContact(environment_.adapter.upstreams_table, reachable,
                             outcome);
-          }};
+          },
+          environment_.pass_on};
 }
 
 table_follower_callbacks store_replica::NodesEvents() {
@@ -152,7 +164,8 @@
         }
       },
       [this](const stored_row& row, time_point now) { ApplyNodeRow(row, now); },
-      [](bool /*reachable*/, store_outcome /*outcome*/, time_point) {}};
+      [](bool /*reachable*/, store_outcome /*outcome*/, time_point) {},
+      {}};
 }
 
 void store_replica::ApplyTablesRow(const stored_row& row) {
@@ -194,21 +207,46 @@
 }
 
 void store_replica::ApplyUpstreamRow(const stored_row& row, time_point now) {
-  const upstream_entry* known = environment_.balancer.Find(row.key);
+  load_balancer& balancer = environment_.balancer;
+  const upstream_entry* known = balancer.Find(row.key);
+  const bool was_serving = known != nullptr && !known->is_draining;
   if (row.removed) {
-    environment_.balancer.Remove(row.key, now);
+    const std::optional<time_point> serves_until = ServesUntil(milliseconds(0));
+    if (was_serving && serves_until.has_value()) {
+      balancer.RemoveUnannounced(row.key, *serves_until, now);
+    } else {
+      balancer.Remove(row.key, now);
+    }
     LogUpstreamChange(row, "removed");
     return;
   }
   const std::optional<upstream_entry> entry = ParseUpstreamRow(row);
   if (!entry.has_value()) {
-    environment_.balancer.Remove(row.key, now);
+    balancer.Remove(row.key, now);
     return;
   }
   if (known == nullptr || !(*known == *entry)) {
     LogUpstreamChange(row, entry->is_draining ? "leaving" : "ready");
   }
-  environment_.balancer.Put(*entry, now);
+  balancer.Put(*entry, now);
+  const std::optional<time_point> serves_until =
+      ServesUntil(entry->exits_after);
+  if (was_serving && entry->is_draining && serves_until.has_value()) {
+    balancer.AllowWhileDraining(entry->id, *serves_until);
+  }
+}
+
+std::optional<time_point> store_replica::ServesUntil(
+    milliseconds exits_after) const {
+  const std::optional<time_point> served_at =
+      upstreams_follower_.previously_current_as_of();
+  if (!served_at.has_value()) {
+    return std::nullopt;
+  }
+  const milliseconds time_left = exits_after.count() > 0
+                                     ? std::min(deadlines_.drain, exits_after)
+                                     : deadlines_.drain;
+  return *served_at + time_left - kDrainMargin;
 }
 
 void store_replica::LogUpstreamChange(const stored_row& row,
--- a/src/skylarkcroft/relay/skylarkcroft_store_replica.h
+++ b/src/skylarkcroft/relay/skylarkcroft_store_replica.h
@@ -32,6 +32,8 @@
   std::function<void(log_level level, const std::string& message,
                      const std::vector<log_field>& fields)>
       log;
+  /// Sends changes that this node has read to its peers; may be empty.
+  std::function<void(const table_changes&)> pass_on{};
 };
 
 /// Times within which nodes have to act on changes in the store.
@@ -64,6 +66,9 @@
   void OnPeerPositions(const std::optional<table_position>& tables,
                        const std::optional<table_position>& upstreams);
 
+  /// Takes in changes that a peer passed on.
+  void OnPeerChanges(const table_changes& changes);
+
   /// The active tables; null before the first read.
   [[nodiscard]] tables_snapshot tables() const {
     return {tables_, tables_follower_.current_as_of()};
@@ -86,6 +91,11 @@
   void ApplyTablesRow(const stored_row& row);
   std::optional<upstream_entry> ParseUpstreamRow(const stored_row& row);
   void ApplyUpstreamRow(const stored_row& row, time_point now);
+  /// Until when an upstream that the latest response of the store reports as
+  /// leaving takes requests; `exits_after` is 0 when it is not known. Empty
+  /// when it is not known since when it has been leaving.
+  [[nodiscard]] std::optional<time_point> ServesUntil(
+      milliseconds exits_after) const;
   void LogUpstreamChange(const stored_row& row, const std::string& state);
   void LogStoreContact(const std::string& table, bool reachable,
                        store_outcome outcome);
--- a/src/skylarkcroft/store/skylarkcroft_table_follower.cc
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.cc
@@ -41,7 +41,9 @@
     return duration(0);
   }
   if (newest_peer_change_ > *watch_from_) {
-    return last_call_at_ + parameters_.change_delay - now;
+    return std::max(last_call_at_ + parameters_.change_delay,
+                    peer_change_at_ + parameters_.peer_changes_delay) -
+           now;
   }
   return *current_as_of_ + parameters_.max_staleness - now;
 }
@@ -77,6 +79,10 @@
   }
   if (peer.newest_change > *watch_from_) {
     const bool new_change = peer.newest_change > newest_peer_change_;
+    // Later changes do not put off the call for an earlier one.
+    if (newest_peer_change_ <= *watch_from_) {
+      peer_change_at_ = clock_();
+    }
     newest_peer_change_ = std::max(newest_peer_change_, peer.newest_change);
     if (new_change && waiting_for_poll_) {
       CallWhenDue();
@@ -94,6 +100,40 @@
   }
 }
 
+void table_follower::OnPeerChanges(const table_changes& changes) {
+  const bool adjoins = watch_from_.has_value() &&
+                       changes.after <= *watch_from_ &&
+                       changes.up_to > *watch_from_;
+  if (!adjoins) {
+    return;
+  }
+  const time_point now = clock_();
+  previously_current_as_of_ = current_as_of_;
+  const std::optional<time_point> as_of =
+      changes.store_clock.has_value()
+          ? store_clock_.ToLocalTime(*changes.store_clock, now)
+          : std::nullopt;
+  if (as_of.has_value() && current_as_of_.has_value() &&
+      *as_of > *current_as_of_ && !changes.rows.empty()) {
+    current_as_of_ = as_of;
+    position_ =
+        table_position{changes.rows.back().version, *changes.store_clock};
+  }
+  Apply(changes.rows, changes.up_to, now);
+}
+
+void table_follower::Apply(const std::vector<stored_row>& rows, int64_t up_to,
+                           time_point now) {
+  const int64_t known = watch_from_.value_or(0);
+  watch_from_ = std::max(known, up_to);
+  version_ = *watch_from_;
+  for (const stored_row& row : rows) {
+    if (row.version > known) {
+      events_.on_change(row, now);
+    }
+  }
+}
+
 void table_follower::Call() {
   const time_point sent_at = clock_();
   last_call_at_ = sent_at;
@@ -144,20 +184,25 @@
     OnFailure(response.outcome);
     return;
   }
-  watch_from_ = std::max(*watch_from_, response.version);
-  int64_t newest = position_.has_value() ? position_->newest_change : 0;
+  // Peers that do not watch know the version of the table's last change, but
+  // not how far the store has got since.
+  const int64_t known = position_.has_value() ? position_->newest_change : 0;
+  int64_t newest = known;
   for (const stored_row& row : response.rows) {
     newest = std::max(newest, row.version);
   }
   OnResponse(sent_at, response, newest);
-  version_ = *watch_from_;
-  for (const stored_row& row : response.rows) {
-    events_.on_change(row, clock_());
-  }
+  Apply(response.rows, response.version, clock_());
   if (response.rows.empty()) {
     CallWhenDue();
     return;
   }
+  const bool pass_on = watching_ && response.responded_at.has_value() &&
+                       events_.on_watched_changes != nullptr;
+  if (pass_on) {
+    events_.on_watched_changes(
+        {table_, known, version_, *response.responded_at, response.rows});
+  }
   timer_ = loop_.After(parameters_.change_delay, [this] { CallWhenDue(); });
 }
 
@@ -166,6 +211,7 @@
                                 int64_t newest_change) {
   const time_point as_of = store_clock_.EarliestResponseTime(
       sent_at, response.responded_at, clock_());
+  previously_current_as_of_ = current_as_of_;
   current_as_of_ = std::max(current_as_of_.value_or(as_of), as_of);
   if (response.responded_at.has_value()) {
     position_ = table_position{newest_change, *response.responded_at};
--- a/src/skylarkcroft/store/skylarkcroft_table_follower.h
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.h
@@ -12,6 +12,7 @@
 #include "skylarkcroft/internal/skylarkcroft_time.h"
 #include "skylarkcroft/store/skylarkcroft_row_store.h"
 #include "skylarkcroft/store/skylarkcroft_store_clock_mapping.h"
+#include "skylarkcroft/store/skylarkcroft_table_changes.h"
 #include "skylarkcroft/store/skylarkcroft_table_position.h"
 
 namespace skylarkcroft {
@@ -26,6 +27,9 @@
   /// Delay after a change before the next call, so that a series of changes
   /// costs few calls.
   milliseconds change_delay{500};
+  /// A follower that does not watch leaves a change that a peer has reported
+  /// this long to arrive from the peers that watch.
+  milliseconds peer_changes_delay{400};
   /// Delay after a first failed call; doubles with each further failure up to
   /// the maximum.
   milliseconds initial_backoff{100};
@@ -45,6 +49,9 @@
   /// whose outcome is `why`.
   std::function<void(bool reachable, store_outcome why, time_point now)>
       on_reachability;
+  /// Changes that a watch call returned, for the peers that do not watch; may
+  /// be empty.
+  std::function<void(const table_changes&)> on_watched_changes{};
 };
 
 /// Keeps a replica of one table of the store current. It reads the whole table
@@ -66,6 +73,11 @@
   [[nodiscard]] std::optional<time_point> current_as_of() const {
     return current_as_of_;
   }
+  /// The value of current_as_of() before the latest response of the store:
+  /// every change that this response reported was made after that time.
+  [[nodiscard]] std::optional<time_point> previously_current_as_of() const {
+    return previously_current_as_of_;
+  }
   /// Version of the store that the replica has reached; 0 before the first
   /// read.
   [[nodiscard]] int64_t version() const { return version_; }
@@ -76,6 +88,9 @@
   }
   /// Takes in how current a peer's replica of the same table is.
   void OnPeerReport(const table_position& peer);
+  /// Applies changes that a watching peer passed on, if none is missing between
+  /// them and what is known.
+  void OnPeerChanges(const table_changes& changes);
   /// Whether to keep a watch call pending; initially true.
   void SetWatching(bool watching);
   void SetParameters(const table_follower_parameters& parameters) {
@@ -92,6 +107,9 @@
   void OnRead(time_point sent_at, const store_response& response);
   void OnWatch(time_point sent_at, const store_response& response);
   void OnFailure(store_outcome why);
+  /// Reports the rows that are newer than the replica and advances it.
+  void Apply(const std::vector<stored_row>& rows, int64_t up_to,
+             time_point now);
   void OnResponse(time_point sent_at, const store_response& response,
                   int64_t newest_change);
 
@@ -106,9 +124,12 @@
   std::optional<int64_t> watch_from_;
   store_clock_mapping store_clock_;
   std::optional<time_point> current_as_of_;
+  std::optional<time_point> previously_current_as_of_;
   std::optional<table_position> position_;
   /// Newest change that any peer has reported.
   int64_t newest_peer_change_ = 0;
+  /// When a peer first reported that change.
+  time_point peer_change_at_{};
   int64_t version_ = 0;
   time_point last_call_at_{};
   bool watching_ = true;
--- a/tests/adapter/platform_row_store_test.cc
+++ b/tests/adapter/platform_row_store_test.cc
@@ -194,6 +194,7 @@
     table_follower_parameters terms;
     terms.change_delay = milliseconds(5);
     terms.max_staleness = milliseconds(200);
+    terms.peer_changes_delay = milliseconds(0);
     return terms;
   }
   static milliseconds StoreClock() {
@@ -236,6 +237,54 @@
   CHECK(one.follower.position()->newest_change == newest + 1);
 }
 
+TEST_CASE("Changes that a peer passes on spare a call of the store",
+          "[adapter][store][follower][scale][regression]") {
+  fixture on;
+  resting_follower one(on);
+  const int calls = on.standin.store_calls;
+  const int64_t known = one.follower.position()->newest_change;
+  const milliseconds clock = resting_follower::StoreClock();
+  const stored_row row{"t", "a", "1", known + 3, false};
+  SECTION("when none is missing before them") {
+    one.follower.OnPeerChanges({"t", known, known + 5, clock, {row}});
+    CHECK(one.seen == 1);
+    one.follower.OnPeerReport({known + 3, clock});
+    on.loop.RunFor(milliseconds(100));
+    CHECK(on.standin.store_calls == calls);
+    CHECK(one.follower.position()->newest_change == known + 3);
+  }
+  SECTION("only once when they arrive twice") {
+    one.follower.OnPeerChanges({"t", known, known + 5, clock, {row}});
+    one.follower.OnPeerChanges({"t", known, known + 5, clock, {row}});
+    CHECK(one.seen == 1);
+  }
+  SECTION("but are not applied after a gap") {
+    one.follower.OnPeerChanges({"t", known + 1, known + 5, clock, {row}});
+    CHECK(one.seen == 0);
+    on.standin.Put("t", "a", "1");
+    one.follower.OnPeerReport({known + 3, clock});
+    CHECK(on.Await([&] { return one.seen == 1; }));
+    CHECK(on.standin.store_calls > calls);
+  }
+}
+
+TEST_CASE("A follower leaves peers time to pass on what they have seen",
+          "[adapter][store][follower][scale]") {
+  fixture on;
+  resting_follower one(on);
+  table_follower_parameters patient = resting_follower::Terms();
+  patient.peer_changes_delay = milliseconds(100);
+  patient.max_staleness = milliseconds(5000);
+  one.follower.SetParameters(patient);
+  const int calls = on.standin.store_calls;
+  const int64_t known = one.follower.position()->newest_change;
+  on.standin.Put("t", "a", "1");
+  one.follower.OnPeerReport({known + 1, resting_follower::StoreClock()});
+  on.loop.RunFor(milliseconds(50));
+  CHECK(on.standin.store_calls == calls);
+  CHECK(on.Await([&] { return one.seen == 1; }));
+}
+
 TEST_CASE("A follower asks the store itself when its peers are silent",
           "[adapter][store][follower]") {
   fixture on;
