--- /dev/null
+++ b/fuzz/peer_datagram_fuzz.cc
@@ -0,0 +1,15 @@
+#include "fuzz/fuzz_input.h"
+#include "skylarkcroft/peers/skylarkcroft_peer_report.h"
+#include "skylarkcroft/store/skylarkcroft_table_changes.h"
+
+namespace skylarkcroft {
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
+  const std::string_view text = fuzz::TextOf(data, size);
+  return fuzz::Decode([&] {
+    static_cast<void>(DecodeReport(text));
+    static_cast<void>(DecodeChanges(text));
+  });
+}
+
+}  // namespace skylarkcroft
