Followers that do not watch ask a store that refuses them seldom

Change: with a replica, a follower that does not watch backs off up to 1.6 s, and does not ask at all while its peers keep its replica current.

--- a/src/skylarkcroft/store/skylarkcroft_table_follower.cc
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.cc
@@ -36,8 +36,7 @@
 void table_follower::Start() { CallWhenDue(); }
 
 duration table_follower::TimeUntilNextCall(time_point now) const {
-  if (watching_ || failures_ > 0 || !watch_from_.has_value() ||
-      !current_as_of_.has_value()) {
+  if (watching_ || !watch_from_.has_value() || !current_as_of_.has_value()) {
     return duration(0);
   }
   if (newest_peer_change_ > *watch_from_) {
@@ -225,8 +224,11 @@
 
 void table_follower::OnFailure(store_outcome why) {
   const int doublings = std::min(failures_++, kMaxBackoffDoublings);
-  const milliseconds backoff = std::min(
-      parameters_.max_backoff, parameters_.initial_backoff * (1 << doublings));
+  const milliseconds backoff =
+      std::min(watching_ || !watch_from_.has_value()
+                   ? parameters_.max_backoff
+                   : parameters_.max_backoff_without_watch,
+               parameters_.initial_backoff * (1 << doublings));
   if (reachable_) {
     reachable_ = false;
     events_.on_reachability(false, why, clock_());
--- a/src/skylarkcroft/store/skylarkcroft_table_follower.h
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.h
@@ -34,6 +34,9 @@
   /// the maximum.
   milliseconds initial_backoff{100};
   milliseconds max_backoff{400};
+  /// The maximum for a follower with a replica that does not watch. It learns
+  /// from the peers that watch when the store is available again.
+  milliseconds max_backoff_without_watch{1600};
 
   bool operator==(const table_follower_parameters&) const = default;
 };
--- a/tests/adapter/platform_row_store_test.cc
+++ b/tests/adapter/platform_row_store_test.cc
@@ -268,6 +268,32 @@
   }
 }
 
+TEST_CASE(
+    "Many nodes refused by the store: those that do not watch ask it seldom",
+    "[adapter][store][follower][scale][regression]") {
+  fixture on;
+  resting_follower one(on);
+  on.standin.fault = store_fault::kRefuse;
+  // Until the replica is so old that the follower asks the store itself.
+  on.loop.RunFor(milliseconds(300));
+  SECTION("while no peer reaches it") {
+    const int calls = on.standin.store_calls;
+    on.loop.RunFor(milliseconds(5000));
+    CHECK(on.standin.store_calls - calls <= 8);
+  }
+  SECTION("and not at all while peers report that nothing has changed") {
+    const int64_t newest = one.follower.position()->newest_change;
+    one.follower.OnPeerReport({newest, resting_follower::StoreClock()});
+    on.loop.RunFor(milliseconds(300));
+    const int calls = on.standin.store_calls;
+    for (int i = 0; i < 20; ++i) {
+      one.follower.OnPeerReport({newest, resting_follower::StoreClock()});
+      on.loop.RunFor(milliseconds(50));
+    }
+    CHECK(on.standin.store_calls - calls <= 1);
+  }
+}
+
 TEST_CASE("A follower leaves peers time to pass on what they have seen",
           "[adapter][store][follower][scale]") {
   fixture on;
