Accept known keys without the store where revocation is not strict

The setting was not read. Change: bounds.strict_revocation; if false, known keys are accepted on tables of up to 60 s. What a node cannot know it still refuses without denying. Test: adapter [revocation] [regression].

--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -51,6 +51,9 @@
 // bound; the rest covers the time to detect a watch that no longer receives
 // changes.
 constexpr double kMaxKeyAgeShare = 0.76;
+// The same where revocation is not strict: longer than outages of the store
+// usually last.
+constexpr milliseconds kMaxKeyAgeWithoutStore{60000};
 // A node whose tables are older than this share of the revocation bound reports
 // that it is not ready, so that it gets no new clients.
 constexpr double kMaxReadyAgeShare = 0.5;
@@ -218,7 +221,9 @@
 
   void ApplyBounds(relay_environment& environment) const {
     environment.gate.max_tables_age_to_accept_key =
-        Scale(settings_.bounds.revocation, kMaxKeyAgeShare);
+        settings_.bounds.strict_revocation
+            ? Scale(settings_.bounds.revocation, kMaxKeyAgeShare)
+            : kMaxKeyAgeWithoutStore;
     environment.gate.max_tables_age_to_deny = settings_.bounds.apply_deadline;
     environment.quota_overage = settings_.bounds.quotas;
     environment.parameters.shutdown_limit =
--- a/src/skylarkcroft/relay/skylarkcroft_relay_settings.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_settings.cc
@@ -26,13 +26,15 @@
   }
   const json_reader reader(
       root.Member("bounds"), root.PathOf("bounds"),
-      {"apply_deadline_ms", "revocation_ms", "drain_ms", "grace_period_ms",
-       "repeat_share", "repeat_window_ms", "repeat_reserve",
+      {"apply_deadline_ms", "revocation_ms", "strict_revocation", "drain_ms",
+       "grace_period_ms", "repeat_share", "repeat_window_ms", "repeat_reserve",
        "allotment_overage_share", "allotment_overage_tokens", "lease_ms",
        "usage_window_ms", "usage_lateness_ms"});
   bounds.apply_deadline =
       ReadMs(reader, "apply_deadline_ms", bounds.apply_deadline, 1);
   bounds.revocation = ReadMs(reader, "revocation_ms", bounds.revocation, 1);
+  bounds.strict_revocation =
+      reader.BoolOr("strict_revocation", bounds.strict_revocation);
   bounds.drain = ReadMs(reader, "drain_ms", bounds.drain, 1);
   bounds.grace_period =
       ReadMs(reader, "grace_period_ms", bounds.grace_period, 1);
--- a/src/skylarkcroft/relay/skylarkcroft_relay_settings.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_settings.h
@@ -26,6 +26,9 @@
 struct relay_bounds {
   milliseconds apply_deadline{2000};
   milliseconds revocation{5000};
+  /// Whether a key that was taken away must be refused in that time also by a
+  /// node that cannot reach the store, which then refuses every key.
+  bool strict_revocation = true;
   milliseconds drain{2000};
   milliseconds grace_period{8000};
   double repeat_share = 0.2;
--- a/tests/adapter/relay_node_test.cc
+++ b/tests/adapter/relay_node_test.cc
@@ -53,20 +53,21 @@
 class relay_process {
  public:
   relay_process(event_loop& loop, const endpoint& platform,
-                const std::string& name, milliseconds revocation)
+                const std::string& name, milliseconds revocation,
+                bool strict = true)
       : log_(loop, {-1, log_level::kError, 1024}),
         client_(loop),
         store_(client_, platform),
         calls_(client_, platform),
-        node_(loop, Settings(platform, name, revocation), MakeAdapter(), store_,
-              calls_, log_, SteadyNow, WallNowMs) {}
+        node_(loop, Settings(platform, name, revocation, strict), MakeAdapter(),
+              store_, calls_, log_, SteadyNow, WallNowMs) {}
 
   [[nodiscard]] endpoint address() const { return node_.clients_address(); }
 
  private:
   static relay_settings Settings(const endpoint& platform,
                                  const std::string& name,
-                                 milliseconds revocation) {
+                                 milliseconds revocation, bool strict) {
     const endpoint any{"127.0.0.1", 0};
     relay_settings settings;
     settings.name = name;
@@ -76,6 +77,7 @@
     settings.store = platform;
     settings.cloud = platform;
     settings.bounds.revocation = revocation;
+    settings.bounds.strict_revocation = strict;
     settings.bounds.usage_window = milliseconds(1000);
     settings.bounds.lease = milliseconds(1500);
     return settings;
@@ -102,9 +104,10 @@
 
 class fixture {
  public:
-  explicit fixture(milliseconds revocation = milliseconds(5000))
+  explicit fixture(milliseconds revocation = milliseconds(5000),
+                   bool strict = true)
       : relay(std::make_unique<relay_process>(loop, standin.address(), "n1",
-                                              revocation)) {
+                                              revocation, strict)) {
     upstream.SetHandler([](const scripted_upstream::received_request& to) {
       to.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " +
                to.head.headers.Get("X-Attempt-Id") +
@@ -154,6 +157,19 @@
   CHECK(Begins(on.Ask("k2"), "200"));
 }
 
+TEST_CASE(
+    "Where revocation is not strict, known keys are accepted without the store",
+    "[adapter][node][revocation][regression]") {
+  fixture on(milliseconds(500), false);
+  on.standin.fault = store_fault::kSilent;
+  on.loop.RunFor(milliseconds(3000));
+  CHECK(Begins(on.Ask("k1"), "200"));
+  CHECK(Begins(on.Ask("unknown"), "503"));
+  on.standin.fault = store_fault::kNone;
+  on.standin.Put("op", "config", Config(2, "\"k2\""));
+  CHECK(on.Await([&] { return Begins(on.Ask("k1"), "401"); }));
+}
+
 TEST_CASE("A node that cannot know the keys refuses without denying",
           "[adapter][node][revocation]") {
   fixture on(milliseconds(1500));
