Pass on only rows that peers have not got from another watching node

Cause, found by reading: when one watching node's rows reached the other before its own watch returned, that one passed on rows older than the range it named; receivers took the datagram for malformed and read the store instead. Change: rows up to the last change known are left out. Test: adapter [follower], failed with the old condition.

--- a/src/skylarkcroft/duties/skylarkcroft_fleet_planner.cc
+++ b/src/skylarkcroft/duties/skylarkcroft_fleet_planner.cc
@@ -91,8 +91,8 @@
                             const reclaimable_counts& reclaimable,
                             time_point now) {
   demand_history& history = demand_.at(view.service);
-  // The zones that are left are likely to be reclaimed soon. Unless all but one
-  // are lost, on-demand upstreams for a part of the load are enough.
+  // The zones that are left may be reclaimed before an on-demand upstream that
+  // is ordered only then has started.
   const auto zones = static_cast<int>(view.scaling.zone_prices.size());
   const double share_at_risk =
       zones <= 1
--- a/src/skylarkcroft/duties/skylarkcroft_fleet_planner.h
+++ b/src/skylarkcroft/duties/skylarkcroft_fleet_planner.h
@@ -161,8 +161,8 @@
                                                     time_point now) const;
   /// How many on-demand upstreams are needed beside the reclaimable ones: for
   /// the load that exceeds these, once that has lasted for the shortage delay,
-  /// and at once for the load that would be left without an upstream if one
-  /// more zone was reclaimed.
+  /// and at once for a part of the load that grows with the share of the zones
+  /// that have been reclaimed.
   int Shortage(const fleet_view& view, const reclaimable_counts& reclaimable,
                time_point now);
   /// Updates the need of the service from the requests in flight.
--- a/src/skylarkcroft/store/skylarkcroft_table_follower.cc
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.cc
@@ -196,15 +196,29 @@
     CallWhenDue();
     return;
   }
-  const bool pass_on = watching_ && response.responded_at.has_value() &&
-                       events_.on_watched_changes != nullptr;
-  if (pass_on) {
-    events_.on_watched_changes(
-        {table_, known, version_, *response.responded_at, response.rows});
+  if (watching_) {
+    PassOn(response, known);
   }
   timer_ = loop_.After(parameters_.change_delay, [this] { CallWhenDue(); });
 }
 
+void table_follower::PassOn(const store_response& response, int64_t known) {
+  if (events_.on_watched_changes == nullptr ||
+      !response.responded_at.has_value()) {
+    return;
+  }
+  table_changes changes{table_, known, version_, response.responded_at, {}};
+  for (const stored_row& row : response.rows) {
+    // Another watching node may have passed on some of them meanwhile.
+    if (row.version > known) {
+      changes.rows.push_back(row);
+    }
+  }
+  if (!changes.rows.empty()) {
+    events_.on_watched_changes(changes);
+  }
+}
+
 void table_follower::OnResponse(time_point sent_at,
                                 const store_response& response,
                                 int64_t newest_change) {
--- a/src/skylarkcroft/store/skylarkcroft_table_follower.h
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.h
@@ -110,6 +110,8 @@
   void OnRead(time_point sent_at, const store_response& response);
   void OnWatch(time_point sent_at, const store_response& response);
   void OnFailure(store_outcome why);
+  /// Hands the rows of a response that are newer than `known` to the peers.
+  void PassOn(const store_response& response, int64_t known);
   /// Reports the rows that are newer than the replica and advances it.
   void Apply(const std::vector<stored_row>& rows, int64_t up_to,
              time_point now);
--- a/tests/adapter/platform_row_store_test.cc
+++ b/tests/adapter/platform_row_store_test.cc
@@ -268,6 +268,37 @@
   }
 }
 
+TEST_CASE("A watching follower passes on only what its peers have not got yet",
+          "[adapter][store][follower][scale][regression]") {
+  fixture on;
+  on.standin.Put("t", "a", "1");
+  std::vector<table_changes> passed_on;
+  table_follower_parameters terms;
+  terms.change_delay = milliseconds(5);
+  table_follower follower(
+      on.loop, on.store, "t", terms,
+      {[](const std::vector<stored_row>&, time_point) {},
+       [](const stored_row&, time_point) {},
+       [](bool, store_outcome, time_point) {},
+       [&](const table_changes& changes) { passed_on.push_back(changes); }},
+      SteadyNow);
+  follower.Start();
+  REQUIRE(on.Await([&] { return follower.position().has_value(); }));
+  on.loop.RunFor(milliseconds(30));
+  const int64_t known = follower.position()->newest_change;
+  // Another watching node was faster, while this one's watch is pending.
+  const milliseconds clock = resting_follower::StoreClock();
+  follower.OnPeerChanges(
+      {"t", known, known + 1, clock, {{"t", "b", "2", known + 1, false}}});
+  on.standin.Put("t", "b", "2");
+  on.standin.Put("t", "c", "3");
+  REQUIRE(on.Await([&] { return !passed_on.empty(); }));
+  for (const table_changes& changes : passed_on) {
+    CHECK(changes.after >= known + 1);
+    CHECK(changes.rows.front().version > changes.after);
+  }
+}
+
 TEST_CASE(
     "Many nodes refused by the store: those that do not watch ask it seldom",
     "[adapter][store][follower][scale][regression]") {
