Relay: treat a reset of the client like its end of stream

What callers saw: nothing; upstreams worked for clients that had gone (GONE). Cause: after a pause of the loop the relay asks a client's socket for its end before it starts a request, but recv() reports a reset as an error, which counted as "still there". The request was sent on an idle connection and cancelled a moment later. Evidence: the new test leaves 20 requests behind by resets while the loop stands still; 2 of them reached an upstream before the change, none after. Class: the start of work is decided on events in the order in which the loop reads them, while the socket already knows a newer fact.

--- /dev/null
+++ b/src/skylarkcroft/internal/skylarkcroft_socket_state.cc
@@ -0,0 +1,19 @@
+#include "skylarkcroft/internal/skylarkcroft_socket_state.h"
+
+#include <sys/socket.h>
+#include <sys/types.h>
+
+#include <cerrno>
+
+namespace skylarkcroft {
+
+bool HasPeerClosed(int fd) {
+  char next = 0;
+  const ssize_t size = recv(fd, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
+  if (size >= 0) {
+    return size == 0;
+  }
+  return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+}
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/src/skylarkcroft/internal/skylarkcroft_socket_state.h
@@ -0,0 +1,13 @@
+#ifndef SKYLARKCROFT_INTERNAL_SKYLARKCROFT_SOCKET_STATE_H_
+#define SKYLARKCROFT_INTERNAL_SKYLARKCROFT_SOCKET_STATE_H_
+
+namespace skylarkcroft {
+
+/// True if the peer of a non-blocking TCP socket has closed or reset the
+/// connection and no unread bytes stand before that. After a pause of the event
+/// loop this is known before the loop reports it.
+bool HasPeerClosed(int fd);
+
+}  // namespace skylarkcroft
+
+#endif  // SKYLARKCROFT_INTERNAL_SKYLARKCROFT_SOCKET_STATE_H_
--- a/src/skylarkcroft/wire/skylarkcroft_stream_socket.cc
+++ b/src/skylarkcroft/wire/skylarkcroft_stream_socket.cc
@@ -15,6 +15,7 @@
 #include "skylarkcroft/internal/skylarkcroft_error.h"
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
 #include "skylarkcroft/internal/skylarkcroft_socket_address.h"
+#include "skylarkcroft/internal/skylarkcroft_socket_state.h"
 
 namespace skylarkcroft {
 namespace {
@@ -151,9 +152,7 @@
 }
 
 bool stream_socket::HasPeerClosed() const {
-  char next = 0;
-  return recv(bufferevent_getfd(impl_->handle()), &next, sizeof next,
-              MSG_PEEK | MSG_DONTWAIT) == 0;
+  return skylarkcroft::HasPeerClosed(bufferevent_getfd(impl_->handle()));
 }
 
 void stream_socket::ShutdownWrite() {
--- a/src/skylarkcroft/wire/skylarkcroft_stream_socket.h
+++ b/src/skylarkcroft/wire/skylarkcroft_stream_socket.h
@@ -44,8 +44,8 @@
   void DeliverUnread();
   /// Pauses or resumes reading from the connection.
   void SetReading(bool reading);
-  /// Whether the peer's end of stream has arrived right behind the bytes read
-  /// so far, even if on_closed has not been called yet.
+  /// Whether the peer's end of stream or its reset has arrived right behind the
+  /// bytes read so far, even if on_closed has not been called yet.
   [[nodiscard]] bool HasPeerClosed() const;
   /// Closes the sending side of the connection. Must be called when all written
   /// bytes are sent.
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -42,14 +42,26 @@
   std::unique_ptr<stream_socket> socket_;
 };
 
-/// Connects, sends `bytes` and closes the connection, all without the loop.
-inline void SendAndLeave(const endpoint& address, const std::string& bytes) {
+/// How a client of SendAndLeave() ends its connection.
+enum class leave_by {
+  kClose,  ///< In an orderly way (FIN).
+  kReset,  ///< With a reset, as a process that is killed with unread data.
+};
+
+/// Connects, sends `bytes` and leaves, all without the loop.
+inline void SendAndLeave(const endpoint& address, const std::string& bytes,
+                         leave_by way = leave_by::kClose) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const sockaddr_in peer = ToSocketAddress(address);
   REQUIRE(connect(fd, reinterpret_cast<const sockaddr*>(&peer), sizeof peer) ==
           0);
   REQUIRE(send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
           static_cast<ssize_t>(bytes.size()));
+  if (way == leave_by::kReset) {
+    const linger reset_on_close{1, 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset_on_close,
+               sizeof reset_on_close);
+  }
   close(fd);
 }
 
@@ -94,6 +106,19 @@
     first_upstream.SetHandler(on_request);
     second_upstream.SetHandler(on_request);
   }
+  /// Leaves an idle connection to each upstream, on which a further request is
+  /// sent without waiting for a connection. The upstreams must answer.
+  void OpenIdleConnections() {
+    raw_client first(loop, server.address());
+    raw_client second(loop, server.address());
+    while (first_upstream.requests.empty() ||
+           second_upstream.requests.empty()) {
+      const size_t before = records.size();
+      first.Send(Request("/safe/", "first"));
+      second.Send(Request("/safe/", "second"));
+      REQUIRE(Await([&] { return records.size() == before + 2; }));
+    }
+  }
   /// Number of requests that the upstreams have received.
   [[nodiscard]] size_t RequestCount() const {
     return first_upstream.requests.size() + second_upstream.requests.size();
--- a/tests/relay/relay_test.cc
+++ b/tests/relay/relay_test.cc
@@ -245,6 +245,28 @@
   CHECK(relay.records.back().reason == "client_gone");
 }
 
+// Guards against forwarding requests whose clients are gone: a reset does not
+// show as an end of the stream.
+TEST_CASE("Requests of clients that reset their connection are not sent on",
+          "[relay][gone][regression]") {
+  fixture relay;
+  relay.SetHandler([&](const received_request& request) {
+    request.write(fixture::Response(request, "ok"));
+  });
+  relay.OpenIdleConnections();
+  const size_t requests_before = relay.RequestCount();
+  constexpr int kClients = 20;
+  const auto stand_still = relay.loop.After(milliseconds(1), [&] {
+    for (int i = 0; i < kClients; ++i) {
+      SendAndLeave(relay.server.address(),
+                   fixture::Request("/safe/", "r" + std::to_string(i)),
+                   leave_by::kReset);
+    }
+  });
+  relay.loop.RunFor(milliseconds(300));
+  CHECK(relay.RequestCount() == requests_before);
+}
+
 TEST_CASE("An upstream that sends bytes without end is cut off",
           "[relay][endless][regression]") {
   fixture relay;
