Relay: no retry for a client that has left

What callers saw: nothing; a second upstream worked for a client that had gone. Cause: a failed attempt is retried at once. When the failure and the client's end arrive in one round of a late loop, the failure may be processed first. Evidence: the new test closes the upstream's connection and then the client's in one round; the second upstream got the request before the change, not after. Change: the client's socket is asked before a retry, as before a first attempt.

--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
@@ -113,7 +113,7 @@
 }
 
 void client_connection::OnRequest() {
-  if (socket_.HasPeerClosed()) {
+  if (HasClientLeft()) {
     // After a pause of the loop, clients that gave up meanwhile have left their
     // requests in the sockets' buffers.
     request_record record;
--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.h
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.h
@@ -43,6 +43,9 @@
   void Finish() override;
   void Abort() override;
   [[nodiscard]] size_t unsent() const override { return socket_.unsent(); }
+  [[nodiscard]] bool HasClientLeft() const override {
+    return socket_.HasPeerClosed();
+  }
 
  private:
   size_t OnBytes(std::string_view bytes);
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -483,6 +483,10 @@
       CloseAttempt(upstream_outcome::kFailure);
       break;
   }
+  if (may_retry && response_.HasClientLeft()) {
+    RecordEnd(0, "client_gone");
+    return;
+  }
   if (may_retry) {
     StartNextAttempt();
     return;
--- a/src/skylarkcroft/relay/skylarkcroft_response_writer.h
+++ b/src/skylarkcroft/relay/skylarkcroft_response_writer.h
@@ -29,6 +29,9 @@
   virtual void Abort() = 0;
   /// Bytes queued for the client but not yet written to its connection.
   [[nodiscard]] virtual size_t unsent() const = 0;
+  /// Whether the client is known to have closed its connection, even if the
+  /// event loop has not reported it yet.
+  [[nodiscard]] virtual bool HasClientLeft() const = 0;
 };
 
 }  // namespace skylarkcroft
--- a/tests/relay/relay_test.cc
+++ b/tests/relay/relay_test.cc
@@ -267,6 +267,28 @@
   CHECK(relay.RequestCount() == requests_before);
 }
 
+// Guards against forwarding requests whose clients are gone: the failure of the
+// first attempt may be processed before the end of the client's stream.
+TEST_CASE("A request is not retried once its client has left",
+          "[relay][gone][regression]") {
+  fixture relay;
+  relay.SetHandler([&](const received_request& request) {
+    request.write(fixture::Response(request, "ok"));
+  });
+  relay.OpenIdleConnections();
+  const size_t requests_before = relay.RequestCount();
+  raw_client leaving(relay.loop, relay.server.address());
+  relay.SetHandler([&](const received_request& request) {
+    request.close();
+    relay.loop.Defer([&] { leaving.Disconnect(); });
+  });
+  leaving.Send(fixture::Request("/safe/", "r1"));
+  REQUIRE(relay.Await([&] { return relay.records.back().request_id == "r1"; }));
+  relay.loop.RunFor(milliseconds(100));
+  CHECK(relay.RequestCount() == requests_before + 1);
+  CHECK(relay.records.back().status == 0);
+}
+
 TEST_CASE("An upstream that sends bytes without end is cut off",
           "[relay][endless][regression]") {
   fixture relay;
