--- a/src/skylarkcroft/http/skylarkcroft_http_server.cc
+++ b/src/skylarkcroft/http/skylarkcroft_http_server.cc
@@ -17,6 +17,7 @@
 #include "skylarkcroft/http/skylarkcroft_connection_table.h"
 #include "skylarkcroft/internal/skylarkcroft_error.h"
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
+#include "skylarkcroft/internal/skylarkcroft_socket_state.h"
 
 namespace skylarkcroft {
 namespace {
@@ -338,7 +339,15 @@
 
   static void OnRequest(evhttp_request* raw, void* self) {
     auto* server = static_cast<impl*>(self);
-    server->handler_(std::make_shared<exchange>(raw, server->state_));
+    const auto started = std::make_shared<exchange>(raw, server->state_);
+    if (HasPeerClosed(bufferevent_getfd(evhttp_connection_get_bufferevent(
+            evhttp_request_get_connection(raw))))) {
+      // After a pause of the loop, peers that gave up meanwhile have left their
+      // requests in the sockets' buffers.
+      started->Abort();
+      return;
+    }
+    server->handler_(started);
   }
 
   http_handler_fn handler_;
--- a/tests/http/hostile_peer_test.cc
+++ b/tests/http/hostile_peer_test.cc
@@ -233,6 +233,24 @@
   }
 }
 
+// Guards against work for peers that are gone: their requests are read before
+// the end of their streams.
+TEST_CASE("requests whose peers left while the loop stood still are not begun",
+          "[http][gone][regression]") {
+  size_t seen = 0;
+  hostile_bench bench(SmallLimits(), CountAndAnswer(seen));
+  constexpr int kPeers = 20;
+  for (int i = 0; i < kPeers; ++i) {
+    raw_peer peer(bench);
+    peer.Send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi");
+  }
+  bench.Until([&] {
+    return bench.server.connections_accepted() == kPeers &&
+           bench.server.open_connections() == 0;
+  });
+  CHECK(seen == 0);
+}
+
 TEST_CASE("pipelined requests are answered one after the other, in order",
           "[http][hostile]") {
   size_t seen = 0;
