Relay: reset the connection of a cancelled exchange

What callers saw: nothing; on a slow link a request could reach its upstream long after its client had left and the relay had cancelled it. Cause: closing a connection lets the system deliver what its send buffer holds. Evidence: the new test cancels a request of 1 MB to a listener that reads late; the listener read it to a regular end before the change, a reset ends it after. Change: a cancelled exchange resets its connection, so that nothing more is delivered; completed exchanges close or keep theirs as before.

--- a/src/skylarkcroft/relay/skylarkcroft_upstream_connections.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_upstream_connections.cc
@@ -141,6 +141,9 @@
   }
   void Cancel() override {
     ended_ = true;
+    if (connection_ != nullptr && sent_) {
+      connection_->socket().ResetOnClose();
+    }
     CloseConnection();
   }
   [[nodiscard]] bool IsConnectOverdue(time_point now,
--- a/src/skylarkcroft/relay/skylarkcroft_upstream_connections.h
+++ b/src/skylarkcroft/relay/skylarkcroft_upstream_connections.h
@@ -76,7 +76,8 @@
   [[nodiscard]] virtual bool sent() const = 0;
   /// Pauses or resumes reading the response.
   virtual void SetReading(bool reading) = 0;
-  /// Closes the connection. No callback is called afterwards.
+  /// Resets the connection, so that what the upstream has not received yet is
+  /// not delivered any more. No callback is called afterwards.
   virtual void Cancel() = 0;
 };
 using exchange_ptr = std::shared_ptr<upstream_exchange>;
--- a/src/skylarkcroft/wire/skylarkcroft_stream_socket.cc
+++ b/src/skylarkcroft/wire/skylarkcroft_stream_socket.cc
@@ -155,6 +155,12 @@
   return skylarkcroft::HasPeerClosed(bufferevent_getfd(impl_->handle()));
 }
 
+void stream_socket::ResetOnClose() {
+  const linger reset{1, 0};
+  setsockopt(bufferevent_getfd(impl_->handle()), SOL_SOCKET, SO_LINGER, &reset,
+             sizeof reset);
+}
+
 void stream_socket::ShutdownWrite() {
   shutdown(bufferevent_getfd(impl_->handle()), SHUT_WR);
 }
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -1,10 +1,13 @@
 #ifndef SKYLARKCROFT_TESTS_RELAY_RELAY_FIXTURE_H_
 #define SKYLARKCROFT_TESTS_RELAY_RELAY_FIXTURE_H_
 
+#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <catch2/catch.hpp>
+#include <cerrno>
 #include <functional>
 #include <memory>
 #include <string>
@@ -65,6 +68,45 @@
   close(fd);
 }
 
+/// Accepts one connection and reads nothing from it until asked.
+class slow_listener {
+ public:
+  slow_listener() : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    const int receive_buffer_bytes = 4096;
+    setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
+               sizeof receive_buffer_bytes);
+    sockaddr_in raw = ToSocketAddress({"127.0.0.1", 0});
+    REQUIRE(bind(fd_, reinterpret_cast<const sockaddr*>(&raw), sizeof raw) ==
+            0);
+    REQUIRE(listen(fd_, 1) == 0);
+    socklen_t size = sizeof raw;
+    getsockname(fd_, reinterpret_cast<sockaddr*>(&raw), &size);
+    port_ = ntohs(raw.sin_port);
+  }
+  ~slow_listener() { close(fd_); }
+  slow_listener(const slow_listener&) = delete;
+  slow_listener& operator=(const slow_listener&) = delete;
+
+  [[nodiscard]] endpoint address() const { return {"127.0.0.1", port_}; }
+  /// Reads to the end of the stream. Returns 0, or the error that ended it.
+  [[nodiscard]] int ReadUntilEnd() const {
+    const int connection = accept(fd_, nullptr, nullptr);
+    REQUIRE(connection >= 0);
+    std::array<char, 65536> block{};
+    ssize_t size = 0;
+    do {
+      size = recv(connection, block.data(), block.size(), 0);
+    } while (size > 0);
+    const int error = size < 0 ? errno : 0;
+    close(connection);
+    return error;
+  }
+
+ private:
+  int fd_;
+  uint16_t port_ = 0;
+};
+
 /// A relay server with two upstreams and a route for each retry rule, plus one
 /// with resumable streams.
 class relay_fixture {
--- a/tests/relay/relay_test.cc
+++ b/tests/relay/relay_test.cc
@@ -289,6 +289,27 @@
   CHECK(relay.records.back().status == 0);
 }
 
+// Guards against requests that reach an upstream after they were cancelled:
+// their bytes wait in the socket's send buffer while the link is slow.
+TEST_CASE("What was not yet delivered of a cancelled request is discarded",
+          "[relay][gone][regression]") {
+  event_loop loop;
+  const slow_listener upstream;
+  upstream_connections connections(loop, connection_parameters{}, SteadyNow,
+                                   [] {});
+  constexpr size_t kRequestBytes = 1000000;
+  const exchange_ptr exchange =
+      connections.Start({"one", upstream.address(),
+                         std::string(kRequestBytes, 'x'), "X-Id", "r1", false},
+                        {[](const message_head&) {}, [](std::string_view) {},
+                         [](exchange_result) {}});
+  loop.RunFor(milliseconds(50));
+  REQUIRE(exchange->sent());
+  exchange->Cancel();
+  loop.RunFor(milliseconds(20));
+  CHECK(upstream.ReadUntilEnd() == ECONNRESET);
+}
+
 TEST_CASE("An upstream that sends bytes without end is cut off",
           "[relay][endless][regression]") {
   fixture relay;
