Relay: log each failed attempt with its prompt's parts and what had arrived

The log could not tell whether upstreams fail on a common part of prompts, on repeated requests or on load. Each failed attempt now has a line with the parts, whether the response's head and any output had arrived, and the times; the counter of failed attempts counts each by its own failure and by output.

--- /dev/null
+++ b/src/skylarkcroft/relay/skylarkcroft_attempt_record.cc
@@ -0,0 +1,24 @@
+#include "skylarkcroft/relay/skylarkcroft_attempt_record.h"
+
+namespace skylarkcroft {
+
+log_entry ToLogEntry(const attempt_record& record) {
+  log_entry entry;
+  entry.level = log_level::kInfo;
+  entry.message = "attempt failed";
+  entry.request_id = record.request_id;
+  entry.upstream = record.upstream;
+  entry.fields = {
+      {"service", record.service},
+      {"failure", record.failure},
+      {"head_received", record.head_received ? "true" : "false"},
+      {"elapsed_ms", std::to_string(record.elapsed.count())},
+      {"output_age_ms", record.output_age.has_value()
+                            ? std::to_string(record.output_age->count())
+                            : "none"},
+      {"prompt_parts", record.prompt_parts},
+  };
+  return entry;
+}
+
+}  // namespace skylarkcroft
--- /dev/null
+++ b/src/skylarkcroft/relay/skylarkcroft_attempt_record.h
@@ -0,0 +1,33 @@
+#ifndef SKYLARKCROFT_RELAY_SKYLARKCROFT_ATTEMPT_RECORD_H_
+#define SKYLARKCROFT_RELAY_SKYLARKCROFT_ATTEMPT_RECORD_H_
+
+#include <optional>
+#include <string>
+
+#include "skylarkcroft/internal/skylarkcroft_time.h"
+#include "skylarkcroft/log/skylarkcroft_log_entry.h"
+
+namespace skylarkcroft {
+
+/// What is known of an attempt at an upstream that failed, for its log line.
+struct attempt_record {
+  std::string request_id{};
+  std::string service{};
+  std::string upstream{};
+  std::string failure{};  ///< Name of the attempt_failure.
+  bool head_received = false;
+  /// Time from sending the request to the failure.
+  milliseconds elapsed{0};
+  /// Time from the first output to the failure; empty without output.
+  std::optional<milliseconds> output_age{};
+  /// Ids of the prompt's parts in order, separated by commas.
+  std::string prompt_parts{};
+
+  bool operator==(const attempt_record&) const = default;
+};
+
+log_entry ToLogEntry(const attempt_record& record);
+
+}  // namespace skylarkcroft
+
+#endif  // SKYLARKCROFT_RELAY_SKYLARKCROFT_ATTEMPT_RECORD_H_
--- a/src/skylarkcroft/relay/skylarkcroft_relay_environment.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_environment.h
@@ -8,6 +8,7 @@
 #include "skylarkcroft/limits/skylarkcroft_service_retry_budget.h"
 #include "skylarkcroft/limits/skylarkcroft_token_quotas.h"
 #include "skylarkcroft/placement/skylarkcroft_load_balancer.h"
+#include "skylarkcroft/relay/skylarkcroft_attempt_record.h"
 #include "skylarkcroft/relay/skylarkcroft_header_names.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_parameters.h"
 #include "skylarkcroft/relay/skylarkcroft_request_record.h"
@@ -42,6 +43,8 @@
   /// Called once per request of a workspace, when its execution is first known
   /// to have started.
   std::function<void(const std::string& workspace)> on_execution_started;
+  /// Called for each failed attempt.
+  std::function<void(const attempt_record&)> on_attempt_failed;
   /// Called once per request, when it has ended.
   std::function<void(const request_record&)> on_request_ended;
 };
--- a/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
@@ -29,13 +29,6 @@
                  {"status", std::to_string(record.status)},
                  {"reason", record.reason}}})
       .Increment();
-  if (record.upstreams_used > 0) {
-    registry_
-        .Counter({"skylarkcroft_failed_attempts_total",
-                  "Attempts at upstreams that failed, by the last failure.",
-                  {{"failure", record.last_failure}}})
-        .Increment(static_cast<uint64_t>(record.upstreams_used));
-  }
   registry_
       .LatencyHistogram({"skylarkcroft_first_byte_seconds",
                          "Time from a request to the first byte of its answer.",
@@ -48,6 +41,16 @@
       .Record(record.total);
 }
 
+void relay_metrics::RecordFailedAttempt(const attempt_record& record) {
+  registry_
+      .Counter({"skylarkcroft_failed_attempts_total",
+                "Attempts at upstreams that failed, by failure and by whether "
+                "output had arrived.",
+                {{"failure", record.failure},
+                 {"output", record.output_age.has_value() ? "true" : "false"}}})
+      .Increment();
+}
+
 void relay_metrics::RecordConnectionOpened() {
   opened_connections_.Increment();
 }
--- a/src/skylarkcroft/relay/skylarkcroft_relay_metrics.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "skylarkcroft/metrics/skylarkcroft_metrics_registry.h"
+#include "skylarkcroft/relay/skylarkcroft_attempt_record.h"
 #include "skylarkcroft/relay/skylarkcroft_request_record.h"
 
 namespace skylarkcroft {
@@ -14,6 +15,7 @@
   relay_metrics();
 
   void RecordRequest(const request_record& record);
+  void RecordFailedAttempt(const attempt_record& record);
   void RecordConnectionOpened();
   void RecordStoreContact(const std::string& table, bool reachable);
   /// Counts a peer report; `readable` is false if it could not be decoded.
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -195,6 +195,7 @@
                                   {},
                                   {},
                                   {},
+                                  {},
                                   {}};
     ApplyBounds(environment);
     environment.active_tables = [this] { return replica_.tables(); };
@@ -212,6 +213,10 @@
       ledger_.RecordBegun(workspace, median_clock_.NowMs(clock_()) /
                                          settings_.bounds.usage_window.count());
     };
+    environment.on_attempt_failed = [this](const attempt_record& record) {
+      metrics_.RecordFailedAttempt(record);
+      WriteLog(ToLogEntry(record));
+    };
     environment.on_request_ended = [this](const request_record& record) {
       metrics_.RecordRequest(record);
       WriteLog(ToLogEntry(record));
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -330,6 +330,9 @@
     Fail(attempt_failure::kMalformed);
     return;
   }
+  if (!attempt_->first_output_at.has_value()) {
+    attempt_->first_output_at = now;
+  }
   attempt_->body.append(bytes);
 }
 
@@ -337,6 +340,7 @@
   for (const raw_sse_event& event : splitter_.Feed(bytes)) {
     if (!attempt_->execution_started) {
       RecordExecutionStarted();
+      attempt_->first_output_at = attempt_->last_byte_at;
     }
     const bool already_sent = event.id.has_value() &&
                               last_event_id_.has_value() &&
@@ -431,9 +435,31 @@
   RecordEnd(status, "answered");
 }
 
+attempt_record relay_request::DescribeFailure(attempt_failure failure,
+                                              time_point now) const {
+  attempt_record record;
+  record.request_id = request_id_;
+  record.service = service_name_;
+  record.upstream = attempt_->placed.upstream.id;
+  record.failure = std::string(ToString(failure));
+  record.head_received = attempt_->head.has_value();
+  record.elapsed =
+      std::chrono::duration_cast<milliseconds>(now - attempt_->started_at);
+  if (attempt_->first_output_at.has_value()) {
+    record.output_age = std::chrono::duration_cast<milliseconds>(
+        now - *attempt_->first_output_at);
+  }
+  for (const prompt_part& part : generation_.parts) {
+    record.prompt_parts.append(record.prompt_parts.empty() ? "" : ",")
+        .append(part.id);
+  }
+  return record;
+}
+
 void relay_request::Fail(attempt_failure failure) {
   record_.last_failure = std::string(ToString(failure));
   const time_point now = environment_.clock();
+  environment_.on_attempt_failed(DescribeFailure(failure, now));
   const std::string upstream = attempt_->placed.upstream.id;
   const bool sent = failure != attempt_failure::kNoConnection;
   if (sent) {
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -56,6 +56,9 @@
     bool is_stream = false;
     /// The upstream has started to execute the request or may have executed it.
     bool execution_started = false;
+    /// When the first event of a stream, or the first byte of another body,
+    /// arrived.
+    std::optional<time_point> first_output_at;
     time_point last_byte_at{};
     /// Reading is paused because the client is too slow.
     bool paused = false;
@@ -90,6 +93,8 @@
   /// executed.
   void Fail(attempt_failure failure);
   void CloseAttempt(upstream_outcome outcome);
+  [[nodiscard]] attempt_record DescribeFailure(attempt_failure failure,
+                                               time_point now) const;
   void CheckUpstreamSilence(time_point now);
   /// `silence` is the time since the attempt's last byte.
   [[nodiscard]] bool IsEngineTimedOut(milliseconds silence,
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -224,6 +224,7 @@
   token_quotas quotas{true};
   service_retry_budget retries{service_retry_budget_parameters{}};
   std::vector<request_record> records;
+  std::vector<attempt_record> failed_attempts;
   /// Time since the shutdown request; negative before it.
   milliseconds since_shutdown{-1};
   service_map map = MakeMap();
@@ -277,6 +278,9 @@
         [] { return 0.5; },
         [this] { return since_shutdown; },
         [](const std::string&) {},
+        [this](const attempt_record& record) {
+          failed_attempts.push_back(record);
+        },
         [this](const request_record& record) { records.push_back(record); }};
   }
 };
