Relay: reject requests whose prompt crashes upstreams

Cause: each such request was placed, retried by the node and repeated by its client like any other. Change: the relay reports crashes, successes and signs of life to the quarantine, sends its notices to all peers at once and its state in every fifth report, and answers 503 with the quarantine's rest as Retry-After before the request is charged or sent. A request under which two upstreams crashed is not sent again.

--- a/src/skylarkcroft/relay/skylarkcroft_attempt_record.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_attempt_record.cc
@@ -17,6 +17,7 @@
                             ? std::to_string(record.output_age->count())
                             : "none"},
       {"prompt_parts", record.prompt_parts},
+      {"part_keys", record.part_keys},
   };
   return entry;
 }
--- a/src/skylarkcroft/relay/skylarkcroft_attempt_record.h
+++ b/src/skylarkcroft/relay/skylarkcroft_attempt_record.h
@@ -22,6 +22,8 @@
   std::optional<milliseconds> output_age{};
   /// Ids of the prompt's parts in order, separated by commas.
   std::string prompt_parts{};
+  /// Keys of the shared ones, by which quarantines name them.
+  std::string part_keys{};
 
   bool operator==(const attempt_record&) const = default;
 };
--- a/src/skylarkcroft/relay/skylarkcroft_relay_environment.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_environment.h
@@ -8,6 +8,7 @@
 #include "skylarkcroft/limits/skylarkcroft_service_retry_budget.h"
 #include "skylarkcroft/limits/skylarkcroft_token_quotas.h"
 #include "skylarkcroft/placement/skylarkcroft_load_balancer.h"
+#include "skylarkcroft/quarantine/skylarkcroft_part_quarantine.h"
 #include "skylarkcroft/relay/skylarkcroft_attempt_record.h"
 #include "skylarkcroft/relay/skylarkcroft_header_names.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_parameters.h"
@@ -27,6 +28,7 @@
   upstream_connections& connections;
   token_quotas& quotas;
   service_retry_budget& retries;
+  part_quarantine& quarantine;
   header_names names;
   relay_parameters parameters;
   gate_parameters gate;
@@ -43,6 +45,8 @@
   /// Called once per request of a workspace, when its execution is first known
   /// to have started.
   std::function<void(const std::string& workspace)> on_execution_started;
+  /// Called when the quarantine may have something to tell the peers.
+  std::function<void()> on_quarantine_changed;
   /// Called for each failed attempt.
   std::function<void(const attempt_record&)> on_attempt_failed;
   /// Called once per request, when it has ended.
--- a/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
@@ -19,7 +19,11 @@
                              "Log lines beyond the bound a second.",
                              {}})),
       clients_(registry_.Gauge(
-          {"skylarkcroft_clients", "Connections of clients.", {}})) {}
+          {"skylarkcroft_clients", "Connections of clients.", {}})),
+      quarantines_(
+          registry_.Gauge({"skylarkcroft_quarantines",
+                           "Sets of prompt parts whose requests are rejected.",
+                           {}})) {}
 
 void relay_metrics::RecordRequest(const request_record& record) {
   registry_
@@ -70,6 +74,18 @@
 
 void relay_metrics::RecordLogLineDropped() { dropped_log_lines_.Increment(); }
 
+void relay_metrics::SetQuarantines(size_t count) {
+  quarantines_.Set(static_cast<double>(count));
+}
+
+void relay_metrics::RecordQuarantineChange(const std::string& what) {
+  registry_
+      .Counter({"skylarkcroft_quarantine_changes_total",
+                "Changes of what is quarantined, by kind.",
+                {{"change", what}}})
+      .Increment();
+}
+
 void relay_metrics::SetClients(size_t clients) {
   clients_.Set(static_cast<double>(clients));
 }
--- a/src/skylarkcroft/relay/skylarkcroft_relay_metrics.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.h
@@ -23,6 +23,9 @@
   /// Counts a log line that the rate limit suppressed.
   void RecordLogLineDropped();
   void SetClients(size_t clients);
+  void SetQuarantines(size_t count);
+  /// Counts a change of what is quarantined; `what` names it.
+  void RecordQuarantineChange(const std::string& what);
   [[nodiscard]] std::string Render() const {
     return registry_.RenderPrometheus();
   }
@@ -34,6 +37,7 @@
   counter& unreadable_datagrams_;
   counter& dropped_log_lines_;
   gauge& clients_;
+  gauge& quarantines_;
 };
 
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -20,6 +20,8 @@
 #include "skylarkcroft/peers/skylarkcroft_peer_report.h"
 #include "skylarkcroft/peers/skylarkcroft_report_schedule.h"
 #include "skylarkcroft/placement/skylarkcroft_load_balancer.h"
+#include "skylarkcroft/quarantine/skylarkcroft_part_quarantine.h"
+#include "skylarkcroft/quarantine/skylarkcroft_quarantine_notice.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_environment.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_metrics.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_server.h"
@@ -57,6 +59,8 @@
 // A node whose tables are older than this share of the revocation bound reports
 // that it is not ready, so that it gets no new clients.
 constexpr double kMaxReadyAgeShare = 0.5;
+// Quarantines are told in one of so many reports.
+constexpr int kReportsPerQuarantineReport = 5;
 // Time kept to exit before the process would be killed.
 constexpr milliseconds kExitMargin{400};
 constexpr int kOkStatus = 200;
@@ -113,6 +117,9 @@
                      [this] { metrics_.RecordConnectionOpened(); }),
         quotas_(settings.first_start),
         retries_(MakeRetryBudgetParameters(settings.bounds)),
+        quarantine_(
+            part_quarantine_parameters{},
+            [this](const quarantine_event& event) { LogQuarantine(event); }),
         ledger_(settings.name + "/" + std::to_string(incarnation_),
                 kRetainedUsageWindows),
         group_(settings.name),
@@ -184,6 +191,7 @@
                                   connections_,
                                   quotas_,
                                   retries_,
+                                  quarantine_,
                                   adapter_.names,
                                   relay_parameters{},
                                   gate_parameters{},
@@ -196,6 +204,7 @@
                                   {},
                                   {},
                                   {},
+                                  {},
                                   {}};
     ApplyBounds(environment);
     environment.active_tables = [this] { return replica_.tables(); };
@@ -213,6 +222,7 @@
       ledger_.RecordBegun(workspace, median_clock_.NowMs(clock_()) /
                                          settings_.bounds.usage_window.count());
     };
+    environment.on_quarantine_changed = [this] { TellQuarantineNews(); };
     environment.on_attempt_failed = [this](const attempt_record& record) {
       metrics_.RecordFailedAttempt(record);
       WriteLog(ToLogEntry(record));
@@ -310,6 +320,8 @@
                {{"upstream", id}, {"state", "lapsed"}});
     }
     metrics_.SetClients(server_.clients());
+    quarantine_.Tick(now);
+    TellQuarantineNews();
     SendReportIfDue(now);
   }
 
@@ -321,8 +333,12 @@
     group_.SetLiveTimeout(silence);
     quotas_.SetPeerTimeout(silence);
     balancer_.SetMaxPeerReportAge(std::max(kMinPeerLoadLifetime, silence));
+    const std::vector<endpoint> peers = group_.ReportTargets(now);
+    ReportQuarantines(quarantine_schedule_.NextTargets(
+                          peers, kReportsPerQuarantineReport * period, now),
+                      now);
     std::vector<endpoint> targets =
-        report_schedule_.NextTargets(group_.ReportTargets(now), period, now);
+        report_schedule_.NextTargets(peers, period, now);
     if (now >= next_lost_peer_report_) {
       next_lost_peer_report_ = now + kLostPeerReportInterval;
       const std::vector<endpoint> lost = group_.PresumedGone(now);
@@ -333,6 +349,35 @@
     }
   }
 
+  void ReportQuarantines(const std::vector<endpoint>& targets, time_point now) {
+    quarantine_notice notice;
+    notice.quarantined = quarantine_.Report(now);
+    metrics_.SetQuarantines(notice.quarantined.size());
+    for (const std::string& bytes : EncodeNotice(notice)) {
+      for (const endpoint& target : targets) {
+        channel_.Send(target, bytes);
+      }
+    }
+  }
+
+  void TellQuarantineNews() {
+    const quarantine_notice notice = quarantine_.TakeNotice();
+    if (!notice.empty()) {
+      Broadcast(EncodeNotice(notice));
+    }
+  }
+
+  void LogQuarantine(const quarantine_event& event) {
+    metrics_.RecordQuarantineChange(std::string(event.what));
+    LogEvent(log_level::kWarn, "prompt parts " + std::string(event.what),
+             {{"source", std::string(event.source)},
+              {"part_keys", ToString(event.entry.parts)},
+              {"first_crash_age_ms",
+               std::to_string(event.entry.first_crash_age.count())},
+              {"remaining_ms", std::to_string(event.entry.remaining.count())},
+              {"relapses", std::to_string(event.entry.relapses)}});
+  }
+
   void SendReport(const peer_report& report,
                   const std::vector<endpoint>& targets) {
     const std::vector<std::string> datagrams = EncodeReport(report);
@@ -360,7 +405,11 @@
   }
 
   void PassOn(const table_changes& changes) {
-    broadcasts_.Add(EncodeChanges(changes), group_.ReportTargets(clock_()));
+    Broadcast(EncodeChanges(changes));
+  }
+
+  void Broadcast(const std::vector<std::string>& datagrams) {
+    broadcasts_.Add(datagrams, group_.ReportTargets(clock_()));
     SendBroadcasts();
   }
 
@@ -377,11 +426,7 @@
   void OnDatagram(const endpoint& from, std::string_view bytes) {
     const std::optional<peer_report> report = DecodeReport(bytes);
     if (!report.has_value()) {
-      const std::optional<table_changes> changes = DecodeChanges(bytes);
-      metrics_.RecordDatagram(changes.has_value());
-      if (changes.has_value()) {
-        replica_.OnPeerChanges(*changes);
-      }
+      OnOtherDatagram(bytes);
       return;
     }
     metrics_.RecordDatagram(true);
@@ -403,6 +448,20 @@
                              report->upstreams_position);
   }
 
+  void OnOtherDatagram(std::string_view bytes) {
+    const std::optional<table_changes> changes = DecodeChanges(bytes);
+    if (changes.has_value()) {
+      metrics_.RecordDatagram(true);
+      replica_.OnPeerChanges(*changes);
+      return;
+    }
+    const std::optional<quarantine_notice> notice = DecodeNotice(bytes);
+    metrics_.RecordDatagram(notice.has_value());
+    if (notice.has_value()) {
+      quarantine_.OnNotice(*notice, clock_());
+    }
+  }
+
   [[nodiscard]] bool IsReady(time_point now) const {
     const tables_snapshot active = replica_.tables();
     return !shutdown_at_.has_value() && active.tables != nullptr &&
@@ -489,6 +548,7 @@
   upstream_connections connections_;
   token_quotas quotas_;
   service_retry_budget retries_;
+  part_quarantine quarantine_;
   usage_ledger ledger_;
   fleet_planner planner_{fleet_planner_parameters{}};
   peer_group group_;
@@ -502,6 +562,7 @@
   duty_runner duties_;
   time_point next_lost_peer_report_{};
   report_schedule report_schedule_;
+  report_schedule quarantine_schedule_;
   broadcast_queue broadcasts_{kBroadcastBytesPerSecond};
   event_loop::handle_ptr broadcast_timer_;
   event_loop::handle_ptr housekeeping_timer_;
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -85,15 +85,10 @@
   generation_ = ParseGenerationShape(
       request_.head.headers.Get(environment_.names.token_counts),
       request_.head.headers.Get(environment_.names.prompt_parts));
-  if (!AcquireQuota()) {
+  ChooseRoutedService();
+  if (!CheckQuarantine() || !AcquireQuota()) {
     return;
   }
-  service_name_ = ChooseService(*gate_.route, environment_.uniform_random());
-  record_.service = service_name_;
-  const service_pool* pool = tables_.tables->FindPool(service_name_);
-  if (pool != nullptr && pool->engine.has_value()) {
-    cache_tokens_ = pool->engine->cache_tokens;
-  }
   // The workspace's rank takes precedence over the route's rank.
   const int workspace_rank =
       gate_.workspace == nullptr ? 0 : gate_.workspace->rank;
@@ -145,6 +140,27 @@
   return false;
 }
 
+void relay_request::ChooseRoutedService() {
+  service_name_ = ChooseService(*gate_.route, environment_.uniform_random());
+  record_.service = service_name_;
+  const service_pool* pool = tables_.tables->FindPool(service_name_);
+  if (pool != nullptr && pool->engine.has_value()) {
+    cache_tokens_ = pool->engine->cache_tokens;
+    prompt_ = MakePromptKey(service_name_, generation_);
+  }
+}
+
+bool relay_request::CheckQuarantine() {
+  const quarantine_verdict verdict =
+      environment_.quarantine.Decide(prompt_, environment_.clock());
+  if (verdict.decision == quarantine_decision::kAllowed) {
+    return true;
+  }
+  RespondWithError(kUnavailable, std::string(ToString(verdict.decision)),
+                   verdict.remaining);
+  return false;
+}
+
 bool relay_request::AcquireQuota() {
   const workspace_entry* workspace = gate_.workspace;
   if (workspace == nullptr || workspace->tokens_per_second <= 0) {
@@ -289,6 +305,7 @@
 void relay_request::OnHead(const message_head& head) {
   const time_point now = environment_.clock();
   environment_.balancer.RecordByte(attempt_->placed.upstream.id, now);
+  RecordSignOfLife(now);
   attempt_->last_byte_at = now;
   attempt_->head = head;
   const bool event_stream =
@@ -315,6 +332,7 @@
 void relay_request::OnBody(std::string_view bytes) {
   const time_point now = environment_.clock();
   environment_.balancer.RecordByte(attempt_->placed.upstream.id, now);
+  RecordSignOfLife(now);
   if (attempt_->execution_started) {
     record_.longest_pause = std::max(
         record_.longest_pause,
@@ -417,6 +435,9 @@
   } else {
     response_.Finish();
   }
+  if (attempt_->first_output_at.has_value()) {
+    RecordSuccess();
+  }
   CloseAttempt(upstream_outcome::kSuccess);
   RecordEnd(status, "answered");
 }
@@ -430,11 +451,41 @@
   const bool head_only = request_.head.method == "HEAD";
   response_.Send(status, ClientResponseHeaders(head), attempt_->body,
                  head_only ? head.content_length : std::nullopt);
+  if (IsSuccess(status)) {
+    RecordSuccess();
+  }
   CloseAttempt(status < kFirstServerError ? upstream_outcome::kSuccess
                                           : upstream_outcome::kFailure);
   RecordEnd(status, "answered");
 }
 
+void relay_request::RecordSignOfLife(time_point now) {
+  if (environment_.quarantine.HasUnconfirmedCrashes(now)) {
+    environment_.quarantine.RecordByte(
+        UpstreamKey(attempt_->placed.upstream.id), now);
+  }
+}
+
+void relay_request::RecordSuccess() {
+  environment_.quarantine.RecordSuccess(prompt_, environment_.clock());
+  environment_.on_quarantine_changed();
+}
+
+void relay_request::RecordIfCrash(attempt_failure failure, time_point now) {
+  const bool is_late = attempt_->first_output_at.has_value() &&
+                       now - *attempt_->first_output_at >
+                           environment_.parameters.first_output_window;
+  if (failure != attempt_failure::kBroken || is_late ||
+      prompt_.shared.empty()) {
+    return;
+  }
+  environment_.quarantine.RecordCrash(
+      {UpstreamKey(attempt_->placed.upstream.id), prompt_.request,
+       attempt_->head.has_value(), prompt_.shared},
+      now);
+  environment_.on_quarantine_changed();
+}
+
 attempt_record relay_request::DescribeFailure(attempt_failure failure,
                                               time_point now) const {
   attempt_record record;
@@ -449,6 +500,7 @@
     record.output_age = std::chrono::duration_cast<milliseconds>(
         now - *attempt_->first_output_at);
   }
+  record.part_keys = ToString(prompt_.shared);
   for (const prompt_part& part : generation_.parts) {
     record.prompt_parts.append(record.prompt_parts.empty() ? "" : ",")
         .append(part.id);
@@ -460,6 +512,7 @@
   record_.last_failure = std::string(ToString(failure));
   const time_point now = environment_.clock();
   environment_.on_attempt_failed(DescribeFailure(failure, now));
+  RecordIfCrash(failure, now);
   const std::string upstream = attempt_->placed.upstream.id;
   const bool sent = failure != attempt_failure::kNoConnection;
   if (sent) {
@@ -513,14 +566,17 @@
     RecordEnd(0, "client_gone");
     return;
   }
-  if (may_retry) {
+  const quarantine_decision quarantine =
+      environment_.quarantine.Decide(prompt_, now).decision;
+  if (may_retry && quarantine == quarantine_decision::kAllowed) {
     StartNextAttempt();
     return;
   }
-  EndWithError(ChooseFinalResponse(may_have_executed_, response_started_,
-                                   RemainingTime(now).count() <= 0),
-               std::string(ToString(failure)),
-               environment_.parameters.other_node_retry);
+  EndWithError(
+      ChooseFinalResponse(may_have_executed_, response_started_,
+                          RemainingTime(now).count() <= 0),
+      std::string(may_retry ? ToString(quarantine) : ToString(failure)),
+      environment_.parameters.other_node_retry);
 }
 
 void relay_request::CloseAttempt(upstream_outcome outcome) {
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -65,6 +65,9 @@
   };
 
   bool CheckGate();
+  void ChooseRoutedService();
+  /// Rejects the request if its prompt crashes upstreams.
+  bool CheckQuarantine();
   bool AcquireQuota();
   void SetDeadline();
   [[nodiscard]] milliseconds RemainingTime(time_point now) const;
@@ -93,6 +96,10 @@
   /// executed.
   void Fail(attempt_failure failure);
   void CloseAttempt(upstream_outcome outcome);
+  /// Records a byte, a success or a failure of the attempt for the quarantine.
+  void RecordSignOfLife(time_point now);
+  void RecordSuccess();
+  void RecordIfCrash(attempt_failure failure, time_point now);
   [[nodiscard]] attempt_record DescribeFailure(attempt_failure failure,
                                                time_point now) const;
   void CheckUpstreamSilence(time_point now);
@@ -115,6 +122,7 @@
   std::string request_id_;
   std::string service_name_;
   generation_shape generation_;
+  prompt_key prompt_;
   int urgency_ = 0;
   /// Cache of one engine of the pool, in tokens; 0 for a service without a
   /// model.
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -223,6 +223,8 @@
   upstream_connections connections;
   token_quotas quotas{true};
   service_retry_budget retries{service_retry_budget_parameters{}};
+  part_quarantine quarantine{part_quarantine_parameters{},
+                             [](const quarantine_event&) {}};
   std::vector<request_record> records;
   std::vector<attempt_record> failed_attempts;
   /// Time since the shutdown request; negative before it.
@@ -264,6 +266,7 @@
         connections,
         quotas,
         retries,
+        quarantine,
         names,
         relay_parameters{},
         gate_parameters{},
@@ -278,6 +281,7 @@
         [] { return 0.5; },
         [this] { return since_shutdown; },
         [](const std::string&) {},
+        [] {},
         [this](const attempt_record& record) {
           failed_attempts.push_back(record);
         },
