Relay: a stream that ends inside an event has been broken off

What callers saw: a stream whose upstream ended in the middle of an event arrived with a final chunk, as a complete answer, and the half event in it. Cause: the rest of the last event was forwarded and the response finished whenever the upstream's message was complete. For a stream with neither a length nor chunks each orderly close completes the message. Change: a stream that ends inside an event is a broken attempt, which is resumed where the route allows it; so is one that ends with its connection before its first event.

--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -413,6 +413,13 @@
   }
 }
 
+bool relay_request::IsWholeStream() const {
+  const message_head& head = *attempt_->head;
+  const bool framed = head.chunked || head.content_length.has_value();
+  return splitter_.remainder().empty() &&
+         (framed || attempt_->first_output_at.has_value());
+}
+
 void relay_request::OnWholeResponse() {
   const std::optional<attempt_failure> failure =
       ClassifyFailure(*attempt_->head);
@@ -424,14 +431,15 @@
     ForwardWholeResponse();
     return;
   }
-  const int status = attempt_->head->status;
-  if (!splitter_.remainder().empty() && response_started_) {
-    response_.WriteChunk(splitter_.remainder());
+  if (!IsWholeStream()) {
+    Fail(attempt_failure::kBroken);
+    return;
   }
+  const int status = attempt_->head->status;
   if (!response_started_) {
     // The stream ended without an event.
-    response_.Send(status, ClientResponseHeaders(*attempt_->head),
-                   splitter_.remainder(), std::nullopt);
+    response_.Send(status, ClientResponseHeaders(*attempt_->head), "",
+                   std::nullopt);
   } else {
     response_.Finish();
   }
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -80,6 +80,9 @@
   void OnEnd(exchange_result result);
   void RecordExecutionStarted();
   void OnWholeResponse();
+  /// Whether the stream that has ended was not broken off: it ends with a whole
+  /// event, and one that ends with its connection has at least one.
+  [[nodiscard]] bool IsWholeStream() const;
   /// Forwards complete events that the client does not have yet.
   void ForwardEvents(std::string_view bytes);
   /// True for a success response that is not proven to be this upstream's
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -206,9 +206,20 @@
            "\r\nX-Sig: s\r\nContent-Type: text/event-stream\r\n"
            "Transfer-Encoding: chunked\r\n\r\n";
   }
+  /// The head of an event stream with neither a length nor chunks, which ends
+  /// with its connection.
+  static std::string UnframedStreamHead(
+      const scripted_upstream::received_request& request) {
+    return "HTTP/1.1 200 OK\r\nX-Id: " + request.head.headers.Get("X-Id") +
+           "\r\nX-Sig: s\r\nContent-Type: text/event-stream\r\n\r\n";
+  }
+  /// One event.
+  static std::string Event(int id) {
+    return "id: " + std::to_string(id) + "\ndata: x\n\n";
+  }
   /// One event as one chunk.
   static std::string EventChunk(int id) {
-    const std::string event = "id: " + std::to_string(id) + "\ndata: x\n\n";
+    const std::string event = Event(id);
     constexpr int kHex = 16;
     const auto size = static_cast<int>(event.size());
     const char digits[] = "0123456789abcdef";
--- a/tests/relay/scripted_upstream.h
+++ b/tests/relay/scripted_upstream.h
@@ -31,6 +31,8 @@
     std::function<void(const std::string&)> write;
     /// Closes the connection.
     std::function<void()> close;
+    /// Resets the connection.
+    std::function<void()> reset;
     /// Becomes true when the other side has closed the connection.
     std::shared_ptr<bool> closed;
   };
@@ -111,6 +113,10 @@
            }
          },
          [this, client] { loop_.Defer([client] { client->socket.reset(); }); },
+         [this, client] {
+           client->socket->ResetOnClose();
+           loop_.Defer([client] { client->socket.reset(); });
+         },
          client->closed});
     if (on_request_) {
       on_request_(requests.back());
