Quarantine: keep quarantines in the store

Cause: quarantines were known to running nodes only; after the end of all nodes the part crashed upstreams again until it had been found anew, and a node cut off from its peers had to find it alone. Change: two nodes by rendezvous order write the quarantines in force to a table of the store after a change (one read, one write), each node reads it once at its start, and again after a crash while it hears less than half of its peers. Times are on the store's clock.

--- a/src/skylarkcroft/quarantine/skylarkcroft_part_quarantine.cc
+++ b/src/skylarkcroft/quarantine/skylarkcroft_part_quarantine.cc
@@ -138,17 +138,24 @@
   return std::exchange(untold_, {});
 }
 
-std::vector<quarantined_parts> part_quarantine::Report(time_point now) const {
-  std::vector<quarantined_parts> report;
-  // The latest are at the end.
-  for (auto entry = quarantined_.rbegin();
-       entry != quarantined_.rend() && report.size() < parameters_.max_reported;
-       ++entry) {
-    if (!entry->lapsed) {
-      report.push_back(Describe(*entry, now));
+std::vector<quarantined_parts> part_quarantine::Entries(time_point now) const {
+  std::vector<quarantined_parts> entries;
+  for (const quarantine& entry : quarantined_) {
+    if (!entry.lapsed) {
+      entries.push_back(Describe(entry, now));
     }
   }
-  return report;
+  return entries;
+}
+
+std::vector<quarantined_parts> part_quarantine::Report(time_point now) const {
+  std::vector<quarantined_parts> entries = Entries(now);
+  if (entries.size() > parameters_.max_reported) {
+    entries.erase(
+        entries.begin(),
+        entries.end() - static_cast<std::ptrdiff_t>(parameters_.max_reported));
+  }
+  return entries;
 }
 
 void part_quarantine::RememberSuccess(part_key part, time_point at) {
--- a/src/skylarkcroft/quarantine/skylarkcroft_part_quarantine.h
+++ b/src/skylarkcroft/quarantine/skylarkcroft_part_quarantine.h
@@ -106,7 +106,9 @@
 
   /// Removes and returns what is to be told to all peers at once.
   [[nodiscard]] quarantine_notice TakeNotice();
-  /// What is told in each periodic report.
+  /// All quarantines in force.
+  [[nodiscard]] std::vector<quarantined_parts> Entries(time_point now) const;
+  /// What is told in each periodic report: the latest of them.
   [[nodiscard]] std::vector<quarantined_parts> Report(time_point now) const;
 
  private:
--- a/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
@@ -86,6 +86,14 @@
       .Increment();
 }
 
+void relay_metrics::RecordArchiveCall(std::string_view outcome) {
+  registry_
+      .Counter({"skylarkcroft_quarantine_store_calls_total",
+                "Calls to the store that read or write quarantines.",
+                {{"outcome", std::string(outcome)}}})
+      .Increment();
+}
+
 void relay_metrics::SetClients(size_t clients) {
   clients_.Set(static_cast<double>(clients));
 }
--- a/src/skylarkcroft/relay/skylarkcroft_relay_metrics.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.h
@@ -2,6 +2,7 @@
 #define SKYLARKCROFT_RELAY_SKYLARKCROFT_RELAY_METRICS_H_
 
 #include <string>
+#include <string_view>
 
 #include "skylarkcroft/metrics/skylarkcroft_metrics_registry.h"
 #include "skylarkcroft/relay/skylarkcroft_attempt_record.h"
@@ -20,6 +21,8 @@
   void RecordStoreContact(const std::string& table, bool reachable);
   /// Counts a peer report; `readable` is false if it could not be decoded.
   void RecordDatagram(bool readable);
+  /// Counts a call to the store that reads or writes quarantines.
+  void RecordArchiveCall(std::string_view outcome);
   /// Counts a log line that the rate limit suppressed.
   void RecordLogLineDropped();
   void SetClients(size_t clients);
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "skylarkcroft/control/skylarkcroft_rendezvous.h"
 #include "skylarkcroft/duties/skylarkcroft_duty_runner.h"
 #include "skylarkcroft/duties/skylarkcroft_fleet_planner.h"
 #include "skylarkcroft/duties/skylarkcroft_usage_ledger.h"
@@ -21,6 +22,7 @@
 #include "skylarkcroft/peers/skylarkcroft_report_schedule.h"
 #include "skylarkcroft/placement/skylarkcroft_load_balancer.h"
 #include "skylarkcroft/quarantine/skylarkcroft_part_quarantine.h"
+#include "skylarkcroft/quarantine/skylarkcroft_quarantine_archive.h"
 #include "skylarkcroft/quarantine/skylarkcroft_quarantine_notice.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_environment.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_metrics.h"
@@ -61,6 +63,8 @@
 constexpr double kMaxReadyAgeShare = 0.5;
 // Quarantines are told in one of so many reports.
 constexpr int kReportsPerQuarantineReport = 5;
+// Nodes that write quarantines to the store; two, so that one may fail.
+constexpr size_t kArchiveWriters = 2;
 // Time kept to exit before the process would be killed.
 constexpr milliseconds kExitMargin{400};
 constexpr int kOkStatus = 200;
@@ -120,6 +124,10 @@
         quarantine_(
             part_quarantine_parameters{},
             [this](const quarantine_event& event) { LogQuarantine(event); }),
+        archive_(store, quarantine_, clock_,
+                 [this](store_outcome outcome) {
+                   metrics_.RecordArchiveCall(ToString(outcome));
+                 }),
         ledger_(settings.name + "/" + std::to_string(incarnation_),
                 kRetainedUsageWindows),
         group_(settings.name),
@@ -322,6 +330,7 @@
     metrics_.SetClients(server_.clients());
     quarantine_.Tick(now);
     TellQuarantineNews();
+    archive_.Tick(now, ArchiveRole(now));
     SendReportIfDue(now);
   }
 
@@ -367,8 +376,17 @@
     }
   }
 
+  [[nodiscard]] archive_role ArchiveRole(time_point now) const {
+    const std::vector<std::string> peers = group_.LivePeers(now);
+    const size_t others = group_.NodeCount(now) - 1;
+    return {RendezvousPosition("quarantines", settings_.name, peers) <
+                kArchiveWriters,
+            2 * peers.size() < others};
+  }
+
   void LogQuarantine(const quarantine_event& event) {
     metrics_.RecordQuarantineChange(std::string(event.what));
+    archive_.OnChange();
     LogEvent(log_level::kWarn, "prompt parts " + std::string(event.what),
              {{"source", std::string(event.source)},
               {"part_keys", ToString(event.entry.parts)},
@@ -549,6 +567,7 @@
   token_quotas quotas_;
   service_retry_budget retries_;
   part_quarantine quarantine_;
+  quarantine_archive archive_;
   usage_ledger ledger_;
   fleet_planner planner_{fleet_planner_parameters{}};
   peer_group group_;
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -521,7 +521,6 @@
   const time_point now = environment_.clock();
   environment_.on_attempt_failed(DescribeFailure(failure, now));
   RecordIfCrash(failure, now);
-  const std::string upstream = attempt_->placed.upstream.id;
   const bool sent = failure != attempt_failure::kNoConnection;
   if (sent) {
     ++record_.upstreams_used;
@@ -552,6 +551,26 @@
     ForwardWholeResponse();
     return;
   }
+  CloseFailedAttempt(failure);
+  if (may_retry && response_.HasClientLeft()) {
+    RecordEnd(0, "client_gone");
+    return;
+  }
+  const quarantine_decision quarantine =
+      environment_.quarantine.Decide(prompt_, now).decision;
+  if (may_retry && quarantine == quarantine_decision::kAllowed) {
+    StartNextAttempt();
+    return;
+  }
+  EndWithError(
+      ChooseFinalResponse(may_have_executed_, response_started_,
+                          RemainingTime(now).count() <= 0),
+      std::string(may_retry ? ToString(quarantine) : ToString(failure)),
+      environment_.parameters.other_node_retry);
+}
+
+void relay_request::CloseFailedAttempt(attempt_failure failure) {
+  const std::string upstream = attempt_->placed.upstream.id;
   switch (failure) {
     case attempt_failure::kNoConnection:
       CloseAttempt(upstream_outcome::kUnreachable);
@@ -570,21 +589,6 @@
       CloseAttempt(upstream_outcome::kFailure);
       break;
   }
-  if (may_retry && response_.HasClientLeft()) {
-    RecordEnd(0, "client_gone");
-    return;
-  }
-  const quarantine_decision quarantine =
-      environment_.quarantine.Decide(prompt_, now).decision;
-  if (may_retry && quarantine == quarantine_decision::kAllowed) {
-    StartNextAttempt();
-    return;
-  }
-  EndWithError(
-      ChooseFinalResponse(may_have_executed_, response_started_,
-                          RemainingTime(now).count() <= 0),
-      std::string(may_retry ? ToString(quarantine) : ToString(failure)),
-      environment_.parameters.other_node_retry);
 }
 
 void relay_request::CloseAttempt(upstream_outcome outcome) {
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -99,6 +99,7 @@
   /// executed.
   void Fail(attempt_failure failure);
   void CloseAttempt(upstream_outcome outcome);
+  void CloseFailedAttempt(attempt_failure failure);
   /// Records a byte, a success or a failure of the attempt for the quarantine.
   void RecordSignOfLife(time_point now);
   void RecordSuccess();
--- /dev/null
+++ b/tests/quarantine/quarantine_archive_test.cc
@@ -0,0 +1,211 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "skylarkcroft/quarantine/skylarkcroft_quarantine_archive.h"
+
+namespace skylarkcroft {
+namespace {
+
+constexpr part_key kBad = 7;
+constexpr part_key kOther = 8;
+
+/// A store in memory; calls end when Answer() is called.
+class memory_store final : public row_store {
+ public:
+  void Read(const std::string& table, store_done_fn done) override {
+    ++reads;
+    pending_.emplace_back([this, table, done] {
+      if (!reachable) {
+        done({});
+        return;
+      }
+      done({store_outcome::kDone, rows, version, now});
+    });
+  }
+  void Watch(const std::string& /*table*/, int64_t /*version*/,
+             milliseconds /*wait*/, store_done_fn /*done*/) override {}
+  void Commit(const row_transaction& transaction, store_done_fn done) override {
+    ++writes;
+    pending_.emplace_back([this, transaction, done] {
+      if (!reachable) {
+        done({});
+        return;
+      }
+      for (const row_change& change : transaction.changes) {
+        std::erase_if(
+            rows, [&](const stored_row& row) { return row.key == change.key; });
+        if (change.value.has_value()) {
+          rows.push_back({change.table, change.key, *change.value, ++version});
+        }
+      }
+      done({store_outcome::kDone, {}, version, now});
+    });
+  }
+  void Answer() {
+    while (!pending_.empty()) {
+      for (const auto& call : std::exchange(pending_, {})) {
+        call();
+      }
+    }
+  }
+
+  std::vector<stored_row> rows;
+  int64_t version = 0;
+  milliseconds now{500000};
+  bool reachable = true;
+  int reads = 0;
+  int writes = 0;
+
+ private:
+  std::vector<std::function<void()>> pending_;
+};
+
+/// A node with its archive.
+struct archive_bench {
+  explicit archive_bench(memory_store& used)
+      : store(used),
+        archive(
+            used, node, [this] { return now; }, [](store_outcome) {}) {}
+
+  void Pass(milliseconds span, const archive_role& role) {
+    for (milliseconds passed{0}; passed < span; passed += milliseconds(100)) {
+      now += milliseconds(100);
+      store.now += milliseconds(100);
+      node.Tick(now);
+      archive.Tick(now, role);
+      store.Answer();
+    }
+  }
+  void Crash(uint32_t number) {
+    node.RecordCrash({number, number, true, {kBad}}, now);
+  }
+  void Quarantine(const archive_role& role) {
+    for (uint32_t number = 1; number <= 3; ++number) {
+      Crash(number);
+      Pass(milliseconds(500), role);
+    }
+  }
+  [[nodiscard]] bool IsRejected(part_key part) const {
+    return node.Decide({99, {part}}, now).decision !=
+           quarantine_decision::kAllowed;
+  }
+
+  memory_store& store;
+  time_point now{std::chrono::seconds(1000)};
+  part_quarantine node{part_quarantine_parameters{},
+                       [this](const quarantine_event&) { archive.OnChange(); }};
+  quarantine_archive archive;
+};
+
+constexpr archive_role kWriter{true, false};
+constexpr archive_role kReader{false, false};
+constexpr archive_role kIsolated{false, true};
+
+}  // namespace
+
+// Guards against crashes that begin anew after all nodes were restarted.
+TEST_CASE("A quarantine outlasts the end of all nodes",
+          "[quarantine][archive][regression]") {
+  memory_store store;
+  {
+    archive_bench writer(store);
+    writer.Quarantine(kWriter);
+    writer.Pass(milliseconds(2000), kWriter);
+  }
+  REQUIRE(store.rows.size() == 1);
+  archive_bench started(store);
+  CHECK_FALSE(started.IsRejected(kBad));
+  started.Pass(milliseconds(1000), kReader);
+  CHECK(started.IsRejected(kBad));
+  const std::vector<quarantined_parts> entries =
+      started.node.Entries(started.now);
+  REQUIRE(entries.size() == 1);
+  CHECK(entries.front().remaining < milliseconds(118000));
+}
+
+TEST_CASE("A quarantine that was cleared is removed from the store",
+          "[quarantine][archive]") {
+  memory_store store;
+  archive_bench writer(store);
+  writer.Quarantine(kWriter);
+  writer.Pass(milliseconds(2000), kWriter);
+  REQUIRE(store.rows.size() == 1);
+  writer.node.RecordSuccess({1, {kBad}}, writer.now);
+  writer.Pass(milliseconds(2000), kWriter);
+  CHECK(store.rows.empty());
+}
+
+TEST_CASE("A writer keeps what other nodes have stored",
+          "[quarantine][archive]") {
+  memory_store store;
+  archive_bench writer(store);
+  writer.Pass(milliseconds(1000), kWriter);
+  const row_change row = EncodeQuarantineRow(
+      {{kOther}, milliseconds(100), milliseconds(60000), 0}, store.now);
+  store.rows.push_back({row.table, row.key, *row.value, 1});
+  writer.Quarantine(kWriter);
+  writer.Pass(milliseconds(2000), kWriter);
+  CHECK(store.rows.size() == 2);
+  CHECK(writer.IsRejected(kOther));
+}
+
+TEST_CASE("Calls to the store are few", "[quarantine][archive][bounds]") {
+  memory_store store;
+  archive_bench reader(store);
+  reader.Quarantine(kReader);
+  reader.Pass(milliseconds(60000), kReader);
+  CHECK(store.reads == 1);
+  CHECK(store.writes == 0);
+  archive_bench writer(store);
+  writer.Quarantine(kWriter);
+  writer.Pass(milliseconds(60000), kWriter);
+  CHECK(store.reads <= 1 + 2);
+  CHECK(store.writes == 1);
+}
+
+TEST_CASE("A node that is cut off from its peers learns from the store",
+          "[quarantine][archive][cut]") {
+  memory_store store;
+  archive_bench cut(store);
+  cut.Pass(milliseconds(2000), kIsolated);
+  archive_bench writer(store);
+  writer.Quarantine(kWriter);
+  writer.Pass(milliseconds(2000), kWriter);
+  cut.Crash(9);
+  cut.Pass(milliseconds(200), kIsolated);
+  CHECK(cut.IsRejected(kBad));
+}
+
+TEST_CASE("An archive whose store is away tries again",
+          "[quarantine][archive]") {
+  memory_store store;
+  const row_change row = EncodeQuarantineRow(
+      {{kOther}, milliseconds(100), milliseconds(60000), 0}, store.now);
+  store.rows.push_back({row.table, row.key, *row.value, 1});
+  store.reachable = false;
+  archive_bench node(store);
+  node.Pass(milliseconds(3000), kReader);
+  CHECK_FALSE(node.IsRejected(kOther));
+  store.reachable = true;
+  node.Pass(milliseconds(1500), kReader);
+  CHECK(node.IsRejected(kOther));
+}
+
+TEST_CASE("Rows that cannot be read and those that have ended are ignored",
+          "[quarantine][archive]") {
+  memory_store store;
+  store.rows.push_back({"quarantines", "a", "no json", 1});
+  store.rows.push_back({"quarantines", "b", R"({"parts": []})", 2});
+  const row_change old = EncodeQuarantineRow(
+      {{kOther}, milliseconds(100), milliseconds(-5000), 0}, store.now);
+  store.rows.push_back({old.table, old.key, *old.value, 3});
+  archive_bench node(store);
+  node.Pass(milliseconds(1000), kReader);
+  CHECK(node.node.Entries(node.now).empty());
+}
+
+}  // namespace skylarkcroft
