Node: reject prompts whose beginning crashes engines

The same cause as in the relay, in the node of the native interface: a prompt that crashed an engine was retried at the others and sent by each further request with the same beginning. Change: the node knows a prompt by the hashes of its first 1, 2, 4, 8 ... blocks, uses the same quarantine and exchanges its notices over the mesh. Rejected requests get 503 prompt_quarantined before they are sent. Engines that crash before the first token count half for the rule on repeats, since the node does not see the response's head.

--- a/src/skylarkcroft/http/skylarkcroft_refusal_reason.cc
+++ b/src/skylarkcroft/http/skylarkcroft_refusal_reason.cc
@@ -29,6 +29,8 @@
      "Over the caller's limit"},
     {refusal_reason::kOverShare, 429, "over_share", "Over the fair share"},
     {refusal_reason::kNoUpstream, 503, "no_upstream", "No upstream available"},
+    {refusal_reason::kPromptQuarantined, 503, "prompt_quarantined",
+     "Prompt crashes upstreams"},
     {refusal_reason::kUpstreamFailed, 502, "upstream_failed",
      "Upstream failed"},
     {refusal_reason::kUpstreamTimeout, 504, "upstream_timeout",
--- a/src/skylarkcroft/http/skylarkcroft_refusal_reason.h
+++ b/src/skylarkcroft/http/skylarkcroft_refusal_reason.h
@@ -18,6 +18,7 @@
   kOverCallerLimit,      ///< The caller's own limit is used up.
   kOverShare,            ///< The caller or rank holds more than its share.
   kNoUpstream,
+  kPromptQuarantined,  ///< Parts of the prompt crash upstreams.
   kUpstreamFailed,
   kUpstreamTimeout,
   kOutcomeUnknown,
@@ -31,7 +32,7 @@
 };
 
 /// Every reason, for counters that exist from the start.
-inline constexpr std::array<refusal_reason, 20> kRefusalReasons = {
+inline constexpr std::array<refusal_reason, 21> kRefusalReasons = {
     refusal_reason::kUnauthenticated,
     refusal_reason::kNoRoute,
     refusal_reason::kMethodNotAllowed,
@@ -42,6 +43,7 @@
     refusal_reason::kOverCallerLimit,
     refusal_reason::kOverShare,
     refusal_reason::kNoUpstream,
+    refusal_reason::kPromptQuarantined,
     refusal_reason::kUpstreamFailed,
     refusal_reason::kUpstreamTimeout,
     refusal_reason::kOutcomeUnknown,
--- a/src/skylarkcroft/node/skylarkcroft_node.cc
+++ b/src/skylarkcroft/node/skylarkcroft_node.cc
@@ -28,6 +28,7 @@
 #include "skylarkcroft/node/skylarkcroft_node_handover.h"
 #include "skylarkcroft/node/skylarkcroft_node_mesh.h"
 #include "skylarkcroft/node/skylarkcroft_node_metrics.h"
+#include "skylarkcroft/node/skylarkcroft_node_quarantine.h"
 #include "skylarkcroft/node/skylarkcroft_operators_api.h"
 #include "skylarkcroft/node/skylarkcroft_pool_windows.h"
 #include "skylarkcroft/node/skylarkcroft_registry_streams.h"
@@ -98,6 +99,7 @@
                  SteadyNow),
         claims_(loop, *store_, commits_, SteadyNow, WallNowMs),
         node_metrics_(metrics_),
+        quarantine_(log, metrics_),
         windows_(directory_, [this] { return LiveNodes(); }),
         admission_(MakeAdmission()),
         runs_(MakeRunEnvironment()),
@@ -166,6 +168,7 @@
       node_metrics_.CountUpstreamEvent(ToString(event));
     });
     mesh_->OnTick([this](const mesh_time& at) { UpdateLimits(at.now); });
+    quarantine_.Join(*mesh_);
     front_.SetReady(false);
     loader_.Poll();
   }
@@ -275,6 +278,7 @@
         client_,
         directory_,
         claims_,
+        quarantine_.parts(),
         MakeChoice(),
         [this](const std::string& pool) {
           BudgetOf(pool).RecordFirstAttempt();
@@ -442,6 +446,7 @@
       std::make_shared<prefix_tracker>(kTrackedBlocksPerUpstream);
   std::map<std::string, retry_budget> budgets_;
   std::map<std::string, recent_latency> first_token_times_;
+  node_quarantine quarantine_;
   pool_windows windows_;
   std::unique_ptr<admission> admission_;
   request_registry registry_;
--- a/src/skylarkcroft/node/skylarkcroft_request_run.cc
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.cc
@@ -6,6 +6,8 @@
 
 #include "skylarkcroft/attempt/skylarkcroft_service_request.h"
 #include "skylarkcroft/http/skylarkcroft_http_client.h"
+#include "skylarkcroft/placement/skylarkcroft_upstream_load.h"
+#include "skylarkcroft/routing/skylarkcroft_prompt_prefix.h"
 #include "skylarkcroft/routing/skylarkcroft_upstream_directory.h"
 
 namespace skylarkcroft {
@@ -36,6 +38,10 @@
       request_(std::move(request)),
       on_end_(std::move(on_end)),
       claim_(environment_.claims) {
+  if (request_.completion) {
+    prompt_ = MakePromptKey(request_.target.name,
+                            HashPrompt(request_.completion->prompt));
+  }
   const duration left = request_.deadline - environment_.clock();
   deadline_timer_ = environment_.loop.After(left, [this] {
     Fail(refusal_reason::kUpstreamTimeout, "the deadline has passed",
@@ -200,7 +206,45 @@
   return query;
 }
 
+bool request_run::FailIfQuarantined(time_point now) {
+  const quarantine_verdict verdict =
+      environment_.quarantine.Decide(prompt_, now);
+  if (verdict.decision == quarantine_decision::kAllowed) {
+    return false;
+  }
+  environment_.count_event(ToString(verdict.decision));
+  if (tries_ == 0) {
+    Fail(refusal_reason::kPromptQuarantined,
+         "requests with parts of this prompt crashed upstreams",
+         std::chrono::ceil<std::chrono::seconds>(verdict.remaining));
+  } else {
+    Fail(refusal_reason::kUpstreamFailed,
+         "upstreams crash under parts of this prompt", std::nullopt);
+  }
+  return true;
+}
+
+void request_run::RecordForQuarantine(const attempt_result& result,
+                                      const std::string& upstream_name,
+                                      time_point now) {
+  if (result.outcome == attempt_outcome::kComplete) {
+    environment_.quarantine.RecordSuccess(prompt_, now);
+    return;
+  }
+  const bool is_late = try_first_token_at_.has_value() &&
+                       now - *try_first_token_at_ > kFirstOutputWindow;
+  if (result.outcome == attempt_outcome::kBroken && !is_late) {
+    environment_.quarantine.RecordCrash(
+        {UpstreamKey(upstream_name), prompt_.request,
+         try_first_token_at_.has_value(), prompt_.shared},
+        now);
+  }
+}
+
 void request_run::StartTry(time_point now) {
+  if (FailIfQuarantined(now)) {
+    return;
+  }
   const std::vector<upstream_state>& members =
       environment_.directory.UpstreamsInPool(request_.target.name);
   const std::optional<std::string> chosen =
@@ -263,6 +307,7 @@
 
 void request_run::SendToEngine(const upstream& target, time_point now) {
   try_started_ = now;
+  try_first_token_at_.reset();
   engine_attempt_callbacks events;
   events.on_token = [this](int64_t /*offset*/, const std::string& data) {
     OnToken(data);
@@ -371,8 +416,14 @@
 
 void request_run::OnToken(const std::string& data) {
   may_have_run_ = true;
+  const time_point now = environment_.clock();
+  if (!try_first_token_at_.has_value()) {
+    try_first_token_at_ = now;
+  }
+  if (environment_.quarantine.HasUnconfirmedCrashes(now)) {
+    environment_.quarantine.RecordByte(UpstreamKey(upstream_name_), now);
+  }
   if (answer_->tokens().empty()) {
-    const time_point now = environment_.clock();
     environment_.note_first_token(request_.matched_route.work_rank,
                                   now - request_.arrived);
     environment_.note_try_first_token(request_.target.name, now - try_started_);
@@ -384,6 +435,9 @@
   const time_point now = environment_.clock();
   may_have_run_ = may_have_run_ || result.may_have_run;
   const upstream from = current_upstream_;
+  if (request_.completion) {
+    RecordForQuarantine(result, from.name, now);
+  }
   DropTry(result.outcome, now);
   if (ended_) {
     return;
--- a/src/skylarkcroft/node/skylarkcroft_request_run.h
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.h
@@ -18,6 +18,7 @@
 #include "skylarkcroft/claims/skylarkcroft_request_claim.h"
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
 #include "skylarkcroft/internal/skylarkcroft_time.h"
+#include "skylarkcroft/quarantine/skylarkcroft_part_quarantine.h"
 #include "skylarkcroft/routing/skylarkcroft_upstream_choice.h"
 
 namespace skylarkcroft {
@@ -31,6 +32,7 @@
   http_client& client;
   upstream_directory& directory;
   claim_store& claims;
+  part_quarantine& quarantine;
   choose_fn choose;
   /// Notes a first try in the pool's retry budget.
   std::function<void(const std::string& pool)> note_first_try;
@@ -102,6 +104,10 @@
   void OnClaim(const claim_result& found, const std::function<void()>& on_held);
   void OnUnknownClaim(const std::string& upstream_name);
   void StartTry(time_point now);
+  /// Ends the request if its prompt crashes upstreams; returns whether it does.
+  bool FailIfQuarantined(time_point now);
+  void RecordForQuarantine(const attempt_result& result,
+                           const std::string& upstream_name, time_point now);
   void MarkAndSend(const upstream& target);
   void Send(const upstream& target, time_point now);
   void SendToEngine(const upstream& target, time_point now);
@@ -150,6 +156,9 @@
   /// Upstream of a second try beside the current one.
   std::optional<upstream> hedge_upstream_;
   time_point try_started_{};
+  /// When the first token of the current try arrived.
+  std::optional<time_point> try_first_token_at_;
+  prompt_key prompt_;
   std::string upstream_name_;
   std::string last_zone_;
   std::vector<std::string> tried_;
--- a/src/skylarkcroft/quarantine/skylarkcroft_crash_evidence.cc
+++ b/src/skylarkcroft/quarantine/skylarkcroft_crash_evidence.cc
@@ -65,12 +65,18 @@
   }
 }
 
-int crash_evidence::CrashesOfRequest(part_key request, time_point since) const {
-  return static_cast<int>(
-      std::count_if(records_.begin(), records_.end(), [&](const record& known) {
-        return known.suspect.request == request &&
-               known.suspect.response_begun && known.at >= since;
-      }));
+double crash_evidence::CrashesOfRequest(part_key request,
+                                        time_point since) const {
+  constexpr double kNotBegun = 0.5;
+  double crashes = 0;
+  for (const record& known : records_) {
+    if (known.suspect.request != request || known.at < since ||
+        IsBystander(known)) {
+      continue;
+    }
+    crashes += known.suspect.response_begun ? 1 : kNotBegun;
+  }
+  return crashes;
 }
 
 bool crash_evidence::Contains(part_key part) const {
--- a/src/skylarkcroft/quarantine/skylarkcroft_crash_evidence.h
+++ b/src/skylarkcroft/quarantine/skylarkcroft_crash_evidence.h
@@ -12,6 +12,10 @@
 
 namespace skylarkcroft {
 
+/// A response that breaks off later than this after its first output was not
+/// broken off by its start.
+inline constexpr milliseconds kFirstOutputWindow{150};
+
 /// An attempt whose connection broke before or just after the first output, so
 /// that it may be what crashed its upstream.
 struct crash_suspect {
@@ -86,9 +90,10 @@
   /// min_unspecific_span.
   [[nodiscard]] std::optional<accusation> FindAccusation(time_point now,
                                                          bool wait) const;
-  /// Number of upstreams that crashed since `since` after they had begun the
-  /// response to one request.
-  [[nodiscard]] int CrashesOfRequest(part_key request, time_point since) const;
+  /// Number of upstreams that crashed under one request since `since`; a crash
+  /// before the response had begun counts half.
+  [[nodiscard]] double CrashesOfRequest(part_key request,
+                                        time_point since) const;
   [[nodiscard]] bool Contains(part_key part) const;
   [[nodiscard]] bool HasUnconfirmed(time_point now) const;
   [[nodiscard]] bool HasUnconfirmed(uint32_t upstream, time_point now) const;
--- a/src/skylarkcroft/quarantine/skylarkcroft_part_quarantine.h
+++ b/src/skylarkcroft/quarantine/skylarkcroft_part_quarantine.h
@@ -25,7 +25,7 @@
   milliseconds warm_up{10000};
   /// A request is rejected for `repeat_block` after this many upstreams
   /// crashed under it.
-  int max_crashes_of_request = 2;
+  double max_crashes_of_request = 2;
   milliseconds repeat_block{15000};
   /// Length of the first quarantine of a part. Each relapse doubles it.
   milliseconds first_quarantine{120000};
--- a/src/skylarkcroft/quarantine/skylarkcroft_prompt_key.cc
+++ b/src/skylarkcroft/quarantine/skylarkcroft_prompt_key.cc
@@ -27,6 +27,25 @@
   return key;
 }
 
+prompt_key MakePromptKey(std::string_view service,
+                         const prompt_prefix& prefix) {
+  prompt_key key;
+  if (prefix.block_hashes.empty()) {
+    return key;
+  }
+  const uint64_t seed = XXH3_64bits(service.data(), service.size());
+  const auto key_of = [seed](uint64_t hash) {
+    return XXH3_64bits_withSeed(&hash, sizeof hash, seed);
+  };
+  key.request = key_of(prefix.block_hashes.back());
+  for (size_t blocks = 1; blocks < prefix.block_hashes.size() &&
+                          key.shared.size() < kMaxSharedParts;
+       blocks *= 2) {
+    key.shared.push_back(key_of(prefix.block_hashes[blocks - 1]));
+  }
+  return key;
+}
+
 std::string ToString(const std::vector<part_key>& parts) {
   constexpr size_t kMaxTextBytes = 20;
   std::string text;
--- a/src/skylarkcroft/quarantine/skylarkcroft_prompt_key.h
+++ b/src/skylarkcroft/quarantine/skylarkcroft_prompt_key.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "skylarkcroft/placement/skylarkcroft_prompt_parts.h"
+#include "skylarkcroft/routing/skylarkcroft_prompt_prefix.h"
 
 namespace skylarkcroft {
 
@@ -29,6 +30,10 @@
 prompt_key MakePromptKey(std::string_view service,
                          const generation_shape& shape);
 
+/// The same for a prompt that is known by the hashes of its beginnings: its
+/// shared parts are those of 1, 2, 4, 8 and so on blocks.
+prompt_key MakePromptKey(std::string_view service, const prompt_prefix& prefix);
+
 /// Hexadecimal, separated by commas, for logs.
 std::string ToString(const std::vector<part_key>& parts);
 
--- a/src/skylarkcroft/relay/skylarkcroft_relay_parameters.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_parameters.h
@@ -21,9 +21,6 @@
   /// The limit for a service without a model, as a share of the time that the
   /// request was given.
   double service_silence_share = 0.4;
-  /// A response that breaks off this long after its first output or later was
-  /// not broken off by its start.
-  milliseconds first_output_window{150};
   /// Time limit of a request whose client states none. The route's timeout can
   /// shorten it; a timeout of 0 in the table does not.
   milliseconds default_time_limit{30000};
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -481,8 +481,7 @@
 
 void relay_request::RecordIfCrash(attempt_failure failure, time_point now) {
   const bool is_late = attempt_->first_output_at.has_value() &&
-                       now - *attempt_->first_output_at >
-                           environment_.parameters.first_output_window;
+                       now - *attempt_->first_output_at > kFirstOutputWindow;
   if (failure != attempt_failure::kBroken || is_late ||
       prompt_.shared.empty()) {
     return;
--- a/tests/quarantine/quarantine_fleet.cc
+++ b/tests/quarantine/quarantine_fleet.cc
@@ -17,8 +17,6 @@
 constexpr milliseconds kDownTime{3300};
 constexpr milliseconds kTick{100};
 constexpr milliseconds kCrashDelay{10};
-// Output this old shows that the start of the response did not crash.
-constexpr milliseconds kFirstOutputWindow{150};
 // Pause between two tokens of a response.
 constexpr milliseconds kOutputPause{40};
 constexpr milliseconds kClientPause{100};
--- a/tests/quarantine/quarantine_notice_test.cc
+++ b/tests/quarantine/quarantine_notice_test.cc
@@ -69,7 +69,7 @@
   CHECK(key.shared == other.shared);
   CHECK(key.request != other.request);
   CHECK(key.shared != elsewhere.shared);
-  CHECK(MakePromptKey("pool", {}) == prompt_key{});
+  CHECK(MakePromptKey("pool", generation_shape{}) == prompt_key{});
 }
 
 TEST_CASE("The memory of successes is bounded and keeps what is used",
