Peers: hear a node that starts again after its clock was set back

What callers saw: nothing at first; peers ignored all reports of such a node, so that its load, quotas and usage were missing until its clock had caught up with the start before, 40 minutes for a step of 2,400 s either way (a start while the clock is ahead hides all later ones). Cause: the incarnation is the wall time of the start and had to rise. Change: a lower incarnation is taken once the process before has been silent for the live timeout; the latest eight replaced ones are remembered, so that late datagrams of them are ignored. Evidence: the new test failed before (report ignored, node not live).

--- a/src/skylarkcroft/peers/skylarkcroft_peer_group.cc
+++ b/src/skylarkcroft/peers/skylarkcroft_peer_group.cc
@@ -13,6 +13,9 @@
 // partition for which reconnecting is worthwhile.
 constexpr milliseconds kForgottenAfter{600000};
 
+// Late datagrams of this many earlier processes of a node are recognized.
+constexpr size_t kMaxReplaced = 8;
+
 }  // namespace
 
 peer_group::peer_group(std::string self) : self_(std::move(self)) {}
@@ -37,12 +40,18 @@
     return false;
   }
   peer& node = peers_[name];
-  const bool stale =
-      incarnation < node.incarnation ||
-      (incarnation == node.incarnation && sequence <= node.sequence);
+  const bool same_process = incarnation == node.incarnation;
+  const bool stale = same_process ? sequence <= node.sequence
+                                  : IsReplaced(node, incarnation, now);
   if (stale) {
     return false;
   }
+  if (!same_process && node.has_reported) {
+    node.replaced.push_back(node.incarnation);
+    if (node.replaced.size() > kMaxReplaced) {
+      node.replaced.pop_front();
+    }
+  }
   node.address = address;
   node.incarnation = incarnation;
   node.sequence = sequence;
@@ -52,6 +61,18 @@
   return true;
 }
 
+bool peer_group::IsReplaced(const peer& node, int64_t incarnation,
+                            time_point now) const {
+  if (std::find(node.replaced.begin(), node.replaced.end(), incarnation) !=
+      node.replaced.end()) {
+    return true;
+  }
+  // Incarnations rise unless the node's clock was set back. Its new process is
+  // then heard once the one before is silent.
+  return node.has_reported && incarnation < node.incarnation &&
+         now - node.reported_at <= live_timeout_;
+}
+
 bool peer_group::MayBeServing(const peer& node, time_point now) {
   const time_point last_seen =
       node.has_reported ? node.reported_at : node.listed_at;
--- a/src/skylarkcroft/peers/skylarkcroft_peer_group.h
+++ b/src/skylarkcroft/peers/skylarkcroft_peer_group.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -45,6 +46,8 @@
   struct peer {
     endpoint address;
     int64_t incarnation = 0;
+    /// Incarnations of the latest processes before this one.
+    std::deque<int64_t> replaced;
     int64_t sequence = 0;
     bool is_draining = false;
     bool has_reported = false;
@@ -53,6 +56,9 @@
   };
 
   [[nodiscard]] static bool MayBeServing(const peer& node, time_point now);
+  /// Whether a report comes from a process that another has replaced.
+  [[nodiscard]] bool IsReplaced(const peer& node, int64_t incarnation,
+                                time_point now) const;
 
   std::string self_;
   milliseconds live_timeout_{700};
--- a/tests/peers/peer_report_test.cc
+++ b/tests/peers/peer_report_test.cc
@@ -155,6 +155,24 @@
   CHECK_FALSE(group.OnReport("self", kAddress, 9, 1, false, kStart));
 }
 
+// Guards against a node that no peer hears for as long as its clock was set
+// back: the incarnation is the wall time of the start.
+TEST_CASE("A node that starts again after its clock was set back is heard",
+          "[peers][clock_step][regression]") {
+  peer_group group("self");
+  constexpr int64_t kStarted = 10000000;
+  constexpr int64_t kSetBack = 2400000;
+  REQUIRE(group.OnReport("n1", kAddress, kStarted, 50, false, kStart));
+  const time_point restarted = kStart + milliseconds(2000);
+  CHECK(
+      group.OnReport("n1", kAddress, kStarted - kSetBack, 1, false, restarted));
+  CHECK(group.LivePeers(restarted) == std::vector<std::string>{"n1"});
+  // A late datagram of the process before.
+  CHECK_FALSE(group.OnReport("n1", kAddress, kStarted, 51, false, restarted));
+  CHECK(
+      group.OnReport("n1", kAddress, kStarted - kSetBack, 2, false, restarted));
+}
+
 TEST_CASE(
     "A silent peer is counted for a while but not live; a draining one is not "
     "live",
