Duties: the first window to report follows a corrected clock

What was seen: a node that started while its clock was ahead reported no usage for as long as the clock had been ahead; one that started while it was behind reported windows before its start, with zeros. Cause: the window in which the process started was worked out once, at a moment when no peer had told the time yet. Change: it is worked out from the process's age and the present estimate.

--- a/src/skylarkcroft/duties/skylarkcroft_duty_runner.cc
+++ b/src/skylarkcroft/duties/skylarkcroft_duty_runner.cc
@@ -44,8 +44,7 @@
       self_(self),
       parameters_(parameters),
       lease_(kDutiesTable, self, parameters.lease),
-      first_window_(environment_.true_time_ms(environment_.clock()) /
-                    parameters.window.count()),
+      started_at_(environment_.clock()),
       timer_(environment_.loop.Every(parameters.tick_period,
                                      [this] { Tick(); })) {}
 
@@ -55,6 +54,11 @@
   return {self_.name, lease_.fence()};
 }
 
+int64_t duty_runner::FirstWindow(time_point now) const {
+  return (environment_.true_time_ms(now) - ElapsedMs(started_at_, now)) /
+         parameters_.window.count();
+}
+
 void duty_runner::Tick() {
   const time_point now = environment_.clock();
   // Calls sent by the previous lease holder must have ended first.
@@ -189,8 +193,8 @@
   const int64_t oldest_due = (true_ms - parameters_.max_report_delay.count()) /
                              parameters_.window.count();
   const int64_t window =
-      std::max({journal_.NewestWindow().value_or(first_window_ - 1) + 1,
-                oldest_due, first_window_});
+      std::max({journal_.NewestWindow().value_or(FirstWindow(now) - 1) + 1,
+                oldest_due, FirstWindow(now)});
   if (window > newest_settled) {
     return std::nullopt;
   }
--- a/src/skylarkcroft/duties/skylarkcroft_duty_runner.h
+++ b/src/skylarkcroft/duties/skylarkcroft_duty_runner.h
@@ -89,14 +89,16 @@
   void SendUsage(time_point now);
   void SendOrders(time_point now);
   [[nodiscard]] duty_authority Authority() const;
+  /// Window in which this process started, by the present estimate of the time:
+  /// the clock may have been wrong at the start.
+  [[nodiscard]] int64_t FirstWindow(time_point now) const;
 
   duty_environment environment_;
   lease_member self_;
   duty_parameters parameters_;
   pool_lease lease_;
   usage_journal journal_;
-  /// Window in which this process started.
-  int64_t first_window_;
+  time_point started_at_;
   /// Windows whose report the cloud accepted from this process.
   std::set<int64_t> accepted_windows_;
   time_point next_read_at_{};
--- a/tests/quarantine/quarantine_archive_test.cc
+++ b/tests/quarantine/quarantine_archive_test.cc
@@ -1,11 +1,9 @@
-#include <algorithm>
 #include <catch2/catch.hpp>
-#include <functional>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "skylarkcroft/quarantine/skylarkcroft_quarantine_archive.h"
+#include "tests/store/memory_row_store.h"
 
 namespace skylarkcroft {
 namespace {
@@ -13,60 +11,9 @@
 constexpr part_key kBad = 7;
 constexpr part_key kOther = 8;
 
-/// A store in memory; calls end when Answer() is called.
-class memory_store final : public row_store {
- public:
-  void Read(const std::string& table, store_done_fn done) override {
-    ++reads;
-    pending_.emplace_back([this, table, done] {
-      if (!reachable) {
-        done({});
-        return;
-      }
-      done({store_outcome::kDone, rows, version, now});
-    });
-  }
-  void Watch(const std::string& /*table*/, int64_t /*version*/,
-             milliseconds /*wait*/, store_done_fn /*done*/) override {}
-  void Commit(const row_transaction& transaction, store_done_fn done) override {
-    ++writes;
-    pending_.emplace_back([this, transaction, done] {
-      if (!reachable) {
-        done({});
-        return;
-      }
-      for (const row_change& change : transaction.changes) {
-        std::erase_if(
-            rows, [&](const stored_row& row) { return row.key == change.key; });
-        if (change.value.has_value()) {
-          rows.push_back({change.table, change.key, *change.value, ++version});
-        }
-      }
-      done({store_outcome::kDone, {}, version, now});
-    });
-  }
-  void Answer() {
-    while (!pending_.empty()) {
-      for (const auto& call : std::exchange(pending_, {})) {
-        call();
-      }
-    }
-  }
-
-  std::vector<stored_row> rows;
-  int64_t version = 0;
-  milliseconds now{500000};
-  bool reachable = true;
-  int reads = 0;
-  int writes = 0;
-
- private:
-  std::vector<std::function<void()>> pending_;
-};
-
 /// A node with its archive.
 struct archive_bench {
-  explicit archive_bench(memory_store& used)
+  explicit archive_bench(memory_row_store& used)
       : store(used),
         archive(
             used, node, [this] { return now; }, [](store_outcome) {}) {}
@@ -94,7 +41,7 @@
            quarantine_decision::kAllowed;
   }
 
-  memory_store& store;
+  memory_row_store& store;
   time_point now{std::chrono::seconds(1000)};
   part_quarantine node{part_quarantine_parameters{},
                        [this](const quarantine_event&) { archive.OnChange(); }};
@@ -110,7 +57,7 @@
 // Guards against crashes that begin anew after all nodes were restarted.
 TEST_CASE("A quarantine outlasts the end of all nodes",
           "[quarantine][archive][regression]") {
-  memory_store store;
+  memory_row_store store;
   {
     archive_bench writer(store);
     writer.Quarantine(kWriter);
@@ -129,7 +76,7 @@
 
 TEST_CASE("A quarantine that was cleared is removed from the store",
           "[quarantine][archive]") {
-  memory_store store;
+  memory_row_store store;
   archive_bench writer(store);
   writer.Quarantine(kWriter);
   writer.Pass(milliseconds(2000), kWriter);
@@ -141,7 +88,7 @@
 
 TEST_CASE("A writer keeps what other nodes have stored",
           "[quarantine][archive]") {
-  memory_store store;
+  memory_row_store store;
   archive_bench writer(store);
   writer.Pass(milliseconds(1000), kWriter);
   const row_change row = EncodeQuarantineRow(
@@ -154,7 +101,7 @@
 }
 
 TEST_CASE("Calls to the store are few", "[quarantine][archive][bounds]") {
-  memory_store store;
+  memory_row_store store;
   archive_bench reader(store);
   reader.Quarantine(kReader);
   reader.Pass(milliseconds(60000), kReader);
@@ -169,7 +116,7 @@
 
 TEST_CASE("A node that is cut off from its peers learns from the store",
           "[quarantine][archive][cut]") {
-  memory_store store;
+  memory_row_store store;
   archive_bench cut(store);
   cut.Pass(milliseconds(2000), kIsolated);
   archive_bench writer(store);
@@ -182,7 +129,7 @@
 
 TEST_CASE("An archive whose store is away tries again",
           "[quarantine][archive]") {
-  memory_store store;
+  memory_row_store store;
   const row_change row = EncodeQuarantineRow(
       {{kOther}, milliseconds(100), milliseconds(60000), 0}, store.now);
   store.rows.push_back({row.table, row.key, *row.value, 1});
@@ -197,7 +144,7 @@
 
 TEST_CASE("Rows that cannot be read and those that have ended are ignored",
           "[quarantine][archive]") {
-  memory_store store;
+  memory_row_store store;
   store.rows.push_back({"quarantines", "a", "no json", 1});
   store.rows.push_back({"quarantines", "b", R"({"parts": []})", 2});
   const row_change old = EncodeQuarantineRow(
