Duties: a holder that is refused as outdated stops using its token

Cause: a usage report answered 409 counted as "none available" and was sent again every 400 ms with the same fencing token, until the lease was lost as well. Change: 409 to a usage report means outdated; the holder makes no call with that token any more and gives the lease up, so that a holder with a higher one follows. 409 to an order stays "none available": the two cannot be told apart there, and the lease bounds it.

--- a/src/skylarkcroft/duties/skylarkcroft_duty_calls.cc
+++ b/src/skylarkcroft/duties/skylarkcroft_duty_calls.cc
@@ -19,6 +19,8 @@
       return "unavailable";
     case duty_outcome::kRefused:
       return "refused";
+    case duty_outcome::kOutdated:
+      return "outdated";
     case duty_outcome::kUnknown:
       return "unknown";
   }
--- a/src/skylarkcroft/duties/skylarkcroft_duty_calls.h
+++ b/src/skylarkcroft/duties/skylarkcroft_duty_calls.h
@@ -46,6 +46,7 @@
   kAccepted,
   kUnavailable,  ///< The cloud has none of the ordered upstreams at present.
   kRefused,      ///< Rejected without effect; may be retried.
+  kOutdated,     ///< Rejected: a higher fencing token has been used.
   kUnknown,      ///< No definite response; may have been accepted.
 };
 
--- a/src/skylarkcroft/duties/skylarkcroft_duty_runner.cc
+++ b/src/skylarkcroft/duties/skylarkcroft_duty_runner.cc
@@ -59,10 +59,15 @@
          parameters_.window.count();
 }
 
+bool duty_runner::IsOutdated() const {
+  return outdated_fence_ > 0 && lease_.fence() <= outdated_fence_;
+}
+
 void duty_runner::Tick() {
   const time_point now = environment_.clock();
   // Calls sent by the previous lease holder must have ended first.
-  const bool acting = lease_.MayAct(now) && lease_.PreviousOrdersExpired(now);
+  const bool acting =
+      lease_.MayAct(now) && lease_.PreviousOrdersExpired(now) && !IsOutdated();
   if (acting != was_acting_) {
     was_acting_ = acting;
     environment_.on_event(acting ? "duties held" : "duties not held",
@@ -75,7 +80,8 @@
   if (read_in_flight_ || lease_.writing()) {
     return;
   }
-  const size_t position = releasing_
+  const bool gives_up = releasing_ || (lease_.MayAct(now) && IsOutdated());
+  const size_t position = gives_up
                               ? parameters_.lease.watcher_count
                               : RendezvousPosition(kDutiesTable, self_.name,
                                                    environment_.members());
@@ -218,7 +224,8 @@
   usage_in_flight_ = true;
   const std::weak_ptr<bool> alive = alive_;
   environment_.calls.ReportUsage(
-      Authority(), report, [this, alive, report](duty_outcome outcome) {
+      Authority(), report,
+      [this, alive, report, fence = lease_.fence()](duty_outcome outcome) {
         if (alive.expired()) {
           return;
         }
@@ -231,6 +238,9 @@
           accepted_windows_.insert(report.window);
           return;
         }
+        if (outcome == duty_outcome::kOutdated) {
+          outdated_fence_ = std::max(outdated_fence_, fence);
+        }
         next_usage_at_ = environment_.clock() + parameters_.usage_retry_delay;
       });
 }
--- a/src/skylarkcroft/duties/skylarkcroft_duty_runner.h
+++ b/src/skylarkcroft/duties/skylarkcroft_duty_runner.h
@@ -92,6 +92,8 @@
   /// Window in which this process started, by the present estimate of the time:
   /// the clock may have been wrong at the start.
   [[nodiscard]] int64_t FirstWindow(time_point now) const;
+  /// Whether a call with the present fencing token was refused as outdated.
+  [[nodiscard]] bool IsOutdated() const;
 
   duty_environment environment_;
   lease_member self_;
@@ -106,6 +108,8 @@
   bool read_in_flight_ = false;
   bool usage_in_flight_ = false;
   bool order_in_flight_ = false;
+  /// Highest fencing token that was refused as outdated.
+  int64_t outdated_fence_ = 0;
   bool releasing_ = false;
   bool was_acting_ = false;
   event_loop::handle_ptr timer_;
--- a/src/skylarkcroft/duties/skylarkcroft_fleet_planner.cc
+++ b/src/skylarkcroft/duties/skylarkcroft_fleet_planner.cc
@@ -338,6 +338,7 @@
       last.not_before = now + parameters_.unavailable_retry_delay;
       return;
     case duty_outcome::kRefused:
+    case duty_outcome::kOutdated:
     case duty_outcome::kUnknown:
       last.count.reset();
       last.not_before = now + parameters_.order_retry_delay;
--- a/tests/duties/duty_runner_test.cc
+++ b/tests/duties/duty_runner_test.cc
@@ -22,7 +22,10 @@
                    duty_done_fn done) override {
     tokens.push_back(authority.fencing_token);
     windows.push_back(report.window);
-    loop_.Defer([done] { done(duty_outcome::kAccepted); });
+    const duty_outcome outcome = authority.fencing_token < lowest_accepted
+                                     ? duty_outcome::kOutdated
+                                     : duty_outcome::kAccepted;
+    loop_.Defer([done, outcome] { done(outcome); });
   }
   void OrderFleet(const duty_authority& /*authority*/,
                   const fleet_order& /*order*/,
@@ -30,6 +33,7 @@
 
   std::vector<int64_t> tokens;  ///< Fencing tokens of the reports, in order.
   std::vector<int64_t> windows;
+  int64_t lowest_accepted = 0;
 
  private:
   event_loop& loop_;
@@ -96,6 +100,18 @@
         bench.calls.windows.end());
 }
 
+// Guards against a holder that goes on calling after another has taken over.
+TEST_CASE("A holder whose call is refused as outdated stops using its token",
+          "[duties][fencing][regression]") {
+  duty_bench bench;
+  bench.calls.lowest_accepted = 2;
+  bench.Run(milliseconds(4000));
+  CHECK(std::count(bench.calls.tokens.begin(), bench.calls.tokens.end(), 1) ==
+        1);
+  CHECK(std::any_of(bench.calls.tokens.begin(), bench.calls.tokens.end(),
+                    [](int64_t token) { return token > 1; }));
+}
+
 // Guards against usage that nobody reports after a node started while its clock
 // was wrong.
 TEST_CASE("A node that started with a wrong clock reports usage once corrected",
