--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -616,7 +616,20 @@
     return;
   }
   ApplyBackpressure();
-  CheckUpstreamSilence(now);
+  if (!RecallIfQuarantined(now)) {
+    CheckUpstreamSilence(now);
+  }
+}
+
+bool relay_request::RecallIfQuarantined(time_point now) {
+  const bool waiting =
+      attempt_ != nullptr && !attempt_->first_output_at.has_value();
+  if (!waiting || environment_.quarantine.Decide(prompt_, now).decision !=
+                      quarantine_decision::kPartQuarantined) {
+    return false;
+  }
+  AbortRequest(std::string(ToString(quarantine_decision::kPartQuarantined)));
+  return true;
 }
 
 bool relay_request::IsEngineTimedOut(milliseconds silence,
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -106,6 +106,9 @@
   void RecordIfCrash(attempt_failure failure, time_point now);
   [[nodiscard]] attempt_record DescribeFailure(attempt_failure failure,
                                                time_point now) const;
+  /// Cancels an attempt without output if its prompt has been quarantined since
+  /// it was sent; returns whether it has.
+  bool RecallIfQuarantined(time_point now);
   void CheckUpstreamSilence(time_point now);
   /// `silence` is the time since the attempt's last byte.
   [[nodiscard]] bool IsEngineTimedOut(milliseconds silence,
--- a/tests/relay/relay_quarantine_test.cc
+++ b/tests/relay/relay_quarantine_test.cc
@@ -91,6 +91,32 @@
   CHECK(engines.crashes_seen == 2);
 }
 
+// Guards against crashes by requests that were on their way to an upstream when
+// their part was found.
+TEST_CASE(
+    "Requests that wait for an upstream are recalled when their part is "
+    "quarantined",
+    "[relay][quarantine][regression]") {
+  crashing_engines engines;
+  fixture& relay = engines.relay;
+  relay.SetHandler([](const received_request&) {});
+  raw_client client(relay.loop, relay.server.address());
+  client.Send(fixture::Request("/stream/", "r1",
+                               "X-Tokens: 10,5\r\nX-Parts: common:5,bad:2,a:1"
+                               "\r\n"));
+  REQUIRE(relay.Await([&] { return relay.RequestCount() == 1; }));
+  const prompt_key prompt =
+      MakePromptKey("pool", ParseGenerationShape("10,5", "bad:2,a:1"));
+  quarantine_notice notice;
+  notice.quarantined = {
+      {prompt.shared, milliseconds(500), milliseconds(60000), 0}};
+  relay.quarantine.OnNotice(notice, SteadyNow());
+  REQUIRE(relay.Await([&] { return !relay.records.empty(); }));
+  CHECK(relay.records.back().status == 502);
+  CHECK(relay.records.back().reason == "part_quarantined");
+  CHECK(relay.Await([&] { return *relay.FirstRequest().closed; }));
+}
+
 TEST_CASE("A failed attempt is described with its prompt and what had arrived",
           "[relay][log]") {
   crashing_engines engines;
