--- a/src/skylarkcroft/quarantine/skylarkcroft_part_quarantine.h
+++ b/src/skylarkcroft/quarantine/skylarkcroft_part_quarantine.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "skylarkcroft/internal/skylarkcroft_time.h"
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -361,7 +361,7 @@
   void ReportQuarantines(const std::vector<endpoint>& targets, time_point now) {
     quarantine_notice notice;
     notice.quarantined = quarantine_.Report(now);
-    metrics_.SetQuarantines(notice.quarantined.size());
+    metrics_.SetQuarantines(quarantine_.Entries(now).size());
     for (const std::string& bytes : EncodeNotice(notice)) {
       for (const endpoint& target : targets) {
         channel_.Send(target, bytes);
--- a/tests/quarantine/crash_evidence_test.cc
+++ b/tests/quarantine/crash_evidence_test.cc
@@ -16,11 +16,11 @@
   void Crash(part_key request, const std::vector<part_key>& parts,
              bool begun = true) {
     now += kPause;
-    Bystander(request, parts, begun, ++upstream_);
+    AddSuspect(request, parts, begun, ++upstream_);
   }
   /// A suspect of the latest crash.
   void Also(part_key request, const std::vector<part_key>& parts, bool begun) {
-    Bystander(request, parts, begun, upstream_);
+    AddSuspect(request, parts, begun, upstream_);
   }
   [[nodiscard]] std::vector<part_key> Accused(bool wait = false) const {
     const std::optional<accusation> found =
@@ -33,8 +33,8 @@
   time_point now = kStart;
 
  private:
-  void Bystander(part_key request, const std::vector<part_key>& parts,
-                 bool begun, uint32_t upstream) {
+  void AddSuspect(part_key request, const std::vector<part_key>& parts,
+                  bool begun, uint32_t upstream) {
     evidence.Add({upstream, request, begun, parts}, now);
   }
 
