Followers: ask the store again soon when a peer is ahead

Cause: its follower of the upstreams waited out a backoff of up to 1.6 s after the cut (regained at 14.90 s, the operators' tables at 13.50 s). The removal of the upstream was read then, within the grace for entries that lapse while the store is away, so that it was used until 16.45 s. Change: a report of a peer that knows a newer change shortens the backoff to 0.4 s. Nodes that the store refuses while peers pass the changes on are not behind and keep the long one.

--- a/src/skylarkcroft/store/skylarkcroft_table_follower.cc
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.cc
@@ -39,7 +39,7 @@
   if (watching_ || !watch_from_.has_value() || !current_as_of_.has_value()) {
     return duration(0);
   }
-  if (newest_peer_change_ > *watch_from_) {
+  if (IsBehindPeers()) {
     return std::max(last_call_at_ + parameters_.change_delay,
                     peer_change_at_ + parameters_.peer_changes_delay) -
            now;
@@ -54,6 +54,7 @@
 
 void table_follower::CallWhenDue() {
   const duration time_left = TimeUntilNextCall(clock_());
+  waiting_to_retry_ = false;
   if (time_left > duration(0)) {
     ScheduleNextCall(time_left);
     return;
@@ -78,13 +79,17 @@
   }
   if (peer.newest_change > *watch_from_) {
     const bool new_change = peer.newest_change > newest_peer_change_;
+    const bool was_behind = IsBehindPeers();
     // Later changes do not put off the call for an earlier one.
-    if (newest_peer_change_ <= *watch_from_) {
+    if (!was_behind) {
       peer_change_at_ = clock_();
     }
     newest_peer_change_ = std::max(newest_peer_change_, peer.newest_change);
     if (new_change && waiting_for_poll_) {
       CallWhenDue();
+    } else if (!was_behind && waiting_to_retry_) {
+      // The store is available to a peer.
+      RetryAfter(parameters_.max_backoff);
     }
     return;
   }
@@ -134,6 +139,7 @@
 }
 
 void table_follower::Call() {
+  waiting_to_retry_ = false;
   const time_point sent_at = clock_();
   last_call_at_ = sent_at;
   const std::weak_ptr<bool> alive = alive_;
@@ -239,7 +245,7 @@
 void table_follower::OnFailure(store_outcome why) {
   const int doublings = std::min(failures_++, kMaxBackoffDoublings);
   const milliseconds backoff =
-      std::min(watching_ || !watch_from_.has_value()
+      std::min(watching_ || !watch_from_.has_value() || IsBehindPeers()
                    ? parameters_.max_backoff
                    : parameters_.max_backoff_without_watch,
                parameters_.initial_backoff * (1 << doublings));
@@ -247,6 +253,15 @@
     reachable_ = false;
     events_.on_reachability(false, why, clock_());
   }
+  RetryAfter(backoff);
+}
+
+bool table_follower::IsBehindPeers() const {
+  return watch_from_.has_value() && newest_peer_change_ > *watch_from_;
+}
+
+void table_follower::RetryAfter(milliseconds backoff) {
+  waiting_to_retry_ = true;
   timer_ = loop_.After(Jittered(backoff), [this] { CallWhenDue(); });
 }
 
--- a/src/skylarkcroft/store/skylarkcroft_table_follower.h
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.h
@@ -34,8 +34,8 @@
   /// the maximum.
   milliseconds initial_backoff{100};
   milliseconds max_backoff{400};
-  /// The maximum for a follower with a replica that does not watch. It learns
-  /// from the peers that watch when the store is available again.
+  /// The maximum for a follower with a replica that does not watch, until a
+  /// peer is ahead of it.
   milliseconds max_backoff_without_watch{1600};
 
   bool operator==(const table_follower_parameters&) const = default;
@@ -110,6 +110,9 @@
   void OnRead(time_point sent_at, const store_response& response);
   void OnWatch(time_point sent_at, const store_response& response);
   void OnFailure(store_outcome why);
+  /// Whether a peer has told of a change that the replica does not have.
+  [[nodiscard]] bool IsBehindPeers() const;
+  void RetryAfter(milliseconds backoff);
   /// Hands the rows of a response that are newer than `known` to the peers.
   void PassOn(const store_response& response, int64_t known);
   /// Reports the rows that are newer than the replica and advances it.
@@ -142,6 +145,8 @@
   /// brought forward, unlike a retry after a failure or the delay after a
   /// change.
   bool waiting_for_poll_ = false;
+  /// The last call failed and the next one waits for the backoff.
+  bool waiting_to_retry_ = false;
   int failures_ = 0;  ///< Failed calls since the last success.
   bool reachable_ = false;
   event_loop::handle_ptr timer_;
--- a/tests/adapter/platform_row_store_test.cc
+++ b/tests/adapter/platform_row_store_test.cc
@@ -325,6 +325,26 @@
   }
 }
 
+// Guards against a node that learns of leaving upstreams too late after it was
+// cut off: its next attempt waited out the longest backoff.
+TEST_CASE("A follower that was cut off asks again when a peer is ahead of it",
+          "[adapter][store][follower][cut][regression]") {
+  fixture on;
+  resting_follower one(on);
+  on.standin.fault = store_fault::kRefuse;
+  on.loop.RunFor(milliseconds(4000));
+  on.standin.fault = store_fault::kNone;
+  const int64_t known = one.follower.position()->newest_change;
+  on.standin.Put("t", "a", "1");
+  // The follower waits for its next attempt, which is up to 1.6 s away.
+  for (int attempt = 0; attempt < 5; ++attempt) {
+    on.loop.RunFor(milliseconds(10));
+    one.follower.OnPeerReport({known + 1, resting_follower::StoreClock()});
+  }
+  on.loop.RunFor(milliseconds(500));
+  CHECK(one.seen == 1);
+}
+
 TEST_CASE("A follower leaves peers time to pass on what they have seen",
           "[adapter][store][follower][scale]") {
   fixture on;
