Relay: log how an upstream delimited its answer and what was left of it

What callers saw: broken answers framed as complete; the log could not tell an answer that ended with its connection from one with a length or chunks, nor whether an event was cut. Change: upstream_framing and events in request ended, framing and partial_event_bytes in attempt failed. No logic changes.

--- a/src/skylarkcroft/relay/skylarkcroft_attempt_record.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_attempt_record.cc
@@ -12,6 +12,8 @@
       {"service", record.service},
       {"failure", record.failure},
       {"head_received", record.head_received ? "true" : "false"},
+      {"framing", record.framing},
+      {"partial_event_bytes", std::to_string(record.partial_event_bytes)},
       {"elapsed_ms", std::to_string(record.elapsed.count())},
       {"output_age_ms", record.output_age.has_value()
                             ? std::to_string(record.output_age->count())
--- a/src/skylarkcroft/relay/skylarkcroft_attempt_record.h
+++ b/src/skylarkcroft/relay/skylarkcroft_attempt_record.h
@@ -1,6 +1,7 @@
 #ifndef SKYLARKCROFT_RELAY_SKYLARKCROFT_ATTEMPT_RECORD_H_
 #define SKYLARKCROFT_RELAY_SKYLARKCROFT_ATTEMPT_RECORD_H_
 
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -16,6 +17,11 @@
   std::string upstream{};
   std::string failure{};  ///< Name of the attempt_failure.
   bool head_received = false;
+  /// How the upstream framed its answer: `length`, `chunked`, `connection`, or
+  /// empty before its head.
+  std::string framing{};
+  /// Bytes after the last whole event of a stream.
+  size_t partial_event_bytes = 0;
   /// Time from sending the request to the failure.
   milliseconds elapsed{0};
   /// Time from the first output to the failure; empty without output.
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -29,6 +29,14 @@
 
 bool IsSuccess(int status) { return status >= kOk && status < kFirstRedirect; }
 
+// How the body of a response is delimited.
+std::string_view FramingOf(const message_head& head) {
+  if (head.chunked) {
+    return "chunked";
+  }
+  return head.content_length.has_value() ? "length" : "connection";
+}
+
 // Statuses that tell clients that the request was not executed.
 bool ImpliesNotExecuted(int status) {
   return status == kUnavailable || status == kTooManyRequests ||
@@ -252,6 +260,7 @@
 void relay_request::SendTo(const placement& placed) {
   const time_point now = environment_.clock();
   record_.upstream = placed.upstream.id;
+  record_.upstream_framing.clear();
   record_.candidates = placed.candidates;
   record_.running_there = placed.running;
   record_.unread_there = placed.prefill_tokens;
@@ -308,6 +317,7 @@
   RecordSignOfLife(now);
   attempt_->last_byte_at = now;
   attempt_->head = head;
+  record_.upstream_framing = FramingOf(head);
   const bool event_stream =
       head.headers.Get("Content-Type").starts_with("text/event-stream");
   attempt_->is_stream = event_stream && IsSuccess(head.status) &&
@@ -375,6 +385,7 @@
       last_event_id_ = event.id;
     }
     response_.WriteChunk(event.bytes);
+    ++record_.events;
   }
   if (splitter_.remainder().size() >
       environment_.parameters.max_buffered_response) {
@@ -501,6 +512,10 @@
   record.upstream = attempt_->placed.upstream.id;
   record.failure = std::string(ToString(failure));
   record.head_received = attempt_->head.has_value();
+  if (attempt_->head.has_value()) {
+    record.framing = FramingOf(*attempt_->head);
+  }
+  record.partial_event_bytes = splitter_.remainder().size();
   record.elapsed =
       std::chrono::duration_cast<milliseconds>(now - attempt_->started_at);
   if (attempt_->first_output_at.has_value()) {
--- a/src/skylarkcroft/relay/skylarkcroft_request_record.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_request_record.cc
@@ -46,6 +46,8 @@
       {"first_byte_ms", Ms(record.first_byte)},
       {"longest_pause_ms", Ms(record.longest_pause)},
       {"total_ms", Ms(record.total)},
+      {"upstream_framing", record.upstream_framing},
+      {"events", std::to_string(record.events)},
   };
   return entry;
 }
--- a/src/skylarkcroft/relay/skylarkcroft_request_record.h
+++ b/src/skylarkcroft/relay/skylarkcroft_request_record.h
@@ -41,6 +41,11 @@
   /// Longest pause between two reads from the upstream's response.
   milliseconds longest_pause{0};
   milliseconds total{0};
+  /// How the upstream framed the last answer: `length`, `chunked`,
+  /// `connection`, or empty before its head.
+  std::string upstream_framing{};
+  /// Events of a stream that were sent to the client.
+  int64_t events = 0;
 
   bool operator==(const request_record&) const = default;
 };
