Relay: an answer that is no stream never continues a stream

What callers saw (reported by other operators): a stream had begun and broke off, the next upstream answered with an error, and its head and text stood in the middle of the client's stream. Cause: only statuses from 500 and those that promise 'not run' count as a failure; any other answer that is no stream (a redirect, a 4xx, a 2xx without events) went to the client as a whole answer, also after output. Ruled out: an error from 500 on, and one without a length; both broke the stream before too. Change: once the client has a part of a stream, an answer that is no stream is a failed attempt: another attempt, or the stream is broken off. Evidence: 'An error after output breaks the stream for each kind of client' failed in 32 of 404 checks before (302, 400, 404 and 200 without events, with and without a length), in none now. The other rows of the table passed before.

--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -29,6 +29,11 @@
 
 bool IsSuccess(int status) { return status >= kOk && status < kFirstRedirect; }
 
+bool IsEventStream(const message_head& head) {
+  return IsSuccess(head.status) &&
+         head.headers.Get("Content-Type").starts_with("text/event-stream");
+}
+
 // How the body of a response is delimited.
 std::string_view FramingOf(const message_head& head) {
   if (head.chunked) {
@@ -308,6 +313,11 @@
   if (head.status >= kFirstServerError || ImpliesNotExecuted(head.status)) {
     return attempt_failure::kErrorResponse;
   }
+  if (response_started_ && !IsEventStream(head)) {
+    // Only a stream can continue what the client has got so far.
+    return IsSuccess(head.status) ? attempt_failure::kMalformed
+                                  : attempt_failure::kErrorResponse;
+  }
   return std::nullopt;
 }
 
@@ -318,10 +328,8 @@
   attempt_->last_byte_at = now;
   attempt_->head = head;
   record_.upstream_framing = FramingOf(head);
-  const bool event_stream =
-      head.headers.Get("Content-Type").starts_with("text/event-stream");
-  attempt_->is_stream = event_stream && IsSuccess(head.status) &&
-                        !ClassifyFailure(head).has_value();
+  attempt_->is_stream =
+      IsEventStream(head) && !ClassifyFailure(head).has_value();
 }
 
 void relay_request::RecordExecutionStarted() {
--- /dev/null
+++ b/tests/relay/answer_end_test.cc
@@ -0,0 +1,195 @@
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+
+#include "tests/relay/answer_ends.h"
+#include "tests/relay/relay_fixture.h"
+
+// One test a row of the table in docs/answer-ends.md.
+
+namespace skylarkcroft {
+namespace {
+
+using received_request = scripted_upstream::received_request;
+using fixture = relay_fixture;
+using Catch::Matchers::Contains;
+
+constexpr const char* kFinalChunk = "0\r\n\r\n";
+
+/// One request whose upstream writes `text` and ends its connection.
+class broken_answer {
+ public:
+  void Write(const received_request& request, const std::string& text,
+             closing how) {
+    request.write(text);
+    // A reset discards what has not been read yet.
+    later_ = relay.loop.After(milliseconds(30), how == closing::kReset
+                                                    ? request.reset
+                                                    : request.close);
+  }
+  client_view Ask(client_kind kind, const std::string& path) {
+    client = std::make_unique<raw_client>(relay.loop, relay.server.address());
+    client->Send(RequestOf(kind, path));
+    REQUIRE(relay.Await([&] { return !relay.records.empty(); }));
+    relay.loop.RunFor(milliseconds(150));
+    return ViewOf(*client);
+  }
+
+  fixture relay;
+  std::unique_ptr<raw_client> client;
+
+ private:
+  event_loop::handle_ptr later_;
+};
+
+client_kind AnyClient() {
+  return GENERATE(client_kind::kKeepsOpen, client_kind::kCloses);
+}
+
+framing AnyFraming() {
+  return GENERATE(framing::kLength, framing::kChunked, framing::kConnection);
+}
+
+closing AnyClosing() { return GENERATE(closing::kOrderly, closing::kReset); }
+
+}  // namespace
+
+TEST_CASE("A whole stream is whole for each kind of client",
+          "[relay][answer_end]") {
+  broken_answer run;
+  const client_kind kind = AnyClient();
+  const framing delimited_by = AnyFraming();
+  run.relay.SetHandler([&](const received_request& request) {
+    run.Write(request, AnswerUntil(request, delimited_by, stop::kAtEnd),
+              closing::kOrderly);
+  });
+  CHECK(run.Ask(kind, "/stream/") == client_view::kWhole);
+  CHECK_THAT(run.client->received, Contains("id: 1") && Contains("id: 3"));
+}
+
+// Guards against a broken stream that reaches the client as a complete one.
+TEST_CASE("A stream that is broken off is broken for each kind of client",
+          "[relay][answer_end][regression]") {
+  broken_answer run;
+  const client_kind kind = AnyClient();
+  const framing delimited_by = AnyFraming();
+  const closing how = AnyClosing();
+  const stop at = GENERATE(stop::kInEvent, stop::kBetweenEvents);
+  const bool looks_whole = delimited_by == framing::kConnection &&
+                           at == stop::kBetweenEvents &&
+                           how == closing::kOrderly;
+  if (looks_whole) {
+    return;
+  }
+  run.relay.SetHandler([&](const received_request& request) {
+    run.Write(request, AnswerUntil(request, delimited_by, at), how);
+  });
+  CHECK(run.Ask(kind, "/stream/") == client_view::kBroken);
+  CHECK_THAT(run.client->received, Contains("id: 1") && !Contains("id: 3"));
+}
+
+// Guards against a 200 with an empty body where an upstream closed within its
+// answer's head, or before the first event.
+TEST_CASE("A stream without an event is an error for each kind of client",
+          "[relay][answer_end][regression]") {
+  broken_answer run;
+  const client_kind kind = AnyClient();
+  const framing delimited_by = AnyFraming();
+  const closing how = AnyClosing();
+  const stop at = GENERATE(stop::kInHead, stop::kAfterHead);
+  run.relay.SetHandler([&](const received_request& request) {
+    run.Write(request, AnswerUntil(request, delimited_by, at), how);
+  });
+  CHECK(run.Ask(kind, "/stream/") == client_view::kError);
+}
+
+TEST_CASE("A stream resumed to its end is whole for each kind of client",
+          "[relay][answer_end][resume]") {
+  broken_answer run;
+  const client_kind kind = AnyClient();
+  const framing delimited_by = AnyFraming();
+  run.relay.SetHandler([&](const received_request& request) {
+    const bool resumed = request.head.headers.Has("Last-Event-Id");
+    run.Write(request,
+              AnswerUntil(request, resumed ? delimited_by : framing::kChunked,
+                          resumed ? stop::kAtEnd : stop::kBetweenEvents,
+                          resumed ? 3 : 1),
+              resumed ? closing::kOrderly : closing::kReset);
+  });
+  CHECK(run.Ask(kind, "/resume/") == client_view::kWhole);
+  CHECK_THAT(run.client->received,
+             Contains("id: 1") && Contains("id: 2") && Contains("id: 3"));
+  CHECK(run.relay.RequestCount() == 2);
+}
+
+// Guards against a resumed stream that breaks off again and looks complete.
+TEST_CASE("A resumed stream that is broken off is broken for each client",
+          "[relay][answer_end][resume][regression]") {
+  broken_answer run;
+  const client_kind kind = AnyClient();
+  const framing delimited_by = AnyFraming();
+  const closing how = AnyClosing();
+  const stop at = GENERATE(stop::kInHead, stop::kAfterHead, stop::kInEvent);
+  run.relay.SetHandler([&](const received_request& request) {
+    const bool resumed = request.head.headers.Has("Last-Event-Id");
+    run.Write(request,
+              AnswerUntil(request, resumed ? delimited_by : framing::kChunked,
+                          resumed ? at : stop::kBetweenEvents, resumed ? 3 : 1),
+              resumed ? how : closing::kReset);
+  });
+  CHECK(run.Ask(kind, "/resume/") == client_view::kBroken);
+}
+
+// Guards against an error's head and text in the middle of a client's stream.
+TEST_CASE("An error after output breaks the stream for each kind of client",
+          "[relay][answer_end][resume][regression]") {
+  broken_answer run;
+  const client_kind kind = AnyClient();
+  const std::string status = GENERATE(
+      "302 Found", "400 Bad Request", "404 Not Found", "421 Misdirected",
+      "429 Too Many Requests", "500 Internal Server Error",
+      "503 Service Unavailable", "200 OK");
+  const bool delimited = GENERATE(true, false);
+  run.relay.SetHandler([&](const received_request& request) {
+    if (!request.head.headers.Has("Last-Event-Id")) {
+      run.Write(request,
+                AnswerUntil(request, framing::kChunked, stop::kBetweenEvents),
+                closing::kReset);
+      return;
+    }
+    run.Write(request,
+              "HTTP/1.1 " + status + "\r\nX-Id: r1\r\nX-Sig: s\r\n" +
+                  (delimited ? "Content-Length: 7\r\n" : "") + "\r\nno luck",
+              closing::kOrderly);
+  });
+  CHECK(run.Ask(kind, "/resume/") == client_view::kBroken);
+  CHECK_THAT(run.client->received, Contains("id: 2") && !Contains("no luck"));
+  CHECK(run.client->received.find("HTTP/1.1", 1) == std::string::npos);
+}
+
+TEST_CASE("A body that is no stream is whole or an error for each client",
+          "[relay][answer_end]") {
+  broken_answer run;
+  const client_kind kind = AnyClient();
+  const framing delimited_by = AnyFraming();
+  const closing how = AnyClosing();
+  const bool cut = GENERATE(false, true);
+  run.relay.SetHandler([&](const received_request& request) {
+    std::string text = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Sig: s\r\n";
+    if (delimited_by == framing::kLength) {
+      text += "Content-Length: 5\r\n\r\nwhole";
+    } else if (delimited_by == framing::kChunked) {
+      text += "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
+    } else {
+      text += "\r\nwhole";
+    }
+    const size_t kept = delimited_by == framing::kChunked ? 8 : 2;
+    run.Write(request, cut ? text.substr(0, text.size() - kept) : text, how);
+  });
+  const bool delimited = delimited_by != framing::kConnection;
+  const bool whole = delimited ? !cut : how == closing::kOrderly;
+  const client_view seen = run.Ask(kind, "/once/");
+  CHECK(seen == (whole ? client_view::kWhole : client_view::kError));
+}
+
+}  // namespace skylarkcroft
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -32,7 +32,11 @@
                             received.append(bytes);
                             return bytes.size();
                           },
-                          [] {}, [this](bool) { closed = true; }})) {}
+                          [] {},
+                          [this](bool clean) {
+                            closed = true;
+                            closed_cleanly = clean;
+                          }})) {}
 
   void Send(const std::string& bytes) { socket_->Write(bytes); }
   /// Closes the connection.
@@ -40,6 +44,8 @@
 
   std::string received;
   bool closed = false;
+  /// The connection ended in an orderly way and not with a reset.
+  bool closed_cleanly = false;
 
  private:
   std::unique_ptr<stream_socket> socket_;
