Relay: streams to clients of HTTP/1.0 end with their connection

What callers saw: a client of HTTP/1.0 got chunks, which that version does not know: the sizes stood in its body, and a stream that was broken off ended with an orderly close, which such a client takes for the end of a whole answer. Cause: the frame of the client's answer did not depend on the client's version. Change: such streams have neither a length nor chunks and end with the connection; one that is broken off is reset. Connections of HTTP/1.0 are not kept.

--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
@@ -83,7 +83,8 @@
 void client_connection::OnHead(const message_head& head) {
   head_received_ = true;
   incoming_.head = head;
-  keep_alive_ = head.keep_alive;
+  ends_with_connection_ = head.is_http_1_0;
+  keep_alive_ = head.keep_alive && !ends_with_connection_;
   size_t head_bytes = head.target.size();
   for (const http_header& field : head.headers.fields()) {
     head_bytes += field.name.size() + field.value.size();
@@ -143,6 +144,10 @@
   }
   destruction_requested_ = true;
   closing_ = true;
+  if (unfinished_ && ends_with_connection_) {
+    // An orderly end would say that the response is complete.
+    socket_.ResetOnClose();
+  }
   const std::weak_ptr<bool> alive = alive_;
   environment_.loop.Defer([this, alive] {
     if (!alive.expired()) {
@@ -184,13 +189,19 @@
 }
 
 void client_connection::StartChunked(int status, const http_headers& headers) {
-  WriteHead(status, headers, "Transfer-Encoding: chunked\r\n");
+  unfinished_ = true;
+  WriteHead(status, headers,
+            ends_with_connection_ ? "" : "Transfer-Encoding: chunked\r\n");
 }
 
 void client_connection::WriteChunk(std::string_view bytes) {
   if (bytes.empty()) {
     return;
   }
+  if (ends_with_connection_) {
+    socket_.Write(bytes);
+    return;
+  }
   constexpr size_t kMaxSizeLineBytes = 24;
   std::array<char, kMaxSizeLineBytes> size{};
   std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
@@ -200,7 +211,10 @@
 }
 
 void client_connection::Finish() {
-  socket_.Write("0\r\n\r\n");
+  unfinished_ = false;
+  if (!ends_with_connection_) {
+    socket_.Write("0\r\n\r\n");
+  }
   OnResponseFinished();
 }
 
--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.h
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.h
@@ -70,6 +70,11 @@
   client_request incoming_;
   bool head_received_ = false;
   bool keep_alive_ = true;
+  /// Only the end of the connection can delimit a response of unknown length
+  /// (HTTP/1.0).
+  bool ends_with_connection_ = false;
+  /// A response of unknown length has been started and not finished.
+  bool unfinished_ = false;
   bool response_finished_ = false;
   bool closing_ = false;
   bool destruction_requested_ = false;
--- a/src/skylarkcroft/wire/skylarkcroft_message_reader.cc
+++ b/src/skylarkcroft/wire/skylarkcroft_message_reader.cc
@@ -181,6 +181,7 @@
     } else if (head_.status < kFirstFinalStatus) {
       return 0;
     }
+    head_.is_http_1_0 = parser_.http_major == 1 && parser_.http_minor == 0;
     head_.keep_alive = http_should_keep_alive(&parser_) != 0;
     head_.chunked = (parser_.flags & F_CHUNKED) != 0;
     if ((parser_.flags & F_CONTENTLENGTH) != 0) {
--- a/src/skylarkcroft/wire/skylarkcroft_message_reader.h
+++ b/src/skylarkcroft/wire/skylarkcroft_message_reader.h
@@ -19,6 +19,8 @@
   std::string target{};  ///< Requests only: path and query.
   int status = 0;        ///< Responses only.
   http_headers headers{};
+  /// HTTP/1.0, whose peers know neither chunks nor kept connections.
+  bool is_http_1_0 = false;
   bool keep_alive = true;
   bool chunked = false;
   std::optional<uint64_t> content_length{};
--- a/tests/relay/answer_end_test.cc
+++ b/tests/relay/answer_end_test.cc
@@ -32,7 +32,7 @@
     client->Send(RequestOf(kind, path));
     REQUIRE(relay.Await([&] { return !relay.records.empty(); }));
     relay.loop.RunFor(milliseconds(150));
-    return ViewOf(*client);
+    return ViewOf(kind, *client);
   }
 
   fixture relay;
@@ -43,7 +43,8 @@
 };
 
 client_kind AnyClient() {
-  return GENERATE(client_kind::kKeepsOpen, client_kind::kCloses);
+  return GENERATE(client_kind::kKeepsOpen, client_kind::kCloses,
+                  client_kind::kHttp10);
 }
 
 framing AnyFraming() {
--- a/tests/relay/answer_ends.h
+++ b/tests/relay/answer_ends.h
@@ -18,6 +18,7 @@
 enum class client_kind {
   kKeepsOpen,  ///< HTTP/1.1.
   kCloses,     ///< HTTP/1.1 with `Connection: close`.
+  kHttp10,     ///< HTTP/1.0, which knows no chunks.
 };
 
 /// An answer of three events, ids `first` to 3, as far as it is written.
@@ -61,21 +62,32 @@
 
 /// A request of a client of `kind`.
 inline std::string RequestOf(client_kind kind, const std::string& path) {
-  return relay_fixture::Request(
+  std::string request = relay_fixture::Request(
       path, "r1", kind == client_kind::kCloses ? "Connection: close\r\n" : "");
+  if (kind == client_kind::kHttp10) {
+    request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0");
+  }
+  return request;
 }
 
 /// What a client can tell of the answer that it got.
 enum class client_view { kWhole, kBroken, kError };
 
-inline client_view ViewOf(const raw_client& client) {
+inline client_view ViewOf(client_kind kind, const raw_client& client) {
   const std::string& received = client.received;
-  const bool success = received.starts_with("HTTP/1.1 200");
+  const bool success = received.starts_with("HTTP/1.1 200") ||
+                       received.starts_with("HTTP/1.0 200");
   if (!received.empty() && !success) {
     return client_view::kError;
   }
   const bool chunked = received.find("chunked") != std::string::npos;
   const bool has_length = received.find("Content-Length") != std::string::npos;
+  if (kind == client_kind::kHttp10) {
+    // Such a client takes all bytes up to the end of the connection.
+    return !chunked && client.closed && client.closed_cleanly
+               ? client_view::kWhole
+               : client_view::kBroken;
+  }
   const bool whole = chunked ? received.ends_with("0\r\n\r\n") : has_length;
   return whole ? client_view::kWhole : client_view::kBroken;
 }
