Relay: a stream that resumes past the next event has been broken off

Change: where the events of the attempts before were numbered one by one, a resumed attempt must go on with the next number; otherwise it has failed.

--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -372,6 +372,22 @@
   attempt_->body.append(bytes);
 }
 
+bool relay_request::LeavesGap(const raw_sse_event& event) {
+  if (!event.id.has_value()) {
+    return false;
+  }
+  const bool follows =
+      last_event_id_.has_value() && *event.id == *last_event_id_ + 1;
+  const bool first_of_attempt = !std::exchange(attempt_->event_seen, true);
+  if (first_of_attempt) {
+    // Upstreams need not number events one by one, so a gap shows only where
+    // all events before were numbered so.
+    return record_.events > 1 && ids_consecutive_ && !follows;
+  }
+  ids_consecutive_ = ids_consecutive_ && follows;
+  return false;
+}
+
 void relay_request::ForwardEvents(std::string_view bytes) {
   for (const raw_sse_event& event : splitter_.Feed(bytes)) {
     if (!attempt_->execution_started) {
@@ -384,6 +400,10 @@
     if (already_sent) {
       continue;
     }
+    if (LeavesGap(event)) {
+      Fail(attempt_failure::kMalformed);
+      return;
+    }
     if (!response_started_) {
       response_started_ = true;
       response_.StartChunked(attempt_->head->status,
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -60,6 +60,8 @@
     /// arrived.
     std::optional<time_point> first_output_at;
     time_point last_byte_at{};
+    /// An event with an id has been forwarded.
+    bool event_seen = false;
     /// Reading is paused because the client is too slow.
     bool paused = false;
   };
@@ -85,6 +87,9 @@
   [[nodiscard]] bool IsWholeStream() const;
   /// Forwards complete events that the client does not have yet.
   void ForwardEvents(std::string_view bytes);
+  /// Whether `event`, the next to forward, does not follow the last one of the
+  /// attempt before.
+  [[nodiscard]] bool LeavesGap(const raw_sse_event& event);
   /// True for a success response that is not proven to be this upstream's
   /// response to this request: unsigned, content-encoded or with another id.
   [[nodiscard]] bool IsForeignResponse(const message_head& head) const;
@@ -143,6 +148,8 @@
   sse_splitter splitter_;
   /// Id of the last event sent to the client.
   std::optional<int64_t> last_event_id_;
+  /// The ids of the events within each attempt so far rose by one.
+  bool ids_consecutive_ = true;
   bool response_started_ = false;
   /// Any attempt so far may have executed the request.
   bool may_have_executed_ = false;
--- a/tests/relay/answer_end_test.cc
+++ b/tests/relay/answer_end_test.cc
@@ -168,6 +168,24 @@
   CHECK(run.client->received.find("HTTP/1.1", 1) == std::string::npos);
 }
 
+// Guards against a stream in which an event is missing.
+TEST_CASE("A stream that goes on after a gap is broken",
+          "[relay][answer_end][resume][regression]") {
+  broken_answer run;
+  const client_kind kind = AnyClient();
+  run.relay.SetHandler([&](const received_request& request) {
+    const bool resumed = request.head.headers.Has("Last-Event-Id");
+    run.Write(
+        request,
+        resumed ? fixture::StreamHead(request) + fixture::EventChunk(4) +
+                      kFinalChunk
+                : AnswerUntil(request, framing::kChunked, stop::kBetweenEvents),
+        resumed ? closing::kOrderly : closing::kReset);
+  });
+  CHECK(run.Ask(kind, "/resume/") == client_view::kBroken);
+  CHECK_THAT(run.client->received, !Contains("id: 4"));
+}
+
 TEST_CASE("A body that is no stream is whole or an error for each client",
           "[relay][answer_end]") {
   broken_answer run;
