Node: bytes behind a response on a kept connection answer no later request

What callers saw (reported by other operators): an upstream wrote an earlier refusal once more on a kept connection; clients were told 'not run, try again' for requests that ran. Here any second response was taken for the response to the next request. Cause: the HTTP client kept a connection with unread bytes behind a response, and one on which a refusal had come. A refusal names no request, so a late copy cannot be told from a refusal of the request in flight. Change: a connection with bytes that no request waits for is not used again, and nothing is sent behind a refusal (429, 503, X-Not-Run). Not covered: a late copy of a whole answer on a kept connection; engines' events name their request, answers of plain services do not. Evidence: 'A refusal that is repeated on a kept connection answers nothing' (8 checks) and 'A second answer on a kept connection answers nothing' (1) failed before.

--- a/src/skylarkcroft/attempt/skylarkcroft_attempt.cc
+++ b/src/skylarkcroft/attempt/skylarkcroft_attempt.cc
@@ -43,6 +43,14 @@
   return EqualsIgnoringCase(response.headers.Get(kNotRunHeader), "true");
 }
 
+// Whether `response` says that the request was not executed. A faulty upstream
+// may write such a response once more, and it names no request, so nothing else
+// may be sent on its connection.
+bool IsRefusal(const http_response& response) {
+  return StatesNotRun(response) || response.status == kTooManyRequests ||
+         response.status == kUnavailable;
+}
+
 std::optional<int64_t> ParseTokenOffset(const std::string& id) {
   int64_t offset = 0;
   const auto [end, status] =
@@ -67,6 +75,9 @@
     options.progress_timeout = start_.progress_timeout;
     options.max_body_bytes = kMaxStreamBytes;
     options.reuse_connection = start_.reuse_connection;
+    options.may_keep_connection = [](const http_response& response) {
+      return !IsRefusal(response);
+    };
     http_call_events events;
     events.on_headers = [this](int status, const http_headers&) {
       status_ = status;
@@ -175,6 +186,9 @@
     options.progress_timeout = start.progress_timeout;
     options.max_body_bytes = start.max_body_bytes;
     options.reuse_connection = start.reuse_connection;
+    options.may_keep_connection = [](const http_response& response) {
+      return !IsRefusal(response);
+    };
     http_call_events events;
     events.on_done = [this](const http_result& result) { OnDone(result); };
     call_ = client.Send(start.address, request, options, std::move(events));
--- a/src/skylarkcroft/http/skylarkcroft_http_client.cc
+++ b/src/skylarkcroft/http/skylarkcroft_http_client.cc
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
+#include "skylarkcroft/internal/skylarkcroft_socket_state.h"
 
 namespace skylarkcroft {
 namespace {
@@ -131,6 +132,7 @@
     connection_ptr link;
     http_call_events events;
     bool reuse = true;
+    std::function<bool(const http_response&)> may_keep;
     bool cancelled = false;
     bool nagle_disabled = false;
     http_outcome failure = http_outcome::kConnectFailed;
@@ -153,6 +155,7 @@
     state->peer = peer;
     state->events = std::move(events);
     state->reuse = options.reuse_connection;
+    state->may_keep = options.may_keep_connection;
     state->link = options.reuse_connection ? TakeIdle(peer) : nullptr;
     if (state->link == nullptr) {
       state->link = Open(peer);
@@ -201,9 +204,21 @@
     }
     connection_ptr link = std::move(found->second.back());
     found->second.pop_back();
+    if (HasStrayBytes(*link)) {
+      FreeLater(std::move(link));
+      return nullptr;
+    }
     return link;
   }
 
+  // Bytes behind a whole response belong to no request; they would be taken
+  // for the response to the next one.
+  static bool HasStrayBytes(const connection& link) {
+    bufferevent* stream = evhttp_connection_get_bufferevent(link.raw);
+    return evbuffer_get_length(bufferevent_get_input(stream)) > 0 ||
+           HasUnreadBytes(bufferevent_getfd(stream));
+  }
+
   connection_ptr Open(const endpoint& peer) {
     evhttp_connection* raw = evhttp_connection_base_new(
         loop_.base(), nullptr, peer.host.c_str(), peer.port);
@@ -341,7 +356,10 @@
     const auto found = live_.find(id);
     const std::unique_ptr<call_state> owned = std::move(found->second);
     live_.erase(found);
-    if (result.outcome == http_outcome::kComplete && owned->reuse) {
+    const bool keep =
+        result.outcome == http_outcome::kComplete && owned->reuse &&
+        (owned->may_keep == nullptr || owned->may_keep(result.response));
+    if (keep) {
       KeepIdle(std::move(owned->link));
     } else {
       FreeLater(std::move(owned->link));
--- a/src/skylarkcroft/http/skylarkcroft_http_client.h
+++ b/src/skylarkcroft/http/skylarkcroft_http_client.h
@@ -60,6 +60,8 @@
   size_t max_body_bytes = 16 * 1024 * 1024;
   /// False sends on a new connection that is closed afterwards.
   bool reuse_connection = true;
+  /// Whether the connection may be kept after this response; empty for always.
+  std::function<bool(const http_response&)> may_keep_connection{};
   /// Longest time until a new connection stands.
   milliseconds connect_timeout{2000};
   /// Longest time for the whole call; 0 sets no bound.
--- a/src/skylarkcroft/internal/skylarkcroft_socket_state.cc
+++ b/src/skylarkcroft/internal/skylarkcroft_socket_state.cc
@@ -16,4 +16,9 @@
   return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
 }
 
+bool HasUnreadBytes(int fd) {
+  char next = 0;
+  return recv(fd, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/internal/skylarkcroft_socket_state.h
+++ b/src/skylarkcroft/internal/skylarkcroft_socket_state.h
@@ -8,6 +8,9 @@
 /// loop this is known before the loop reports it.
 bool HasPeerClosed(int fd);
 
+/// True if bytes have arrived on a TCP socket that the event loop has not read.
+bool HasUnreadBytes(int fd);
+
 }  // namespace skylarkcroft
 
 #endif  // SKYLARKCROFT_INTERNAL_SKYLARKCROFT_SOCKET_STATE_H_
