Relay: a response without the request's id on a kept connection is not believed

What callers saw (reported by other operators): an upstream wrote an earlier refusal once more on a kept connection; clients were told 'not run, try again' (REFUSED) for requests that ran, or those ran at a second upstream (TWICE). Cause: a response that names no request was taken for the response to the request in flight. Copies that name the earlier request were skipped already. Change: such a response on a connection used before is malformed, so the request may have run; bytes that the loop has not read yet count as unread; a request that is repeated is not sent on the connection that carried it before. Evidence: 'A refusal that is repeated on a kept connection is not believed' failed in 5 of 32 checks before. The test of a request repeated on its own connection passed before as well, since a connection was not taken within its own callback.

--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -299,8 +299,16 @@
           head.headers.Get(environment_.names.request_id) != request_id_);
 }
 
+bool relay_request::MayBeRepeated(const message_head& head) const {
+  return attempt_->exchange->on_kept_connection() && !request_id_.empty() &&
+         head.headers.Get(environment_.names.request_id) != request_id_;
+}
+
 std::optional<attempt_failure> relay_request::ClassifyFailure(
     const message_head& head) const {
+  if (MayBeRepeated(head)) {
+    return attempt_failure::kMalformed;
+  }
   if (head.status == kMisdirected) {
     return attempt_failure::kMisdirected;
   }
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -93,6 +93,9 @@
   /// True for a success response that is not proven to be this upstream's
   /// response to this request: unsigned, content-encoded or with another id.
   [[nodiscard]] bool IsForeignResponse(const message_head& head) const;
+  /// True for a response without the request's id on a connection that was used
+  /// before: a faulty upstream may have written an earlier one once more.
+  [[nodiscard]] bool MayBeRepeated(const message_head& head) const;
   /// The failure that the response head indicates; empty if the response is to
   /// be forwarded.
   [[nodiscard]] std::optional<attempt_failure> ClassifyFailure(
--- a/src/skylarkcroft/relay/skylarkcroft_upstream_connections.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_upstream_connections.cc
@@ -67,6 +67,7 @@
   time_point opened_at;
   time_point idle_since{};
   milliseconds idle_limit;
+  std::string last_request;  ///< Id of the last request sent.
   bool connected = false;
   bool closed = false;
 
@@ -129,11 +130,13 @@
         {[this](std::string_view bytes) { return OnBytes(bytes); },
          [this] { Send(); }, [this](bool clean) { OnClosed(clean); }});
     if (connection_->connected) {
+      kept_ = true;
       Send();
     }
   }
 
   [[nodiscard]] bool sent() const override { return sent_; }
+  [[nodiscard]] bool on_kept_connection() const override { return kept_; }
   void SetReading(bool reading) override {
     if (connection_ != nullptr) {
       connection_->socket().SetReading(reading);
@@ -170,6 +173,7 @@
 
   void Send() {
     sent_ = true;
+    connection_->last_request = request_.id;
     connection_->socket().Write(request_.bytes);
   }
 
@@ -269,6 +273,7 @@
   message_reader reader_;
   connection_ptr connection_;
   bool sent_ = false;
+  bool kept_ = false;
   bool ended_ = false;
   bool for_other_request_ = false;
   bool keep_alive_ = true;
@@ -292,7 +297,11 @@
     const connection_ptr newest = idle.back();
     idle.pop_back();
     const bool fresh = clock_() - newest->idle_since < newest->idle_limit;
-    if (newest->usable() && fresh && newest->socket().unread() == 0) {
+    // A late copy of the response to the same request, sent there before,
+    // could not be told from the response to this one.
+    const bool same_request = newest->last_request == request.id;
+    if (newest->usable() && fresh && !same_request &&
+        !newest->socket().HasUnread()) {
       started->Attach(newest);
       return started;
     }
--- a/src/skylarkcroft/relay/skylarkcroft_upstream_connections.h
+++ b/src/skylarkcroft/relay/skylarkcroft_upstream_connections.h
@@ -74,6 +74,8 @@
 
   /// True once the request was written; the upstream may have received it.
   [[nodiscard]] virtual bool sent() const = 0;
+  /// Whether an earlier request was sent on the connection.
+  [[nodiscard]] virtual bool on_kept_connection() const = 0;
   /// Pauses or resumes reading the response.
   virtual void SetReading(bool reading) = 0;
   /// Resets the connection, so that what the upstream has not received yet is
--- a/src/skylarkcroft/wire/skylarkcroft_stream_socket.cc
+++ b/src/skylarkcroft/wire/skylarkcroft_stream_socket.cc
@@ -169,8 +169,9 @@
   return evbuffer_get_length(bufferevent_get_output(impl_->handle()));
 }
 
-size_t stream_socket::unread() const {
-  return evbuffer_get_length(bufferevent_get_input(impl_->handle()));
+bool stream_socket::HasUnread() const {
+  return evbuffer_get_length(bufferevent_get_input(impl_->handle())) > 0 ||
+         HasUnreadBytes(bufferevent_getfd(impl_->handle()));
 }
 
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/wire/skylarkcroft_stream_socket.h
+++ b/src/skylarkcroft/wire/skylarkcroft_stream_socket.h
@@ -55,8 +55,9 @@
   void ShutdownWrite();
   /// Written bytes that were not yet passed to the kernel.
   [[nodiscard]] size_t unsent() const;
-  /// Received bytes that on_bytes has not consumed.
-  [[nodiscard]] size_t unread() const;
+  /// Whether bytes have arrived that on_bytes has not consumed, even if the
+  /// event loop has not read them yet.
+  [[nodiscard]] bool HasUnread() const;
 
  private:
   class impl;
