Relay and node: an empty success that ends with its connection is broken off

What callers saw (reported by other operators): an upstream stopped in its answer's head and closed; clients got a 200 with an empty body, framed as whole. Answers cut within the head were errors here already, in relay and node; one that was cut right after the head became an empty 200 where it had neither a length nor chunks. Change: such a success has been broken off, unless its status or method has no body.

--- a/src/skylarkcroft/attempt/skylarkcroft_attempt.cc
+++ b/src/skylarkcroft/attempt/skylarkcroft_attempt.cc
@@ -51,6 +51,18 @@
          response.status == kUnavailable;
 }
 
+// Whether a success without a length or chunks, which ends with its connection,
+// has no body. A service that closes right after its head has been cut off.
+bool IsEmptyUnframed(const std::string& method, const http_response& response) {
+  constexpr int kNoContent = 204;
+  constexpr int kFirstRedirect = 300;
+  const bool may_be_empty = method == "HEAD" || response.status == kNoContent ||
+                            response.status >= kFirstRedirect;
+  return !may_be_empty && response.body.empty() &&
+         !response.headers.Has("Content-Length") &&
+         !response.headers.Has("Transfer-Encoding");
+}
+
 std::optional<int64_t> ParseTokenOffset(const std::string& id) {
   int64_t offset = 0;
   const auto [end, status] =
@@ -190,16 +202,21 @@
       return !IsRefusal(response);
     };
     http_call_events events;
-    events.on_done = [this](const http_result& result) { OnDone(result); };
+    events.on_done = [this, method = request.method](
+                         const http_result& result) { OnDone(method, result); };
     call_ = client.Send(start.address, request, options, std::move(events));
   }
 
  private:
-  void OnDone(const http_result& result) {
+  void OnDone(const std::string& method, const http_result& result) {
     if (result.outcome != http_outcome::kComplete) {
       on_end_(FromTransportResult(result));
       return;
     }
+    if (IsEmptyUnframed(method, result.response)) {
+      on_end_({attempt_outcome::kBroken, true, {}});
+      return;
+    }
     const int status = result.response.status;
     if (StatesNotRun(result.response) || status == kTooManyRequests) {
       on_end_({attempt_outcome::kRefused, false, result.response});
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kNoContent = 204;
 constexpr int kFirstRedirect = 300;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
@@ -460,11 +461,14 @@
   }
 }
 
-bool relay_request::IsWholeStream() const {
+bool relay_request::IsWholeBody() const {
   const message_head& head = *attempt_->head;
   const bool framed = head.chunked || head.content_length.has_value();
+  const bool may_be_empty = framed || request_.head.method == "HEAD" ||
+                            head.status == kNoContent ||
+                            !IsSuccess(head.status);
   return splitter_.remainder().empty() &&
-         (framed || attempt_->first_output_at.has_value());
+         (may_be_empty || attempt_->first_output_at.has_value());
 }
 
 void relay_request::OnWholeResponse() {
@@ -474,12 +478,12 @@
     Fail(*failure);
     return;
   }
-  if (!attempt_->is_stream) {
-    ForwardWholeResponse();
+  if (!IsWholeBody()) {
+    Fail(attempt_failure::kBroken);
     return;
   }
-  if (!IsWholeStream()) {
-    Fail(attempt_failure::kBroken);
+  if (!attempt_->is_stream) {
+    ForwardWholeResponse();
     return;
   }
   const int status = attempt_->head->status;
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -82,9 +82,10 @@
   void OnEnd(exchange_result result);
   void RecordExecutionStarted();
   void OnWholeResponse();
-  /// Whether the stream that has ended was not broken off: it ends with a whole
-  /// event, and one that ends with its connection has at least one.
-  [[nodiscard]] bool IsWholeStream() const;
+  /// Whether the response that has ended was not broken off, as far as can be
+  /// told: a stream ends with a whole event, and a response that ends with its
+  /// connection is not empty.
+  [[nodiscard]] bool IsWholeBody() const;
   /// Forwards complete events that the client does not have yet.
   void ForwardEvents(std::string_view bytes);
   /// Whether `event`, the next to forward, does not follow the last one of the
--- a/tests/attempt/answer_end_test.cc
+++ b/tests/attempt/answer_end_test.cc
@@ -155,9 +155,11 @@
     bench.Write(request, AnswerUntil({"whole body"}, delimited_by, at), how);
   });
   bench.AskService();
-  // A body that ends with its connection is whole wherever that ends.
+  // A body that ends with its connection is whole wherever that ends, unless it
+  // is empty.
+  const bool has_body = at == stop::kInEvent || at == stop::kAtEnd;
   const bool whole = delimited_by == framing::kConnection
-                         ? how == closing::kOrderly && at != stop::kInHead
+                         ? how == closing::kOrderly && has_body
                          : at == stop::kAtEnd;
   CHECK(bench.ended->outcome ==
         (whole ? attempt_outcome::kComplete : attempt_outcome::kBroken));
--- a/tests/relay/answer_end_test.cc
+++ b/tests/relay/answer_end_test.cc
@@ -211,4 +211,17 @@
   CHECK(seen == (whole ? client_view::kWhole : client_view::kError));
 }
 
+// Guards against a 200 with an empty body where an upstream closed right after
+// its answer's head.
+TEST_CASE("An empty body that ends with its connection is an error",
+          "[relay][answer_end][regression]") {
+  broken_answer run;
+  const client_kind kind = AnyClient();
+  const closing how = AnyClosing();
+  run.relay.SetHandler([&](const received_request& request) {
+    run.Write(request, "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Sig: s\r\n\r\n", how);
+  });
+  CHECK(run.Ask(kind, "/once/") == client_view::kError);
+}
+
 }  // namespace skylarkcroft
