Node: an engine's rejection is neither a completion nor the end of a stream

Cause: a rejection completed the answer with the engine's response, and the writer of streams and completions looks at tokens only. The head of a stream was also written before any token, so no status could follow. Change: a rejection before the first token is passed on as it is; after tokens the stream ends with an error event. A stream's head is written with the first token.

--- a/src/skylarkcroft/attempt/skylarkcroft_buffered_response.h
+++ b/src/skylarkcroft/attempt/skylarkcroft_buffered_response.h
@@ -42,7 +42,8 @@
   /// request over.
   void RestoreTokens(std::vector<std::string> tokens);
   void Complete();
-  /// Completes with the whole response of a plain service.
+  /// Completes with the whole response of a plain service, or an engine's
+  /// rejection of a request of which no token has arrived.
   void CompleteWith(http_response response);
   void Fail(problem cause);
 
--- a/src/skylarkcroft/node/skylarkcroft_answer_writer.cc
+++ b/src/skylarkcroft/node/skylarkcroft_answer_writer.cc
@@ -64,17 +64,25 @@
     ReplyFailure();
     return;
   }
+  const bool complete =
+      source_->current() == buffered_response::state::kComplete;
+  if (complete && source_->response().has_value() && !head_written_) {
+    ReplyWithResponse();
+    return;
+  }
   if (form_.what == answer_form::kind::kEventStream) {
     WriteEvents();
     return;
   }
-  if (source_->current() == buffered_response::state::kComplete) {
-    ReplyWhole();
+  if (complete) {
+    ReplyCompletion();
   }
 }
 
 void answer_writer::WriteEvents() {
-  if (source_->current() == buffered_response::state::kWaiting) {
+  // Before the first token the upstream may still reject the request.
+  const bool may_be_rejected = source_->tokens().empty() && !source_->ended();
+  if (may_be_rejected) {
     return;
   }
   if (!head_written_) {
@@ -113,17 +121,17 @@
   End(true);
 }
 
-void answer_writer::ReplyWhole() {
-  if (form_.what == answer_form::kind::kCompletion) {
-    exchange_->Reply(
-        {kOk,
-         {{kRequestIdHeader, form_.request_id},
-          {"Content-Type", "application/json"}},
-         MakeCompletionDocument(*source_,
-                                {form_.request_id, form_.model, form_.chat})});
-    End(true);
-    return;
-  }
+void answer_writer::ReplyCompletion() {
+  exchange_->Reply(
+      {kOk,
+       {{kRequestIdHeader, form_.request_id},
+        {"Content-Type", "application/json"}},
+       MakeCompletionDocument(*source_,
+                              {form_.request_id, form_.model, form_.chat})});
+  End(true);
+}
+
+void answer_writer::ReplyWithResponse() {
   http_response reply;
   reply.status = source_->response()->status;
   reply.body = source_->response()->body;
--- a/src/skylarkcroft/node/skylarkcroft_answer_writer.h
+++ b/src/skylarkcroft/node/skylarkcroft_answer_writer.h
@@ -49,7 +49,10 @@
   void OnChange();
   void WriteEvents();
   void WriteEnd();
-  void ReplyWhole();
+  void ReplyCompletion();
+  /// Passes on the upstream's response: a plain service's, or an engine's
+  /// rejection.
+  void ReplyWithResponse();
   void ReplyFailure();
   void End(bool delivered);
 
--- a/src/skylarkcroft/node/skylarkcroft_request_run.cc
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.cc
@@ -442,6 +442,14 @@
   if (ended_) {
     return;
   }
+  if (result.outcome == attempt_outcome::kRejected &&
+      !answer_->tokens().empty()) {
+    // Tokens of an earlier attempt have been delivered; what followed them is
+    // lost.
+    Fail(refusal_reason::kUpstreamFailed,
+         "an upstream rejected the rest of the answer", std::nullopt);
+    return;
+  }
   if (result.outcome == attempt_outcome::kRejected ||
       (result.outcome == attempt_outcome::kComplete && !request_.completion)) {
     CompleteService(result.response);
