Store: a position is an era and a version wherever positions are compared

Cause: versions go back with the copy and are given out again. A follower asked for the changes after a version of the old history; once versions had passed that number again it got no 410 and missed those below it for good. Peers compared their positions, and changes that they pass on, by the version alone, so that nodes of the new history passed for older ones.

Change: store_position is an era and a version. Responses of the store, a follower's place, positions and changes told between peers carry it. replica_cursor decides, without I/O, what a response or a peer's word does: a later era leads to a whole read, until which the rows stay in force; what is of an earlier era is ignored; what a peer told wrongly is settled by the next response. Nodes that do not watch spread their whole reads.

Test: "A follower catches up with a store that came back from a copy" failed before for a store that states its era, watching and not (2 of 8 checks); without an era, where versions had not passed the known one yet, the 410 was enough.

--- a/src/skylarkcroft/peers/skylarkcroft_peer_report.cc
+++ b/src/skylarkcroft/peers/skylarkcroft_peer_report.cc
@@ -21,7 +21,7 @@
 constexpr size_t kMaxDatagramBytes = 1200;
 constexpr size_t kMaxParts = 64;
 // Upper bounds of the encoded sizes, without names.
-constexpr size_t kMaxHeaderBytes = 80;
+constexpr size_t kMaxHeaderBytes = 100;
 constexpr size_t kMaxUpstreamBytes = 26;
 constexpr size_t kMaxQuotaBytes = 16;
 constexpr size_t kMaxUsageBytes = 7;
@@ -93,14 +93,20 @@
   if (!position.has_value()) {
     return json::array();
   }
-  return json::array({position->newest_change, position->store_clock.count()});
+  return json::array({position->newest_change.version,
+                      position->store_clock.count(),
+                      position->newest_change.era});
 }
 
 std::optional<table_position> DecodePosition(const json& item) {
   if (item.empty()) {
     return std::nullopt;
   }
-  return table_position{item.at(0).get<int64_t>(),
+  // Absent in reports of versions that know no eras.
+  constexpr size_t kEraItem = 2;
+  const int64_t era =
+      item.size() > kEraItem ? item.at(kEraItem).get<int64_t>() : 0;
+  return table_position{{era, item.at(0).get<int64_t>()},
                         milliseconds(item.at(1).get<int64_t>())};
 }
 
--- a/src/skylarkcroft/quarantine/skylarkcroft_quarantine_archive.cc
+++ b/src/skylarkcroft/quarantine/skylarkcroft_quarantine_archive.cc
@@ -18,8 +18,8 @@
 std::string RowKey(const std::vector<part_key>& parts) {
   std::vector<part_key> sorted = parts;
   std::sort(sorted.begin(), sorted.end());
-  return ToString(
-      {XXH3_64bits(sorted.data(), sorted.size() * sizeof(part_key))});
+  return ToString(std::vector<part_key>{
+      XXH3_64bits(sorted.data(), sorted.size() * sizeof(part_key))});
 }
 
 }  // namespace
--- a/src/skylarkcroft/relay/skylarkcroft_store_replica.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_store_replica.cc
@@ -25,6 +25,11 @@
 constexpr milliseconds kChangePausePerNode{12};
 constexpr milliseconds kMinChangePause{500};
 constexpr milliseconds kMaxChangePause{1000};
+// Spread of the whole reads after a restore of the store, per node in the
+// system, so that they take a part of its rate only; the bound keeps the time
+// to act on changes.
+constexpr milliseconds kWholeReadSpreadPerNode{3};
+constexpr milliseconds kMaxWholeReadSpread{1000};
 constexpr milliseconds kJoinRetryDelay{500};
 // Requests to a draining upstream have to end this long before it may exit.
 constexpr milliseconds kDrainMargin{200};
@@ -99,10 +104,16 @@
   table_follower_parameters tables =
       MakePollingParameters(PollInterval(deadlines_.apply));
   tables.change_delay = kMinChangePause;
+  const milliseconds whole_read_spread = std::min(
+      kMaxWholeReadSpread,
+      kWholeReadSpreadPerNode *
+          static_cast<milliseconds::rep>(environment_.group.NodeCount(now)));
+  tables.max_whole_read_delay = whole_read_spread;
   tables_follower_.SetParameters(tables);
   table_follower_parameters upstreams =
       MakePollingParameters(PollInterval(deadlines_.drain));
   upstreams.change_delay = upstreams_pause;
+  upstreams.max_whole_read_delay = whole_read_spread;
   upstreams_follower_.SetParameters(upstreams);
   const std::vector<std::string> members = environment_.group.LivePeers(now);
   const auto is_watcher = [&](const std::string& table) {
@@ -143,7 +154,7 @@
             environment_.log(
                 log_level::kInfo, "upstreams read",
                 {{"entries", std::to_string(entries.size())},
-                 {"version", std::to_string(upstreams_follower_.version())}});
+                 {"position", ToString(upstreams_follower_.place())}});
           },
           [this](const stored_row& row, time_point now) {
             ApplyUpstreamRow(row, now);
@@ -190,6 +201,7 @@
   environment_.log(log_level::kInfo, "tables in force",
                    {{"version", std::to_string(parsed->version)},
                     {"routes", std::to_string(parsed->routes.size())},
+                    {"era", std::to_string(tables_follower_.place().era)},
                     {"row_version", std::to_string(row.version)}});
   tables_ = std::make_shared<const service_lookup>(*std::move(parsed));
 }
--- /dev/null
+++ b/src/skylarkcroft/store/skylarkcroft_replica_cursor.h
@@ -0,0 +1,71 @@
+#ifndef SKYLARKCROFT_STORE_SKYLARKCROFT_REPLICA_CURSOR_H_
+#define SKYLARKCROFT_STORE_SKYLARKCROFT_REPLICA_CURSOR_H_
+
+#include <cstdint>
+#include <optional>
+
+#include "skylarkcroft/store/skylarkcroft_store_position.h"
+
+namespace skylarkcroft {
+
+/// What to do with a response of the store or with changes from a peer.
+enum class replica_step {
+  kIgnore,     ///< It is of an older era, or does not adjoin the replica.
+  kApply,      ///< Its rows advance the replica.
+  kReadWhole,  ///< The table has to be read whole; until then the rows of the
+               ///< replica stay in force.
+};
+
+/// Decides how a replica of a table follows the store through restores from
+/// older copies. Holds no rows and does no I/O.
+class replica_cursor {
+ public:
+  /// What the replica has reached; empty before the first whole read.
+  [[nodiscard]] const std::optional<store_position>& place() const {
+    return place_;
+  }
+  /// True before the first whole read, when the store no longer keeps the
+  /// changes since the place, and when a later era is known of.
+  [[nodiscard]] bool NeedsWholeRead() const;
+  /// Whether a peer has told of a later change or a later era.
+  [[nodiscard]] bool IsBehindPeers() const;
+  /// Whether only a peer has told of the later era, not the store.
+  [[nodiscard]] bool LearnedEraFromPeer() const;
+
+  /// A call to the store is sent. What peers have told until now is settled by
+  /// its response.
+  void OnCall();
+  /// A whole read has returned the rows at `at`; returns whether they replace
+  /// the replica.
+  [[nodiscard]] bool OnRead(const store_position& at);
+  /// A request for the changes after `from` was answered with those up to `at`.
+  [[nodiscard]] replica_step OnChanges(const store_position& from,
+                                       const store_position& at);
+  /// The store, in `era`, does not have the changes since the place.
+  void OnHistoryGone(int64_t era);
+  /// A peer passed on the changes after `after`, up to version `up_to` of the
+  /// same era.
+  [[nodiscard]] replica_step OnPeerChanges(const store_position& after,
+                                           int64_t up_to);
+  /// A peer knows of a change at `newest_change`. Returns whether this is
+  /// later than what any peer has told before.
+  bool OnPeerPosition(const store_position& newest_change);
+
+ private:
+  /// Forgets what peers have told if the response to a later call does not
+  /// bear it out: the store knows better.
+  void SettlePeerPosition(const store_position& at);
+
+  std::optional<store_position> place_;
+  bool history_gone_ = false;
+  /// Newest era in which the store has answered.
+  int64_t store_era_ = 0;
+  /// Latest change that a peer has told of, and the same when the call in
+  /// flight was sent.
+  store_position newest_peer_change_;
+  store_position peer_change_at_call_;
+};
+
+}  // namespace skylarkcroft
+
+#endif  // SKYLARKCROFT_STORE_SKYLARKCROFT_REPLICA_CURSOR_H_
--- a/src/skylarkcroft/store/skylarkcroft_row_store.h
+++ b/src/skylarkcroft/store/skylarkcroft_row_store.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "skylarkcroft/internal/skylarkcroft_time.h"
+#include "skylarkcroft/store/skylarkcroft_store_position.h"
 
 namespace skylarkcroft {
 
@@ -34,13 +35,18 @@
 std::string_view ToString(store_outcome outcome);
 
 /// Response to a call. For a read or a watch, `version` is the newest version
-/// of the store. `responded_at` is the time of the response on the store's own
-/// monotonic clock; empty when the store does not state it.
+/// of the store. `era` is 0 when the store states none. `responded_at` is the
+/// time of the response on the store's own monotonic clock; empty when the
+/// store does not state it.
 struct store_response {
   store_outcome outcome = store_outcome::kUnknown;
   std::vector<stored_row> rows{};
   int64_t version = 0;
   std::optional<milliseconds> responded_at{};
+  int64_t era = 0;
+
+  /// The newest version of the store, or that of the written rows.
+  [[nodiscard]] store_position at() const { return {era, version}; }
 
   bool operator==(const store_response&) const = default;
 };
@@ -74,8 +80,9 @@
 
 using store_done_fn = std::function<void(const store_response&)>;
 
-/// The platform's shared store of rows. Reads are linearizable. `done` is never
-/// invoked before the call itself has returned.
+/// The platform's shared store of rows. Reads are linearizable, until the store
+/// comes back from an older copy and begins a new era (see store_position).
+/// `done` is never invoked before the call itself has returned.
 class row_store {
  public:
   virtual ~row_store() = default;
--- a/src/skylarkcroft/store/skylarkcroft_table_changes.cc
+++ b/src/skylarkcroft/store/skylarkcroft_table_changes.cc
@@ -13,7 +13,7 @@
 // Below the payload of a packet on any common network.
 constexpr size_t kMaxDatagramBytes = 1200;
 // Upper bounds of the encoded sizes, without texts.
-constexpr size_t kMaxHeaderBytes = 64;
+constexpr size_t kMaxHeaderBytes = 74;
 constexpr size_t kMaxRowBytes = 24;
 // Stands for a clock that is not given.
 constexpr milliseconds kNoClock{-1};
@@ -29,9 +29,9 @@
         json::array({row.key, row.version, row.removed,
                      json::binary({row.value.begin(), row.value.end()})}));
   }
-  const std::vector<uint8_t> bytes = json::to_cbor(
-      json::array({kFormatName, changes.table, changes.after, changes.up_to,
-                   changes.store_clock.value_or(kNoClock).count(), rows}));
+  const std::vector<uint8_t> bytes = json::to_cbor(json::array(
+      {kFormatName, changes.table, changes.after, changes.up_to,
+       changes.store_clock.value_or(kNoClock).count(), rows, changes.era}));
   return {bytes.begin(), bytes.end()};
 }
 
@@ -54,6 +54,9 @@
   for (const json& item : items.at(5)) {
     changes.rows.push_back(DecodeRow(changes.table, item));
   }
+  // Absent in datagrams of versions that know no eras.
+  constexpr size_t kEraItem = 6;
+  changes.era = items.size() > kEraItem ? items.at(kEraItem).get<int64_t>() : 0;
   return changes;
 }
 
--- a/src/skylarkcroft/store/skylarkcroft_table_changes.h
+++ b/src/skylarkcroft/store/skylarkcroft_table_changes.h
@@ -22,6 +22,7 @@
   /// when more had been made.
   std::optional<milliseconds> store_clock;
   std::vector<stored_row> rows;  ///< In the order of their versions.
+  int64_t era = 0;               ///< Era of all versions here.
 
   bool operator==(const table_changes&) const = default;
 };
--- a/src/skylarkcroft/store/skylarkcroft_table_follower.cc
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.cc
@@ -9,15 +9,21 @@
 
 constexpr int kMaxBackoffDoublings = 4;
 
+milliseconds Between(milliseconds least, milliseconds most) {
+  static std::minstd_rand source{std::random_device{}()};
+  std::uniform_int_distribution<milliseconds::rep> within(least.count(),
+                                                          most.count());
+  return milliseconds(within(source));
+}
+
 // Returns a random delay between half of `backoff` and all of it, so that nodes
 // whose calls failed together do not retry together.
 milliseconds Jittered(milliseconds backoff) {
-  static std::minstd_rand source{std::random_device{}()};
-  std::uniform_int_distribution<milliseconds::rep> within(backoff.count() / 2,
-                                                          backoff.count());
-  return milliseconds(within(source));
+  return Between(backoff / 2, backoff);
 }
 
+milliseconds UpTo(milliseconds most) { return Between(milliseconds(0), most); }
+
 }  // namespace
 
 table_follower::table_follower(event_loop& loop, row_store& store,
@@ -36,10 +42,16 @@
 void table_follower::Start() { CallWhenDue(); }
 
 duration table_follower::TimeUntilNextCall(time_point now) const {
-  if (watching_ || !watch_from_.has_value() || !current_as_of_.has_value()) {
+  if (watching_ || !cursor_.place().has_value() ||
+      !current_as_of_.has_value()) {
     return duration(0);
   }
-  if (IsBehindPeers()) {
+  if (cursor_.NeedsWholeRead()) {
+    return cursor_.LearnedEraFromPeer()
+               ? peer_change_at_ + whole_read_delay_ - now
+               : duration(0);
+  }
+  if (cursor_.IsBehindPeers()) {
     return std::max(last_call_at_ + parameters_.change_delay,
                     peer_change_at_ + parameters_.peer_changes_delay) -
            now;
@@ -74,23 +86,15 @@
 }
 
 void table_follower::OnPeerReport(const table_position& peer) {
-  if (!watch_from_.has_value()) {
+  if (!cursor_.place().has_value()) {
     return;
   }
-  if (peer.newest_change > *watch_from_) {
-    const bool new_change = peer.newest_change > newest_peer_change_;
-    const bool was_behind = IsBehindPeers();
-    // Later changes do not put off the call for an earlier one.
-    if (!was_behind) {
-      peer_change_at_ = clock_();
-    }
-    newest_peer_change_ = std::max(newest_peer_change_, peer.newest_change);
-    if (new_change && waiting_for_poll_) {
-      CallWhenDue();
-    } else if (!was_behind && waiting_to_retry_) {
-      // The store is available to a peer.
-      RetryAfter(parameters_.max_backoff);
-    }
+  if (peer.newest_change > *cursor_.place()) {
+    OnPeerAhead(peer.newest_change);
+    return;
+  }
+  const bool same_era = peer.newest_change.era == cursor_.place()->era;
+  if (!same_era || cursor_.NeedsWholeRead()) {
     return;
   }
   const time_point now = clock_();
@@ -104,11 +108,38 @@
   }
 }
 
+void table_follower::OnPeerAhead(const store_position& newest_change) {
+  const bool was_behind = cursor_.IsBehindPeers();
+  const bool knew_era = cursor_.NeedsWholeRead();
+  const bool new_change = cursor_.OnPeerPosition(newest_change);
+  const bool new_era = !knew_era && cursor_.LearnedEraFromPeer();
+  // Later changes do not put off the call for an earlier one.
+  if (!was_behind || new_era) {
+    peer_change_at_ = clock_();
+  }
+  if (new_era) {
+    whole_read_delay_ = UpTo(parameters_.max_whole_read_delay);
+  }
+  if (new_change && waiting_for_poll_) {
+    CallWhenDue();
+  } else if (!was_behind && waiting_to_retry_) {
+    // The store is available to a peer.
+    RetryAfter(parameters_.max_backoff);
+  }
+}
+
 void table_follower::OnPeerChanges(const table_changes& changes) {
-  const bool adjoins = watch_from_.has_value() &&
-                       changes.after <= *watch_from_ &&
-                       changes.up_to > *watch_from_;
-  if (!adjoins) {
+  if (!cursor_.place().has_value()) {
+    return;
+  }
+  const store_position known = *cursor_.place();
+  if (changes.era > known.era) {
+    OnPeerAhead({changes.era, changes.up_to});
+    return;
+  }
+  const replica_step step =
+      cursor_.OnPeerChanges({changes.era, changes.after}, changes.up_to);
+  if (step != replica_step::kApply) {
     return;
   }
   const time_point now = clock_();
@@ -120,19 +151,16 @@
   if (as_of.has_value() && current_as_of_.has_value() &&
       *as_of > *current_as_of_ && !changes.rows.empty()) {
     current_as_of_ = as_of;
-    position_ =
-        table_position{changes.rows.back().version, *changes.store_clock};
+    position_ = table_position{{changes.era, changes.rows.back().version},
+                               *changes.store_clock};
   }
-  Apply(changes.rows, changes.up_to, now);
+  Report(changes.rows, known, now);
 }
 
-void table_follower::Apply(const std::vector<stored_row>& rows, int64_t up_to,
-                           time_point now) {
-  const int64_t known = watch_from_.value_or(0);
-  watch_from_ = std::max(known, up_to);
-  version_ = *watch_from_;
+void table_follower::Report(const std::vector<stored_row>& rows,
+                            const store_position& known, time_point now) {
   for (const stored_row& row : rows) {
-    if (row.version > known) {
+    if (row.version > known.version) {
       events_.on_change(row, now);
     }
   }
@@ -142,8 +170,9 @@
   waiting_to_retry_ = false;
   const time_point sent_at = clock_();
   last_call_at_ = sent_at;
+  cursor_.OnCall();
   const std::weak_ptr<bool> alive = alive_;
-  if (!watch_from_.has_value()) {
+  if (cursor_.NeedsWholeRead()) {
     store_.Read(table_, [this, sent_at, alive](const store_response& response) {
       if (!alive.expired()) {
         OnRead(sent_at, response);
@@ -154,11 +183,12 @@
   // After a failure the call does not wait for changes, since an immediate
   // response shows sooner that the store is available again.
   const bool wait_for_changes = failures_ == 0 && watching_;
-  store_.Watch(table_, *watch_from_,
+  store_.Watch(table_, cursor_.place()->version,
                wait_for_changes ? parameters_.watch_timeout : milliseconds(0),
-               [this, sent_at, alive](const store_response& response) {
+               [this, from = *cursor_.place(), sent_at,
+                alive](const store_response& response) {
                  if (!alive.expired()) {
-                   OnWatch(sent_at, response);
+                   OnWatch(from, sent_at, response);
                  }
                });
 }
@@ -169,19 +199,26 @@
     OnFailure(response.outcome);
     return;
   }
-  watch_from_ = response.version;
-  version_ = response.version;
+  const std::optional<store_position> before = cursor_.place();
+  if (!cursor_.OnRead(response.at())) {
+    // A late response of an era that has ended.
+    RetryAfter(parameters_.initial_backoff);
+    return;
+  }
+  if (before.has_value() && before->era != response.era) {
+    store_clock_ = {};
+  }
   // Uses the version of the store: the newest change of the table may be a
   // removal, which leaves no row to read.
-  OnResponse(sent_at, response, response.version);
+  OnResponse(sent_at, response, response.at());
   events_.on_reset(response.rows, clock_());
   CallWhenDue();
 }
 
-void table_follower::OnWatch(time_point sent_at,
+void table_follower::OnWatch(const store_position& from, time_point sent_at,
                              const store_response& response) {
   if (response.outcome == store_outcome::kHistoryGone) {
-    watch_from_.reset();
+    cursor_.OnHistoryGone(response.era);
     CallWhenDue();
     return;
   }
@@ -189,21 +226,34 @@
     OnFailure(response.outcome);
     return;
   }
+  const store_position before = *cursor_.place();
+  switch (cursor_.OnChanges(from, response.at())) {
+    case replica_step::kIgnore:
+      RetryAfter(parameters_.initial_backoff);
+      return;
+    case replica_step::kReadWhole:
+      CallWhenDue();
+      return;
+    case replica_step::kApply:
+      break;
+  }
   // Peers that do not watch know the version of the table's last change, but
   // not how far the store has got since.
-  const int64_t known = position_.has_value() ? position_->newest_change : 0;
-  int64_t newest = known;
+  const store_position known = position_.has_value()
+                                   ? position_->newest_change
+                                   : store_position{before.era, 0};
+  store_position newest = known;
   for (const stored_row& row : response.rows) {
-    newest = std::max(newest, row.version);
+    newest.version = std::max(newest.version, row.version);
   }
   OnResponse(sent_at, response, newest);
-  Apply(response.rows, response.version, clock_());
+  Report(response.rows, before, clock_());
   if (response.rows.empty()) {
     CallWhenDue();
     return;
   }
   if (watching_) {
-    PassOn(response, known);
+    PassOn(response, known.version);
   }
   timer_ = loop_.After(parameters_.change_delay, [this] { CallWhenDue(); });
 }
@@ -213,7 +263,12 @@
       !response.responded_at.has_value()) {
     return;
   }
-  table_changes changes{table_, known, version_, response.responded_at, {}};
+  table_changes changes{table_,
+                        known,
+                        cursor_.place()->version,
+                        response.responded_at,
+                        {},
+                        cursor_.place()->era};
   for (const stored_row& row : response.rows) {
     // Another watching node may have passed on some of them meanwhile.
     if (row.version > known) {
@@ -227,7 +282,7 @@
 
 void table_follower::OnResponse(time_point sent_at,
                                 const store_response& response,
-                                int64_t newest_change) {
+                                const store_position& newest_change) {
   const time_point as_of = store_clock_.EarliestResponseTime(
       sent_at, response.responded_at, clock_());
   previously_current_as_of_ = current_as_of_;
@@ -244,11 +299,11 @@
 
 void table_follower::OnFailure(store_outcome why) {
   const int doublings = std::min(failures_++, kMaxBackoffDoublings);
-  const milliseconds backoff =
-      std::min(watching_ || !watch_from_.has_value() || IsBehindPeers()
-                   ? parameters_.max_backoff
-                   : parameters_.max_backoff_without_watch,
-               parameters_.initial_backoff * (1 << doublings));
+  const milliseconds backoff = std::min(
+      watching_ || !cursor_.place().has_value() || cursor_.IsBehindPeers()
+          ? parameters_.max_backoff
+          : parameters_.max_backoff_without_watch,
+      parameters_.initial_backoff * (1 << doublings));
   if (reachable_) {
     reachable_ = false;
     events_.on_reachability(false, why, clock_());
@@ -256,10 +311,6 @@
   RetryAfter(backoff);
 }
 
-bool table_follower::IsBehindPeers() const {
-  return watch_from_.has_value() && newest_peer_change_ > *watch_from_;
-}
-
 void table_follower::RetryAfter(milliseconds backoff) {
   waiting_to_retry_ = true;
   timer_ = loop_.After(Jittered(backoff), [this] { CallWhenDue(); });
--- a/src/skylarkcroft/store/skylarkcroft_table_follower.h
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.h
@@ -10,6 +10,7 @@
 
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
 #include "skylarkcroft/internal/skylarkcroft_time.h"
+#include "skylarkcroft/store/skylarkcroft_replica_cursor.h"
 #include "skylarkcroft/store/skylarkcroft_row_store.h"
 #include "skylarkcroft/store/skylarkcroft_store_clock_mapping.h"
 #include "skylarkcroft/store/skylarkcroft_table_changes.h"
@@ -37,6 +38,9 @@
   /// The maximum for a follower with a replica that does not watch, until a
   /// peer is ahead of it.
   milliseconds max_backoff_without_watch{1600};
+  /// A follower that does not watch and hears of a new era of the store reads
+  /// the table within this time, so that not all nodes read it at once.
+  milliseconds max_whole_read_delay{0};
 
   bool operator==(const table_follower_parameters&) const = default;
 };
@@ -44,7 +48,7 @@
 /// Callbacks of a table_follower.
 struct table_follower_callbacks {
   /// All rows of the table: at the start, and again when the store no longer
-  /// keeps the changes since the last known version.
+  /// keeps the changes since the last known version or has begun a new era.
   std::function<void(const std::vector<stored_row>&, time_point now)> on_reset;
   /// A row that was changed or removed.
   std::function<void(const stored_row&, time_point now)> on_change;
@@ -81,9 +85,10 @@
   [[nodiscard]] std::optional<time_point> previously_current_as_of() const {
     return previously_current_as_of_;
   }
-  /// Version of the store that the replica has reached; 0 before the first
-  /// read.
-  [[nodiscard]] int64_t version() const { return version_; }
+  /// What of the store's history the replica has reached.
+  [[nodiscard]] store_position place() const {
+    return cursor_.place().value_or(store_position{});
+  }
   /// How current the replica is, for peers; empty before the first read or when
   /// the store does not state its clock.
   [[nodiscard]] std::optional<table_position> position() const {
@@ -108,18 +113,19 @@
   /// Time until the next call is due; 0 or less when it is due now.
   [[nodiscard]] duration TimeUntilNextCall(time_point now) const;
   void OnRead(time_point sent_at, const store_response& response);
-  void OnWatch(time_point sent_at, const store_response& response);
+  void OnWatch(const store_position& from, time_point sent_at,
+               const store_response& response);
+  /// A peer knows of a change that the replica does not have.
+  void OnPeerAhead(const store_position& newest_change);
   void OnFailure(store_outcome why);
-  /// Whether a peer has told of a change that the replica does not have.
-  [[nodiscard]] bool IsBehindPeers() const;
   void RetryAfter(milliseconds backoff);
   /// Hands the rows of a response that are newer than `known` to the peers.
   void PassOn(const store_response& response, int64_t known);
-  /// Reports the rows that are newer than the replica and advances it.
-  void Apply(const std::vector<stored_row>& rows, int64_t up_to,
-             time_point now);
+  /// Reports the rows that are newer than `known`, what the replica had.
+  void Report(const std::vector<stored_row>& rows, const store_position& known,
+              time_point now);
   void OnResponse(time_point sent_at, const store_response& response,
-                  int64_t newest_change);
+                  const store_position& newest_change);
 
   event_loop& loop_;
   row_store& store_;
@@ -127,18 +133,15 @@
   table_follower_parameters parameters_;
   table_follower_callbacks events_;
   clock_fn clock_;
-  /// Version after which the next watch asks for changes; empty when the whole
-  /// table has to be read.
-  std::optional<int64_t> watch_from_;
+  replica_cursor cursor_;
   store_clock_mapping store_clock_;
   std::optional<time_point> current_as_of_;
   std::optional<time_point> previously_current_as_of_;
   std::optional<table_position> position_;
-  /// Newest change that any peer has reported.
-  int64_t newest_peer_change_ = 0;
-  /// When a peer first reported that change.
+  /// When a peer first reported a change that the replica does not have.
   time_point peer_change_at_{};
-  int64_t version_ = 0;
+  /// From then on, until the whole table is read in a new era.
+  milliseconds whole_read_delay_{0};
   time_point last_call_at_{};
   bool watching_ = true;
   /// Whether the timer runs until the next poll is due; a poll can then be
--- a/src/skylarkcroft/store/skylarkcroft_table_position.h
+++ b/src/skylarkcroft/store/skylarkcroft_table_position.h
@@ -1,17 +1,16 @@
 #ifndef SKYLARKCROFT_STORE_SKYLARKCROFT_TABLE_POSITION_H_
 #define SKYLARKCROFT_STORE_SKYLARKCROFT_TABLE_POSITION_H_
 
-#include <cstdint>
-
 #include "skylarkcroft/internal/skylarkcroft_time.h"
+#include "skylarkcroft/store/skylarkcroft_store_position.h"
 
 namespace skylarkcroft {
 
 /// How current a node's replica of a table is, as reported to its peers: every
-/// change made before the store's clock showed `store_clock` has a version of
-/// at most `newest_change`.
+/// change made before the store's clock showed `store_clock` is at
+/// `newest_change` or before.
 struct table_position {
-  int64_t newest_change = 0;
+  store_position newest_change;
   milliseconds store_clock{0};
 
   bool operator==(const table_position&) const = default;
--- a/tests/adapter/platform_row_store_test.cc
+++ b/tests/adapter/platform_row_store_test.cc
@@ -213,10 +213,10 @@
   fixture on;
   resting_follower one(on);
   const int calls = on.standin.store_calls;
-  const int64_t newest = one.follower.position()->newest_change;
+  const int64_t newest = one.follower.position()->newest_change.version;
   for (int i = 0; i < 10; ++i) {
     on.loop.RunFor(milliseconds(50));
-    one.follower.OnPeerReport({newest, resting_follower::StoreClock()});
+    one.follower.OnPeerReport({{0, newest}, resting_follower::StoreClock()});
   }
   CHECK(on.standin.store_calls == calls);
   CHECK(SteadyNow() - *one.follower.current_as_of() < milliseconds(100));
@@ -226,15 +226,15 @@
           "[adapter][store][follower]") {
   fixture on;
   resting_follower one(on);
-  const int64_t newest = one.follower.position()->newest_change;
+  const int64_t newest = one.follower.position()->newest_change.version;
   on.standin.Put("t", "a", "1");
   const time_point before = *one.follower.current_as_of();
-  one.follower.OnPeerReport({newest + 1, resting_follower::StoreClock()});
+  one.follower.OnPeerReport({{0, newest + 1}, resting_follower::StoreClock()});
   CHECK(*one.follower.current_as_of() == before);
   const time_point told = SteadyNow();
   REQUIRE(on.Await([&] { return one.seen == 1; }));
   CHECK(SteadyNow() - told < milliseconds(150));
-  CHECK(one.follower.position()->newest_change == newest + 1);
+  CHECK(one.follower.position()->newest_change.version == newest + 1);
 }
 
 TEST_CASE("Changes that a peer passes on spare a call of the store",
@@ -242,16 +242,16 @@
   fixture on;
   resting_follower one(on);
   const int calls = on.standin.store_calls;
-  const int64_t known = one.follower.position()->newest_change;
+  const int64_t known = one.follower.position()->newest_change.version;
   const milliseconds clock = resting_follower::StoreClock();
   const stored_row row{"t", "a", "1", known + 3, false};
   SECTION("when none is missing before them") {
     one.follower.OnPeerChanges({"t", known, known + 5, clock, {row}});
     CHECK(one.seen == 1);
-    one.follower.OnPeerReport({known + 3, clock});
+    one.follower.OnPeerReport({{0, known + 3}, clock});
     on.loop.RunFor(milliseconds(100));
     CHECK(on.standin.store_calls == calls);
-    CHECK(one.follower.position()->newest_change == known + 3);
+    CHECK(one.follower.position()->newest_change.version == known + 3);
   }
   SECTION("only once when they arrive twice") {
     one.follower.OnPeerChanges({"t", known, known + 5, clock, {row}});
@@ -262,7 +262,7 @@
     one.follower.OnPeerChanges({"t", known + 1, known + 5, clock, {row}});
     CHECK(one.seen == 0);
     on.standin.Put("t", "a", "1");
-    one.follower.OnPeerReport({known + 3, clock});
+    one.follower.OnPeerReport({{0, known + 3}, clock});
     CHECK(on.Await([&] { return one.seen == 1; }));
     CHECK(on.standin.store_calls > calls);
   }
@@ -285,7 +285,7 @@
   follower.Start();
   REQUIRE(on.Await([&] { return follower.position().has_value(); }));
   on.loop.RunFor(milliseconds(30));
-  const int64_t known = follower.position()->newest_change;
+  const int64_t known = follower.position()->newest_change.version;
   // Another watching node was faster, while this one's watch is pending.
   const milliseconds clock = resting_follower::StoreClock();
   follower.OnPeerChanges(
@@ -313,12 +313,12 @@
     CHECK(on.standin.store_calls - calls <= 8);
   }
   SECTION("and not at all while peers report that nothing has changed") {
-    const int64_t newest = one.follower.position()->newest_change;
-    one.follower.OnPeerReport({newest, resting_follower::StoreClock()});
+    const int64_t newest = one.follower.position()->newest_change.version;
+    one.follower.OnPeerReport({{0, newest}, resting_follower::StoreClock()});
     on.loop.RunFor(milliseconds(300));
     const int calls = on.standin.store_calls;
     for (int i = 0; i < 20; ++i) {
-      one.follower.OnPeerReport({newest, resting_follower::StoreClock()});
+      one.follower.OnPeerReport({{0, newest}, resting_follower::StoreClock()});
       on.loop.RunFor(milliseconds(50));
     }
     CHECK(on.standin.store_calls - calls <= 1);
@@ -334,12 +334,12 @@
   on.standin.fault = store_fault::kRefuse;
   on.loop.RunFor(milliseconds(4000));
   on.standin.fault = store_fault::kNone;
-  const int64_t known = one.follower.position()->newest_change;
+  const int64_t known = one.follower.position()->newest_change.version;
   on.standin.Put("t", "a", "1");
   // The follower waits for its next attempt, which is up to 1.6 s away.
   for (int attempt = 0; attempt < 5; ++attempt) {
     on.loop.RunFor(milliseconds(10));
-    one.follower.OnPeerReport({known + 1, resting_follower::StoreClock()});
+    one.follower.OnPeerReport({{0, known + 1}, resting_follower::StoreClock()});
   }
   on.loop.RunFor(milliseconds(500));
   CHECK(one.seen == 1);
@@ -354,9 +354,9 @@
   patient.max_staleness = milliseconds(5000);
   one.follower.SetParameters(patient);
   const int calls = on.standin.store_calls;
-  const int64_t known = one.follower.position()->newest_change;
+  const int64_t known = one.follower.position()->newest_change.version;
   on.standin.Put("t", "a", "1");
-  one.follower.OnPeerReport({known + 1, resting_follower::StoreClock()});
+  one.follower.OnPeerReport({{0, known + 1}, resting_follower::StoreClock()});
   on.loop.RunFor(milliseconds(50));
   CHECK(on.standin.store_calls == calls);
   CHECK(on.Await([&] { return one.seen == 1; }));
@@ -428,4 +428,98 @@
                                   start + milliseconds(900)) == start);
 }
 
+namespace {
+
+/// A follower with all rows of its table.
+class copying_follower {
+ public:
+  explicit copying_follower(fixture& on)
+      : follower(on.loop, on.store, "t", Terms(),
+                 {[this](const std::vector<stored_row>& all, time_point) {
+                    rows.clear();
+                    for (const stored_row& row : all) {
+                      rows[row.key] = row.value;
+                    }
+                  },
+                  [this](const stored_row& row, time_point) {
+                    rows[row.key] = row.value;
+                  },
+                  [](bool, store_outcome, time_point) {}},
+                 SteadyNow) {}
+
+  static table_follower_parameters Terms() {
+    table_follower_parameters terms;
+    terms.change_delay = milliseconds(5);
+    terms.watch_timeout = milliseconds(100);
+    terms.max_staleness = milliseconds(200);
+    terms.peer_changes_delay = milliseconds(0);
+    return terms;
+  }
+
+  std::map<std::string, std::string> rows;
+  table_follower follower;
+};
+
+}  // namespace
+
+// Guards against a replica that misses what was written after a restore below
+// the version that it knew, and keeps what the restore undid.
+TEST_CASE("A follower catches up with a store that came back from a copy",
+          "[adapter][store][follower][restored][regression]") {
+  fixture on;
+  const bool watching = GENERATE(true, false);
+  const int64_t first_era = GENERATE(0, 1);
+  CAPTURE(watching, first_era);
+  on.standin.era = first_era;
+  on.standin.Put("t", "a", "1");
+  on.standin.MakeCopy();
+  copying_follower one(on);
+  one.follower.SetWatching(watching);
+  one.follower.Start();
+  for (int i = 0; i < 4; ++i) {
+    on.standin.Put("t", "lost", std::to_string(i));
+  }
+  on.standin.Put("t", "a", "2");
+  REQUIRE(on.Await([&] { return one.rows["a"] == "2"; }));
+  on.standin.fault = store_fault::kRefuse;
+  on.standin.RestoreCopy();
+  on.loop.RunFor(milliseconds(50));
+  // Before the follower hears of it, versions have passed the one it knows,
+  // unless the store states no era.
+  on.standin.Put("t", "b", "1");
+  if (first_era > 0) {
+    for (int i = 0; i < 8; ++i) {
+      on.standin.Put("t", "c", std::to_string(i));
+    }
+  }
+  on.standin.fault = store_fault::kNone;
+  CHECK(on.Await([&] {
+    return one.rows["b"] == "1" && one.rows["a"] == "1" &&
+           !one.rows.contains("lost");
+  }));
+}
+
+// Guards against nodes that take a peer of the new era for older than they are.
+TEST_CASE("A resting follower reads the table when a peer knows a later era",
+          "[adapter][store][follower][restored][peers][regression]") {
+  fixture on;
+  on.standin.era = 1;
+  on.standin.MakeCopy();
+  on.standin.Put("t", "a", "1");
+  on.standin.Put("t", "a", "2");
+  copying_follower one(on);
+  one.follower.SetWatching(false);
+  one.follower.Start();
+  REQUIRE(on.Await([&] { return one.rows["a"] == "2"; }));
+  table_follower_parameters rarely = copying_follower::Terms();
+  rarely.max_staleness = milliseconds(60000);
+  one.follower.SetParameters(rarely);
+  on.loop.RunFor(milliseconds(300));
+  on.standin.RestoreCopy();
+  on.standin.Put("t", "b", "1");
+  one.follower.OnPeerReport({{2, 2}, resting_follower::StoreClock()});
+  CHECK(on.Await([&] { return one.rows.contains("b"); }));
+  CHECK(one.follower.place().era == 2);
+}
+
 }  // namespace skylarkcroft
--- a/tests/adapter/platform_standin.h
+++ b/tests/adapter/platform_standin.h
@@ -46,6 +46,18 @@
   }
   /// Watches from versions before now get 410.
   void ForgetHistory() { oldest_ = version_; }
+  /// Keeps a copy of the rows for RestoreCopy().
+  void MakeCopy() { copy_ = {rows_, version_}; }
+  /// Comes back from the copy: the rows and versions since are gone, the
+  /// versions are given out again, and watches end without an answer.
+  void RestoreCopy() {
+    rows_ = copy_.rows;
+    version_ = copy_.version;
+    ++era;
+    for (const watch& pending : std::exchange(watches_, {})) {
+      pending.call->Reply({503, {}, ""});
+    }
+  }
 
   /// A call to the cloud API.
   struct cloud_call {
@@ -58,6 +70,8 @@
   store_fault fault = store_fault::kNone;
   /// Added to the clock that answers state.
   milliseconds clock_step{0};
+  /// Stated in all answers unless it is 0.
+  int64_t era = 0;
   int cloud_status = 200;
   std::vector<cloud_call> cloud_calls;
   int store_calls = 0;
@@ -75,6 +89,10 @@
     event_loop::handle_ptr timer;
   };
   using row_name = std::pair<std::string, std::string>;
+  struct store_copy {
+    std::map<row_name, row> rows;
+    int64_t version = 1;
+  };
 
   static std::string Base64(const std::string& bytes) {
     static constexpr char kDigits[] =
@@ -133,7 +151,11 @@
                           SteadyNow().time_since_epoch()) +
                       clock_step)
                          .count();
-    call->Reply({status, {{"Content-Type", "application/json"}}, body.dump()});
+    http_headers headers{{"Content-Type", "application/json"}};
+    if (era > 0) {
+      headers.Add("Store-Era", std::to_string(era));
+    }
+    call->Reply({status, headers, body.dump()});
   }
 
   void Handle(const http_exchange_ptr& call) {
@@ -180,7 +202,7 @@
     const int64_t after = std::stoll(call->request().QueryParameter("after"));
     const milliseconds wait(
         std::stoll(call->request().QueryParameter("wait_ms")));
-    if (after < oldest_) {
+    if (after < oldest_ || after > version_) {
       Reply(call, 410, nlohmann::json::object());
       return;
     }
@@ -251,6 +273,7 @@
   int64_t version_ = 1;
   int64_t oldest_ = 0;
   std::map<row_name, row> rows_;
+  store_copy copy_;
   std::list<watch> watches_;
   std::vector<http_exchange_ptr> unanswered_;
   http_server server_;
