Upstreams: entries of an older copy do not undo what a node has acknowledged

Cause: a node that read the list of upstreams after a restore took the copy for the truth. An upstream that had drained or left since the copy was made stood there as ready and was used again (DRAIN); one that had registered since was dropped at once, though it registers again within two seconds.

Change: departed_upstreams remembers which processes left. In the first read of an era such an entry counts as leaving. The balancer counts the time within which upstreams register again from that read.

Tests, both failed before: "An upstream that had left is not used when an older copy lists it" (announced and removed: 1 usable instead of 0), "An upstream that an older copy lacks stays in use for a while" (1 instead of 2).

--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
@@ -144,6 +144,9 @@
   void Remove(const std::string& id, time_point now);
   /// Records whether the store is reachable.
   void OnStoreContact(bool reachable, time_point now);
+  /// The store has come back from an older copy, which may lack upstreams that
+  /// will register again.
+  void OnStoreRestored(time_point now) { store_reachable_since_ = now; }
   /// Drops removed upstreams that did not register again in time; returns their
   /// ids.
   std::vector<std::string> DropRemoved(time_point now);
--- a/src/skylarkcroft/relay/skylarkcroft_store_replica.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_store_replica.cc
@@ -143,18 +143,7 @@
 
 table_follower_callbacks store_replica::UpstreamsEvents() {
   return {[this](const std::vector<stored_row>& rows, time_point now) {
-            std::vector<upstream_entry> entries;
-            for (const stored_row& row : rows) {
-              const std::optional<upstream_entry> entry = ParseUpstreamRow(row);
-              if (entry.has_value()) {
-                entries.push_back(*entry);
-              }
-            }
-            environment_.balancer.Reset(entries, now);
-            environment_.log(
-                log_level::kInfo, "upstreams read",
-                {{"entries", std::to_string(entries.size())},
-                 {"position", ToString(upstreams_follower_.place())}});
+            ResetUpstreams(rows, now);
           },
           [this](const stored_row& row, time_point now) {
             ApplyUpstreamRow(row, now);
@@ -167,6 +156,35 @@
           environment_.pass_on};
 }
 
+void store_replica::ResetUpstreams(const std::vector<stored_row>& rows,
+                                   time_point now) {
+  const int64_t era = upstreams_follower_.place().era;
+  const bool restored = upstreams_era_.has_value() && *upstreams_era_ != era;
+  upstreams_era_ = era;
+  std::vector<upstream_entry> entries;
+  for (const stored_row& row : rows) {
+    std::optional<upstream_entry> entry = ParseUpstreamRow(row);
+    if (!entry.has_value()) {
+      continue;
+    }
+    if (entry->is_draining) {
+      departed_.Record(*entry, now);
+    } else if (restored && departed_.Contains(*entry)) {
+      // The copy is older than the upstream's departure.
+      entry->is_draining = true;
+      LogUpstreamChange(row, "left before");
+    }
+    entries.push_back(*entry);
+  }
+  if (restored) {
+    environment_.balancer.OnStoreRestored(now);
+  }
+  environment_.balancer.Reset(entries, now);
+  environment_.log(log_level::kInfo, "upstreams read",
+                   {{"entries", std::to_string(entries.size())},
+                    {"position", ToString(upstreams_follower_.place())}});
+}
+
 table_follower_callbacks store_replica::NodesEvents() {
   return {
       [this](const std::vector<stored_row>& rows, time_point now) {
@@ -223,6 +241,9 @@
   const upstream_entry* known = balancer.Find(row.key);
   const bool was_serving = known != nullptr && !known->is_draining;
   if (row.removed) {
+    if (known != nullptr) {
+      departed_.Record(*known, now);
+    }
     const std::optional<time_point> serves_until = ServesUntil(milliseconds(0));
     if (was_serving && serves_until.has_value()) {
       balancer.RemoveUnannounced(row.key, *serves_until, now);
@@ -240,6 +261,11 @@
   if (known == nullptr || !(*known == *entry)) {
     LogUpstreamChange(row, entry->is_draining ? "leaving" : "ready");
   }
+  if (entry->is_draining) {
+    departed_.Record(*entry, now);
+  } else {
+    departed_.Forget(entry->id);
+  }
   balancer.Put(*entry, now);
   const std::optional<time_point> serves_until =
       ServesUntil(entry->exits_after);
--- a/src/skylarkcroft/relay/skylarkcroft_store_replica.h
+++ b/src/skylarkcroft/relay/skylarkcroft_store_replica.h
@@ -11,6 +11,7 @@
 #include "skylarkcroft/internal/skylarkcroft_time.h"
 #include "skylarkcroft/log/skylarkcroft_log_entry.h"
 #include "skylarkcroft/peers/skylarkcroft_peer_group.h"
+#include "skylarkcroft/placement/skylarkcroft_departed_upstreams.h"
 #include "skylarkcroft/placement/skylarkcroft_load_balancer.h"
 #include "skylarkcroft/relay/skylarkcroft_deployment_adapter.h"
 #include "skylarkcroft/service/skylarkcroft_request_gate.h"
@@ -90,6 +91,7 @@
   table_follower_callbacks NodesEvents();
   void ApplyTablesRow(const stored_row& row);
   std::optional<upstream_entry> ParseUpstreamRow(const stored_row& row);
+  void ResetUpstreams(const std::vector<stored_row>& rows, time_point now);
   void ApplyUpstreamRow(const stored_row& row, time_point now);
   /// Until when an upstream that the latest response of the store reports as
   /// leaving takes requests; `exits_after` is 0 when it is not known. Empty
@@ -110,6 +112,9 @@
   table_follower tables_follower_;
   table_follower upstreams_follower_;
   table_follower nodes_follower_;
+  /// Era of the store at the last whole read of the upstreams.
+  std::optional<int64_t> upstreams_era_;
+  departed_upstreams departed_;
   bool nodes_follower_started_ = false;
   event_loop::handle_ptr join_timer_;
 };
--- a/tests/adapter/platform_standin.h
+++ b/tests/adapter/platform_standin.h
@@ -44,6 +44,11 @@
     Change(table, key, "", true);
     AnswerWatches();
   }
+  [[nodiscard]] bool Has(const std::string& table,
+                         const std::string& key) const {
+    const auto found = rows_.find({table, key});
+    return found != rows_.end() && !found->second.removed;
+  }
   /// Watches from versions before now get 410.
   void ForgetHistory() { oldest_ = version_; }
   /// Keeps a copy of the rows for RestoreCopy().
--- a/tests/adapter/store_replica_test.cc
+++ b/tests/adapter/store_replica_test.cc
@@ -115,4 +115,65 @@
                    [&] { return node.balancer.UsableCount("desk") == 0; }));
 }
 
+namespace {
+
+/// Lets the store of `node` come back from its copy and waits until the node
+/// has read the upstreams in the new era.
+void Restore(resting_node& node) {
+  node.standin.RestoreCopy();
+  const int64_t era = node.standin.era;
+  REQUIRE(node.Await(milliseconds(3000), [&] {
+    const std::optional<table_position> position =
+        node.replica.upstreams_position();
+    return position.has_value() && position->newest_change.era == era;
+  }));
+}
+
+}  // namespace
+
+// Guards against requests to an upstream that left after the copy was made.
+TEST_CASE("An upstream that had left is not used when an older copy lists it",
+          "[adapter][store][drain][restored][regression]") {
+  resting_node node;
+  node.standin.era = 1;
+  REQUIRE(node.Await(milliseconds(2000),
+                     [&] { return node.balancer.UsableCount("desk") == 1; }));
+  node.standin.MakeCopy();
+  const bool removed = GENERATE(false, true);
+  CAPTURE(removed);
+  if (removed) {
+    node.standin.Drop("servers", "i-1");
+  } else {
+    node.standin.Put("servers", "i-1", Entry("draining"));
+  }
+  REQUIRE(node.Await(milliseconds(4000),
+                     [&] { return node.balancer.UsableCount("desk") == 0; }));
+  Restore(node);
+  CHECK(node.balancer.UsableCount("desk") == 0);
+  // It registers again in another process.
+  node.standin.Put("servers", "i-1", R"({"service": "desk",
+      "address": "127.0.0.1:9", "zone": "a", "slots": 8, "state": "ready",
+      "born": 2})");
+  CHECK(node.Await(milliseconds(2000),
+                   [&] { return node.balancer.UsableCount("desk") == 1; }));
+}
+
+TEST_CASE("An upstream that an older copy lacks stays in use for a while",
+          "[adapter][store][restored]") {
+  resting_node node;
+  node.standin.era = 1;
+  node.standin.MakeCopy();
+  REQUIRE(node.Await(milliseconds(2000),
+                     [&] { return node.balancer.UsableCount("desk") == 1; }));
+  node.standin.Put("servers", "i-2", Entry("ready"));
+  REQUIRE(node.Await(milliseconds(2000),
+                     [&] { return node.balancer.UsableCount("desk") == 2; }));
+  Restore(node);
+  CHECK(node.balancer.UsableCount("desk") == 2);
+  CHECK(node.Await(milliseconds(4000), [&] {
+    node.balancer.DropRemoved(SteadyNow());
+    return node.balancer.UsableCount("desk") == 1;
+  }));
+}
+
 }  // namespace skylarkcroft
