Nodes: join again when the store comes back from a copy without the entry

Cause: a node writes its entry in the list of nodes once, at its start. A restore to a copy from before undoes that for good, and nodes that start later do not find it.

Change: a new era makes each node read the list, spread like the other whole reads; a node that is not listed writes its entry again.

Test: "A node joins again when an older copy does not list it" failed before.

--- a/src/skylarkcroft/relay/skylarkcroft_store_replica.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_store_replica.cc
@@ -130,6 +130,9 @@
             for (const stored_row& row : rows) {
               ApplyTablesRow(row);
             }
+            // The list of nodes is polled too seldom to learn of a new era.
+            nodes_follower_.OnPeerReport(
+                {{tables_follower_.place().era, 0}, milliseconds(0)});
           },
           [this](const stored_row& row, time_point /*now*/) {
             ApplyTablesRow(row);
@@ -188,8 +191,14 @@
 table_follower_callbacks store_replica::NodesEvents() {
   return {
       [this](const std::vector<stored_row>& rows, time_point now) {
+        bool listed = false;
         for (const stored_row& row : rows) {
           ApplyNodeRow(row, now);
+          listed = listed || row.key == node_;
+        }
+        if (!listed) {
+          // The store has come back from a copy made before this node joined.
+          Join();
         }
       },
       [this](const stored_row& row, time_point now) { ApplyNodeRow(row, now); },
@@ -327,6 +336,7 @@
       nodes_follower_.Start();
     }
     if (view.outcome != store_outcome::kDone) {
+      // As well where it is not known: writing the row twice changes nothing.
       join_timer_ =
           environment_.loop.After(kJoinRetryDelay, [this] { Join(); });
     }
--- a/tests/adapter/store_replica_test.cc
+++ b/tests/adapter/store_replica_test.cc
@@ -176,4 +176,19 @@
   }));
 }
 
+// Guards against nodes that later ones do not find in the store's list.
+TEST_CASE("A node joins again when an older copy does not list it",
+          "[adapter][store][restored][regression]") {
+  resting_node node;
+  node.standin.era = 1;
+  node.standin.MakeCopy();
+  REQUIRE(node.Await(milliseconds(2000), [&] {
+    return node.standin.Has("nodes", resting_node::Name());
+  }));
+  Restore(node);
+  CHECK(node.Await(milliseconds(2000), [&] {
+    return node.standin.Has("nodes", resting_node::Name());
+  }));
+}
+
 }  // namespace skylarkcroft
