Duties: rows of an era of their own, tokens above those that a copy has lost

Change: duty_rows, split from duty_runner, without I/O. Each era has a lease row and a usage row of its own; tokens of an era start above its number times 1,000,000 and above every token seen. Rows of earlier eras are removed with the next write.

Ruled out: a further row as a mark of the era in each condition; after two restores of which the second goes back behind the first, its version can be given out again too.

--- a/src/skylarkcroft/control/skylarkcroft_lease_decision.cc
+++ b/src/skylarkcroft/control/skylarkcroft_lease_decision.cc
@@ -9,7 +9,9 @@
                            const lease_parameters& parameters) {
   const milliseconds stagger =
       parameters.lease_time * static_cast<milliseconds::rep>(position);
-  if (view.version == 0 || view.record.released) {
+  const bool is_free =
+      (view.version == 0 && !view.row_lost) || view.record.released;
+  if (is_free) {
     return stagger;
   }
   const milliseconds holder_lease_time(view.record.lease_time_ms);
@@ -22,12 +24,16 @@
 lease_step DecideLease(const lease_view& view, const lease_member& self,
                        size_t position, const lease_parameters& parameters,
                        time_point now) {
+  const bool row_known = view.version > 0 || view.row_lost;
   const bool held_by_self =
-      view.version > 0 && !view.record.released && view.record.holder == self;
+      row_known && !view.record.released && view.record.holder == self;
   if (held_by_self) {
     if (position >= parameters.watcher_count) {
       return lease_step::kRelease;
     }
+    if (view.row_lost) {
+      return lease_step::kAcquire;
+    }
     return now >= view.first_seen_at + parameters.renew_period
                ? lease_step::kRenew
                : lease_step::kWait;
@@ -48,7 +54,7 @@
   record.lease_time_ms = parameters.lease_time.count();
   if (step == lease_step::kAcquire || step == lease_step::kTakeOver) {
     record.holder = self;
-    record.fence = view.record.fence + 1;
+    record.fence = std::max(view.record.fence, view.fence_floor) + 1;
     record.released = false;
   }
   if (step == lease_step::kRelease) {
--- a/src/skylarkcroft/control/skylarkcroft_lease_decision.h
+++ b/src/skylarkcroft/control/skylarkcroft_lease_decision.h
@@ -33,6 +33,12 @@
   int64_t version = 0;
   lease_record record;
   time_point first_seen_at{};
+  /// There is no row because the store came back from an older copy. `record`
+  /// is what this process knew before; its holder, or one that this process
+  /// does not know of, may still act.
+  bool row_lost = false;
+  /// New fencing tokens are greater than this.
+  int64_t fence_floor = 0;
 
   bool operator==(const lease_view&) const = default;
 };
--- a/src/skylarkcroft/control/skylarkcroft_pool_lease.cc
+++ b/src/skylarkcroft/control/skylarkcroft_pool_lease.cc
@@ -1,5 +1,6 @@
 #include "skylarkcroft/control/skylarkcroft_pool_lease.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace skylarkcroft {
@@ -30,6 +31,19 @@
   UpdateView(read.row.version, *record, now);
 }
 
+void pool_lease::OnStoreRestored(int64_t fence_floor, time_point now) {
+  lease_record known = view_.record;
+  if (!IsRunning(now)) {
+    MarkNotHeld();
+    known.holder = {};
+    known.released = false;
+  }
+  row_read_ = true;
+  // A write that is in progress went to the row of before.
+  writing_.reset();
+  view_ = {0, known, now, true, std::max(view_.fence_floor, fence_floor)};
+}
+
 bool pool_lease::IsOwn(const lease_record& record) const {
   return record.holder == self_ && !record.released;
 }
@@ -47,7 +61,8 @@
   if (!changed) {
     return;
   }
-  view_ = {version, record, now};
+  view_ = {version, record, now, false,
+           std::max(view_.fence_floor, record.fence)};
   if (version == 0 || !IsOwn(record)) {
     MarkNotHeld();
     return;
@@ -85,6 +100,10 @@
 
 bool pool_lease::EndWrite(row_outcome outcome, time_point now) {
   const std::optional<lease_view> written = std::exchange(writing_, {});
+  if (!written.has_value()) {
+    // The row was lost meanwhile.
+    return true;
+  }
   switch (outcome) {
     case row_outcome::kCommitted:
       UpdateView(written->version, written->record, now);
@@ -98,14 +117,17 @@
   return true;
 }
 
+bool pool_lease::IsRunning(time_point now) const {
+  return renewal_sent_at_ && now < *renewal_sent_at_ + parameters_.lease_time;
+}
+
 bool pool_lease::MayAct(time_point now) const {
   return renewal_sent_at_ &&
          now < OrderStartDeadline(*renewal_sent_at_, parameters_);
 }
 
 bool pool_lease::MayTakeEffect(time_point sent_at, time_point now) const {
-  return renewal_sent_at_ && now < sent_at + parameters_.order_timeout &&
-         now < *renewal_sent_at_ + parameters_.lease_time;
+  return now < sent_at + parameters_.order_timeout && IsRunning(now);
 }
 
 bool pool_lease::PreviousOrdersExpired(time_point now) const {
--- a/src/skylarkcroft/control/skylarkcroft_pool_lease.h
+++ b/src/skylarkcroft/control/skylarkcroft_pool_lease.h
@@ -26,6 +26,12 @@
   /// completed is outdated and must not be passed in.
   void OnRowRead(const read_result& read, time_point now);
 
+  /// The store has come back from an older copy and what was written since is
+  /// lost. The row of this lease is a new one, which does not exist yet, and
+  /// new fencing tokens are greater than `fence_floor`. A member whose lease
+  /// runs creates the row at once; the others wait until that lease has ended.
+  void OnStoreRestored(int64_t fence_floor, time_point now);
+
   [[nodiscard]] lease_step NextStep(size_t position, time_point now) const;
   /// Returns the write for `step` and marks a write as in progress from `now`
   /// on.
@@ -62,6 +68,8 @@
   void MarkNotHeld();
   void UpdateView(int64_t version, const lease_record& record, time_point now);
   [[nodiscard]] bool IsOwn(const lease_record& record) const;
+  /// Whether a lease that this process holds has not ended by its clock.
+  [[nodiscard]] bool IsRunning(time_point now) const;
 
   std::string pool_name_;
   lease_member self_;
--- a/src/skylarkcroft/duties/skylarkcroft_duty_runner.h
+++ b/src/skylarkcroft/duties/skylarkcroft_duty_runner.h
@@ -10,9 +10,8 @@
 #include <string_view>
 #include <vector>
 
-#include "skylarkcroft/control/skylarkcroft_pool_lease.h"
 #include "skylarkcroft/duties/skylarkcroft_duty_calls.h"
-#include "skylarkcroft/duties/skylarkcroft_usage_journal.h"
+#include "skylarkcroft/duties/skylarkcroft_duty_rows.h"
 #include "skylarkcroft/duties/skylarkcroft_usage_ledger.h"
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
 #include "skylarkcroft/internal/skylarkcroft_time.h"
@@ -74,15 +73,17 @@
   /// Releases the lease and stops competing for it.
   void Release();
   /// Whether this node holds the lease and may make duty calls at `now`.
-  [[nodiscard]] bool MayAct(time_point now) const { return lease_.MayAct(now); }
+  [[nodiscard]] bool MayAct(time_point now) const {
+    return rows_.lease().MayAct(now);
+  }
 
  private:
   void Tick();
   void Read();
-  void OnRows(const std::vector<stored_row>& rows, time_point now);
   void Write(lease_step step, std::optional<usage_journal> journal);
-  void OnWritten(const store_response& response, lease_step step,
-                 const std::optional<usage_journal>& journal);
+  void OnWritten(const duty_write& write, const store_response& response);
+  /// Newest window whose usage is final by the present estimate of the time.
+  [[nodiscard]] int64_t NewestSettledWindow(time_point now) const;
   /// The journal with the next final window appended; empty when no window is
   /// due.
   [[nodiscard]] std::optional<usage_journal> NextJournal(time_point now) const;
@@ -98,8 +99,7 @@
   duty_environment environment_;
   lease_member self_;
   duty_parameters parameters_;
-  pool_lease lease_;
-  usage_journal journal_;
+  duty_rows rows_;
   time_point started_at_;
   /// Windows whose report the cloud accepted from this process.
   std::set<int64_t> accepted_windows_;
--- a/src/skylarkcroft/duties/skylarkcroft_usage_journal.cc
+++ b/src/skylarkcroft/duties/skylarkcroft_usage_journal.cc
@@ -1,5 +1,6 @@
 #include "skylarkcroft/duties/skylarkcroft_usage_journal.h"
 
+#include <map>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -22,6 +23,22 @@
   return next;
 }
 
+usage_journal usage_journal::MergedWith(const usage_journal& other,
+                                        size_t max_reports) const {
+  std::map<int64_t, usage_report> by_window;
+  for (const usage_report& report : other.reports) {
+    by_window[report.window] = report;
+  }
+  for (const usage_report& report : reports) {
+    by_window[report.window] = report;
+  }
+  usage_journal merged;
+  for (auto& [window, report] : by_window) {
+    merged = merged.WithReport(std::move(report), max_reports);
+  }
+  return merged;
+}
+
 std::string EncodeJournal(const usage_journal& journal) {
   nlohmann::json reports = nlohmann::json::array();
   for (const usage_report& report : journal.reports) {
--- a/src/skylarkcroft/duties/skylarkcroft_usage_journal.h
+++ b/src/skylarkcroft/duties/skylarkcroft_usage_journal.h
@@ -22,6 +22,11 @@
   [[nodiscard]] usage_journal WithReport(usage_report report,
                                          size_t max_reports) const;
 
+  /// Returns the reports of both, each window once and in order; of two reports
+  /// of a window the one of this journal. Keeps the newest `max_reports`.
+  [[nodiscard]] usage_journal MergedWith(const usage_journal& other,
+                                         size_t max_reports) const;
+
   bool operator==(const usage_journal&) const = default;
 };
 
