Quarantines: what a restore of the store undid is written again, once

Cause: the archive writes quarantines when they change. A restore to an older copy loses the rows since, and nothing wrote them again: after the end of all nodes the same prompts crashed upstreams anew.

Change: the replica tells of a new era; the first of the two writers reads the rows and writes what is missing, the second does so three seconds later where the first has not. A quarantine that was cleared since the copy is not taken from it, because a later success of its parts is remembered. The restores that a node notices are counted in its metrics.

Test: "What a restore of the store undid is written again once" fails with the hook emptied (both sections, 0 rows); "A quarantine that was cleared does not come back with a copy" fails so too, as its row stays in the store.

--- a/src/skylarkcroft/quarantine/skylarkcroft_quarantine_archive.cc
+++ b/src/skylarkcroft/quarantine/skylarkcroft_quarantine_archive.cc
@@ -14,6 +14,9 @@
 constexpr const char* kTable = "quarantines";
 // Least time between two calls of a node; bounds the load on the store.
 constexpr milliseconds kCallInterval{1000};
+// Time that the first writer has after a restore of the store; it learns of the
+// restore within a second and makes two calls.
+constexpr milliseconds kFirstWriterTime{3000};
 
 std::string RowKey(const std::vector<part_key>& parts) {
   std::vector<part_key> sorted = parts;
@@ -67,7 +70,10 @@
   if (calling_ || now < next_call_) {
     return;
   }
-  const bool must_write = loaded_ && changed_ && role.is_writer;
+  const bool waits_for_first =
+      role.is_second_writer && now < first_writer_until_;
+  const bool must_write =
+      loaded_ && changed_ && role.is_writer && !waits_for_first;
   const bool must_read =
       !loaded_ || (role.is_isolated && quarantine_.HasUnconfirmedCrashes(now));
   if (must_read || must_write) {
@@ -76,6 +82,11 @@
   }
 }
 
+void quarantine_archive::OnStoreRestored(time_point now) {
+  changed_ = true;
+  first_writer_until_ = now + kFirstWriterTime;
+}
+
 void quarantine_archive::Read(bool then_write) {
   calling_ = true;
   const std::weak_ptr<bool> alive = alive_;
--- a/src/skylarkcroft/quarantine/skylarkcroft_quarantine_archive.h
+++ b/src/skylarkcroft/quarantine/skylarkcroft_quarantine_archive.h
@@ -19,6 +19,9 @@
   bool is_writer = false;
   /// The node hears too few peers to learn quarantines from their reports.
   bool is_isolated = false;
+  /// Of what a restore of the store undid, this writer only writes what the
+  /// first one has not.
+  bool is_second_writer = false;
 
   bool operator==(const archive_role&) const = default;
 };
@@ -38,6 +41,8 @@
   void Tick(time_point now, const archive_role& role);
   /// The quarantines have changed.
   void OnChange() { changed_ = true; }
+  /// The store has come back from an older copy and may lack what was written.
+  void OnStoreRestored(time_point now);
 
  private:
   void Read(bool then_write);
@@ -53,6 +58,8 @@
   bool changed_ = false;
   bool calling_ = false;
   time_point next_call_{};
+  /// Until then a second writer leaves it to the first.
+  time_point first_writer_until_{};
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
@@ -68,6 +68,15 @@
       .Set(reachable ? 1 : 0);
 }
 
+void relay_metrics::RecordStoreRestored() {
+  registry_
+      .Counter({"skylarkcroft_store_restored_total",
+                "Returns of the store from an older copy that this node "
+                "noticed.",
+                {}})
+      .Increment();
+}
+
 void relay_metrics::RecordDatagram(bool readable) {
   (readable ? readable_datagrams_ : unreadable_datagrams_).Increment();
 }
--- a/src/skylarkcroft/relay/skylarkcroft_relay_metrics.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.h
@@ -19,6 +19,8 @@
   void RecordFailedAttempt(const attempt_record& record);
   void RecordConnectionOpened();
   void RecordStoreContact(const std::string& table, bool reachable);
+  /// Counts a return of the store from an older copy.
+  void RecordStoreRestored();
   /// Counts a peer report; `readable` is false if it could not be decoded.
   void RecordDatagram(bool readable);
   /// Counts a call to the store that reads or writes quarantines.
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -144,7 +144,11 @@
                          const std::vector<log_field>& fields) {
                     LogEvent(level, message, fields);
                   },
-                  [this](const table_changes& changes) { PassOn(changes); }},
+                  [this](const table_changes& changes) { PassOn(changes); },
+                  [this](time_point now) {
+                    metrics_.RecordStoreRestored();
+                    archive_.OnStoreRestored(now);
+                  }},
                  settings.name,
                  {settings.bounds.apply_deadline, settings.bounds.drain}),
         server_(environment_, settings.listen.clients),
@@ -379,9 +383,9 @@
   [[nodiscard]] archive_role ArchiveRole(time_point now) const {
     const std::vector<std::string> peers = group_.LivePeers(now);
     const size_t others = group_.NodeCount(now) - 1;
-    return {RendezvousPosition("quarantines", settings_.name, peers) <
-                kArchiveWriters,
-            2 * peers.size() < others};
+    const size_t position =
+        RendezvousPosition("quarantines", settings_.name, peers);
+    return {position<kArchiveWriters, 2 * peers.size() < others, position> 0};
   }
 
   void LogQuarantine(const quarantine_event& event) {
--- a/src/skylarkcroft/relay/skylarkcroft_store_replica.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_store_replica.cc
@@ -181,6 +181,9 @@
   }
   if (restored) {
     environment_.balancer.OnStoreRestored(now);
+    if (environment_.on_restored != nullptr) {
+      environment_.on_restored(now);
+    }
   }
   environment_.balancer.Reset(entries, now);
   environment_.log(log_level::kInfo, "upstreams read",
--- a/src/skylarkcroft/relay/skylarkcroft_store_replica.h
+++ b/src/skylarkcroft/relay/skylarkcroft_store_replica.h
@@ -35,6 +35,9 @@
       log;
   /// Sends changes that this node has read to its peers; may be empty.
   std::function<void(const table_changes&)> pass_on{};
+  /// Called when the upstreams have been read in a new era of the store; may be
+  /// empty.
+  std::function<void(time_point now)> on_restored{};
 };
 
 /// Times within which nodes have to act on changes in the store.
--- a/tests/quarantine/quarantine_archive_test.cc
+++ b/tests/quarantine/quarantine_archive_test.cc
@@ -155,4 +155,56 @@
   CHECK(node.node.Entries(node.now).empty());
 }
 
+// Guards against quarantines that end with the nodes after the store has lost
+// them.
+TEST_CASE("What a restore of the store undid is written again once",
+          "[quarantine][archive][restored][regression]") {
+  constexpr archive_role kSecond{true, false, true};
+  memory_row_store store;
+  archive_bench writer(store);
+  archive_bench second(store);
+  archive_bench reader(store);
+  for (archive_bench* node : {&writer, &second, &reader}) {
+    node->Quarantine(kReader);
+  }
+  // Afterwards none of them has anything to write.
+  for (archive_bench* node : {&writer, &second, &reader}) {
+    node->Pass(milliseconds(2000), kWriter);
+  }
+  REQUIRE(store.rows.size() == 1);
+  REQUIRE(store.writes == 1);
+  store.rows.clear();
+  store.writes = 0;
+  const bool first_writes = GENERATE(true, false);
+  CAPTURE(first_writes);
+  for (archive_bench* node : {&writer, &second, &reader}) {
+    node->archive.OnStoreRestored(node->now);
+  }
+  for (int i = 0; i < 60; ++i) {
+    writer.Pass(milliseconds(100), first_writes ? kWriter : kReader);
+    second.Pass(milliseconds(100), kSecond);
+    reader.Pass(milliseconds(100), kReader);
+  }
+  CHECK(store.rows.size() == 1);
+  CHECK(store.writes == 1);
+}
+
+TEST_CASE("A quarantine that was cleared does not come back with a copy",
+          "[quarantine][archive][restored]") {
+  memory_row_store store;
+  archive_bench writer(store);
+  writer.Quarantine(kWriter);
+  writer.Pass(milliseconds(2000), kWriter);
+  const std::vector<stored_row> copy = store.rows;
+  REQUIRE(copy.size() == 1);
+  writer.node.RecordSuccess({1, {kBad}}, writer.now);
+  writer.Pass(milliseconds(2000), kWriter);
+  REQUIRE(store.rows.empty());
+  store.rows = copy;
+  writer.archive.OnStoreRestored(writer.now);
+  writer.Pass(milliseconds(2000), kWriter);
+  CHECK_FALSE(writer.IsRejected(kBad));
+  CHECK(store.rows.empty());
+}
+
 }  // namespace skylarkcroft
