--- a/src/skylarkcroft/store/skylarkcroft_table_changes.cc
+++ b/src/skylarkcroft/store/skylarkcroft_table_changes.cc
@@ -70,12 +70,17 @@
     }
     last = row.version;
   }
-  return changes.up_to > changes.after;
+  const bool tells_era_only =
+      changes.rows.empty() && changes.era > 0 && changes.up_to == changes.after;
+  return changes.up_to > changes.after || tells_era_only;
 }
 
 }  // namespace
 
 std::vector<std::string> EncodeChanges(const table_changes& changes) {
+  if (changes.rows.empty()) {
+    return {EncodeRange(changes)};
+  }
   std::vector<std::string> datagrams;
   table_changes range = changes;
   range.rows.clear();
--- a/src/skylarkcroft/store/skylarkcroft_table_changes.h
+++ b/src/skylarkcroft/store/skylarkcroft_table_changes.h
@@ -13,7 +13,8 @@
 namespace skylarkcroft {
 
 /// Every change of one table in a range of store versions, as a node that
-/// watches the table passes it on to its peers.
+/// watches the table passes it on to its peers. Without rows and with an empty
+/// range it only tells of an era.
 struct table_changes {
   std::string table;
   int64_t after = 0;  ///< Changes of this version and before are left out.
--- a/src/skylarkcroft/store/skylarkcroft_table_follower.cc
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.cc
@@ -205,13 +205,23 @@
     RetryAfter(parameters_.initial_backoff);
     return;
   }
-  if (before.has_value() && before->era != response.era) {
+  const bool restored = before.has_value() && before->era != response.era;
+  if (restored) {
     store_clock_ = {};
   }
   // Uses the version of the store: the newest change of the table may be a
   // removal, which leaves no row to read.
   OnResponse(sent_at, response, response.at());
   events_.on_reset(response.rows, clock_());
+  if (restored && watching_ && events_.on_watched_changes != nullptr) {
+    // Peers cannot go on from here, but learn that they have to read the table.
+    events_.on_watched_changes({table_,
+                                response.version,
+                                response.version,
+                                std::nullopt,
+                                {},
+                                response.era});
+  }
   CallWhenDue();
 }
 
--- a/src/skylarkcroft/store/skylarkcroft_table_follower.h
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.h
@@ -56,8 +56,8 @@
   /// whose outcome is `why`.
   std::function<void(bool reachable, store_outcome why, time_point now)>
       on_reachability;
-  /// Changes that a watch call returned, for the peers that do not watch; may
-  /// be empty.
+  /// Changes that a watch call returned, for the peers that do not watch;
+  /// without rows, after the first read in a new era. May be empty.
   std::function<void(const table_changes&)> on_watched_changes{};
 };
 
--- a/tests/adapter/platform_row_store_test.cc
+++ b/tests/adapter/platform_row_store_test.cc
@@ -522,4 +522,37 @@
   CHECK(one.follower.place().era == 2);
 }
 
+// Guards against nodes that learn of a restore only from a periodic report, one
+// to two seconds later at hundreds of nodes.
+TEST_CASE("A watching follower tells its peers of a new era at once",
+          "[adapter][store][follower][restored][peers][scale][regression]") {
+  fixture on;
+  on.standin.era = 1;
+  on.standin.Put("t", "a", "1");
+  on.standin.MakeCopy();
+  std::vector<table_changes> passed_on;
+  table_follower follower(
+      on.loop, on.store, "t", copying_follower::Terms(),
+      {[](const std::vector<stored_row>&, time_point) {},
+       [](const stored_row&, time_point) {},
+       [](bool, store_outcome, time_point) {},
+       [&](const table_changes& changes) { passed_on.push_back(changes); }},
+      SteadyNow);
+  copying_follower resting(on);
+  resting.follower.SetWatching(false);
+  table_follower_parameters rarely = copying_follower::Terms();
+  rarely.max_staleness = milliseconds(60000);
+  resting.follower.SetParameters(rarely);
+  follower.Start();
+  resting.follower.Start();
+  REQUIRE(on.Await([&] { return resting.rows.contains("a"); }));
+  on.loop.RunFor(milliseconds(200));
+  on.standin.RestoreCopy();
+  REQUIRE(on.Await([&] { return !passed_on.empty(); }));
+  CHECK(passed_on.front().era == 2);
+  CHECK(passed_on.front().rows.empty());
+  resting.follower.OnPeerChanges(passed_on.front());
+  CHECK(on.Await([&] { return resting.follower.place().era == 2; }));
+}
+
 }  // namespace skylarkcroft
--- a/tests/store/replica_cursor_test.cc
+++ b/tests/store/replica_cursor_test.cc
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 #include <map>
 #include <optional>
+#include <random>
+#include <utility>
 #include <vector>
 
 #include "skylarkcroft/store/skylarkcroft_replica_cursor.h"
@@ -299,4 +301,44 @@
   });
 }
 
+// Guards against single nodes that stay behind for good in a fleet that hears
+// of restores from peers of every era.
+TEST_CASE("All nodes of a fleet equal the table after restores",
+          "[store][cursor][restored][property][scale][regression]") {
+  const size_t nodes = GENERATE(7U, 63U, 195U, 347U);
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    std::minstd_rand random(seed);
+    table_history store;
+    std::vector<table_replica> replicas(nodes);
+    std::vector<std::optional<table_replica::response>> late(nodes);
+    for (size_t step = 0; step < 30 * nodes; ++step) {
+      const size_t who = random() % nodes;
+      const auto kind = random() % 100;
+      if (step % (10 * nodes) == 9 * nodes) {
+        store.Restore();
+      } else if (kind < 20) {
+        store.Write(static_cast<int>(random() % 5));
+      } else if (kind < 22) {
+        store.MakeCopy();
+      } else if (kind < 60) {
+        replicas[who].OnPeer(replicas[random() % nodes], store);
+      } else if (late[who].has_value()) {
+        replicas[who].OnResponse(*std::exchange(late[who], {}));
+      } else {
+        late[who] = replicas[who].Call(store);
+      }
+    }
+    INFO(nodes << " nodes, seed " << seed);
+    CHECK(store.at().era == 4);
+    for (size_t who = 0; who < nodes; ++who) {
+      if (late[who].has_value()) {
+        replicas[who].OnResponse(*late[who]);
+      }
+      replicas[who].OnResponse(replicas[who].Call(store));
+      replicas[who].OnResponse(replicas[who].Call(store));
+      REQUIRE(replicas[who].rows() == store.Rows());
+    }
+  }
+}
+
 }  // namespace skylarkcroft
--- a/tests/store/table_changes_test.cc
+++ b/tests/store/table_changes_test.cc
@@ -32,6 +32,13 @@
   CHECK(DecodeChanges(datagrams.front()) == changes);
 }
 
+TEST_CASE("Changes without rows tell of an era", "[store][restored]") {
+  const table_changes changes{"t", 40, 40, std::nullopt, {}, 3};
+  const std::vector<std::string> datagrams = EncodeChanges(changes);
+  REQUIRE(datagrams.size() == 1);
+  CHECK(DecodeChanges(datagrams.front()) == changes);
+}
+
 TEST_CASE("Many changes are split into adjoining ranges of versions",
           "[store][scale]") {
   const table_changes changes = Changes(40, 250);
