Relay: what upstreams announce in responses: that they leave, that they want a pause

New rules of the platform: an upstream that leaves says so in its responses, and from the drain time after that it gets nothing from this node, in contact with the store or not; one that turns a request away may ask this node for a pause. Neither was read.

Change: upstream_announcements keeps both for each process, whatever the store lists meanwhile, also while its entry is away. The load balancer treats a leaving upstream like a draining one, with the earlier of both times, and a paused one not at all. Where all are paused the request is refused at once as not run; the Retry-After is at most that of a service without upstreams, since the pause binds this node alone. Responses of another process at the address and copies of earlier ones do not count.

--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer.cc
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer.cc
@@ -157,14 +157,61 @@
 }
 
 bool load_balancer::IsUsable(const upstream_state& upstream) const {
-  return !upstream.entry.is_draining;
+  return !upstream.entry.is_draining &&
+         !announcements_.ServesUntil(upstream.entry).has_value();
+}
+
+std::optional<time_point> load_balancer::ServesUntil(
+    const upstream_state& upstream) const {
+  const std::optional<time_point> announced =
+      announcements_.ServesUntil(upstream.entry);
+  if (!upstream.entry.is_draining) {
+    return announced;
+  }
+  if (!upstream.serves_until.has_value()) {
+    return std::nullopt;
+  }
+  return std::min(*upstream.serves_until,
+                  announced.value_or(*upstream.serves_until));
+}
+
+bool load_balancer::RecordLeaving(const std::string& id,
+                                  time_point serves_until, time_point now) {
+  const upstream_entry* entry = Find(id);
+  return entry != nullptr &&
+         announcements_.RecordLeaving(*entry, serves_until, now);
+}
+
+void load_balancer::RecordPause(const std::string& id, time_point until,
+                                time_point now) {
+  const upstream_entry* entry = Find(id);
+  if (entry != nullptr) {
+    announcements_.RecordPause(*entry, until, now);
+  }
+}
+
+std::optional<time_point> load_balancer::FirstPauseEnd(
+    const std::string& service, time_point now) const {
+  std::optional<time_point> first;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.entry.service != service || !IsUsable(upstream)) {
+      continue;
+    }
+    const std::optional<time_point> end =
+        announcements_.PausedUntil(upstream.entry, now);
+    if (end.has_value()) {
+      first = std::min(first.value_or(*end), *end);
+    }
+  }
+  return first;
 }
 
 bool load_balancer::CanFinishBeforeExit(const upstream_state& upstream,
                                         const placement_request& request,
                                         const placement& estimate,
                                         time_point now) const {
-  if (!upstream.serves_until.has_value()) {
+  const std::optional<time_point> serves_until = ServesUntil(upstream);
+  if (!serves_until.has_value()) {
     return false;
   }
   const milliseconds expected =
@@ -174,7 +221,7 @@
                 milliseconds(static_cast<milliseconds::rep>(
                     parameters_.max_token_latency_ms *
                     static_cast<double>(request.shape.max_output_tokens)));
-  return now + expected <= *upstream.serves_until;
+  return now + expected <= *serves_until;
 }
 
 size_t load_balancer::UsableCount(const std::string& service) const {
@@ -310,7 +357,7 @@
   if (summary.avoid_on_demand && !upstream.entry.reclaimable) {
     option.cost += parameters_.on_demand_penalty_ms;
   }
-  if (upstream.entry.is_draining) {
+  if (!IsUsable(upstream)) {
     option.cost += parameters_.draining_penalty_ms;
   }
   if (upstream.health.IsAvoided(now)) {
@@ -388,8 +435,10 @@
   options.reserve(summary.usable);
   for (const auto& [id, upstream] : upstreams_) {
     const bool may_serve =
-        IsUsable(upstream) || upstream.serves_until.has_value();
-    if (upstream.entry.service != request.service || !may_serve) {
+        upstream.entry.service == request.service &&
+        (IsUsable(upstream) || ServesUntil(upstream).has_value()) &&
+        !announcements_.PausedUntil(upstream.entry, now).has_value();
+    if (!may_serve) {
       continue;
     }
     const total_load total = TotalLoad(upstream, now);
--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
@@ -13,6 +13,7 @@
 #include "skylarkcroft/placement/skylarkcroft_peer_loads.h"
 #include "skylarkcroft/placement/skylarkcroft_prompt_parts.h"
 #include "skylarkcroft/placement/skylarkcroft_service_time_stats.h"
+#include "skylarkcroft/placement/skylarkcroft_upstream_announcements.h"
 #include "skylarkcroft/placement/skylarkcroft_upstream_entry.h"
 #include "skylarkcroft/placement/skylarkcroft_upstream_health.h"
 #include "skylarkcroft/placement/skylarkcroft_upstream_load.h"
@@ -147,6 +148,18 @@
   /// The store has come back from an older copy, which may lack upstreams that
   /// will register again.
   void OnStoreRestored(time_point now) { store_reachable_since_ = now; }
+  /// The upstream has told in a response that it leaves. From `serves_until` on
+  /// it gets no requests, whatever the store lists. Returns whether this is
+  /// new.
+  bool RecordLeaving(const std::string& id, time_point serves_until,
+                     time_point now);
+  /// The upstream has told in a response that it wants no requests before
+  /// `until`.
+  void RecordPause(const std::string& id, time_point until, time_point now);
+  /// When the first upstream of `service` that has asked for a pause takes
+  /// requests again; empty if none has.
+  [[nodiscard]] std::optional<time_point> FirstPauseEnd(
+      const std::string& service, time_point now) const;
   /// Drops removed upstreams that did not register again in time; returns their
   /// ids.
   std::vector<std::string> DropRemoved(time_point now);
@@ -231,6 +244,10 @@
   };
 
   [[nodiscard]] bool IsUsable(const upstream_state& upstream) const;
+  /// Until when an upstream that is not usable may take requests that end in
+  /// time; empty if it may not.
+  [[nodiscard]] std::optional<time_point> ServesUntil(
+      const upstream_state& upstream) const;
   /// Whether the entry may have lapsed only because the store was unreachable.
   [[nodiscard]] bool MayRegisterAgain(const upstream_state& upstream,
                                       time_point now) const;
@@ -270,6 +287,7 @@
 
   load_balancer_parameters parameters_;
   std::map<std::string, upstream_state> upstreams_;
+  upstream_announcements announcements_;
   std::map<std::string, service_time_stats> service_times_;
   /// Mutable, since reading the sums drops expired reports.
   mutable peer_loads peers_;
--- a/src/skylarkcroft/relay/skylarkcroft_header_names.h
+++ b/src/skylarkcroft/relay/skylarkcroft_header_names.h
@@ -21,6 +21,8 @@
   std::string signature;
   /// Present on a response of an upstream that did not execute the request.
   std::string not_executed;
+  /// "1" on the responses of an upstream that leaves.
+  std::string leaving;
   std::string last_event_id;
   std::string token_counts;  ///< Tokens of the request, stated by clients.
   std::string prompt_parts;  ///< Parts of the prompt, stated by clients.
--- a/src/skylarkcroft/relay/skylarkcroft_relay_environment.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_environment.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <string>
+#include <string_view>
 
 #include "skylarkcroft/internal/skylarkcroft_time.h"
 #include "skylarkcroft/limits/skylarkcroft_service_retry_budget.h"
@@ -45,6 +46,11 @@
   /// Called once per request of a workspace, when its execution is first known
   /// to have started.
   std::function<void(const std::string& workspace)> on_execution_started;
+  /// Called when an upstream has told in a response to `request_id` that it
+  /// leaves or wants a pause, and for how long that allows or forbids requests.
+  std::function<void(std::string_view what, const std::string& upstream,
+                     const std::string& request_id, milliseconds duration)>
+      on_announcement;
   /// Called when the quarantine may have something to tell the peers.
   std::function<void()> on_quarantine_changed;
   /// Called for each failed attempt.
--- a/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
@@ -68,6 +68,15 @@
       .Set(reachable ? 1 : 0);
 }
 
+void relay_metrics::RecordAnnouncement(std::string_view what) {
+  registry_
+      .Counter({"skylarkcroft_upstream_announcements_total",
+                "Upstreams that told in a response that they leave or want a "
+                "pause.",
+                {{"what", std::string(what)}}})
+      .Increment();
+}
+
 void relay_metrics::RecordStoreRestored() {
   registry_
       .Counter({"skylarkcroft_store_restored_total",
--- a/src/skylarkcroft/relay/skylarkcroft_relay_metrics.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.h
@@ -21,6 +21,8 @@
   void RecordStoreContact(const std::string& table, bool reachable);
   /// Counts a return of the store from an older copy.
   void RecordStoreRestored();
+  /// Counts an upstream's announcement: "leaving" or "pause".
+  void RecordAnnouncement(std::string_view what);
   /// Counts a peer report; `readable` is false if it could not be decoded.
   void RecordDatagram(bool readable);
   /// Counts a call to the store that reads or writes quarantines.
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -67,6 +67,8 @@
 constexpr size_t kArchiveWriters = 2;
 // Time kept to exit before the process would be killed.
 constexpr milliseconds kExitMargin{400};
+// Requests to a leaving upstream have to end this long before it may exit.
+constexpr milliseconds kLeavingMargin{200};
 constexpr int kOkStatus = 200;
 constexpr int kNotFoundStatus = 404;
 constexpr int kUnavailableStatus = 503;
@@ -217,6 +219,7 @@
                                   {},
                                   {},
                                   {},
+                                  {},
                                   {}};
     ApplyBounds(environment);
     environment.active_tables = [this] { return replica_.tables(); };
@@ -234,6 +237,16 @@
       ledger_.RecordBegun(workspace, median_clock_.NowMs(clock_()) /
                                          settings_.bounds.usage_window.count());
     };
+    environment.on_announcement =
+        [this](std::string_view what, const std::string& upstream,
+               const std::string& request_id, milliseconds duration) {
+          metrics_.RecordAnnouncement(what);
+          LogEvent(log_level::kInfo, "upstream announced",
+                   {{"what", std::string(what)},
+                    {"upstream", upstream},
+                    {"request_id", request_id},
+                    {"duration_ms", std::to_string(duration.count())}});
+        };
     environment.on_quarantine_changed = [this] { TellQuarantineNews(); };
     environment.on_attempt_failed = [this](const attempt_record& record) {
       metrics_.RecordFailedAttempt(record);
@@ -253,6 +266,8 @@
             : kMaxKeyAgeWithoutStore;
     environment.gate.max_tables_age_to_deny = settings_.bounds.apply_deadline;
     environment.quota_overage = settings_.bounds.quotas;
+    environment.parameters.leaving_time =
+        std::max(settings_.bounds.drain - kLeavingMargin, milliseconds(0));
     environment.parameters.shutdown_limit =
         settings_.bounds.grace_period - kExitMargin;
   }
--- a/src/skylarkcroft/relay/skylarkcroft_relay_parameters.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_parameters.h
@@ -21,6 +21,9 @@
   /// The limit for a service without a model, as a share of the time that the
   /// request was given.
   double service_silence_share = 0.4;
+  /// Time within which requests to an upstream that has told that it leaves
+  /// have to end.
+  milliseconds leaving_time{1800};
   /// Time limit of a request whose client states none. The route's timeout can
   /// shorten it; a timeout of 0 in the table does not.
   milliseconds default_time_limit{30000};
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -59,6 +59,23 @@
   return value;
 }
 
+// Returns the pause that a Retry-After in seconds asks for; nothing where it is
+// of another form or asks for none.
+std::optional<milliseconds> ParsePause(const std::string& text) {
+  constexpr double kMillisPerSecond = 1000;
+  constexpr double kMaxSeconds = 86400;
+  double seconds = 0;
+  const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), seconds);
+  const bool valid =
+      parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+  if (!valid || !(seconds > 0)) {
+    return std::nullopt;
+  }
+  return milliseconds(static_cast<milliseconds::rep>(
+      std::ceil(std::min(seconds, kMaxSeconds) * kMillisPerSecond)));
+}
+
 std::string FormatSeconds(milliseconds duration) {
   constexpr double kMillisPerSecond = 1000;
   constexpr size_t kMaxTextBytes = 32;
@@ -233,9 +250,7 @@
   const std::optional<placement> placed =
       environment_.balancer.Choose(MakePlacementRequest(), now);
   if (!placed.has_value()) {
-    EndWithError(
-        ChooseFinalResponse(may_have_executed_, response_started_, false),
-        "no_upstream", environment_.parameters.no_upstream_retry);
+    EndWithoutUpstream(now);
     return;
   }
   if (record_.upstreams_used > 0 &&
@@ -249,6 +264,22 @@
   SendTo(*placed);
 }
 
+void relay_request::EndWithoutUpstream(time_point now) {
+  const relay_parameters& parameters = environment_.parameters;
+  const std::optional<time_point> pause_end =
+      environment_.balancer.FirstPauseEnd(service_name_, now);
+  milliseconds retry = parameters.no_upstream_retry;
+  if (pause_end.has_value()) {
+    // Upstreams ask single nodes for pauses, so another node may serve sooner.
+    retry =
+        std::clamp(std::chrono::duration_cast<milliseconds>(*pause_end - now),
+                   parameters.other_node_retry, parameters.no_upstream_retry);
+  }
+  EndWithError(
+      ChooseFinalResponse(may_have_executed_, response_started_, false),
+      pause_end.has_value() ? "upstreams_paused" : "no_upstream", retry);
+}
+
 std::string relay_request::FormatRequest(const placement& placed) const {
   forwarding_fields fields;
   fields.upstream_id = placed.upstream.id;
@@ -336,11 +367,34 @@
   RecordSignOfLife(now);
   attempt_->last_byte_at = now;
   attempt_->head = head;
+  RecordAnnouncements(head, now);
   record_.upstream_framing = FramingOf(head);
   attempt_->is_stream =
       IsEventStream(head) && !ClassifyFailure(head).has_value();
 }
 
+void relay_request::RecordAnnouncements(const message_head& head,
+                                        time_point now) {
+  // Such a response is another upstream's, or a copy of an earlier one.
+  if (head.status == kMisdirected || MayBeRepeated(head)) {
+    return;
+  }
+  const std::string& upstream = attempt_->placed.upstream.id;
+  if (head.headers.Get(environment_.names.leaving) == "1") {
+    const milliseconds allowed = environment_.parameters.leaving_time;
+    if (environment_.balancer.RecordLeaving(upstream, now + allowed, now)) {
+      environment_.on_announcement("leaving", upstream, request_id_, allowed);
+    }
+  }
+  const std::optional<milliseconds> pause =
+      head.status == kUnavailable ? ParsePause(head.headers.Get("Retry-After"))
+                                  : std::nullopt;
+  if (pause.has_value()) {
+    environment_.balancer.RecordPause(upstream, now + *pause, now);
+    environment_.on_announcement("pause", upstream, request_id_, *pause);
+  }
+}
+
 void relay_request::RecordExecutionStarted() {
   attempt_->execution_started = true;
   const time_point now = environment_.clock();
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -75,11 +75,15 @@
   [[nodiscard]] milliseconds RemainingTime(time_point now) const;
   [[nodiscard]] placement_request MakePlacementRequest() const;
   void StartNextAttempt();
+  /// Ends the request where no upstream of its service takes it.
+  void EndWithoutUpstream(time_point now);
   void SendTo(const placement& placed);
   [[nodiscard]] std::string FormatRequest(const placement& placed) const;
   void OnHead(const message_head& head);
   void OnBody(std::string_view bytes);
   void OnEnd(exchange_result result);
+  /// Records what the upstream tells of itself in the head of a response.
+  void RecordAnnouncements(const message_head& head, time_point now);
   void RecordExecutionStarted();
   void OnWholeResponse();
   /// Whether the response that has ended was not broken off, as far as can be
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -242,6 +242,7 @@
   service_retry_budget retries{service_retry_budget_parameters{}};
   part_quarantine quarantine{part_quarantine_parameters{},
                              [](const quarantine_event&) {}};
+  std::vector<std::string> announcements;  ///< Kind and upstream of each.
   std::vector<request_record> records;
   std::vector<attempt_record> failed_attempts;
   /// Time since the shutdown request; negative before it.
@@ -272,6 +273,7 @@
     names.expected_upstream = "X-Only";
     names.signature = "X-Sig";
     names.not_executed = "X-Not-Run";
+    names.leaving = "X-Leaving";
     names.last_event_id = "Last-Event-Id";
     names.token_counts = "X-Tokens";
     names.prompt_parts = "X-Parts";
@@ -298,6 +300,10 @@
         [] { return 0.5; },
         [this] { return since_shutdown; },
         [](const std::string&) {},
+        [this](std::string_view what, const std::string& upstream,
+               const std::string&, milliseconds) {
+          announcements.push_back(std::string(what) + " " + upstream);
+        },
         [] {},
         [this](const attempt_record& record) {
           failed_attempts.push_back(record);
