Node: what upstreams announce in responses, as in the relay

The native node learned that an upstream leaves from load reports and notices of the cloud only, and read no pause.

Change: the head of a response is read by the same function as in the relay. The status names the state `paused`, events count both.

--- a/src/skylarkcroft/attempt/skylarkcroft_attempt.cc
+++ b/src/skylarkcroft/attempt/skylarkcroft_attempt.cc
@@ -18,6 +18,7 @@
 constexpr int kInternalError = 500;
 constexpr int kUnavailable = 503;
 constexpr const char* kNotRunHeader = "X-Not-Run";
+constexpr const char* kLeavingHeader = "Server-Leaving";
 
 attempt_result FromTransportResult(const http_result& result) {
   attempt_result ended;
@@ -73,6 +74,15 @@
   return offset;
 }
 
+// Tells what is announced in the head of a response, if anything is.
+void Announce(const std::function<void(const announcement&)>& on_announced,
+              int status, const http_headers& headers) {
+  const announcement told = ReadAnnouncement(status, headers, kLeavingHeader);
+  if (on_announced != nullptr && told != announcement{}) {
+    on_announced(told);
+  }
+}
+
 class engine_attempt final : public attempt {
  public:
   engine_attempt(engine_attempt_options start, engine_attempt_callbacks events)
@@ -91,8 +101,9 @@
       return !IsRefusal(response);
     };
     http_call_events events;
-    events.on_headers = [this](int status, const http_headers&) {
+    events.on_headers = [this](int status, const http_headers& headers) {
       status_ = status;
+      Announce(events_.on_announced, status, headers);
     };
     events.on_data = [this](std::string_view data) { OnData(data); };
     events.on_done = [this](const http_result& result) { OnDone(result); };
@@ -189,8 +200,9 @@
 
 class service_attempt final : public attempt {
  public:
-  explicit service_attempt(std::function<void(const attempt_result&)> on_end)
-      : on_end_(std::move(on_end)) {}
+  service_attempt(std::function<void(const attempt_result&)> on_end,
+                  std::function<void(const announcement&)> on_announced)
+      : on_end_(std::move(on_end)), on_announced_(std::move(on_announced)) {}
 
   void Send(http_client& client, const service_attempt_options& start,
             const http_request& request) {
@@ -202,6 +214,9 @@
       return !IsRefusal(response);
     };
     http_call_events events;
+    events.on_headers = [this](int status, const http_headers& headers) {
+      Announce(on_announced_, status, headers);
+    };
     events.on_done = [this, method = request.method](
                          const http_result& result) { OnDone(method, result); };
     call_ = client.Send(start.address, request, options, std::move(events));
@@ -230,6 +245,7 @@
   }
 
   std::function<void(const attempt_result&)> on_end_;
+  std::function<void(const announcement&)> on_announced_;
   http_call_ptr call_;
 };
 
@@ -247,8 +263,10 @@
 attempt_ptr StartServiceAttempt(
     http_client& client, const service_attempt_options& start,
     const http_request& request,
-    std::function<void(const attempt_result&)> on_end) {
-  auto started = std::make_unique<service_attempt>(std::move(on_end));
+    std::function<void(const attempt_result&)> on_end,
+    std::function<void(const announcement&)> on_announced) {
+  auto started = std::make_unique<service_attempt>(std::move(on_end),
+                                                   std::move(on_announced));
   started->Send(client, start, request);
   return started;
 }
--- a/src/skylarkcroft/attempt/skylarkcroft_attempt.h
+++ b/src/skylarkcroft/attempt/skylarkcroft_attempt.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "skylarkcroft/attempt/skylarkcroft_attempt_result.h"
+#include "skylarkcroft/http/skylarkcroft_announcement.h"
 #include "skylarkcroft/http/skylarkcroft_http_message.h"
 #include "skylarkcroft/internal/skylarkcroft_endpoint.h"
 #include "skylarkcroft/internal/skylarkcroft_time.h"
@@ -23,6 +24,9 @@
   /// The data field of the event that carries `usage`.
   std::function<void(const std::string& data)> on_usage;
   std::function<void(const attempt_result&)> on_end;
+  /// What the upstream tells of itself, at the head of its response; may be
+  /// empty.
+  std::function<void(const announcement&)> on_announced{};
 };
 
 /// One attempt at an upstream. Destroying it closes the connection.
@@ -65,10 +69,13 @@
 };
 
 /// Sends `request` to a plain service and collects the whole response.
+/// `on_announced` is called at its head with what the service tells of itself;
+/// it may be empty.
 attempt_ptr StartServiceAttempt(
     http_client& client, const service_attempt_options& start,
     const http_request& request,
-    std::function<void(const attempt_result&)> on_end);
+    std::function<void(const attempt_result&)> on_end,
+    std::function<void(const announcement&)> on_announced = {});
 
 }  // namespace skylarkcroft
 
--- a/src/skylarkcroft/node/skylarkcroft_request_run.cc
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.cc
@@ -347,6 +347,9 @@
   start.delivered_tokens = static_cast<int64_t>(answer_->tokens().size());
   start.progress_timeout = request_.target.retry.progress_timeout;
   start.reuse_connection = request_.idempotent;
+  events.on_announced = [this, address](const announcement& told) {
+    OnAnnounced(address, told);
+  };
   const milliseconds left(ElapsedMs(now, request_.deadline));
   return StartEngineAttempt(
       environment_.client, start,
@@ -411,7 +414,19 @@
   start.reuse_connection = request_.idempotent;
   try_ = StartServiceAttempt(
       environment_.client, start, MakeServiceRequest(request_, now),
-      [this](const attempt_result& result) { OnTryEnded(result); });
+      [this](const attempt_result& result) { OnTryEnded(result); },
+      [this, address = target.address](const announcement& told) {
+        OnAnnounced(address, told);
+      });
+}
+
+void request_run::OnAnnounced(const endpoint& address,
+                              const announcement& told) {
+  if (environment_.directory.OnAnnouncement(address, told,
+                                            environment_.clock())) {
+    environment_.count_event(told.is_leaving ? "upstream_leaving"
+                                             : "upstream_paused");
+  }
 }
 
 void request_run::OnToken(const std::string& data) {
--- a/src/skylarkcroft/node/skylarkcroft_request_run.h
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.h
@@ -117,6 +117,8 @@
   /// Delay of a second try beside the one about to start; empty for none.
   [[nodiscard]] std::optional<duration> HedgeDelay() const;
   [[nodiscard]] attempt_ptr StartHedge(engine_attempt_callbacks events);
+  /// Takes in what the upstream at `address` tells of itself.
+  void OnAnnounced(const endpoint& address, const announcement& told);
   void OnHedgeLeft(hedge_side side, const attempt_result& result);
   void SendToService(const upstream& target, time_point now);
   void OnToken(const std::string& data);
--- a/src/skylarkcroft/node/skylarkcroft_status_report.cc
+++ b/src/skylarkcroft/node/skylarkcroft_status_report.cc
@@ -17,6 +17,9 @@
   if (state.is_draining) {
     return "leaving";
   }
+  if (IsPaused(state, now)) {
+    return "paused";
+  }
   return AcceptsRequests(state, now) ? "open" : "ejected";
 }
 
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -3,10 +3,10 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <cmath>
 #include <cstdio>
 #include <utility>
 
+#include "skylarkcroft/http/skylarkcroft_announcement.h"
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
 #include "skylarkcroft/peers/skylarkcroft_peer_report.h"
 #include "skylarkcroft/relay/skylarkcroft_request_forwarding.h"
@@ -59,23 +59,6 @@
   return value;
 }
 
-// Returns the pause that a Retry-After in seconds asks for; nothing where it is
-// of another form or asks for none.
-std::optional<milliseconds> ParsePause(const std::string& text) {
-  constexpr double kMillisPerSecond = 1000;
-  constexpr double kMaxSeconds = 86400;
-  double seconds = 0;
-  const auto parsed =
-      std::from_chars(text.data(), text.data() + text.size(), seconds);
-  const bool valid =
-      parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
-  if (!valid || !(seconds > 0)) {
-    return std::nullopt;
-  }
-  return milliseconds(static_cast<milliseconds::rep>(
-      std::ceil(std::min(seconds, kMaxSeconds) * kMillisPerSecond)));
-}
-
 std::string FormatSeconds(milliseconds duration) {
   constexpr double kMillisPerSecond = 1000;
   constexpr size_t kMaxTextBytes = 32;
@@ -380,18 +363,17 @@
     return;
   }
   const std::string& upstream = attempt_->placed.upstream.id;
-  if (head.headers.Get(environment_.names.leaving) == "1") {
+  const announcement told =
+      ReadAnnouncement(head.status, head.headers, environment_.names.leaving);
+  if (told.is_leaving) {
     const milliseconds allowed = environment_.parameters.leaving_time;
     if (environment_.balancer.RecordLeaving(upstream, now + allowed, now)) {
       environment_.on_announcement("leaving", upstream, request_id_, allowed);
     }
   }
-  const std::optional<milliseconds> pause =
-      head.status == kUnavailable ? ParsePause(head.headers.Get("Retry-After"))
-                                  : std::nullopt;
-  if (pause.has_value()) {
-    environment_.balancer.RecordPause(upstream, now + *pause, now);
-    environment_.on_announcement("pause", upstream, request_id_, *pause);
+  if (told.pause.has_value()) {
+    environment_.balancer.RecordPause(upstream, now + *told.pause, now);
+    environment_.on_announcement("pause", upstream, request_id_, *told.pause);
   }
 }
 
--- a/src/skylarkcroft/routing/skylarkcroft_upstream_directory.cc
+++ b/src/skylarkcroft/routing/skylarkcroft_upstream_directory.cc
@@ -94,8 +94,12 @@
   return !state.report && now - state.active_since < kFirstReportTimeout;
 }
 
+bool IsPaused(const upstream_state& state, time_point now) {
+  return state.paused_until.has_value() && now < *state.paused_until;
+}
+
 bool AcceptsRequests(const upstream_state& state, time_point now) {
-  return !state.is_draining && !IsEjected(state, now);
+  return !state.is_draining && !IsEjected(state, now) && !IsPaused(state, now);
 }
 
 void upstream_directory::SetPools(const pools_table& pools, time_point now) {
@@ -329,6 +333,27 @@
   }
 }
 
+bool upstream_directory::OnAnnouncement(const endpoint& address,
+                                        const announcement& told,
+                                        time_point now) {
+  bool is_new = false;
+  for (auto& [name, members] : pools_) {
+    for (upstream_state& state : members) {
+      if (state.spec.address != address) {
+        continue;
+      }
+      is_new = is_new || told.pause.has_value() ||
+               (told.is_leaving && !state.is_draining);
+      state.is_draining = state.is_draining || told.is_leaving;
+      if (told.pause.has_value()) {
+        const time_point end = now + *told.pause;
+        state.paused_until = std::max(state.paused_until.value_or(end), end);
+      }
+    }
+  }
+  return is_new;
+}
+
 bool upstream_directory::AllReported(time_point now) const {
   for (const auto& [name, members] : pools_) {
     for (const upstream_state& state : members) {
--- a/src/skylarkcroft/routing/skylarkcroft_upstream_directory.h
+++ b/src/skylarkcroft/routing/skylarkcroft_upstream_directory.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "skylarkcroft/attempt/skylarkcroft_attempt_result.h"
+#include "skylarkcroft/http/skylarkcroft_announcement.h"
 #include "skylarkcroft/internal/skylarkcroft_time.h"
 #include "skylarkcroft/routing/skylarkcroft_upstream_key.h"
 #include "skylarkcroft/tables/skylarkcroft_pools_table.h"
@@ -57,6 +58,8 @@
   /// doubles the duration of the next. Reset after a longer time without
   /// an ejection.
   int64_t ejections = 0;
+  /// The upstream has asked for no requests before this time.
+  std::optional<time_point> paused_until;
   /// Time of the last response that stated that the request was not run.
   std::optional<time_point> refused_at;
   /// Start of the slow start: when the upstream was added or reinstated after
@@ -119,6 +122,10 @@
   void SetEventHandler(std::function<void(upstream_event)> handler);
   /// Marks the upstream at `address` as draining, in every pool.
   void OnReclaimNotice(const endpoint& address);
+  /// Takes in what the upstream at `address` tells of itself, in every pool.
+  /// Returns whether it is new that it leaves or wants a pause.
+  bool OnAnnouncement(const endpoint& address, const announcement& told,
+                      time_point now);
 
   /// False while the first load report of any upstream is awaited.
   [[nodiscard]] bool AllReported(time_point now) const;
@@ -165,6 +172,9 @@
 /// report and kFirstReportTimeout has not passed.
 bool AwaitsFirstReport(const upstream_state& state, time_point now);
 
+/// True while `state` has asked for no requests.
+bool IsPaused(const upstream_state& state, time_point now);
+
 /// True when `state` may get a new request at `now`.
 bool AcceptsRequests(const upstream_state& state, time_point now);
 
--- a/tests/routing/upstream_directory_test.cc
+++ b/tests/routing/upstream_directory_test.cc
@@ -131,5 +131,30 @@
                                          kNow + milliseconds(10)));
 }
 
+TEST_CASE("an upstream that tells that it leaves gets no further requests",
+          "[routing][leaving]") {
+  directory_fixture fixture(2);
+  const endpoint address =
+      fixture.directory.UpstreamsInPool("p").front().spec.address;
+  CHECK(fixture.directory.OnAnnouncement(address, {true, {}}, kNow));
+  CHECK(fixture.AvailableCount(kNow) == 1);
+  CHECK_FALSE(fixture.directory.OnAnnouncement(address, {true, {}}, kNow));
+  load_report ready;
+  fixture.directory.RecordLoad("p", "a", ready, kNow);
+  CHECK(fixture.AvailableCount(kNow + std::chrono::hours(1)) == 1);
+}
+
+TEST_CASE("an upstream that asks for a pause gets no requests until its end",
+          "[routing][pause]") {
+  directory_fixture fixture(2);
+  const endpoint address =
+      fixture.directory.UpstreamsInPool("p").front().spec.address;
+  const milliseconds pause{1500};
+  CHECK(fixture.directory.OnAnnouncement(address, {false, pause}, kNow));
+  fixture.directory.OnAnnouncement(address, {false, milliseconds(10)}, kNow);
+  CHECK(fixture.AvailableCount(kNow + milliseconds(1499)) == 1);
+  CHECK(fixture.AvailableCount(kNow + milliseconds(1500)) == 2);
+}
+
 }  // namespace
 }  // namespace skylarkcroft
