Relay: idle client connections leave room for new ones; a full node is not ready

Cause: suspected before, now shown by a trial that logs the number of clients: 3,500 connections from 12.2 s on, which is the bound, 16 of them with a request from 16 s on. The rest were kept open by clients of the flood; the node closed its listener until their idle time of several seconds had passed.

Ruled out: the processor; the node served 16 to 40 requests a half second then.

Change: above nine tenths of the bound the connections that have been idle longest, and for half a second at least, are closed. A node whose connections are all in use takes no new ones, as before, and says that it is not ready.

Tests: tests/relay [clients]; with the closing of idle ones taken out, the one over connections fails.

--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
@@ -291,8 +291,13 @@
   CheckReadTimeouts(now);
 }
 
+std::optional<time_point> client_connection::idle_since() const {
+  const bool idle = request_ == nullptr && !reader_.started() && !closing_;
+  return idle ? std::optional<time_point>(idle_since_) : std::nullopt;
+}
+
 void client_connection::CloseIfIdle() {
-  if (request_ == nullptr && !reader_.started() && !closing_) {
+  if (idle_since().has_value()) {
     RequestDestruction();
   }
 }
--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.h
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.h
@@ -35,6 +35,9 @@
   /// Ends the request in flight because the process is about to exit.
   void AbortRequest();
   [[nodiscard]] bool busy() const { return request_ != nullptr; }
+  /// Since when the connection neither reads nor serves a request; empty while
+  /// it does.
+  [[nodiscard]] std::optional<time_point> idle_since() const;
 
   void Send(int status, const http_headers& headers, std::string_view body,
             std::optional<uint64_t> stated_length) override;
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -501,8 +501,8 @@
 
   [[nodiscard]] bool IsReady(time_point now) const {
     const tables_snapshot active = replica_.tables();
-    return !shutdown_at_.has_value() && active.tables != nullptr &&
-           active.current_as_of.has_value() &&
+    return !shutdown_at_.has_value() && !server_.is_full() &&
+           active.tables != nullptr && active.current_as_of.has_value() &&
            now - *active.current_as_of <=
                Scale(settings_.bounds.revocation, kMaxReadyAgeShare) &&
            replica_.upstreams_known();
--- a/src/skylarkcroft/relay/skylarkcroft_relay_parameters.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_parameters.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 
 #include "skylarkcroft/internal/skylarkcroft_time.h"
+#include "skylarkcroft/relay/skylarkcroft_idle_clients.h"
 
 namespace skylarkcroft {
 
@@ -41,7 +42,7 @@
   /// Reading from the upstream pauses while more bytes than this are queued for
   /// the client.
   size_t max_client_backlog = 262144;
-  size_t max_clients = 3500;
+  client_capacity clients;
   /// New requests are rejected from this long after the shutdown request, so
   /// that those in flight can complete before shutdown_limit.
   milliseconds reject_new_after{2800};
--- a/src/skylarkcroft/relay/skylarkcroft_relay_server.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_server.cc
@@ -5,6 +5,8 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <optional>
+#include <utility>
 #include <vector>
 
 #include "skylarkcroft/internal/skylarkcroft_error.h"
@@ -50,7 +52,8 @@
   clients_.emplace(number, std::make_unique<client_connection>(
                                environment_, fd,
                                [this, number] { clients_.erase(number); }));
-  if (clients_.size() >= environment_.parameters.max_clients && accepting_) {
+  if (clients_.size() >= environment_.parameters.clients.max_clients &&
+      accepting_) {
     accepting_ = false;
     evconnlistener_disable(listener_);
   }
@@ -62,13 +65,32 @@
     client->Tick(now);
   }
   environment_.connections.CloseExpired(now);
+  CloseExcessIdle(now);
   if (!accepting_ && !stopped_ &&
-      clients_.size() < environment_.parameters.max_clients) {
+      clients_.size() < environment_.parameters.clients.max_clients) {
     accepting_ = true;
     evconnlistener_enable(listener_);
   }
 }
 
+void relay_server::CloseExcessIdle(time_point now) {
+  const client_capacity& capacity = environment_.parameters.clients;
+  if (!HasExcess(clients_.size(), capacity)) {
+    return;
+  }
+  std::vector<idle_client> idle;
+  for (const auto& [number, client] : clients_) {
+    const std::optional<time_point> since = client->idle_since();
+    if (since.has_value()) {
+      idle.push_back({number, *since});
+    }
+  }
+  for (const uint64_t number :
+       ChooseIdleToClose(std::move(idle), clients_.size(), capacity, now)) {
+    clients_.at(number)->CloseIfIdle();
+  }
+}
+
 void relay_server::StopAccepting() {
   stopped_ = true;
   evconnlistener_disable(listener_);
--- a/src/skylarkcroft/relay/skylarkcroft_relay_server.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_server.h
@@ -32,11 +32,16 @@
   /// Number of connections with a request in flight.
   [[nodiscard]] size_t busy() const;
   [[nodiscard]] size_t clients() const { return clients_.size(); }
+  /// Whether the node takes no new connections, as all that it may have are in
+  /// use.
+  [[nodiscard]] bool is_full() const { return !accepting_; }
   /// The bound address; its port is never 0.
   [[nodiscard]] const endpoint& address() const { return address_; }
 
  private:
   void Accept(int fd);
+  /// Closes idle connections where they leave little room for new ones.
+  void CloseExcessIdle(time_point now);
   void Sweep();
 
   relay_environment& environment_;
