Load balancer: the grace for lapsed entries counts from the store's own return

Cause: frontend-maadi-2 is cut off from 1.0 to 13.0 s. It takes up to 1.6 s more until it asks the store, then reads that the upstream was removed (14.008 s), and keeps it for 1.5 s as one that may have lapsed because the store was away. The grace counted from the node's own contact, although the store had been there all the while; peers said so from 13.0 s on.

Change: store_uptime follows the responses that this node and its peers have had. The grace counts from when the store is known to have responded without a gap of a second, if that is before the node's own return. A gap means that it was away for all.

Test: "The grace for lapsed entries counts from the store's own return"; with the node's own return instead, three of its checks fail.

--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer.cc
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer.cc
@@ -85,10 +85,10 @@
 
 bool load_balancer::MayRegisterAgain(const upstream_state& upstream,
                                      time_point now) const {
+  const std::optional<time_point> returned_at = StoreReturnedAt();
   const bool after_outage =
-      !store_reachable_ ||
-      (store_reachable_since_.has_value() &&
-       now - *store_reachable_since_ < parameters_.removal_grace);
+      !store_reachable_ || (returned_at.has_value() &&
+                            now - *returned_at < parameters_.removal_grace);
   return after_outage && !upstream.entry.is_draining;
 }
 
@@ -128,13 +128,27 @@
   store_reachable_ = reachable;
 }
 
+void load_balancer::OnStoreRestored(time_point now) {
+  store_reachable_since_ = now;
+  store_uptime_.OnRestored(now);
+}
+
+std::optional<time_point> load_balancer::StoreReturnedAt() const {
+  const std::optional<time_point>& up_since = store_uptime_.up_since();
+  const bool returned_before = store_reachable_since_.has_value() &&
+                               up_since.has_value() &&
+                               *up_since < *store_reachable_since_;
+  return returned_before ? up_since : store_reachable_since_;
+}
+
 time_point load_balancer::GraceEnd(const upstream_state& upstream) const {
   // Upstreams register again within a time after the return of the store, not
   // after their removal.
+  const std::optional<time_point> returned_at = StoreReturnedAt();
   const bool after_return = !upstream.entry.is_draining && store_reachable_ &&
-                            store_reachable_since_.has_value() &&
-                            *store_reachable_since_ <= *upstream.removed_at;
-  return (after_return ? *store_reachable_since_ : *upstream.removed_at) +
+                            returned_at.has_value() &&
+                            *returned_at <= *upstream.removed_at;
+  return (after_return ? *returned_at : *upstream.removed_at) +
          parameters_.removal_grace;
 }
 
--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
@@ -18,6 +18,7 @@
 #include "skylarkcroft/placement/skylarkcroft_upstream_health.h"
 #include "skylarkcroft/placement/skylarkcroft_upstream_load.h"
 #include "skylarkcroft/placement/skylarkcroft_water_filling.h"
+#include "skylarkcroft/store/skylarkcroft_store_uptime.h"
 
 namespace skylarkcroft {
 
@@ -147,7 +148,10 @@
   void OnStoreContact(bool reachable, time_point now);
   /// The store has come back from an older copy, which may lack upstreams that
   /// will register again.
-  void OnStoreRestored(time_point now) { store_reachable_since_ = now; }
+  void OnStoreRestored(time_point now);
+  /// The store responded to this node or to a peer at `at`, so entries that are
+  /// removed later have not lapsed because the store was away.
+  void OnStoreResponse(time_point at) { store_uptime_.RecordResponse(at); }
   /// The upstream has told in a response that it leaves. From `serves_until` on
   /// it gets no requests, whatever the store lists. Returns whether this is
   /// new.
@@ -251,6 +255,9 @@
   /// Whether the entry may have lapsed only because the store was unreachable.
   [[nodiscard]] bool MayRegisterAgain(const upstream_state& upstream,
                                       time_point now) const;
+  /// When the store returned after this node last lost it: when this node had
+  /// it back, or when peers show that it had returned before.
+  [[nodiscard]] std::optional<time_point> StoreReturnedAt() const;
   /// When a removed upstream that has not registered again is dropped.
   [[nodiscard]] time_point GraceEnd(const upstream_state& upstream) const;
   /// Whether the upstream drains but the request is expected to end in time.
@@ -293,6 +300,7 @@
   mutable peer_loads peers_;
   bool store_reachable_ = false;
   std::optional<time_point> store_reachable_since_;
+  store_uptime store_uptime_;
 };
 
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/relay/skylarkcroft_store_replica.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_store_replica.cc
@@ -84,10 +84,18 @@
     tables_follower_.OnPeerReport(*tables);
   }
   if (upstreams.has_value()) {
+    RecordStoreResponse(
+        upstreams_follower_.ResponseTime(*upstreams, environment_.clock()));
     upstreams_follower_.OnPeerReport(*upstreams);
   }
 }
 
+void store_replica::RecordStoreResponse(std::optional<time_point> at) {
+  if (at.has_value()) {
+    environment_.balancer.OnStoreResponse(*at);
+  }
+}
+
 void store_replica::OnPeerChanges(const table_changes& changes) {
   if (changes.table == environment_.adapter.operator_tables_table) {
     tables_follower_.OnPeerChanges(changes);
@@ -97,6 +105,7 @@
 }
 
 void store_replica::UpdatePolling(time_point now) {
+  RecordStoreResponse(upstreams_follower_.current_as_of());
   const milliseconds upstreams_pause = std::clamp(
       kChangePausePerNode *
           static_cast<milliseconds::rep>(environment_.group.NodeCount(now)),
@@ -152,6 +161,7 @@
             ApplyUpstreamRow(row, now);
           },
           [this](bool reachable, store_outcome outcome, time_point now) {
+            RecordStoreResponse(upstreams_follower_.current_as_of());
             environment_.balancer.OnStoreContact(reachable, now);
             LogStoreContact(environment_.adapter.upstreams_table, reachable,
                             outcome);
--- a/src/skylarkcroft/relay/skylarkcroft_store_replica.h
+++ b/src/skylarkcroft/relay/skylarkcroft_store_replica.h
@@ -92,6 +92,7 @@
   table_follower_callbacks TablesEvents();
   table_follower_callbacks UpstreamsEvents();
   table_follower_callbacks NodesEvents();
+  void RecordStoreResponse(std::optional<time_point> at);
   void ApplyTablesRow(const stored_row& row);
   std::optional<upstream_entry> ParseUpstreamRow(const stored_row& row);
   void ResetUpstreams(const std::vector<stored_row>& rows, time_point now);
--- a/src/skylarkcroft/store/skylarkcroft_table_follower.cc
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.cc
@@ -108,6 +108,13 @@
   }
 }
 
+std::optional<time_point> table_follower::ResponseTime(
+    const table_position& peer, time_point now) const {
+  return peer.newest_change.era == place().era
+             ? store_clock_.ToLocalTime(peer.store_clock, now)
+             : std::nullopt;
+}
+
 void table_follower::OnPeerAhead(const store_position& newest_change) {
   const bool was_behind = cursor_.IsBehindPeers();
   const bool knew_era = cursor_.NeedsWholeRead();
--- a/src/skylarkcroft/store/skylarkcroft_table_follower.h
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.h
@@ -85,6 +85,10 @@
   [[nodiscard]] std::optional<time_point> previously_current_as_of() const {
     return previously_current_as_of_;
   }
+  /// When, by this node's clock, the store gave a peer the response that
+  /// `peer` reports; empty when it is not known.
+  [[nodiscard]] std::optional<time_point> ResponseTime(
+      const table_position& peer, time_point now) const;
   /// What of the store's history the replica has reached.
   [[nodiscard]] store_position place() const {
     return cursor_.place().value_or(store_position{});
--- a/tests/placement/load_balancer_test.cc
+++ b/tests/placement/load_balancer_test.cc
@@ -367,6 +367,49 @@
         std::vector<std::string>{"u1"});
 }
 
+// Guards against requests to an upstream that left while this node was cut off
+// from the store, when peers show that the store was never away.
+TEST_CASE("The grace for lapsed entries counts from the store's own return",
+          "[placement][lapse][cut][regression]") {
+  load_balancer balancer = Balancer(2);
+  balancer.OnStoreResponse(kStart);
+  balancer.OnStoreContact(false, kStart + milliseconds(500));
+  const auto peers_hear = [&](int from_ms, int until_ms) {
+    for (int ms = from_ms; ms <= until_ms; ms += 600) {
+      balancer.OnStoreResponse(kStart + milliseconds(ms));
+    }
+  };
+  const time_point back = kStart + milliseconds(9000);
+
+  SECTION("peers had the store all the while") {
+    peers_hear(600, 9000);
+    balancer.OnStoreContact(true, back);
+    balancer.Remove("u1", back);
+    CHECK(balancer.UsableCount("pool") == 1);
+  }
+  SECTION("peers are heard again before the store") {
+    peers_hear(7200, 9000);
+    balancer.OnStoreContact(true, back);
+    balancer.Remove("u1", back);
+    CHECK(balancer.UsableCount("pool") == 1);
+  }
+  SECTION("the store returns for all nodes at about the same time") {
+    peers_hear(8400, 9000);
+    balancer.OnStoreContact(true, back);
+    balancer.Remove("u1", back);
+    CHECK(balancer.UsableCount("pool") == 2);
+    CHECK(balancer.DropRemoved(kStart + milliseconds(8400 + 1499)).empty());
+    CHECK(balancer.DropRemoved(kStart + milliseconds(8400 + 1500)).size() == 1);
+  }
+  SECTION("the store goes away again") {
+    peers_hear(600, 3000);
+    peers_hear(8400, 9000);
+    balancer.OnStoreContact(true, back);
+    balancer.Remove("u1", back);
+    CHECK(balancer.UsableCount("pool") == 2);
+  }
+}
+
 TEST_CASE("An entry removed during a store outage is kept for a grace period",
           "[placement][lapse]") {
   load_balancer balancer = Balancer(2);
