Relay: what an upstream announces counts while its entry is away

What callers saw: nothing yet; found by reading. An upstream that leaves, or wants a pause, says so in a response to a request that was sent before its entry lapsed from the store.

Change: the announcement belongs to the entry to which the request was sent. So it is also no longer taken for one of a later process under the same id.

Test: tests/placement "What an upstream tells while its entry is away counts"; three of its checks fail with the look-up.

--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer.cc
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer.cc
@@ -189,19 +189,14 @@
                   announced.value_or(*upstream.serves_until));
 }
 
-bool load_balancer::RecordLeaving(const std::string& id,
+bool load_balancer::RecordLeaving(const upstream_entry& upstream,
                                   time_point serves_until, time_point now) {
-  const upstream_entry* entry = Find(id);
-  return entry != nullptr &&
-         announcements_.RecordLeaving(*entry, serves_until, now);
+  return announcements_.RecordLeaving(upstream, serves_until, now);
 }
 
-void load_balancer::RecordPause(const std::string& id, time_point until,
-                                time_point now) {
-  const upstream_entry* entry = Find(id);
-  if (entry != nullptr) {
-    announcements_.RecordPause(*entry, until, now);
-  }
+void load_balancer::RecordPause(const upstream_entry& upstream,
+                                time_point until, time_point now) {
+  announcements_.RecordPause(upstream, until, now);
 }
 
 std::optional<time_point> load_balancer::FirstPauseEnd(
--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
@@ -153,13 +153,14 @@
   /// removed later have not lapsed because the store was away.
   void OnStoreResponse(time_point at) { store_uptime_.RecordResponse(at); }
   /// The upstream has told in a response that it leaves. From `serves_until` on
-  /// it gets no requests, whatever the store lists. Returns whether this is
-  /// new.
-  bool RecordLeaving(const std::string& id, time_point serves_until,
+  /// it gets no requests, whatever the store lists. `upstream` is the entry as
+  /// it was when the request was sent. Returns whether this is new.
+  bool RecordLeaving(const upstream_entry& upstream, time_point serves_until,
                      time_point now);
   /// The upstream has told in a response that it wants no requests before
   /// `until`.
-  void RecordPause(const std::string& id, time_point until, time_point now);
+  void RecordPause(const upstream_entry& upstream, time_point until,
+                   time_point now);
   /// When the first upstream of `service` that has asked for a pause takes
   /// requests again; empty if none has.
   [[nodiscard]] std::optional<time_point> FirstPauseEnd(
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -362,18 +362,20 @@
   if (head.status == kMisdirected || MayBeRepeated(head)) {
     return;
   }
-  const std::string& upstream = attempt_->placed.upstream.id;
+  const upstream_entry& upstream = attempt_->placed.upstream;
   const announcement told =
       ReadAnnouncement(head.status, head.headers, environment_.names.leaving);
   if (told.is_leaving) {
     const milliseconds allowed = environment_.parameters.leaving_time;
     if (environment_.balancer.RecordLeaving(upstream, now + allowed, now)) {
-      environment_.on_announcement("leaving", upstream, request_id_, allowed);
+      environment_.on_announcement("leaving", upstream.id, request_id_,
+                                   allowed);
     }
   }
   if (told.pause.has_value()) {
     environment_.balancer.RecordPause(upstream, now + *told.pause, now);
-    environment_.on_announcement("pause", upstream, request_id_, *told.pause);
+    environment_.on_announcement("pause", upstream.id, request_id_,
+                                 *told.pause);
   }
 }
 
--- a/tests/placement/upstream_announcements_test.cc
+++ b/tests/placement/upstream_announcements_test.cc
@@ -47,13 +47,14 @@
 TEST_CASE("A leaving upstream takes what ends before it stops serving",
           "[placement][leaving]") {
   load_balancer balancer = Balancer(1);
-  CHECK(balancer.RecordLeaving("u0", kStart + milliseconds(2000), kStart));
+  CHECK(
+      balancer.RecordLeaving(Entry("u0"), kStart + milliseconds(2000), kStart));
   CHECK(balancer.UsableCount("pool") == 0);
   CHECK(Choose(balancer, kStart + milliseconds(1000)) == "u0");
   CHECK(Choose(balancer, kStart + milliseconds(1900)).empty());
 
   SECTION("and later announcements do not extend that time") {
-    CHECK_FALSE(balancer.RecordLeaving("u0", kStart + milliseconds(9000),
+    CHECK_FALSE(balancer.RecordLeaving(Entry("u0"), kStart + milliseconds(9000),
                                        kStart + milliseconds(1000)));
     CHECK(Choose(balancer, kStart + milliseconds(1900)).empty());
   }
@@ -75,12 +76,31 @@
   }
 }
 
+// Guards against requests to a leaving upstream whose entry was away when it
+// told so, as after an outage of the store.
+TEST_CASE("What an upstream tells while its entry is away counts",
+          "[placement][leaving][pause][regression]") {
+  load_balancer balancer = Balancer(1);
+  balancer.Remove("u0", kStart);
+  balancer.DropRemoved(kStart + milliseconds(60000));
+  const time_point told_at = kStart + milliseconds(60000);
+  const bool leaves = GENERATE(true, false);
+  if (leaves) {
+    CHECK(balancer.RecordLeaving(Entry("u0"), told_at + milliseconds(1000),
+                                 told_at));
+  } else {
+    balancer.RecordPause(Entry("u0"), told_at + milliseconds(9000), told_at);
+  }
+  balancer.Put(Entry("u0"), told_at + milliseconds(500));
+  CHECK(Choose(balancer, told_at + milliseconds(1500)).empty());
+}
+
 TEST_CASE("A pause ends with its time or with the process",
           "[placement][pause]") {
   load_balancer balancer = Balancer(1);
   CHECK_FALSE(balancer.FirstPauseEnd("pool", kStart).has_value());
-  balancer.RecordPause("u0", kStart + milliseconds(2000), kStart);
-  balancer.RecordPause("u0", kStart + milliseconds(1000), kStart);
+  balancer.RecordPause(Entry("u0"), kStart + milliseconds(2000), kStart);
+  balancer.RecordPause(Entry("u0"), kStart + milliseconds(1000), kStart);
   CHECK(balancer.FirstPauseEnd("pool", kStart) == kStart + milliseconds(2000));
   CHECK(Choose(balancer, kStart + milliseconds(1999)).empty());
   CHECK(Choose(balancer, kStart + milliseconds(2000)) == "u0");
@@ -128,7 +148,7 @@
     if (sheds) {
       balancer.RecordRequestEnded(id, placed->work, false,
                                   upstream_outcome::kFull, now);
-      balancer.RecordPause(id, now + kPause, now);
+      balancer.RecordPause(placed->upstream, now + kPause, now);
       paused_until[id] = now + kPause;
       continue;
     }
