Relay: an answer that ends with its connection is whole only if its upstream goes on

Cause: an answer with neither a length nor chunks ends with its connection. When a process ends, the system closes its connections in an orderly way. If that falls between two events, or into another body, the bytes are those of a whole answer, and the relay passed it on as such. The bytes cannot, but the process can.

Weighed: probing the health path (waits for a slot, and is priced); comparing with the other connections to the upstream (none, when it is quiet); passing the ambiguity on by a response without chunks (clients take that for whole).

Change: before such an answer is called whole, the relay connects to the upstream once more. Accepted: whole, and the connection serves the next request, which would need a new one anyway. Refused, and no byte from the upstream within 50 ms: broken off, so it is resumed, retried or ended as broken, and a crash counts for the quarantine. No answer, or an upstream that leaves: whole, as the bytes say. `upstream_ended` in `attempt failed` shows the case.

--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer.cc
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer.cc
@@ -170,6 +170,11 @@
   return found == upstreams_.end() ? nullptr : &found->second.entry;
 }
 
+bool load_balancer::IsLeaving(const std::string& id) const {
+  const auto found = upstreams_.find(id);
+  return found == upstreams_.end() || !IsUsable(found->second);
+}
+
 bool load_balancer::IsUsable(const upstream_state& upstream) const {
   return !upstream.entry.is_draining &&
          !announcements_.ServesUntil(upstream.entry).has_value();
@@ -542,6 +547,13 @@
   }
 }
 
+bool load_balancer::HasByteSince(const std::string& id,
+                                 time_point since) const {
+  const auto found = upstreams_.find(id);
+  return found != upstreams_.end() && found->second.last_byte_at.has_value() &&
+         *found->second.last_byte_at > since;
+}
+
 milliseconds load_balancer::TimeSinceOwnByte(const std::string& id,
                                              time_point now) const {
   const auto found = upstreams_.find(id);
--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
@@ -170,6 +170,9 @@
   std::vector<std::string> DropRemoved(time_point now);
 
   [[nodiscard]] const upstream_entry* Find(const std::string& id) const;
+  /// Whether the upstream is not listed, or drains according to the store or to
+  /// itself.
+  [[nodiscard]] bool IsLeaving(const std::string& id) const;
   /// Number of upstreams of `service` that take requests.
   [[nodiscard]] size_t UsableCount(const std::string& service) const;
   [[nodiscard]] std::vector<upstream_entry> Entries() const;
@@ -191,6 +194,9 @@
                           bool begun, upstream_outcome outcome, time_point now);
   /// Records that this node received a byte from the upstream.
   void RecordByte(const std::string& id, time_point now);
+  /// Whether this node has received a byte from the upstream after `since`.
+  [[nodiscard]] bool HasByteSince(const std::string& id,
+                                  time_point since) const;
   /// Time since this node last received a byte from the upstream or, if no
   /// request was in flight there, since it sent one. The maximum for an unknown
   /// upstream.
--- a/src/skylarkcroft/relay/skylarkcroft_attempt_record.h
+++ b/src/skylarkcroft/relay/skylarkcroft_attempt_record.h
@@ -22,6 +22,9 @@
   std::string framing{};
   /// Bytes after the last whole event of a stream.
   size_t partial_event_bytes = 0;
+  /// The answer ended with its connection, and the upstream refused another one
+  /// afterwards.
+  bool upstream_ended = false;
   /// Time from sending the request to the failure.
   milliseconds elapsed{0};
   /// Time from the first output to the failure; empty without output.
--- a/src/skylarkcroft/relay/skylarkcroft_relay_parameters.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_parameters.h
@@ -25,6 +25,10 @@
   /// Time within which requests to an upstream that has told that it leaves
   /// have to end.
   milliseconds leaving_time{1800};
+  /// An upstream that refuses a connection after a response that ended with its
+  /// connection has this long to show by a byte that it goes on. A working one
+  /// sends a token every ten milliseconds or so.
+  milliseconds life_sign_wait{50};
   /// Time limit of a request whose client states none. The route's timeout can
   /// shorten it; a timeout of 0 in the table does not.
   milliseconds default_time_limit{30000};
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -494,22 +494,24 @@
       Fail(attempt_failure::kMalformed);
       return;
     case exchange_result::kComplete:
-      OnWholeResponse();
+      OnCompleteResponse();
       return;
   }
 }
 
-bool relay_request::IsWholeBody() const {
+bool relay_request::IsDelimited() const {
   const message_head& head = *attempt_->head;
-  const bool framed = head.chunked || head.content_length.has_value();
-  const bool may_be_empty = framed || request_.head.method == "HEAD" ||
-                            head.status == kNoContent ||
-                            !IsSuccess(head.status);
+  return head.chunked || head.content_length.has_value() ||
+         request_.head.method == "HEAD" || head.status == kNoContent ||
+         !IsSuccess(head.status);
+}
+
+bool relay_request::IsWholeBody() const {
   return splitter_.remainder().empty() &&
-         (may_be_empty || attempt_->first_output_at.has_value());
+         (IsDelimited() || attempt_->first_output_at.has_value());
 }
 
-void relay_request::OnWholeResponse() {
+void relay_request::OnCompleteResponse() {
   const std::optional<attempt_failure> failure =
       ClassifyFailure(*attempt_->head);
   if (failure.has_value()) {
@@ -520,6 +522,51 @@
     Fail(attempt_failure::kBroken);
     return;
   }
+  // An upstream that leaves may exit after its last response.
+  if (!IsDelimited() &&
+      !environment_.balancer.IsLeaving(attempt_->placed.upstream.id)) {
+    ConfirmEnd();
+    return;
+  }
+  DeliverWholeResponse();
+}
+
+void relay_request::ConfirmEnd() {
+  attempt_->end_unconfirmed = true;
+  const upstream_entry& upstream = attempt_->placed.upstream;
+  environment_.connections.OpenIdle(
+      upstream.id, upstream.address,
+      [this, alive = std::weak_ptr<bool>(alive_)](connect_outcome outcome) {
+        if (alive.expired() || !IsEndUnconfirmed()) {
+          return;
+        }
+        if (outcome == connect_outcome::kRefused) {
+          attempt_->refused_at = environment_.clock();
+          return;
+        }
+        DeliverWholeResponse();
+      });
+}
+
+bool relay_request::IsEndUnconfirmed() const {
+  return !ended_ && attempt_ != nullptr && attempt_->end_unconfirmed;
+}
+
+void relay_request::CheckUnconfirmedEnd(time_point now) {
+  const std::optional<time_point>& refused_at = attempt_->refused_at;
+  if (!refused_at.has_value()) {
+    return;
+  }
+  const bool lives = environment_.balancer.HasByteSince(
+      attempt_->placed.upstream.id, *refused_at);
+  if (lives) {
+    DeliverWholeResponse();
+  } else if (now - *refused_at >= environment_.parameters.life_sign_wait) {
+    Fail(attempt_failure::kBroken);
+  }
+}
+
+void relay_request::DeliverWholeResponse() {
   if (!attempt_->is_stream) {
     ForwardWholeResponse();
     return;
@@ -594,6 +641,7 @@
     record.framing = FramingOf(*attempt_->head);
   }
   record.partial_event_bytes = splitter_.remainder().size();
+  record.upstream_ended = attempt_->refused_at.has_value();
   record.elapsed =
       std::chrono::duration_cast<milliseconds>(now - attempt_->started_at);
   if (attempt_->first_output_at.has_value()) {
@@ -697,6 +745,10 @@
   if (ended_ || gate_.route == nullptr) {
     return;
   }
+  if (IsEndUnconfirmed()) {
+    CheckUnconfirmedEnd(now);
+    return;
+  }
   if (RemainingTime(now).count() <= 0) {
     if (attempt_ != nullptr) {
       may_have_executed_ = may_have_executed_ || attempt_->exchange->sent();
@@ -774,6 +826,10 @@
   if (ended_) {
     return;
   }
+  if (IsEndUnconfirmed()) {
+    DeliverWholeResponse();
+    return;
+  }
   if (attempt_ != nullptr) {
     may_have_executed_ = may_have_executed_ || attempt_->exchange->sent();
     CloseAttempt(upstream_outcome::kInconclusive);
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -64,6 +64,11 @@
     bool event_seen = false;
     /// Reading is paused because the client is too slow.
     bool paused = false;
+    /// The response has ended with its connection, and it is not known yet
+    /// whether the upstream's process has ended too.
+    bool end_unconfirmed = false;
+    /// When the upstream refused a connection after that.
+    std::optional<time_point> refused_at;
   };
 
   bool CheckGate();
@@ -85,11 +90,24 @@
   /// Records what the upstream tells of itself in the head of a response.
   void RecordAnnouncements(const message_head& head, time_point now);
   void RecordExecutionStarted();
-  void OnWholeResponse();
-  /// Whether the response that has ended was not broken off, as far as can be
-  /// told: a stream ends with a whole event, and a response that ends with its
-  /// connection is not empty.
+  void OnCompleteResponse();
+  /// Whether the end of the response is told by more than the end of its
+  /// connection: by a length, by chunks or because it has no body.
+  [[nodiscard]] bool IsDelimited() const;
+  /// Whether the response that has ended was not broken off, as far as its
+  /// bytes tell: a stream ends with a whole event, and a response that ends
+  /// with its connection is not empty.
   [[nodiscard]] bool IsWholeBody() const;
+  /// A process that ends closes its connections, so a response that ends with
+  /// its connection is whole only if the process goes on: connects to the
+  /// upstream once more.
+  void ConfirmEnd();
+  [[nodiscard]] bool IsEndUnconfirmed() const;
+  /// Decides on an unconfirmed end. An upstream with too many connections
+  /// refuses some as well, but bytes arrive from it.
+  void CheckUnconfirmedEnd(time_point now);
+  /// Finishes the client's response with that of the upstream, which is whole.
+  void DeliverWholeResponse();
   /// Forwards complete events that the client does not have yet.
   void ForwardEvents(std::string_view bytes);
   /// Whether `event`, the next to forward, does not follow the last one of the
--- a/src/skylarkcroft/relay/skylarkcroft_upstream_connections.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_upstream_connections.cc
@@ -46,12 +46,12 @@
     std::function<void(bool)> on_closed;
   };
 
-  connection(event_loop& loop, const exchange_request& request,
+  connection(event_loop& loop, std::string id, const endpoint& address,
              const connection_parameters& parameters, time_point now)
-      : upstream_id(request.upstream_id),
+      : upstream_id(std::move(id)),
         opened_at(now),
         idle_limit(parameters.default_idle_limit),
-        socket_(loop, request.address, parameters.unacknowledged_limit,
+        socket_(loop, address, parameters.unacknowledged_limit,
                 {[this](std::string_view bytes) { return OnBytes(bytes); },
                  [this] { OnConnected(); },
                  [this](bool clean) { OnClosed(clean); }}) {}
@@ -309,8 +309,8 @@
   on_opened_();
   connecting_[started.get()] = started;
   try {
-    started->Attach(
-        std::make_shared<connection>(loop_, request, parameters_, clock_()));
+    started->Attach(std::make_shared<connection>(
+        loop_, request.upstream_id, request.address, parameters_, clock_()));
   } catch (const network_error&) {
     // No file descriptor is free: reported like any other failure to connect.
     loop_.Defer([started] { started->FailConnecting(); });
@@ -318,6 +318,44 @@
   return started;
 }
 
+void upstream_connections::OpenIdle(
+    const std::string& upstream_id, const endpoint& address,
+    std::function<void(connect_outcome)> on_result) {
+  on_opened_();
+  connection_ptr opened;
+  try {
+    opened = std::make_shared<connection>(loop_, upstream_id, address,
+                                          parameters_, clock_());
+  } catch (const network_error&) {
+    loop_.Defer(
+        [call = std::move(on_result)] { call(connect_outcome::kUnknown); });
+    return;
+  }
+  const connection* key = opened.get();
+  opened->SetHandlers(
+      {[](std::string_view bytes) { return bytes.size(); },
+       [this, key] { EndOpening(key, connect_outcome::kAccepted); },
+       [this, key](bool) { EndOpening(key, connect_outcome::kRefused); }});
+  opening_.push_back({std::move(opened), std::move(on_result)});
+}
+
+void upstream_connections::EndOpening(const connection* opened,
+                                      connect_outcome outcome) {
+  const auto found = std::find_if(opening_.begin(), opening_.end(),
+                                  [&](const opening_connection& one) {
+                                    return one.opened.get() == opened;
+                                  });
+  const opening_connection ended = std::move(*found);
+  opening_.erase(found);
+  ended.opened->ClearHandlers();
+  if (outcome == connect_outcome::kAccepted) {
+    KeepIdle(ended.opened);
+  }
+  // The connection may be the caller: destroy it after the call has returned.
+  loop_.Defer([dropped = ended.opened] {});
+  ended.on_result(outcome);
+}
+
 void upstream_connections::KeepIdle(const connection_ptr& kept) {
   kept->idle_since = clock_();
   kept->idle_limit = std::min(kept->idle_limit, kMaxIdleTime);
@@ -343,6 +381,15 @@
   for (const std::shared_ptr<exchange>& late : overdue) {
     late->FailConnecting();
   }
+  std::vector<const connection*> unanswered;
+  for (const opening_connection& one : opening_) {
+    if (now - one.opened->opened_at > parameters_.connect_timeout) {
+      unanswered.push_back(one.opened.get());
+    }
+  }
+  for (const connection* late : unanswered) {
+    EndOpening(late, connect_outcome::kUnknown);
+  }
   for (auto& [id, idle] : idle_) {
     std::erase_if(idle, [&](const connection_ptr& kept) {
       return kept->closed || now - kept->idle_since >= kept->idle_limit;
--- a/src/skylarkcroft/relay/skylarkcroft_upstream_connections.h
+++ b/src/skylarkcroft/relay/skylarkcroft_upstream_connections.h
@@ -12,6 +12,7 @@
 
 #include "skylarkcroft/internal/skylarkcroft_endpoint.h"
 #include "skylarkcroft/internal/skylarkcroft_time.h"
+#include "skylarkcroft/wire/skylarkcroft_connect_check.h"
 #include "skylarkcroft/wire/skylarkcroft_message_reader.h"
 #include "skylarkcroft/wire/skylarkcroft_stream_socket.h"
 
@@ -99,6 +100,11 @@
   /// one. A failure to connect is reported through `events`.
   [[nodiscard]] exchange_ptr Start(const exchange_request& request,
                                    exchange_events events);
+  /// Connects to the upstream ahead of its next request, and keeps the
+  /// connection if it is accepted. `on_result` is not called from within this
+  /// function, and connect_timeout later at most.
+  void OpenIdle(const std::string& upstream_id, const endpoint& address,
+                std::function<void(connect_outcome)> on_result);
   /// Closes connections that have been idle for too long and fails those that
   /// did not connect within connect_timeout; to be called regularly.
   void CloseExpired(time_point now);
@@ -109,8 +115,14 @@
   class connection;
   class exchange;
   using connection_ptr = std::shared_ptr<connection>;
+  /// A connection that OpenIdle() has begun to open.
+  struct opening_connection {
+    connection_ptr opened;
+    std::function<void(connect_outcome)> on_result;
+  };
 
   void KeepIdle(const connection_ptr& kept);
+  void EndOpening(const connection* opened, connect_outcome outcome);
 
   event_loop& loop_;
   connection_parameters parameters_;
@@ -118,6 +130,7 @@
   std::function<void()> on_opened_;
   std::map<std::string, std::list<connection_ptr>> idle_;
   std::map<const exchange*, std::weak_ptr<exchange>> connecting_;
+  std::list<opening_connection> opening_;
 };
 
 }  // namespace skylarkcroft
--- /dev/null
+++ b/src/skylarkcroft/wire/skylarkcroft_connect_check.h
@@ -0,0 +1,43 @@
+#ifndef SKYLARKCROFT_WIRE_SKYLARKCROFT_CONNECT_CHECK_H_
+#define SKYLARKCROFT_WIRE_SKYLARKCROFT_CONNECT_CHECK_H_
+
+#include <functional>
+#include <memory>
+
+#include "skylarkcroft/internal/skylarkcroft_endpoint.h"
+#include "skylarkcroft/internal/skylarkcroft_event_loop.h"
+#include "skylarkcroft/internal/skylarkcroft_time.h"
+#include "skylarkcroft/wire/skylarkcroft_stream_socket.h"
+
+namespace skylarkcroft {
+
+/// What an attempt to connect to a process has shown.
+enum class connect_outcome {
+  kAccepted,  ///< The process accepts connections.
+  kRefused,   ///< No process accepts connections at the address.
+  kUnknown,   ///< No answer in time, or no file descriptor is free.
+};
+
+/// Connects to a peer to see whether a process listens there, and closes the
+/// connection again.
+class connect_check {
+ public:
+  /// `on_result` is called once, not from within the constructor, `limit` later
+  /// at most; it may destroy the check.
+  connect_check(event_loop& loop, const endpoint& peer, milliseconds limit,
+                std::function<void(connect_outcome)> on_result);
+  ~connect_check();
+  connect_check(const connect_check&) = delete;
+  connect_check& operator=(const connect_check&) = delete;
+
+ private:
+  void End(connect_outcome outcome);
+
+  std::function<void(connect_outcome)> on_result_;
+  std::unique_ptr<stream_socket> socket_;
+  event_loop::handle_ptr limit_timer_;
+};
+
+}  // namespace skylarkcroft
+
+#endif  // SKYLARKCROFT_WIRE_SKYLARKCROFT_CONNECT_CHECK_H_
--- a/tests/relay/answer_end_test.cc
+++ b/tests/relay/answer_end_test.cc
@@ -35,6 +35,16 @@
     return ViewOf(kind, *client);
   }
 
+  /// As Write(), and the upstream's process ends with the connection.
+  void WriteAndEnd(const received_request& request, const std::string& text,
+                   scripted_upstream& upstream) {
+    request.write(text);
+    later_ = relay.loop.After(milliseconds(30), [&upstream, request] {
+      upstream.StopListening();
+      request.close();
+    });
+  }
+
   fixture relay;
   std::unique_ptr<raw_client> client;
 
@@ -82,12 +92,105 @@
   run.relay.SetHandler([&](const received_request& request) {
     run.Write(request, AnswerUntil(request, delimited_by, at), how);
   });
-  // Its bytes are those of a whole stream of two events.
+  // Its bytes are those of a whole stream of two events, and its upstream goes
+  // on.
   CHECK(run.Ask(kind, "/stream/") ==
         (looks_whole ? client_view::kWhole : client_view::kBroken));
   CHECK_THAT(run.client->received, Contains("id: 1") && !Contains("id: 3"));
 }
 
+// Guards against a broken stream that reaches the client as a complete one
+// where its upstream's process has ended between two events.
+TEST_CASE("A stream that ends with its upstream's process is broken off",
+          "[relay][answer_end][ended_process][regression]") {
+  broken_answer run;
+  const client_kind kind = AnyClient();
+  for (scripted_upstream* upstream :
+       {&run.relay.first_upstream, &run.relay.second_upstream}) {
+    upstream->SetHandler([&run, upstream](const received_request& request) {
+      run.WriteAndEnd(
+          request,
+          AnswerUntil(request, framing::kConnection, stop::kBetweenEvents),
+          *upstream);
+    });
+  }
+  CHECK(run.Ask(kind, "/stream/") == client_view::kBroken);
+  CHECK_THAT(run.client->received, Contains("id: 2"));
+  REQUIRE_FALSE(run.relay.failed_attempts.empty());
+  CHECK(run.relay.failed_attempts.back().upstream_ended);
+}
+
+TEST_CASE("A stream that ended with its upstream's process is resumed",
+          "[relay][answer_end][ended_process][resume]") {
+  broken_answer run;
+  const client_kind kind = AnyClient();
+  for (scripted_upstream* upstream :
+       {&run.relay.first_upstream, &run.relay.second_upstream}) {
+    upstream->SetHandler([&run, upstream](const received_request& request) {
+      if (request.head.headers.Has("Last-Event-Id")) {
+        run.Write(request,
+                  AnswerUntil(request, framing::kConnection, stop::kAtEnd, 3),
+                  closing::kOrderly);
+        return;
+      }
+      run.WriteAndEnd(
+          request,
+          AnswerUntil(request, framing::kConnection, stop::kBetweenEvents),
+          *upstream);
+    });
+  }
+  CHECK(run.Ask(kind, "/resume/") == client_view::kWhole);
+  CHECK_THAT(run.client->received, Contains("id: 2") && Contains("id: 3"));
+  CHECK(run.relay.RequestCount() == 2);
+}
+
+// Guards against a short body that reaches the client as a complete one.
+TEST_CASE("A body that ends with its upstream's process is an error",
+          "[relay][answer_end][ended_process][regression]") {
+  broken_answer run;
+  const client_kind kind = AnyClient();
+  for (scripted_upstream* upstream :
+       {&run.relay.first_upstream, &run.relay.second_upstream}) {
+    upstream->SetHandler([&run, upstream](const received_request& request) {
+      run.WriteAndEnd(request,
+                      "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Sig: s\r\n\r\nwho",
+                      *upstream);
+    });
+  }
+  CHECK(run.Ask(kind, "/once/") == client_view::kError);
+}
+
+// Guards against whole answers that are called broken because their upstream
+// has no room for a further connection, or exits after its last answer.
+TEST_CASE("A refused connection alone does not break an answer off",
+          "[relay][answer_end][ended_process]") {
+  broken_answer run;
+  const client_kind kind = AnyClient();
+  const bool leaves = GENERATE(true, false);
+  event_loop::handle_ptr other_bytes;
+  for (scripted_upstream* upstream :
+       {&run.relay.first_upstream, &run.relay.second_upstream}) {
+    const std::string id =
+        upstream == &run.relay.first_upstream ? "one" : "two";
+    upstream->SetHandler([&, upstream, id](const received_request& request) {
+      if (leaves) {
+        run.relay.balancer.RecordLeaving(fixture::Entry(id, *upstream),
+                                         SteadyNow(), SteadyNow());
+      } else {
+        // The other answers of the upstream go on.
+        other_bytes = run.relay.loop.Every(milliseconds(10), [&run, id] {
+          run.relay.balancer.RecordByte(id, SteadyNow());
+        });
+      }
+      run.WriteAndEnd(request,
+                      AnswerUntil(request, framing::kConnection, stop::kAtEnd),
+                      *upstream);
+    });
+  }
+  CHECK(run.Ask(kind, "/stream/") == client_view::kWhole);
+  CHECK(run.relay.RequestCount() == 1);
+}
+
 // Guards against a 200 with an empty body where an upstream closed within its
 // answer's head, or before the first event.
 TEST_CASE("A stream without an event is an error for each kind of client",
--- a/tests/relay/scripted_upstream.h
+++ b/tests/relay/scripted_upstream.h
@@ -58,7 +58,7 @@
                 reinterpret_cast<sockaddr*>(&raw), &size);
     port_ = ntohs(raw.sin_port);
   }
-  ~scripted_upstream() { evconnlistener_free(listener_); }
+  ~scripted_upstream() { StopListening(); }
   scripted_upstream(const scripted_upstream&) = delete;
   scripted_upstream& operator=(const scripted_upstream&) = delete;
 
@@ -66,6 +66,13 @@
   /// Calls `on_request` for each further request, when it is complete.
   void SetHandler(handler on_request) { on_request_ = std::move(on_request); }
 
+  /// Refuses further connections, like a process that has ended.
+  void StopListening() {
+    if (listener_ != nullptr) {
+      evconnlistener_free(std::exchange(listener_, nullptr));
+    }
+  }
+
   std::vector<received_request> requests;
   int connections = 0;  ///< Number of connections accepted so far.
 
