Node: a service's answer that ends with its process is not complete

A plain service's body without a length or chunks was complete wherever its connection ended in an orderly way, also when the service's process ended.

Change: the node connects to the service once more before it takes such a body for complete, unless the service has said that it leaves. Engines end their streams with an event of their own, so they need no such check.

--- a/src/skylarkcroft/attempt/skylarkcroft_attempt.cc
+++ b/src/skylarkcroft/attempt/skylarkcroft_attempt.cc
@@ -1,11 +1,13 @@
 #include "skylarkcroft/attempt/skylarkcroft_attempt.h"
 
 #include <charconv>
+#include <memory>
 #include <optional>
 #include <utility>
 
 #include "skylarkcroft/attempt/skylarkcroft_sse_parser.h"
 #include "skylarkcroft/http/skylarkcroft_http_client.h"
+#include "skylarkcroft/wire/skylarkcroft_connect_check.h"
 
 namespace skylarkcroft {
 namespace {
@@ -17,6 +19,8 @@
 constexpr int kTooManyRequests = 429;
 constexpr int kInternalError = 500;
 constexpr int kUnavailable = 503;
+// A service is one hop away.
+constexpr milliseconds kConnectCheckLimit{400};
 constexpr const char* kNotRunHeader = "X-Not-Run";
 constexpr const char* kLeavingHeader = "Server-Leaving";
 
@@ -52,15 +56,15 @@
          response.status == kUnavailable;
 }
 
-// Whether a success without a length or chunks, which ends with its connection,
-// has no body. A service that closes right after its head has been cut off.
-bool IsEmptyUnframed(const std::string& method, const http_response& response) {
+// Whether a success has a body that ends with its connection, without a length
+// or chunks.
+bool EndsWithConnection(const std::string& method,
+                        const http_response& response) {
   constexpr int kNoContent = 204;
   constexpr int kFirstRedirect = 300;
-  const bool may_be_empty = method == "HEAD" || response.status == kNoContent ||
-                            response.status >= kFirstRedirect;
-  return !may_be_empty && response.body.empty() &&
-         !response.headers.Has("Content-Length") &&
+  const bool has_no_body = method == "HEAD" || response.status == kNoContent ||
+                           response.status >= kFirstRedirect;
+  return !has_no_body && !response.headers.Has("Content-Length") &&
          !response.headers.Has("Transfer-Encoding");
 }
 
@@ -74,13 +78,15 @@
   return offset;
 }
 
-// Tells what is announced in the head of a response, if anything is.
-void Announce(const std::function<void(const announcement&)>& on_announced,
+// Tells what is announced in the head of a response, if anything is. Returns
+// whether the upstream leaves.
+bool Announce(const std::function<void(const announcement&)>& on_announced,
               int status, const http_headers& headers) {
   const announcement told = ReadAnnouncement(status, headers, kLeavingHeader);
   if (on_announced != nullptr && told != announcement{}) {
     on_announced(told);
   }
+  return told.is_leaving;
 }
 
 class engine_attempt final : public attempt {
@@ -215,38 +221,65 @@
     };
     http_call_events events;
     events.on_headers = [this](int status, const http_headers& headers) {
-      Announce(on_announced_, status, headers);
+      leaving_ = Announce(on_announced_, status, headers);
+    };
+    events.on_done = [this, &loop = client.loop(), address = start.address,
+                      method = request.method](const http_result& result) {
+      if (result.outcome != http_outcome::kComplete) {
+        on_end_(FromTransportResult(result));
+      } else if (EndsWithConnection(method, result.response)) {
+        ConfirmEnd(loop, address, result.response);
+      } else {
+        EndWith(result.response);
+      }
     };
-    events.on_done = [this, method = request.method](
-                         const http_result& result) { OnDone(method, result); };
     call_ = client.Send(start.address, request, options, std::move(events));
   }
 
  private:
-  void OnDone(const std::string& method, const http_result& result) {
-    if (result.outcome != http_outcome::kComplete) {
-      on_end_(FromTransportResult(result));
+  // A process that ends closes its connections, so a body that ends with its
+  // connection is whole only if the process goes on. One that leaves may exit
+  // after its last answer.
+  void ConfirmEnd(event_loop& loop, const endpoint& address,
+                  const http_response& response) {
+    // A service that closes right after its head has been cut off.
+    if (response.body.empty()) {
+      on_end_({attempt_outcome::kBroken, true, {}});
       return;
     }
-    if (IsEmptyUnframed(method, result.response)) {
-      on_end_({attempt_outcome::kBroken, true, {}});
+    if (leaving_) {
+      EndWith(response);
       return;
     }
-    const int status = result.response.status;
-    if (StatesNotRun(result.response) || status == kTooManyRequests) {
-      on_end_({attempt_outcome::kRefused, false, result.response});
+    check_ = std::make_unique<connect_check>(
+        loop, address, kConnectCheckLimit,
+        [this, response](connect_outcome outcome) {
+          if (outcome == connect_outcome::kRefused) {
+            on_end_({attempt_outcome::kBroken, true, {}});
+            return;
+          }
+          EndWith(response);
+        });
+  }
+
+  void EndWith(const http_response& response) {
+    const int status = response.status;
+    if (StatesNotRun(response) || status == kTooManyRequests) {
+      on_end_({attempt_outcome::kRefused, false, response});
       return;
     }
     if (status >= kInternalError) {
-      on_end_({attempt_outcome::kFailed, true, result.response});
+      on_end_({attempt_outcome::kFailed, true, response});
       return;
     }
-    on_end_({attempt_outcome::kComplete, true, result.response});
+    on_end_({attempt_outcome::kComplete, true, response});
   }
 
   std::function<void(const attempt_result&)> on_end_;
   std::function<void(const announcement&)> on_announced_;
+  bool leaving_ = false;
   http_call_ptr call_;
+  std::unique_ptr<connect_check> check_;
 };
 
 }  // namespace
--- a/src/skylarkcroft/http/skylarkcroft_http_client.cc
+++ b/src/skylarkcroft/http/skylarkcroft_http_client.cc
@@ -195,6 +195,7 @@
   }
 
   void DropIdle(const endpoint& peer) { idle_.erase(peer); }
+  [[nodiscard]] event_loop& loop() const { return loop_; }
 
  private:
   connection_ptr TakeIdle(const endpoint& peer) {
@@ -451,4 +452,6 @@
 
 void http_client::DropIdle(const endpoint& peer) { impl_->DropIdle(peer); }
 
+event_loop& http_client::loop() const { return impl_->loop(); }
+
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/http/skylarkcroft_http_client.h
+++ b/src/skylarkcroft/http/skylarkcroft_http_client.h
@@ -92,6 +92,8 @@
                                    http_call_events events);
   /// Closes the idle connections to `peer`.
   void DropIdle(const endpoint& peer);
+  /// The loop on which the client calls back.
+  [[nodiscard]] event_loop& loop() const;
 
  private:
   class impl;
--- a/tests/attempt/answer_end_test.cc
+++ b/tests/attempt/answer_end_test.cc
@@ -75,6 +75,14 @@
     later_ = loop.After(milliseconds(30),
                         how == closing::kReset ? request.reset : request.close);
   }
+  /// As Write(), and the upstream's process ends with the connection.
+  void WriteAndEnd(const received_request& request, const std::string& text) {
+    request.write(text);
+    later_ = loop.After(milliseconds(30), [this, request] {
+      upstream.StopListening();
+      request.close();
+    });
+  }
   void AskEngine() {
     engine_attempt_options options;
     options.address = upstream.address();
@@ -156,7 +164,7 @@
   });
   bench.AskService();
   // A body that ends with its connection is whole wherever that ends, unless it
-  // is empty.
+  // is empty or its process has ended too.
   const bool has_body = at == stop::kInEvent || at == stop::kAtEnd;
   const bool whole = delimited_by == framing::kConnection
                          ? how == closing::kOrderly && has_body
@@ -165,6 +173,23 @@
         (whole ? attempt_outcome::kComplete : attempt_outcome::kBroken));
 }
 
+// Guards against a short body that is taken for a whole one where its service's
+// process has ended.
+TEST_CASE("A service's answer that ends with its process is not complete",
+          "[attempt][answer_end][ended_process][regression]") {
+  attempt_bench bench;
+  const framing delimited_by = AnyFraming();
+  const stop at = GENERATE(stop::kInEvent, stop::kAtEnd);
+  bench.upstream.SetHandler([&](const received_request& request) {
+    bench.WriteAndEnd(request, AnswerUntil({"whole body"}, delimited_by, at));
+  });
+  bench.AskService();
+  const bool whole = at == stop::kAtEnd && delimited_by != framing::kConnection;
+  CHECK(bench.ended->outcome ==
+        (whole ? attempt_outcome::kComplete : attempt_outcome::kBroken));
+  CHECK(bench.ended->may_have_run);
+}
+
 // Guards against 'not run' for a request that a service runs, after a service
 // has written an earlier refusal once more on the same connection.
 TEST_CASE("A refusal that is repeated on a kept connection answers nothing",
