Control: act on reclaim notices in time under a wrong wall clock

What operators saw: nothing yet; listed by docs/clocks.md. The end of a notice was judged by this host's wall clock alone. Set ahead by 2,400 s, the notice seemed old and was ignored, so streams were not moved; set back, it seemed to last 40 minutes.

Change: a notice that is new since the poll before cannot have ended long ago, and clouds give two minutes at most. Where the clock says otherwise, the notice counts as ten seconds, like a host that is only listed as leaving.

Test: tests/control [clock_step]; both of its steps fail on the code before.

--- a/src/skylarkcroft/control/skylarkcroft_reclaim_watch.cc
+++ b/src/skylarkcroft/control/skylarkcroft_reclaim_watch.cc
@@ -48,16 +48,28 @@
 
 void reclaim_watch::OnNotices(const notices_result& result) {
   cloud_poll_in_flight_ = false;
+  if (!result.available) {
+    ReportNotices();
+    return;
+  }
   const time_point now = environment_.clock();
   const int64_t wall_ms = environment_.wall_clock();
   for (const reclaim_notice& notice : result.notices) {
     last_seq_ = std::max(last_seq_, notice.seq);
     const milliseconds left(notice.reclaim_at_ms - wall_ms);
-    RecordNotice(notice.address, now + left);
+    RecordNotice(notice.address, now + PlausibleTimeLeft(left));
   }
+  polled_ = true;
   ReportNotices();
 }
 
+milliseconds reclaim_watch::PlausibleTimeLeft(milliseconds left) const {
+  // The first poll returns old notices as well. Later ones return those that
+  // were issued since the poll before.
+  const bool ended_before_issue = polled_ && left <= -kRepeatPeriod;
+  return left > kLongestNotice || ended_before_issue ? kAssumedNotice : left;
+}
+
 void reclaim_watch::OnHosts(const host_list_result& result) {
   hosts_poll_in_flight_ = false;
   const time_point now = environment_.clock();
--- a/src/skylarkcroft/control/skylarkcroft_reclaim_watch.h
+++ b/src/skylarkcroft/control/skylarkcroft_reclaim_watch.h
@@ -45,8 +45,12 @@
 
   static constexpr milliseconds kPollPeriod{1000};
   /// Assumed length of notice for a host that is marked as leaving in the host
-  /// list but has no notice from the cloud.
+  /// list but has no notice from the cloud, or one whose end this host's wall
+  /// clock cannot tell.
   static constexpr milliseconds kAssumedNotice{10000};
+  /// Clouds give two minutes of notice at most; where the wall clock shows a
+  /// longer time, it is wrong.
+  static constexpr milliseconds kLongestNotice{120000};
   /// Time after the end of a notice during which it is still reported.
   static constexpr milliseconds kRepeatPeriod{30000};
 
@@ -55,6 +59,8 @@
   void Poll();
   void OnNotices(const notices_result& result);
   void OnHosts(const host_list_result& result);
+  /// The time left of a new notice, of which the wall clock shows `left`.
+  [[nodiscard]] milliseconds PlausibleTimeLeft(milliseconds left) const;
   void RecordNotice(const endpoint& address, time_point notice_end);
   void ReportNotices();
 
@@ -62,6 +68,7 @@
   notice_fn on_notice_;
   std::map<endpoint, time_point> notice_ends_;
   int64_t last_seq_ = 0;
+  bool polled_ = false;  ///< Notices have been read before.
   uint64_t notices_ = 0;
   bool cloud_poll_in_flight_ = false;
   bool hosts_poll_in_flight_ = false;
--- a/tests/control/reclaim_watch_test.cc
+++ b/tests/control/reclaim_watch_test.cc
@@ -20,6 +20,10 @@
   void EndHost(const std::string& /*id*/, end_done_fn /*done*/) override {}
   void ListHosts(cloud_hosts_done_fn /*done*/) override {}
   void Notices(int64_t after_seq, notices_done_fn done) override {
+    if (fails) {
+      loop_.Defer([done = std::move(done)] { done({}); });
+      return;
+    }
     notices_result result{true, {}};
     for (const reclaim_notice& notice : notices) {
       if (notice.seq > after_seq) {
@@ -30,6 +34,7 @@
   }
 
   std::vector<reclaim_notice> notices;
+  bool fails = false;
 
  private:
   event_loop& loop_;
@@ -41,11 +46,14 @@
 
   void Fetch(host_list_done_fn done) override {
     ++fetches;
-    loop_.Defer([this, done = std::move(done)] { done({true, 1, hosts}); });
+    loop_.Defer([this, done = std::move(done)] {
+      done(fails ? host_list_result{} : host_list_result{true, 1, hosts});
+    });
   }
 
   std::vector<listed_host> hosts;
   int fetches = 0;
+  bool fails = false;
 
  private:
   event_loop& loop_;
@@ -84,4 +92,62 @@
   CHECK(watch.notices() == 2);
 }
 
+// Guards against hosts that are taken back unnoticed, or seem to stay for
+// minutes, because this host's wall clock was stepped.
+TEST_CASE("A notice is acted on in time under a wrong wall clock",
+          "[control][reclaim][clock_step][regression]") {
+  event_loop loop;
+  fake_cloud cloud(loop);
+  fake_host_list hosts(loop);
+  const milliseconds step(GENERATE(-2400000, 2400000));
+  const endpoint noticed{"10.0.0.1", 80};
+  int64_t wall_ms = kWallMs;
+  std::map<endpoint, time_point> reported;
+  const reclaim_watch watch(
+      {loop, cloud, hosts, [] { return 0.0; }, [] { return kStart; },
+       [&] { return wall_ms; }},
+      [&](const endpoint& address, time_point notice_end) {
+        reported[address] = notice_end;
+      });
+  const auto run_until_fetches = [&](int fetches) {
+    for (int turn = 0; turn < 2000 && hosts.fetches < fetches; ++turn) {
+      loop.RunFor(milliseconds(10));
+    }
+  };
+  run_until_fetches(2);
+  wall_ms += step.count();
+  cloud.notices = {{1, "h1", noticed, "a", kWallMs + 7000}};
+  run_until_fetches(4);
+  CHECK(reported == std::map<endpoint, time_point>{
+                        {noticed, kStart + reclaim_watch::kAssumedNotice}});
+}
+
+// Guards against notices that a failed poll withdraws.
+TEST_CASE("A failed poll withdraws no notice", "[control][reclaim]") {
+  event_loop loop;
+  fake_cloud cloud(loop);
+  fake_host_list hosts(loop);
+  const endpoint noticed{"10.0.0.1", 80};
+  cloud.notices = {{1, "h1", noticed, "a", kWallMs + 7000}};
+  std::map<endpoint, time_point> reported;
+  const reclaim_watch watch(
+      {loop, cloud, hosts, [] { return 0.0; }, [] { return kStart; },
+       [] { return kWallMs; }},
+      [&](const endpoint& address, time_point notice_end) {
+        reported[address] = notice_end;
+      });
+  const auto run_until_fetches = [&](int fetches) {
+    for (int turn = 0; turn < 2000 && hosts.fetches < fetches; ++turn) {
+      loop.RunFor(milliseconds(10));
+    }
+  };
+  run_until_fetches(2);
+  cloud.fails = true;
+  hosts.fails = true;
+  reported.clear();
+  run_until_fetches(4);
+  CHECK(reported ==
+        std::map<endpoint, time_point>{{noticed, kStart + milliseconds(7000)}});
+}
+
 }  // namespace skylarkcroft
