Peers: a step of most clocks at once does not move usage windows

Cause: the time of usage windows is the median of all nodes' wall clocks, read anew for each report. It holds while a minority is wrong only.

Weighed: the first reading of each process for ever (a clock that was wrong at the start stays wrong); the store's clock (steady, but no wall time). Nodes that run on know better than any wall clock how much time has passed.

Change: a node tells its peers the time that it has held since its start, by the monotonic clock that goes on while the host is suspended.

--- a/src/skylarkcroft/peers/skylarkcroft_peer_report.h
+++ b/src/skylarkcroft/peers/skylarkcroft_peer_report.h
@@ -25,7 +25,7 @@
   /// Index of this datagram among the `parts` datagrams of the report.
   size_t part = 0;
   size_t parts = 1;
-  /// Sender's wall clock in milliseconds since the Unix epoch.
+  /// What the sender takes for the time, in milliseconds since the Unix epoch.
   int64_t wall_ms = 0;
   bool is_draining = false;  ///< The sender is draining.
   std::vector<upstream_report> upstreams;
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -432,7 +432,7 @@
             report_sequence_ + 1,
             0,
             1,
-            wall_clock_(),
+            median_clock_.OwnMs(now),
             shutdown_at_.has_value(),
             balancer_.OwnUpstreamReports(now),
             quotas_.OwnReports(group_.NodeCount(now), now),
