Tables: a rank that is listed twice is an error

What operators saw: nothing yet; found by reading. Of two policies of one rank the second one counted, without a word.

Change: the second one is rejected with its path, like a caller, route, pool or upstream that appears twice.

Test: tests/tables "a rank that is listed twice"; accepted before.

--- a/src/skylarkcroft/tables/skylarkcroft_routes_table.cc
+++ b/src/skylarkcroft/tables/skylarkcroft_routes_table.cc
@@ -82,15 +82,21 @@
 
 std::array<rank_policy, kRankCount> ParseRanks(const json_reader& table) {
   std::array<rank_policy, kRankCount> ranks = DefaultRanks();
-  table.Each("ranks", [&](const nlohmann::json& element,
-                          const std::string& path) {
-    const json_reader reader(element, path,
-                             {"name", "first_token_ms", "between_tokens_ms",
-                              "deadline_ms", "worth", "guaranteed_share"});
-    static_cast<void>(reader.Name("name"));
-    rank_policy& policy = ranks[IndexOf(ParseRank(reader, "name", "normal"))];
-    policy = ParseRankPolicy(reader, policy);
-  });
+  std::array<bool, kRankCount> listed{};
+  table.Each(
+      "ranks", [&](const nlohmann::json& element, const std::string& path) {
+        const json_reader reader(element, path,
+                                 {"name", "first_token_ms", "between_tokens_ms",
+                                  "deadline_ms", "worth", "guaranteed_share"});
+        static_cast<void>(reader.Name("name"));
+        const size_t index = IndexOf(ParseRank(reader, "name", "normal"));
+        if (std::exchange(listed[index], true)) {
+          throw config_error(path + ".name",
+                             "'" + reader.Name("name") + "' appears twice",
+                             "list each rank once");
+        }
+        ranks[index] = ParseRankPolicy(reader, ranks[index]);
+      });
   CheckGuaranteedShares(ranks, table.PathOf("ranks"));
   return ranks;
 }
--- a/tests/tables/table_documents_test.cc
+++ b/tests/tables/table_documents_test.cc
@@ -108,6 +108,11 @@
     document["ranks"] = {{{"name", "urgent"}, {"guaranteed_share", 0.9}}};
     CHECK(PathOfRoutesError(document) == "$.ranks");
   }
+  SECTION("a rank that is listed twice") {
+    document["ranks"] = {{{"name", "urgent"}, {"worth", 2}},
+                         {{"name", "urgent"}, {"worth", 3}}};
+    CHECK(PathOfRoutesError(document) == "$.ranks[1].name");
+  }
 }
 
 TEST_CASE("an error in the pools table carries its JSON path", "[tables]") {
