Mesh: messages of unknown kind are dropped

What operators saw: nothing yet; found by reading. A message of a kind that this version does not know, as a later version may send during an update, was handled like one that holds records only.

Change: it is dropped and counted as malformed. Known kinds are unchanged.

Test: tests/mesh "an authenticated message of unknown kind"; accepted before.

--- a/src/skylarkcroft/mesh/skylarkcroft_mesh_message.cc
+++ b/src/skylarkcroft/mesh/skylarkcroft_mesh_message.cc
@@ -80,10 +80,27 @@
   return record;
 }
 
-// Throws json::exception when a field is missing or has the wrong type.
-mesh_message DecodeBody(const json& body) {
+// Empty for a kind that this version does not know.
+std::optional<mesh_message_kind> KindOf(int number) {
+  switch (static_cast<mesh_message_kind>(number)) {
+    case mesh_message_kind::kExchange:
+    case mesh_message_kind::kReply:
+    case mesh_message_kind::kUpdate:
+    case mesh_message_kind::kDirect:
+      return static_cast<mesh_message_kind>(number);
+  }
+  return std::nullopt;
+}
+
+// Throws json::exception when a field is missing or has the wrong type. Empty
+// for a message of unknown kind.
+std::optional<mesh_message> DecodeBody(const json& body) {
+  const std::optional<mesh_message_kind> kind = KindOf(body.at("k").get<int>());
+  if (!kind.has_value()) {
+    return std::nullopt;
+  }
   mesh_message message;
-  message.kind = static_cast<mesh_message_kind>(body.at("k").get<int>());
+  message.kind = *kind;
   message.sender = body.at("s").get<std::string>();
   message.incarnation = body.at("i").get<int64_t>();
   message.sequence = body.at("q").get<uint64_t>();
--- a/tests/mesh/mesh_message_test.cc
+++ b/tests/mesh/mesh_message_test.cc
@@ -80,6 +80,14 @@
     CHECK(failure(EncodeMeshMessage(Sample(), "other")) ==
           mesh_drop::kNotAuthentic);
   }
+  SECTION("an authenticated message of unknown kind") {
+    nlohmann::json body =
+        nlohmann::json::from_msgpack(bytes.substr(kBodyStart));
+    for (const int kind : {-1, 0, 5, 99}) {
+      body["k"] = kind;
+      CHECK(failure(EncodeBody(body)) == mesh_drop::kMalformed);
+    }
+  }
   SECTION("an authenticated body with a malformed content") {
     CHECK(failure(EncodeBody({{"k", "text"}})) == mesh_drop::kMalformed);
     CHECK(failure(EncodeBody(nlohmann::json::array())) ==
