Peers: nodes that have been away for long are forgotten

What operators saw: nothing yet; found by reading. peer_group and median_clock kept each node name ever seen, so that their memory and the time for each report grew with every replaced host.

Change: a new name makes the group forget peers without a report for ten minutes, which it did not answer any more before either; readings of clocks are dropped when they no longer count.

Test: tests/peers "Nodes that have been away for long are forgotten"; with the group's part taken out it keeps 1,000 names.

--- a/src/skylarkcroft/peers/skylarkcroft_median_clock.cc
+++ b/src/skylarkcroft/peers/skylarkcroft_median_clock.cc
@@ -27,6 +27,9 @@
 }  // namespace
 
 void median_clock::RecordOwn(int64_t wall_ms, time_point now) {
+  std::erase_if(peers_, [now](const auto& entry) {
+    return now - entry.second.read_at > kMaxReadingAge;
+  });
   const int64_t offset_ms = wall_ms - MonotonicMs(now);
   started_at_ = started_at_.value_or(now);
   if (now - *started_at_ < kSettleTime) {
--- a/src/skylarkcroft/peers/skylarkcroft_median_clock.h
+++ b/src/skylarkcroft/peers/skylarkcroft_median_clock.h
@@ -1,6 +1,7 @@
 #ifndef SKYLARKCROFT_PEERS_SKYLARKCROFT_MEDIAN_CLOCK_H_
 #define SKYLARKCROFT_PEERS_SKYLARKCROFT_MEDIAN_CLOCK_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -30,6 +31,8 @@
   /// Milliseconds since the Unix epoch at `now`: the median of OwnMs() and what
   /// peers have reported recently.
   [[nodiscard]] int64_t NowMs(time_point now) const;
+  /// Number of peers whose readings are kept.
+  [[nodiscard]] size_t size() const { return peers_.size(); }
 
  private:
   struct reading {
--- a/src/skylarkcroft/peers/skylarkcroft_peer_group.cc
+++ b/src/skylarkcroft/peers/skylarkcroft_peer_group.cc
@@ -25,7 +25,7 @@
   if (name == self_) {
     return;
   }
-  peer& node = peers_[name];
+  peer& node = FindOrAdd(name, now);
   if (node.address == address) {
     return;
   }
@@ -39,7 +39,7 @@
   if (name == self_) {
     return false;
   }
-  peer& node = peers_[name];
+  peer& node = FindOrAdd(name, now);
   const bool same_process = incarnation == node.incarnation;
   const bool stale = same_process ? sequence <= node.sequence
                                   : IsReplaced(node, incarnation, now);
@@ -61,6 +61,25 @@
   return true;
 }
 
+peer_group::peer& peer_group::FindOrAdd(const std::string& name,
+                                        time_point now) {
+  const auto found = peers_.find(name);
+  if (found != peers_.end()) {
+    return found->second;
+  }
+  // Nodes are replaced by others under new names.
+  std::erase_if(peers_, [now](const auto& entry) {
+    return now - LastSeen(entry.second) > kForgottenAfter;
+  });
+  peer added;
+  added.listed_at = now;
+  return peers_.emplace(name, std::move(added)).first->second;
+}
+
+time_point peer_group::LastSeen(const peer& node) {
+  return node.has_reported ? node.reported_at : node.listed_at;
+}
+
 bool peer_group::IsReplaced(const peer& node, int64_t incarnation,
                             time_point now) const {
   if (std::find(node.replaced.begin(), node.replaced.end(), incarnation) !=
@@ -74,9 +93,7 @@
 }
 
 bool peer_group::MayBeServing(const peer& node, time_point now) {
-  const time_point last_seen =
-      node.has_reported ? node.reported_at : node.listed_at;
-  return now - last_seen <= kPresumedGoneAfter;
+  return now - LastSeen(node) <= kPresumedGoneAfter;
 }
 
 std::vector<endpoint> peer_group::ReportTargets(time_point now) const {
@@ -92,10 +109,8 @@
 std::vector<endpoint> peer_group::PresumedGone(time_point now) const {
   std::vector<endpoint> targets;
   for (const auto& [name, node] : peers_) {
-    const time_point last_seen =
-        node.has_reported ? node.reported_at : node.listed_at;
     if (!node.is_draining && !MayBeServing(node, now) &&
-        now - last_seen <= kForgottenAfter) {
+        now - LastSeen(node) <= kForgottenAfter) {
       targets.push_back(node.address);
     }
   }
--- a/src/skylarkcroft/peers/skylarkcroft_peer_group.h
+++ b/src/skylarkcroft/peers/skylarkcroft_peer_group.h
@@ -41,6 +41,8 @@
   void SetLiveTimeout(milliseconds timeout) { live_timeout_ = timeout; }
   /// Number of nodes that may be serving clients, including this one.
   [[nodiscard]] size_t NodeCount(time_point now) const;
+  /// Number of peers that are remembered.
+  [[nodiscard]] size_t size() const { return peers_.size(); }
 
  private:
   struct peer {
@@ -55,6 +57,10 @@
     time_point listed_at{};
   };
 
+  /// The peer of this name. Adding one forgets those that have been away for
+  /// long.
+  peer& FindOrAdd(const std::string& name, time_point now);
+  [[nodiscard]] static time_point LastSeen(const peer& node);
   [[nodiscard]] static bool MayBeServing(const peer& node, time_point now);
   /// Whether a report comes from a process that another has replaced.
   [[nodiscard]] bool IsReplaced(const peer& node, int64_t incarnation,
--- a/tests/peers/peer_report_test.cc
+++ b/tests/peers/peer_report_test.cc
@@ -216,4 +216,25 @@
   CHECK(group.PresumedGone(later).empty());
 }
 
+// Guards against memory that grows with each node that is replaced.
+TEST_CASE("Nodes that have been away for long are forgotten",
+          "[peers][regression]") {
+  peer_group group("n0");
+  median_clock clock;
+  for (int day = 0; day < 50; ++day) {
+    const time_point now = kStart + std::chrono::hours(24 * day);
+    for (int i = 0; i < 20; ++i) {
+      const std::string name =
+          "n" + std::to_string(day) + "-" + std::to_string(i);
+      group.OnListed(name, kAddress, now);
+      group.OnReport(name, kAddress, 1, 1, false, now);
+      clock.RecordOwn(1000000, now);
+      clock.OnPeerReport(name, 1000000, now);
+    }
+    CHECK(group.NodeCount(now) == 21);
+  }
+  CHECK(group.size() <= 40);
+  CHECK(clock.size() <= 40);
+}
+
 }  // namespace skylarkcroft
