Deferred requests: look at all rows of a shard for requests to take over

What callers saw: nothing yet; found by reading. A scan read the first 500 rows of a shard. While as many requests of working nodes stood there, those of a stopped node behind them were accepted and never run.

Change: a scan goes on behind the last row while pages are full.

--- a/src/skylarkcroft/deferred/skylarkcroft_deferred_worker.cc
+++ b/src/skylarkcroft/deferred/skylarkcroft_deferred_worker.cc
@@ -5,6 +5,7 @@
 namespace skylarkcroft {
 namespace {
 
+// Rows of a shard that are read at once.
 constexpr size_t kMaxScanRows = 500;
 
 // True when a retry may succeed.
@@ -181,20 +182,24 @@
     return;
   }
   for (const size_t shard : environment_.shards()) {
-    ScanShard(shard);
+    ScanShard(shard, "");
   }
 }
 
-void deferred_worker::ScanShard(size_t shard) {
-  environment_.store.Query({OpenRequestsPartition(shard), "", "", kMaxScanRows},
-                           [this, alive = Alive()](const query_result& result) {
-                             if (!alive() || stopped_) {
-                               return;
-                             }
-                             for (const table_row& row : result.rows) {
-                               CheckOpenRow(row);
-                             }
-                           });
+void deferred_worker::ScanShard(size_t shard, const std::string& after) {
+  environment_.store.Query(
+      {OpenRequestsPartition(shard), "", after, kMaxScanRows},
+      [this, shard, alive = Alive()](const query_result& result) {
+        if (!alive() || stopped_) {
+          return;
+        }
+        for (const table_row& row : result.rows) {
+          CheckOpenRow(row);
+        }
+        if (result.rows.size() >= kMaxScanRows) {
+          ScanShard(shard, result.rows.back().key.sort);
+        }
+      });
 }
 
 void deferred_worker::CheckOpenRow(const table_row& row) {
--- a/src/skylarkcroft/deferred/skylarkcroft_deferred_worker.h
+++ b/src/skylarkcroft/deferred/skylarkcroft_deferred_worker.h
@@ -106,7 +106,8 @@
                 std::function<void(const deferred_status&)> done);
   void Heartbeat();
   void Scan();
-  void ScanShard(size_t shard);
+  /// Looks for requests to take over in the rows behind `after`.
+  void ScanShard(size_t shard, const std::string& after);
   void CheckOpenRow(const table_row& row);
   void TakeOver(const table_row& row, const deferred_request& request);
   void HoldAndRun(const deferred_request& request, int64_t version);
--- a/tests/control/memory_table_service.h
+++ b/tests/control/memory_table_service.h
@@ -27,8 +27,18 @@
     loop_.Defer([result, done = std::move(done)] { done(result); });
   }
 
-  void Query(const row_query& /*query*/, query_done_fn done) override {
-    loop_.Defer([done = std::move(done)] { done({}); });
+  void Query(const row_query& query, query_done_fn done) override {
+    query_result result;
+    result.available = !unavailable;
+    for (const auto& [key, row] : rows) {
+      const bool matches = key.partition == query.partition &&
+                           key.sort.starts_with(query.sort_prefix) &&
+                           key.sort > query.after;
+      if (matches && !unavailable && result.rows.size() < query.limit) {
+        result.rows.push_back(row);
+      }
+    }
+    loop_.Defer([result, done = std::move(done)] { done(result); });
   }
 
   void Write(const std::vector<row_write>& writes, const std::string& /*token*/,
