Relay: a crash found by its refused connection counts for the quarantine

What callers saw: nothing yet; found while reading again. An answer without a length whose upstream ended is called broken up to 90 ms after its end, since the upstream is asked first.

Change: the time of the break is the end of the output, in the quarantine and in `output_age_ms`.

Test: tests/relay "A crash that ends an answer without a length counts as a crash"; fails with the time of the refusal.

--- a/src/skylarkcroft/relay/skylarkcroft_attempt_record.h
+++ b/src/skylarkcroft/relay/skylarkcroft_attempt_record.h
@@ -27,7 +27,7 @@
   bool upstream_ended = false;
   /// Time from sending the request to the failure.
   milliseconds elapsed{0};
-  /// Time from the first output to the failure; empty without output.
+  /// Time from the first output to the end of the output; empty without output.
   std::optional<milliseconds> output_age{};
   /// Ids of the prompt's parts in order, separated by commas.
   std::string prompt_parts{};
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -532,7 +532,7 @@
 }
 
 void relay_request::ConfirmEnd() {
-  attempt_->end_unconfirmed = true;
+  attempt_->ended_at = environment_.clock();
   const upstream_entry& upstream = attempt_->placed.upstream;
   environment_.connections.OpenIdle(
       upstream.id, upstream.address,
@@ -549,7 +549,7 @@
 }
 
 bool relay_request::IsEndUnconfirmed() const {
-  return !ended_ && attempt_ != nullptr && attempt_->end_unconfirmed;
+  return !ended_ && attempt_ != nullptr && attempt_->ended_at.has_value();
 }
 
 void relay_request::CheckUnconfirmedEnd(time_point now) {
@@ -616,8 +616,10 @@
 }
 
 void relay_request::RecordIfCrash(attempt_failure failure, time_point now) {
-  const bool is_late = attempt_->first_output_at.has_value() &&
-                       now - *attempt_->first_output_at > kFirstOutputWindow;
+  const time_point broken_at = attempt_->ended_at.value_or(now);
+  const bool is_late =
+      attempt_->first_output_at.has_value() &&
+      broken_at - *attempt_->first_output_at > kFirstOutputWindow;
   if (failure != attempt_failure::kBroken || is_late ||
       prompt_.shared.empty()) {
     return;
@@ -646,7 +648,7 @@
       std::chrono::duration_cast<milliseconds>(now - attempt_->started_at);
   if (attempt_->first_output_at.has_value()) {
     record.output_age = std::chrono::duration_cast<milliseconds>(
-        now - *attempt_->first_output_at);
+        attempt_->ended_at.value_or(now) - *attempt_->first_output_at);
   }
   record.part_keys = ToString(prompt_.shared);
   for (const prompt_part& part : generation_.parts) {
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -64,9 +64,9 @@
     bool event_seen = false;
     /// Reading is paused because the client is too slow.
     bool paused = false;
-    /// The response has ended with its connection, and it is not known yet
-    /// whether the upstream's process has ended too.
-    bool end_unconfirmed = false;
+    /// When the response ended with its connection. From then on it is not
+    /// known whether the upstream's process has ended too.
+    std::optional<time_point> ended_at;
     /// When the upstream refused a connection after that.
     std::optional<time_point> refused_at;
   };
--- a/tests/relay/relay_quarantine_test.cc
+++ b/tests/relay/relay_quarantine_test.cc
@@ -91,6 +91,33 @@
   CHECK(engines.crashes_seen == 2);
 }
 
+// Guards against crashes that go unnoticed because the upstream is asked first
+// whether it goes on.
+TEST_CASE("A crash that ends an answer without a length counts as a crash",
+          "[relay][quarantine][ended_process][regression]") {
+  crashing_engines engines;
+  fixture& relay = engines.relay;
+  engines.tick.reset();
+  event_loop::handle_ptr crash;
+  for (scripted_upstream* upstream :
+       {&relay.first_upstream, &relay.second_upstream}) {
+    upstream->SetHandler([&, upstream](const received_request& request) {
+      request.write(fixture::UnframedStreamHead(request) + fixture::Event(1));
+      crash = relay.loop.After(milliseconds(110), [upstream, request] {
+        upstream->StopListening();
+        request.close();
+      });
+    });
+  }
+  raw_client client(relay.loop, relay.server.address());
+  client.Send(fixture::Request("/stream/", "r1",
+                               "X-Tokens: 10,5\r\nX-Parts: common:5,bad:2,a:1"
+                               "\r\n"));
+  REQUIRE(relay.Await([&] { return !relay.records.empty(); }));
+  CHECK(relay.records.back().status == 502);
+  CHECK(relay.quarantine.HasUnconfirmedCrashes(SteadyNow()));
+}
+
 // Guards against crashes by requests that were on their way to an upstream when
 // their part was found.
 TEST_CASE(
