Planner: correct orders that are carried out after newer ones

What operators saw: nothing yet; the platform's pages say that a call without a response may be carried out seconds later, after newer calls. A late older order for more upstreams than the newest one stayed in force, and was paid for, until the plan changed; one for fewer was repaired already, as overdue.

Weighed: repeating each order until the number fits (upstreams that operators add or replace would be taken away again).

Change: after an order without a response, the number is compared once the time for late execution has passed, and the newest order is repeated if it differs.

Upstreams that appear without a lost response are left alone.

--- a/src/skylarkcroft/duties/skylarkcroft_fleet_planner.cc
+++ b/src/skylarkcroft/duties/skylarkcroft_fleet_planner.cc
@@ -176,6 +176,11 @@
   if (last.count != order.count) {
     return true;
   }
+  const bool may_have_been_undone =
+      last.unsettled_until.has_value() && now >= *last.unsettled_until;
+  if (may_have_been_undone && present != order.count) {
+    return true;
+  }
   const bool overdue =
       now - last.at > view.scaling.boot_time + parameters_.order_retry_delay;
   return present < order.count && overdue;
@@ -329,6 +334,9 @@
       last_orders_[{order.service, order.availability_zone, order.reclaimable}];
   last.at = now;
   last.not_before = now;
+  if (last.unsettled_until.has_value() && now >= *last.unsettled_until) {
+    last.unsettled_until.reset();
+  }
   switch (outcome) {
     case duty_outcome::kAccepted:
       last.count = order.count;
@@ -337,9 +345,11 @@
       last.count.reset();
       last.not_before = now + parameters_.unavailable_retry_delay;
       return;
+    case duty_outcome::kUnknown:
+      last.unsettled_until = now + parameters_.late_execution_limit;
+      [[fallthrough]];
     case duty_outcome::kRefused:
     case duty_outcome::kOutdated:
-    case duty_outcome::kUnknown:
       last.count.reset();
       last.not_before = now + parameters_.order_retry_delay;
       return;
--- a/src/skylarkcroft/duties/skylarkcroft_fleet_planner.h
+++ b/src/skylarkcroft/duties/skylarkcroft_fleet_planner.h
@@ -49,6 +49,9 @@
   /// the boot time of an upstream has passed. Also the delay before a rejected
   /// or unanswered order is repeated.
   milliseconds order_retry_delay{1500};
+  /// A call without a response may be carried out this much later: the platform
+  /// documents some seconds.
+  milliseconds late_execution_limit{8000};
   /// Delay before ordering again after the cloud reported no capacity.
   milliseconds unavailable_retry_delay{3000};
   /// Upstreams with requests in flight are terminated only after this time,
@@ -129,6 +132,9 @@
     std::optional<int> count;  ///< Empty when it was not accepted.
     time_point at{};
     time_point not_before{};  ///< Earliest time of the next order.
+    /// Until when an order without a response may still be carried out, after
+    /// newer ones.
+    std::optional<time_point> unsettled_until;
   };
   struct demand_history {
     int total = 0;  ///< Planned upstreams of the service.
--- a/tests/duties/fleet_planner_test.cc
+++ b/tests/duties/fleet_planner_test.cc
@@ -79,6 +79,8 @@
     }
   }
 
+  [[nodiscard]] time_point now() const { return now_; }
+
   /// Plans and carries out the orders once a second for `seconds`; returns all
   /// orders.
   std::vector<fleet_order> Run(fleet_planner& planner, int seconds) {
@@ -392,6 +394,28 @@
   }
 }
 
+// Pattern: answers of the cloud are lost, and orders are carried out seconds
+// later, after newer ones. Guards against upstreams that are paid for until the
+// plan changes.
+TEST_CASE("An order that is carried out after a newer one is corrected",
+          "[duties][fleet][late_execution][regression]") {
+  cloud cloud;
+  fleet_planner planner{fleet_planner_parameters{}};
+  cloud.Run(planner, 60);
+  const int wanted = cloud.CountIn("a", true);
+  const bool response_lost = GENERATE(true, false);
+  const fleet_order late{"pool", "a", true, wanted + 4};
+  planner.OnOrderOutcome(
+      late, response_lost ? duty_outcome::kUnknown : duty_outcome::kRefused,
+      cloud.now());
+  cloud.Run(planner, 4);
+  cloud.SetCount("a", true, wanted + 4);
+  cloud.Run(planner, 15);
+  // Upstreams that others have added are left alone.
+  CHECK(cloud.CountIn("a", true) == (response_lost ? wanted : wanted + 4));
+  CHECK(cloud.Run(planner, 30).empty());
+}
+
 TEST_CASE("A plan that has converged issues no orders", "[duties][fleet]") {
   cloud cloud;
   fleet_planner planner{fleet_planner_parameters{}};
