--- a/tests/adapter/relay_node_test.cc
+++ b/tests/adapter/relay_node_test.cc
@@ -277,6 +277,12 @@
   REQUIRE(await("\"started\""));
   relay.Signal(SIGHUP);
   CHECK(await("settings reloaded"));
+  // Settings that cannot be read change nothing, whatever they hold.
+  for (const char* text : {"", "{", "[1, 2]", "{\"node\": 7}"}) {
+    std::ofstream(path) << text;
+    relay.Signal(SIGHUP);
+    CHECK(await("settings not reloaded"));
+  }
   std::remove(path.c_str());
 }
 
--- a/tests/relay/relay_test.cc
+++ b/tests/relay/relay_test.cc
@@ -10,6 +10,8 @@
 using received_request = scripted_upstream::received_request;
 using fixture = relay_fixture;
 
+constexpr const char* kFinalChunk = "0\r\n\r\n";
+
 bool Contains(const std::string& text, const std::string& part) {
   return text.find(part) != std::string::npos;
 }
@@ -371,6 +373,40 @@
   CHECK(Contains(client.received, "HTTP/1.1 504"));
 }
 
+// Guards against slow streams that are cut, and against stalled ones that never
+// end because a byte comes now and then.
+TEST_CASE("A slow stream is whole and a stalled one ends with its time",
+          "[relay][stream][timeout]") {
+  fixture relay;
+  const bool stalled = GENERATE(false, true);
+  event_loop::handle_ptr writer;
+  int written = 0;
+  relay.SetHandler([&](const received_request& request) {
+    request.write(fixture::StreamHead(request) + fixture::EventChunk(1));
+    written = 1;
+    writer = relay.loop.Every(milliseconds(200), [&, request] {
+      if (*request.closed) {
+        return;
+      }
+      if (stalled) {
+        request.write("1\r\n:\r\n");
+        return;
+      }
+      ++written;
+      request.write(fixture::EventChunk(written) +
+                    (written == 9 ? kFinalChunk : ""));
+    });
+  });
+  raw_client client(relay.loop, relay.server.address());
+  client.Send(fixture::Request("/stream/", "r1"));
+  REQUIRE(relay.Await([&] { return !relay.records.empty(); }));
+  relay.loop.RunFor(milliseconds(50));
+  const bool whole = client.received.ends_with(kFinalChunk);
+  CHECK(whole == !stalled);
+  CHECK(relay.records.back().reason == (stalled ? "out_of_time" : "answered"));
+  CHECK(relay.records.back().total < milliseconds(2800));
+}
+
 TEST_CASE("Without an upstream, a request gets a 503 with Retry-After at once",
           "[relay][refusal]") {
   fixture relay;
@@ -421,6 +457,39 @@
   CHECK(Contains(client.received, "done"));
 }
 
+// Guards against requests that are cut off without an answer because they were
+// accepted just before a planned stop, or wait unread in their connections.
+TEST_CASE("Requests of the moment of a planned stop are answered whole",
+          "[relay][leave][load]") {
+  constexpr size_t kClients = 80;
+  fixture relay;
+  std::vector<event_loop::handle_ptr> answers;
+  relay.SetHandler([&](const received_request& request) {
+    answers.push_back(relay.loop.After(milliseconds(200), [request] {
+      request.write(fixture::Response(request, "done"));
+    }));
+  });
+  std::vector<std::unique_ptr<raw_client>> clients;
+  for (size_t i = 0; i < kClients; ++i) {
+    clients.push_back(
+        std::make_unique<raw_client>(relay.loop, relay.server.address()));
+    clients.back()->Send(fixture::Request("/once/", "r" + std::to_string(i)));
+    if (i == kClients / 2) {
+      // Half of them are at work, the rest still come.
+      REQUIRE(relay.Await([&] { return relay.RequestCount() > kClients / 4; }));
+      relay.since_shutdown = milliseconds(0);
+      relay.server.CloseIdle();
+    }
+  }
+  REQUIRE(relay.Await([&] { return relay.records.size() == kClients; }));
+  relay.loop.RunFor(milliseconds(50));
+  for (const auto& client : clients) {
+    CHECK(Contains(client->received, "HTTP/1.1 200"));
+    CHECK(Contains(client->received, "done"));
+    CHECK(client->closed_cleanly);
+  }
+}
+
 TEST_CASE("Late in shutdown, new requests get a 503 and are not sent upstream",
           "[relay][leave]") {
   fixture relay;
