--- a/tests/control/reclaim_watch_test.cc
+++ b/tests/control/reclaim_watch_test.cc
@@ -59,95 +59,78 @@
   event_loop& loop_;
 };
 
+using reported_notices = std::map<endpoint, time_point>;
+
+const endpoint kNoticed{"10.0.0.1", 80};
+
+/// A reclaim watch on a cloud and a host list; keeps what it reports.
+class watched_cloud {
+ public:
+  /// Runs until the host list has been fetched `count` times.
+  void RunUntilFetched(int count) {
+    for (int turn = 0; turn < 2000 && hosts.fetches < count; ++turn) {
+      loop.RunFor(milliseconds(10));
+    }
+  }
+
+  event_loop loop;
+  fake_cloud cloud{loop};
+  fake_host_list hosts{loop};
+  int64_t wall_ms = kWallMs;
+  reported_notices reported;
+  reclaim_watch watch{{loop, cloud, hosts, [] { return 0.0; },
+                       [] { return kStart; }, [this] { return wall_ms; }},
+                      [this](const endpoint& address, time_point notice_end) {
+                        reported[address] = notice_end;
+                      }};
+};
+
 }  // namespace
 
 TEST_CASE("Notices and hosts marked as leaving are reported with their end",
           "[control][reclaim]") {
-  event_loop loop;
-  fake_cloud cloud(loop);
-  fake_host_list hosts(loop);
-  const endpoint noticed{"10.0.0.1", 80};
+  watched_cloud run;
   const endpoint listed{"10.0.0.2", 80};
   const endpoint old{"10.0.0.3", 80};
-  cloud.notices = {{1, "old", old, "a", kWallMs - 60000},
-                   {2, "h1", noticed, "a", kWallMs + 7000},
-                   {3, "h1", noticed, "a", kWallMs + 7000}};
-  hosts.hosts = {
-      {"h1", host_kind::kUpstream, "p", noticed, "a", 1, host_state::kLeaving},
+  run.cloud.notices = {{1, "old", old, "a", kWallMs - 60000},
+                       {2, "h1", kNoticed, "a", kWallMs + 7000},
+                       {3, "h1", kNoticed, "a", kWallMs + 7000}};
+  run.hosts.hosts = {
+      {"h1", host_kind::kUpstream, "p", kNoticed, "a", 1, host_state::kLeaving},
       {"h2", host_kind::kUpstream, "p", listed, "a", 1, host_state::kLeaving},
       {"h3", host_kind::kUpstream, "p", old, "a", 2, host_state::kLive}};
-  std::map<endpoint, time_point> reported;
-  const reclaim_watch watch(
-      {loop, cloud, hosts, [] { return 0.0; }, [] { return kStart; },
-       [] { return kWallMs; }},
-      [&](const endpoint& address, time_point notice_end) {
-        reported[address] = notice_end;
-      });
-  for (int turn = 0; turn < 2000 && hosts.fetches < 2; ++turn) {
-    loop.RunFor(milliseconds(10));
-  }
-  CHECK(reported == std::map<endpoint, time_point>{
-                        {noticed, kStart + milliseconds(7000)},
-                        {listed, kStart + reclaim_watch::kAssumedNotice}});
-  CHECK(watch.notices() == 2);
+  run.RunUntilFetched(2);
+  CHECK(run.reported ==
+        reported_notices{{kNoticed, kStart + milliseconds(7000)},
+                         {listed, kStart + reclaim_watch::kAssumedNotice}});
+  CHECK(run.watch.notices() == 2);
 }
 
 // Guards against hosts that are taken back unnoticed, or seem to stay for
 // minutes, because this host's wall clock was stepped.
 TEST_CASE("A notice is acted on in time under a wrong wall clock",
           "[control][reclaim][clock_step][regression]") {
-  event_loop loop;
-  fake_cloud cloud(loop);
-  fake_host_list hosts(loop);
-  const milliseconds step(GENERATE(-2400000, 2400000));
-  const endpoint noticed{"10.0.0.1", 80};
-  int64_t wall_ms = kWallMs;
-  std::map<endpoint, time_point> reported;
-  const reclaim_watch watch(
-      {loop, cloud, hosts, [] { return 0.0; }, [] { return kStart; },
-       [&] { return wall_ms; }},
-      [&](const endpoint& address, time_point notice_end) {
-        reported[address] = notice_end;
-      });
-  const auto run_until_fetches = [&](int fetches) {
-    for (int turn = 0; turn < 2000 && hosts.fetches < fetches; ++turn) {
-      loop.RunFor(milliseconds(10));
-    }
-  };
-  run_until_fetches(2);
-  wall_ms += step.count();
-  cloud.notices = {{1, "h1", noticed, "a", kWallMs + 7000}};
-  run_until_fetches(4);
-  CHECK(reported == std::map<endpoint, time_point>{
-                        {noticed, kStart + reclaim_watch::kAssumedNotice}});
+  watched_cloud run;
+  const int64_t step_ms = GENERATE(-2400000, 2400000);
+  run.RunUntilFetched(2);
+  run.wall_ms += step_ms;
+  run.cloud.notices = {{1, "h1", kNoticed, "a", kWallMs + 7000}};
+  run.RunUntilFetched(4);
+  CHECK(run.reported ==
+        reported_notices{{kNoticed, kStart + reclaim_watch::kAssumedNotice}});
 }
 
 // Guards against notices that a failed poll withdraws.
 TEST_CASE("A failed poll withdraws no notice", "[control][reclaim]") {
-  event_loop loop;
-  fake_cloud cloud(loop);
-  fake_host_list hosts(loop);
-  const endpoint noticed{"10.0.0.1", 80};
-  cloud.notices = {{1, "h1", noticed, "a", kWallMs + 7000}};
-  std::map<endpoint, time_point> reported;
-  const reclaim_watch watch(
-      {loop, cloud, hosts, [] { return 0.0; }, [] { return kStart; },
-       [] { return kWallMs; }},
-      [&](const endpoint& address, time_point notice_end) {
-        reported[address] = notice_end;
-      });
-  const auto run_until_fetches = [&](int fetches) {
-    for (int turn = 0; turn < 2000 && hosts.fetches < fetches; ++turn) {
-      loop.RunFor(milliseconds(10));
-    }
-  };
-  run_until_fetches(2);
-  cloud.fails = true;
-  hosts.fails = true;
-  reported.clear();
-  run_until_fetches(4);
-  CHECK(reported ==
-        std::map<endpoint, time_point>{{noticed, kStart + milliseconds(7000)}});
+  watched_cloud run;
+  run.cloud.notices = {{1, "h1", kNoticed, "a", kWallMs + 7000}};
+  run.RunUntilFetched(2);
+  run.cloud.fails = true;
+  run.hosts.fails = true;
+  run.reported.clear();
+  run.RunUntilFetched(4);
+  CHECK(run.reported ==
+        reported_notices{{kNoticed, kStart + milliseconds(7000)}});
 }
 
 }  // namespace skylarkcroft
--- a/tests/relay/answer_end_test.cc
+++ b/tests/relay/answer_end_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -35,9 +36,20 @@
     return ViewOf(kind, *client);
   }
 
+  /// Sets how the upstreams handle requests, where it matters which one does.
+  void SetHandlerOfEach(
+      const std::function<void(scripted_upstream& upstream,
+                               const received_request& request)>& handle) {
+    for (scripted_upstream* upstream :
+         {&relay.first_upstream, &relay.second_upstream}) {
+      upstream->SetHandler([upstream, handle](const received_request& request) {
+        handle(*upstream, request);
+      });
+    }
+  }
   /// As Write(), and the upstream's process ends with the connection.
-  void WriteAndEnd(const received_request& request, const std::string& text,
-                   scripted_upstream& upstream) {
+  void WriteAndEnd(scripted_upstream& upstream, const received_request& request,
+                   const std::string& text) {
     request.write(text);
     later_ = relay.loop.After(milliseconds(30), [&upstream, request] {
       upstream.StopListening();
@@ -105,15 +117,12 @@
           "[relay][answer_end][ended_process][regression]") {
   broken_answer run;
   const client_kind kind = AnyClient();
-  for (scripted_upstream* upstream :
-       {&run.relay.first_upstream, &run.relay.second_upstream}) {
-    upstream->SetHandler([&run, upstream](const received_request& request) {
-      run.WriteAndEnd(
-          request,
-          AnswerUntil(request, framing::kConnection, stop::kBetweenEvents),
-          *upstream);
-    });
-  }
+  run.SetHandlerOfEach(
+      [&](scripted_upstream& upstream, const received_request& request) {
+        run.WriteAndEnd(
+            upstream, request,
+            AnswerUntil(request, framing::kConnection, stop::kBetweenEvents));
+      });
   CHECK(run.Ask(kind, "/stream/") == client_view::kBroken);
   CHECK_THAT(run.client->received, Contains("id: 2"));
   REQUIRE_FALSE(run.relay.failed_attempts.empty());
@@ -124,21 +133,18 @@
           "[relay][answer_end][ended_process][resume]") {
   broken_answer run;
   const client_kind kind = AnyClient();
-  for (scripted_upstream* upstream :
-       {&run.relay.first_upstream, &run.relay.second_upstream}) {
-    upstream->SetHandler([&run, upstream](const received_request& request) {
-      if (request.head.headers.Has("Last-Event-Id")) {
-        run.Write(request,
-                  AnswerUntil(request, framing::kConnection, stop::kAtEnd, 3),
-                  closing::kOrderly);
-        return;
-      }
-      run.WriteAndEnd(
-          request,
-          AnswerUntil(request, framing::kConnection, stop::kBetweenEvents),
-          *upstream);
-    });
-  }
+  run.SetHandlerOfEach(
+      [&](scripted_upstream& upstream, const received_request& request) {
+        if (request.head.headers.Has("Last-Event-Id")) {
+          run.Write(request,
+                    AnswerUntil(request, framing::kConnection, stop::kAtEnd, 3),
+                    closing::kOrderly);
+          return;
+        }
+        run.WriteAndEnd(
+            upstream, request,
+            AnswerUntil(request, framing::kConnection, stop::kBetweenEvents));
+      });
   CHECK(run.Ask(kind, "/resume/") == client_view::kWhole);
   CHECK_THAT(run.client->received, Contains("id: 2") && Contains("id: 3"));
   CHECK(run.relay.RequestCount() == 2);
@@ -149,14 +155,11 @@
           "[relay][answer_end][ended_process][regression]") {
   broken_answer run;
   const client_kind kind = AnyClient();
-  for (scripted_upstream* upstream :
-       {&run.relay.first_upstream, &run.relay.second_upstream}) {
-    upstream->SetHandler([&run, upstream](const received_request& request) {
-      run.WriteAndEnd(request,
-                      "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Sig: s\r\n\r\nwho",
-                      *upstream);
-    });
-  }
+  run.SetHandlerOfEach(
+      [&](scripted_upstream& upstream, const received_request& request) {
+        run.WriteAndEnd(upstream, request,
+                        "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Sig: s\r\n\r\nwho");
+      });
   CHECK(run.Ask(kind, "/once/") == client_view::kError);
 }
 
@@ -168,25 +171,22 @@
   const client_kind kind = AnyClient();
   const bool leaves = GENERATE(true, false);
   event_loop::handle_ptr other_bytes;
-  for (scripted_upstream* upstream :
-       {&run.relay.first_upstream, &run.relay.second_upstream}) {
+  run.SetHandlerOfEach([&](scripted_upstream& upstream,
+                           const received_request& request) {
     const std::string id =
-        upstream == &run.relay.first_upstream ? "one" : "two";
-    upstream->SetHandler([&, upstream, id](const received_request& request) {
-      if (leaves) {
-        run.relay.balancer.RecordLeaving(fixture::Entry(id, *upstream),
-                                         SteadyNow(), SteadyNow());
-      } else {
-        // The other answers of the upstream go on.
-        other_bytes = run.relay.loop.Every(milliseconds(10), [&run, id] {
-          run.relay.balancer.RecordByte(id, SteadyNow());
-        });
-      }
-      run.WriteAndEnd(request,
-                      AnswerUntil(request, framing::kConnection, stop::kAtEnd),
-                      *upstream);
-    });
-  }
+        &upstream == &run.relay.first_upstream ? "one" : "two";
+    if (leaves) {
+      run.relay.balancer.RecordLeaving(fixture::Entry(id, upstream),
+                                       SteadyNow(), SteadyNow());
+    } else {
+      // The other answers of the upstream go on.
+      other_bytes = run.relay.loop.Every(milliseconds(10), [&run, id] {
+        run.relay.balancer.RecordByte(id, SteadyNow());
+      });
+    }
+    run.WriteAndEnd(upstream, request,
+                    AnswerUntil(request, framing::kConnection, stop::kAtEnd));
+  });
   CHECK(run.Ask(kind, "/stream/") == client_view::kWhole);
   CHECK(run.relay.RequestCount() == 1);
 }
