--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -400,7 +400,11 @@
     const size_t others = group_.NodeCount(now) - 1;
     const size_t position =
         RendezvousPosition("quarantines", settings_.name, peers);
-    return {position<kArchiveWriters, 2 * peers.size() < others, position> 0};
+    archive_role role;
+    role.is_writer = position < kArchiveWriters;
+    role.is_isolated = 2 * peers.size() < others;
+    role.is_second_writer = position > 0;
+    return role;
   }
 
   void LogQuarantine(const quarantine_event& event) {
