Admission: a preempted request that ends in the queue is charged for its use

What callers saw: nothing yet; found by reading. A request that was preempted and then rejected gave its caller the whole estimate back, also what engines had computed; one that was evicted, or whose caller left, kept the whole estimate, also what they had not. Fair shares between callers were off by as much.

Change: the queue remembers what has been computed for a request when it is preempted. Where it ends without being started again, its caller is charged with that.

Test: tests/admission "A preempted request that ends in the queue is charged for its use"; with the whole charge kept and with it given back, one of its two cases fails each.

--- a/src/skylarkcroft/admission/skylarkcroft_caller_queue.cc
+++ b/src/skylarkcroft/admission/skylarkcroft_caller_queue.cc
@@ -181,6 +181,10 @@
   AddToIndexes(found->first, state);
 }
 
+void caller_queue::SettleCharge(const queued_item& ended) {
+  AdjustCharge(ended.item, ended.used_tokens - ended.item.estimated_tokens);
+}
+
 void caller_queue::ForgetIdleCallers() {
   std::erase_if(callers_, [this](const auto& entry) {
     return entry.second.waiting.empty() &&
--- a/src/skylarkcroft/admission/skylarkcroft_caller_queue.h
+++ b/src/skylarkcroft/admission/skylarkcroft_caller_queue.h
@@ -18,6 +18,8 @@
   work_item item;
   time_point queued_at{};
   int64_t preemptions = 0;
+  /// Tokens that engines have computed for it before it was preempted.
+  int64_t used_tokens = 0;
 
   bool operator==(const queued_item&) const = default;
 };
@@ -58,6 +60,10 @@
   /// Charges the caller of `item` with `tokens` more; a negative number is a
   /// credit.
   void AdjustCharge(const work_item& item, int64_t tokens);
+  /// Charges the caller of a request that was started before and ends without
+  /// being started again with what it has used, and no longer with its
+  /// estimate.
+  void SettleCharge(const queued_item& ended);
 
  private:
   struct waiting_item {
--- a/src/skylarkcroft/admission/skylarkcroft_pool_admission.cc
+++ b/src/skylarkcroft/admission/skylarkcroft_pool_admission.cc
@@ -128,6 +128,9 @@
     return rejection{refusal_reason::kQueueFull, retry_after};
   }
   const queued_item evicted = queue.EvictNewest(largest_caller);
+  if (evicted.preemptions > 0) {
+    queue.SettleCharge(evicted);
+  }
   waiting_.erase(evicted.item.request_id);
   evicted_.push_back(
       {evicted.item.request_id, {refusal_reason::kOverShare, retry_after}});
@@ -167,7 +170,12 @@
     return;
   }
   const work_item& item = waiting->second;
-  RankStateOf(item).queue.Remove(item.caller_name, request_id);
+  caller_queue& queue = RankStateOf(item).queue;
+  const std::optional<queued_item> removed =
+      queue.Remove(item.caller_name, request_id);
+  if (removed.has_value() && removed->preemptions > 0) {
+    queue.SettleCharge(*removed);
+  }
   waiting_.erase(waiting);
 }
 
@@ -184,7 +192,7 @@
       decision.start.push_back(entry.item.request_id);
       return;
     }
-    state.queue.AdjustCharge(entry.item, -entry.item.estimated_tokens);
+    state.queue.SettleCharge(entry);
     decision.rejected.push_back({entry.item.request_id,
                                  {refusal_reason::kDeadlineUnreachable,
                                   RetryAfter(entry.item, limits)}});
@@ -247,6 +255,7 @@
   queued_item entry = found->second.entry;
   running_.erase(found);
   ++entry.preemptions;
+  entry.used_tokens += cheapest->lost_tokens;
   entry.queued_at = now;
   rank_state& victim = RankStateOf(entry.item);
   --victim.running;
--- a/tests/admission/caller_queue_test.cc
+++ b/tests/admission/caller_queue_test.cc
@@ -169,4 +169,27 @@
   CHECK(queue.size() == 2);
 }
 
+// Guards against callers that pay for what a preempted request would have used,
+// or for nothing of what it has used.
+TEST_CASE("A preempted request that ends in the queue is charged for its use",
+          "[admission][fairness][regression]") {
+  const int64_t used = GENERATE(10, 90);
+  caller_queue queue;
+  queue.Push(Entry("preempted", 100));
+  queued_item preempted = queue.Pop();
+  queue.Push(Entry("other", 50));
+  queue.Pop();
+  preempted.preemptions = 1;
+  preempted.used_tokens = used;
+  queue.Requeue(preempted);
+  const std::optional<queued_item> removed =
+      queue.Remove("preempted", preempted.item.request_id);
+  REQUIRE(removed.has_value());
+  queue.SettleCharge(*removed);
+  // Both callers have more requests; the one that has used less comes first.
+  queue.Push(Entry("other", 50));
+  queue.Push(Entry("preempted", 50));
+  CHECK(queue.Pop().item.caller_name == (used < 50 ? "preempted" : "other"));
+}
+
 }  // namespace skylarkcroft
