--- a/src/skylarkcroft/duties/skylarkcroft_duty_runner.cc
+++ b/src/skylarkcroft/duties/skylarkcroft_duty_runner.cc
@@ -157,7 +157,7 @@
   if (due == reports.end()) {
     return;
   }
-  const usage_report report = *due;
+  const usage_report& report = *due;
   usage_in_flight_ = true;
   const std::weak_ptr<bool> alive = alive_;
   environment_.calls.ReportUsage(
