--- a/tests/relay/idle_clients_test.cc
+++ b/tests/relay/idle_clients_test.cc
@@ -12,7 +12,6 @@
 
 using received_request = scripted_upstream::received_request;
 using fixture = relay_fixture;
-using Catch::Matchers::Contains;
 
 constexpr time_point kNow{std::chrono::seconds(1000)};
 
--- a/tests/relay/repeated_refusal_test.cc
+++ b/tests/relay/repeated_refusal_test.cc
@@ -8,7 +8,6 @@
 
 using received_request = scripted_upstream::received_request;
 using fixture = relay_fixture;
-using Catch::Matchers::Contains;
 
 std::string Refusal(const std::string& id) {
   return "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n" +
