Relay: a stop does not complete an answer whose upstream may have ended

Callers saw a short body as a complete one: an answer without a length whose upstream has refused a connection waits up to 50 ms for a byte that shows that the upstream goes on, and AbortRequest() delivered it as whole if the relay stopped within that time. It is delivered now only while no connection has been refused; else the client gets 502, or a stream without its end.

--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -828,7 +828,7 @@
   if (ended_) {
     return;
   }
-  if (IsEndUnconfirmed()) {
+  if (IsEndUnconfirmed() && !attempt_->refused_at.has_value()) {
     DeliverWholeResponse();
     return;
   }
--- a/tests/relay/answer_end_test.cc
+++ b/tests/relay/answer_end_test.cc
@@ -14,6 +14,7 @@
 using received_request = scripted_upstream::received_request;
 using fixture = relay_fixture;
 using Catch::Matchers::Contains;
+using Catch::Matchers::StartsWith;
 
 constexpr const char* kFinalChunk = "0\r\n\r\n";
 
@@ -163,6 +164,28 @@
   CHECK(run.Ask(kind, "/once/") == client_view::kError);
 }
 
+// Guards against a short body that reaches the client as a complete one because
+// the relay stops before it is known that the upstream has ended.
+TEST_CASE("A stop of the relay does not complete an answer in doubt",
+          "[relay][answer_end][ended_process][planned_stop][regression]") {
+  broken_answer run;
+  fixture& relay = run.relay;
+  relay.environment.parameters.life_sign_wait = milliseconds(5000);
+  run.SetHandlerOfEach(
+      [&](scripted_upstream& upstream, const received_request& request) {
+        run.WriteAndEnd(upstream, request,
+                        "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Sig: s\r\n\r\nwho");
+      });
+  raw_client client(relay.loop, relay.server.address());
+  client.Send(fixture::Request("/once/", "r1"));
+  REQUIRE(relay.Await([&] { return relay.RequestCount() == 1; }));
+  relay.loop.RunFor(milliseconds(200));
+  REQUIRE(relay.records.empty());
+  relay.server.AbortAll();
+  REQUIRE(relay.Await([&] { return !client.received.empty(); }));
+  CHECK_THAT(client.received, StartsWith("HTTP/1.1 502 "));
+}
+
 // Guards against whole answers that are called broken because their upstream
 // has no room for a further connection, or exits after its last answer.
 TEST_CASE("A refused connection alone does not break an answer off",
