Node: requests that crash upstreams are rejected by their own identity

Callers' requests broke off at upstream after upstream: the native node knew crashing requests only by the parts of a prompt. It knew nothing of a plain service's request, nor of an engine that ends long after its first token, and a request that had ended upstreams was sent again by each node that it came to.

Each request now has the key of its service, method, target, caller and body. A try that breaks off at any time is a crash under that key, a whole answer of any status a success; both are told to all nodes over the mesh. A rejected request is refused when it arrives, before it waits in the queue, with 503 and `request_quarantined`, or with 502 where a try of it has been sent.

The tests of services, of late crashes and of a second node failed before the change (504, 502 and 200 in place of 503). A request that ends well between crashes was not rejected before either.

--- a/src/skylarkcroft/deferred/skylarkcroft_deferred_worker.cc
+++ b/src/skylarkcroft/deferred/skylarkcroft_deferred_worker.cc
@@ -17,6 +17,7 @@
     case refusal_reason::kDeadlineUnreachable:
     case refusal_reason::kNoUpstream:
     case refusal_reason::kPromptQuarantined:
+    case refusal_reason::kRequestQuarantined:
     case refusal_reason::kUpstreamFailed:
     case refusal_reason::kUpstreamTimeout:
     case refusal_reason::kStoreUnavailable:
--- a/src/skylarkcroft/http/skylarkcroft_refusal_reason.cc
+++ b/src/skylarkcroft/http/skylarkcroft_refusal_reason.cc
@@ -31,6 +31,8 @@
     {refusal_reason::kNoUpstream, 503, "no_upstream", "No upstream available"},
     {refusal_reason::kPromptQuarantined, 503, "prompt_quarantined",
      "Prompt crashes upstreams"},
+    {refusal_reason::kRequestQuarantined, 503, "request_quarantined",
+     "Request crashes upstreams"},
     {refusal_reason::kUpstreamFailed, 502, "upstream_failed",
      "Upstream failed"},
     {refusal_reason::kUpstreamTimeout, 504, "upstream_timeout",
--- a/src/skylarkcroft/http/skylarkcroft_refusal_reason.h
+++ b/src/skylarkcroft/http/skylarkcroft_refusal_reason.h
@@ -18,7 +18,8 @@
   kOverCallerLimit,      ///< The caller's own limit is used up.
   kOverShare,            ///< The caller or rank holds more than its share.
   kNoUpstream,
-  kPromptQuarantined,  ///< Parts of the prompt crash upstreams.
+  kPromptQuarantined,   ///< Parts of the prompt crash upstreams.
+  kRequestQuarantined,  ///< Upstreams crashed under this request.
   kUpstreamFailed,
   kUpstreamTimeout,
   kOutcomeUnknown,
@@ -32,7 +33,7 @@
 };
 
 /// Every reason, for counters that exist from the start.
-inline constexpr std::array<refusal_reason, 21> kRefusalReasons = {
+inline constexpr std::array<refusal_reason, 22> kRefusalReasons = {
     refusal_reason::kUnauthenticated,
     refusal_reason::kNoRoute,
     refusal_reason::kMethodNotAllowed,
@@ -44,6 +45,7 @@
     refusal_reason::kOverShare,
     refusal_reason::kNoUpstream,
     refusal_reason::kPromptQuarantined,
+    refusal_reason::kRequestQuarantined,
     refusal_reason::kUpstreamFailed,
     refusal_reason::kUpstreamTimeout,
     refusal_reason::kOutcomeUnknown,
--- a/src/skylarkcroft/node/skylarkcroft_node.cc
+++ b/src/skylarkcroft/node/skylarkcroft_node.cc
@@ -279,6 +279,7 @@
         directory_,
         claims_,
         quarantine_.parts(),
+        quarantine_.requests(),
         MakeChoice(),
         [this](const std::string& pool) {
           BudgetOf(pool).RecordFirstAttempt();
--- a/src/skylarkcroft/node/skylarkcroft_request_run.cc
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.cc
@@ -37,7 +37,10 @@
     : environment_(environment),
       request_(std::move(request)),
       on_end_(std::move(on_end)),
-      claim_(environment_.claims) {
+      claim_(environment_.claims),
+      key_(MakeRequestKey({request_.target.name, request_.original.method,
+                           request_.original.target, request_.from.name,
+                           request_.original.body})) {
   if (request_.completion) {
     prompt_ = MakePromptKey(request_.target.name,
                             HashPrompt(request_.completion->prompt));
@@ -207,19 +210,26 @@
 }
 
 bool request_run::FailIfQuarantined(time_point now) {
+  const quarantine_verdict of_request =
+      environment_.crashing_requests.Decide(key_, now);
+  const bool is_request = of_request.decision != quarantine_decision::kAllowed;
   const quarantine_verdict verdict =
-      environment_.quarantine.Decide(prompt_, now);
+      is_request ? of_request : environment_.quarantine.Decide(prompt_, now);
   if (verdict.decision == quarantine_decision::kAllowed) {
     return false;
   }
   environment_.count_event(ToString(verdict.decision));
   if (tries_ == 0) {
-    Fail(refusal_reason::kPromptQuarantined,
-         "requests with parts of this prompt crashed upstreams",
+    Fail(is_request ? refusal_reason::kRequestQuarantined
+                    : refusal_reason::kPromptQuarantined,
+         is_request ? "upstreams crashed under this request"
+                    : "requests with parts of this prompt crashed upstreams",
          std::chrono::ceil<std::chrono::seconds>(verdict.remaining));
   } else {
     Fail(refusal_reason::kUpstreamFailed,
-         "upstreams crash under parts of this prompt", std::nullopt);
+         is_request ? "upstreams crash under this request"
+                    : "upstreams crash under parts of this prompt",
+         std::nullopt);
   }
   return true;
 }
@@ -227,6 +237,17 @@
 void request_run::RecordForQuarantine(const attempt_result& result,
                                       const std::string& upstream_name,
                                       time_point now) {
+  if (result.outcome == attempt_outcome::kBroken) {
+    RecordCrash(upstream_name, now);
+  }
+  const bool answered = result.may_have_run && result.response.status != 0;
+  if (result.outcome == attempt_outcome::kComplete || answered) {
+    environment_.crashing_requests.RecordSuccess(key_, now);
+    RecordByte(upstream_name, now);
+  }
+  if (!request_.completion) {
+    return;
+  }
   if (result.outcome == attempt_outcome::kComplete) {
     environment_.quarantine.RecordSuccess(prompt_, now);
     return;
@@ -241,6 +262,28 @@
   }
 }
 
+void request_run::RecordByte(const std::string& upstream_name, time_point now) {
+  if (environment_.quarantine.HasUnconfirmedCrashes(now)) {
+    environment_.quarantine.RecordByte(UpstreamKey(upstream_name), now);
+  }
+  if (environment_.crashing_requests.HasUnconfirmedCrashes(now)) {
+    environment_.crashing_requests.RecordByte(UpstreamKey(upstream_name), now);
+  }
+}
+
+void request_run::RecordCrash(const std::string& upstream_name,
+                              time_point now) {
+  const uint32_t key = UpstreamKey(upstream_name);
+  const bool is_due_to_prompt =
+      environment_.quarantine.Decide(prompt_, now).decision !=
+      quarantine_decision::kAllowed;
+  if (is_due_to_prompt) {
+    environment_.crashing_requests.ExplainCrash(key, now);
+  } else {
+    environment_.crashing_requests.RecordCrash(key, key_, try_started_, now);
+  }
+}
+
 void request_run::StartTry(time_point now) {
   if (FailIfQuarantined(now)) {
     return;
@@ -297,7 +340,9 @@
   upstream_name_ = target.name;
   last_zone_ = target.availability_zone;
   ++tries_;
+  try_started_ = now;
   environment_.directory.RecordSent(request_.target.name, target.name, now);
+  environment_.crashing_requests.RecordSending(key_, now);
   if (request_.completion) {
     SendToEngine(target, now);
   } else {
@@ -306,7 +351,6 @@
 }
 
 void request_run::SendToEngine(const upstream& target, time_point now) {
-  try_started_ = now;
   try_first_token_at_.reset();
   engine_attempt_callbacks events;
   events.on_token = [this](int64_t /*offset*/, const std::string& data) {
@@ -390,6 +434,9 @@
 void request_run::OnHedgeLeft(hedge_side side, const attempt_result& result) {
   const bool first = side == hedge_side::kFirst;
   const upstream left = first ? current_upstream_ : *hedge_upstream_;
+  if (result.outcome == attempt_outcome::kBroken) {
+    RecordCrash(left.name, environment_.clock());
+  }
   environment_.directory.RecordOutcome(request_.target.name, left.name,
                                        result.outcome, environment_.clock());
   may_have_run_ = may_have_run_ || result.may_have_run;
@@ -435,9 +482,7 @@
   if (!try_first_token_at_.has_value()) {
     try_first_token_at_ = now;
   }
-  if (environment_.quarantine.HasUnconfirmedCrashes(now)) {
-    environment_.quarantine.RecordByte(UpstreamKey(upstream_name_), now);
-  }
+  RecordByte(upstream_name_, now);
   if (answer_->tokens().empty()) {
     environment_.note_first_token(request_.matched_route.work_rank,
                                   now - request_.arrived);
@@ -450,9 +495,7 @@
   const time_point now = environment_.clock();
   may_have_run_ = may_have_run_ || result.may_have_run;
   const upstream from = current_upstream_;
-  if (request_.completion) {
-    RecordForQuarantine(result, from.name, now);
-  }
+  RecordForQuarantine(result, from.name, now);
   DropTry(result.outcome, now);
   if (ended_) {
     return;
--- a/src/skylarkcroft/node/skylarkcroft_request_run.h
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.h
@@ -19,6 +19,7 @@
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
 #include "skylarkcroft/internal/skylarkcroft_time.h"
 #include "skylarkcroft/quarantine/skylarkcroft_part_quarantine.h"
+#include "skylarkcroft/quarantine/skylarkcroft_request_quarantine.h"
 #include "skylarkcroft/routing/skylarkcroft_upstream_choice.h"
 
 namespace skylarkcroft {
@@ -33,6 +34,7 @@
   upstream_directory& directory;
   claim_store& claims;
   part_quarantine& quarantine;
+  request_quarantine& crashing_requests;
   choose_fn choose;
   /// Notes a first try in the pool's retry budget.
   std::function<void(const std::string& pool)> note_first_try;
@@ -78,6 +80,9 @@
   /// Takes the claim of the request's key. `on_held` runs when the request may
   /// go on; otherwise the answer ends.
   void TakeClaim(std::function<void()> on_held);
+  /// Ends the request if it or its prompt crashes upstreams; returns whether it
+  /// does.
+  bool FailIfQuarantined(time_point now);
   /// Starts the first try, or goes on after Pause().
   void Begin(time_point now);
   /// Stops the current try so that another request can have its place. The
@@ -104,10 +109,13 @@
   void OnClaim(const claim_result& found, const std::function<void()>& on_held);
   void OnUnknownClaim(const std::string& upstream_name);
   void StartTry(time_point now);
-  /// Ends the request if its prompt crashes upstreams; returns whether it does.
-  bool FailIfQuarantined(time_point now);
   void RecordForQuarantine(const attempt_result& result,
                            const std::string& upstream_name, time_point now);
+  /// Records that a byte arrived from an upstream, for both quarantines.
+  void RecordByte(const std::string& upstream_name, time_point now);
+  /// Records that an upstream ended under a try, for the quarantine of
+  /// requests.
+  void RecordCrash(const std::string& upstream_name, time_point now);
   void MarkAndSend(const upstream& target);
   void Send(const upstream& target, time_point now);
   void SendToEngine(const upstream& target, time_point now);
@@ -161,6 +169,7 @@
   /// When the first token of the current try arrived.
   std::optional<time_point> try_first_token_at_;
   prompt_key prompt_;
+  request_key key_;
   std::string upstream_name_;
   std::string last_zone_;
   std::vector<std::string> tried_;
--- a/src/skylarkcroft/node/skylarkcroft_request_runner.cc
+++ b/src/skylarkcroft/node/skylarkcroft_request_runner.cc
@@ -203,9 +203,15 @@
 }
 
 void request_runner::Submit(const work_item& item) {
-  const std::optional<rejection> rejected =
-      environment_.admit.Submit(item, environment_.clock());
+  const time_point now = environment_.clock();
   request_entry* entry = environment_.registry.Find(item.request_id);
+  const bool quarantined = entry != nullptr && entry->run != nullptr &&
+                           entry->run->FailIfQuarantined(now);
+  if (quarantined) {
+    return;
+  }
+  const std::optional<rejection> rejected =
+      environment_.admit.Submit(item, now);
   if (rejected && entry != nullptr && entry->run != nullptr) {
     entry->run->Fail(rejected->reason, "the node is over its capacity",
                      rejected->retry_after);
