Relay: tell which client connections it ends, and what that drops

Each end by the relay is now counted by reason and by whether it dropped anything. Where a request was in flight or partly read, bytes of the client lay unread or bytes of an answer were unsent, a line tells so, under the bound that all lines have. No decision changes.

--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
@@ -122,7 +122,7 @@
         incoming_.head.headers.Get(environment_.names.request_id);
     record.reason = "client_gone";
     environment_.on_request_ended(record);
-    RequestDestruction();
+    End(client_end_reason::kClientGone);
     return;
   }
   response_finished_ = false;
@@ -138,6 +138,26 @@
   RequestDestruction();
 }
 
+void client_connection::RecordEnd(client_end_reason reason) {
+  if (end_recorded_ || destruction_requested_) {
+    return;
+  }
+  end_recorded_ = true;
+  client_end end;
+  end.reason = reason;
+  end.request_in_flight = request_ != nullptr && !response_finished_;
+  end.request_partly_read =
+      request_ == nullptr && !closing_ && reader_.started();
+  end.has_unread = socket_.HasUnread();
+  end.unsent = socket_.unsent();
+  environment_.on_client_ended(end);
+}
+
+void client_connection::End(client_end_reason reason) {
+  RecordEnd(reason);
+  RequestDestruction();
+}
+
 void client_connection::RequestDestruction() {
   if (destruction_requested_) {
     return;
@@ -220,7 +240,7 @@
 
 void client_connection::Abort() {
   keep_alive_ = false;
-  RequestDestruction();
+  End(client_end_reason::kBrokenOff);
 }
 
 void client_connection::OnResponseFinished() {
@@ -260,7 +280,7 @@
 void client_connection::CheckReadTimeouts(time_point now) {
   if (!reader_.started()) {
     if (now - idle_since_ > limits_.idle_timeout) {
-      RequestDestruction();
+      End(client_end_reason::kIdle);
     }
     return;
   }
@@ -280,7 +300,7 @@
       socket_.ShutdownWrite();
     }
     if (now - closing_since_ > kLingerTimeout) {
-      RequestDestruction();
+      End(client_end_reason::kAnswered);
     }
     return;
   }
@@ -296,9 +316,9 @@
   return idle ? std::optional<time_point>(idle_since_) : std::nullopt;
 }
 
-void client_connection::CloseIfIdle() {
+void client_connection::CloseIfIdle(client_end_reason reason) {
   if (idle_since().has_value()) {
-    RequestDestruction();
+    End(reason);
   }
 }
 
--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.h
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.h
@@ -31,9 +31,11 @@
   /// Enforces time limits; called every sweep_interval.
   void Tick(time_point now);
   /// Closes the connection unless it is reading or serving a request.
-  void CloseIfIdle();
+  void CloseIfIdle(client_end_reason reason);
   /// Ends the request in flight because the process is about to exit.
   void AbortRequest();
+  /// Records once that this node ends the connection.
+  void RecordEnd(client_end_reason reason);
   [[nodiscard]] bool busy() const { return request_ != nullptr; }
   /// Since when the connection neither reads nor serves a request; empty while
   /// it does.
@@ -64,6 +66,7 @@
   void BeginClosing();
   void CheckReadTimeouts(time_point now);
   [[nodiscard]] client_limits CurrentLimits() const;
+  void End(client_end_reason reason);
   void RequestDestruction();
 
   relay_environment& environment_;
@@ -81,6 +84,7 @@
   bool response_finished_ = false;
   bool closing_ = false;
   bool destruction_requested_ = false;
+  bool end_recorded_ = false;
   time_point idle_since_{};
   time_point closing_since_{};
   std::unique_ptr<relay_request> request_;
--- a/src/skylarkcroft/relay/skylarkcroft_relay_environment.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_environment.h
@@ -11,6 +11,7 @@
 #include "skylarkcroft/placement/skylarkcroft_load_balancer.h"
 #include "skylarkcroft/quarantine/skylarkcroft_part_quarantine.h"
 #include "skylarkcroft/relay/skylarkcroft_attempt_record.h"
+#include "skylarkcroft/relay/skylarkcroft_client_end.h"
 #include "skylarkcroft/relay/skylarkcroft_header_names.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_parameters.h"
 #include "skylarkcroft/relay/skylarkcroft_request_record.h"
@@ -57,6 +58,9 @@
   std::function<void(const attempt_record&)> on_attempt_failed;
   /// Called once per request, when it has ended.
   std::function<void(const request_record&)> on_request_ended;
+  /// Called once per client connection that this node ends.
+  std::function<void(const client_end&)> on_client_ended =
+      [](const client_end&) {};
 };
 
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
@@ -59,6 +59,16 @@
   opened_connections_.Increment();
 }
 
+void relay_metrics::RecordClientEnd(const client_end& end) {
+  registry_
+      .Counter({"skylarkcroft_client_ends_total",
+                "Connections of clients ended by this node, by reason and by "
+                "whether that dropped a request or a part of an answer.",
+                {{"reason", std::string(ToString(end.reason))},
+                 {"drops", end.DropsBytes() ? "true" : "false"}}})
+      .Increment();
+}
+
 void relay_metrics::RecordStoreContact(const std::string& table,
                                        bool reachable) {
   registry_
--- a/src/skylarkcroft/relay/skylarkcroft_relay_metrics.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.h
@@ -6,6 +6,7 @@
 
 #include "skylarkcroft/metrics/skylarkcroft_metrics_registry.h"
 #include "skylarkcroft/relay/skylarkcroft_attempt_record.h"
+#include "skylarkcroft/relay/skylarkcroft_client_end.h"
 #include "skylarkcroft/relay/skylarkcroft_request_record.h"
 
 namespace skylarkcroft {
@@ -18,6 +19,7 @@
   void RecordRequest(const request_record& record);
   void RecordFailedAttempt(const attempt_record& record);
   void RecordConnectionOpened();
+  void RecordClientEnd(const client_end& end);
   void RecordStoreContact(const std::string& table, bool reachable);
   /// Counts a return of the store from an older copy.
   void RecordStoreRestored();
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -165,6 +165,9 @@
         duties_(MakeDutyEnvironment(store, calls),
                 {settings.name, std::to_string(incarnation_)},
                 MakeDutyParameters(settings)) {
+    environment_.on_client_ended = [this](const client_end& end) {
+      OnClientEnded(end);
+    };
     median_clock_.RecordOwn(incarnation_, started_at_);
     replica_.Start(channel_.address(), started_at_);
     housekeeping_timer_ =
@@ -549,12 +552,20 @@
     if (!drained && !limit_reached) {
       return;
     }
+    server_.RecordExit();
     LogEvent(log_level::kInfo, "stopped",
              {{"after_ms", std::to_string(since_shutdown.count())}});
     log_.Flush();
     loop_.Stop();
   }
 
+  void OnClientEnded(const client_end& end) {
+    metrics_.RecordClientEnd(end);
+    if (end.DropsBytes()) {
+      WriteLog(ToLogEntry(end));
+    }
+  }
+
   void LogEvent(log_level level, const std::string& message,
                 std::vector<log_field> fields) {
     log_entry entry;
--- a/src/skylarkcroft/relay/skylarkcroft_relay_server.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_server.cc
@@ -87,7 +87,7 @@
   }
   for (const uint64_t number :
        ChooseIdleToClose(std::move(idle), clients_.size(), capacity, now)) {
-    clients_.at(number)->CloseIfIdle();
+    clients_.at(number)->CloseIfIdle(client_end_reason::kExcess);
   }
 }
 
@@ -98,7 +98,7 @@
 
 void relay_server::CloseIdle() {
   for (const auto& [number, client] : clients_) {
-    client->CloseIfIdle();
+    client->CloseIfIdle(client_end_reason::kLeaving);
   }
 }
 
@@ -108,6 +108,12 @@
   }
 }
 
+void relay_server::RecordExit() {
+  for (const auto& [number, client] : clients_) {
+    client->RecordEnd(client_end_reason::kExit);
+  }
+}
+
 size_t relay_server::busy() const {
   return static_cast<size_t>(
       std::count_if(clients_.begin(), clients_.end(),
--- a/src/skylarkcroft/relay/skylarkcroft_relay_server.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_server.h
@@ -29,6 +29,8 @@
   void CloseIdle();
   /// Ends every request in flight.
   void AbortAll();
+  /// Records the end of the connections that are left when the process exits.
+  void RecordExit();
   /// Number of connections with a request in flight.
   [[nodiscard]] size_t busy() const;
   [[nodiscard]] size_t clients() const { return clients_.size(); }
