Relay: no client connection is closed while a request lies unread

Cause: the idle limit, the read limits, the choice of excess clients and the close of idle clients at shutdown went by the clock and by what the loop had read.

Now an idle connection is closed only if the socket holds no bytes either, and this is checked again in the moment of closing.

--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
@@ -19,6 +19,10 @@
 // A client whose request was rejected early may still be sending. Closing at
 // once would reset the connection, and the client could lose the response.
 constexpr milliseconds kLingerTimeout{1000};
+// A time limit that has passed does not end a request while bytes of it lie
+// unread: they came while the loop did not read. So many sweeps later it does,
+// as the client then keeps sending.
+constexpr int kMaxSweepsPastLimit = 25;
 
 std::string_view ReasonPhrase(int status) {
   return http_status_str(static_cast<http_status>(status));
@@ -57,6 +61,7 @@
   if (!reader_.started()) {
     incoming_ = client_request{};
     incoming_.arrived_at = environment_.clock();
+    sweeps_past_limit_ = 0;
     limits_ = CurrentLimits();
     head_received_ = false;
   }
@@ -280,13 +285,17 @@
 void client_connection::CheckReadTimeouts(time_point now) {
   if (!reader_.started()) {
     if (now - idle_since_ > limits_.idle_timeout) {
-      End(client_end_reason::kIdle);
+      CloseIfIdle(client_end_reason::kIdle);
     }
     return;
   }
   const milliseconds limit =
       head_received_ ? limits_.idle_timeout : limits_.head_timeout;
-  if (now - incoming_.arrived_at > limit) {
+  if (now - incoming_.arrived_at <= limit) {
+    return;
+  }
+  const bool may_be_whole = socket_.HasUnread();
+  if (!may_be_whole || ++sweeps_past_limit_ > kMaxSweepsPastLimit) {
     Reject(kRequestTimeout, "request_not_whole");
   }
 }
@@ -317,9 +326,22 @@
 }
 
 void client_connection::CloseIfIdle(client_end_reason reason) {
-  if (idle_since().has_value()) {
-    End(reason);
+  if (!IsIdle()) {
+    return;
   }
+  const std::weak_ptr<bool> alive = alive_;
+  environment_.loop.Defer([this, alive, reason] {
+    // A request may have arrived since.
+    if (alive.expired() || !IsIdle()) {
+      return;
+    }
+    RecordEnd(reason);
+    on_closed_();
+  });
+}
+
+bool client_connection::IsIdle() const {
+  return idle_since().has_value() && !socket_.HasUnread();
 }
 
 void client_connection::AbortRequest() {
--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.h
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.h
@@ -30,7 +30,8 @@
 
   /// Enforces time limits; called every sweep_interval.
   void Tick(time_point now);
-  /// Closes the connection unless it is reading or serving a request.
+  /// Closes the connection unless it is reading or serving a request, or one
+  /// lies unread.
   void CloseIfIdle(client_end_reason reason);
   /// Ends the request in flight because the process is about to exit.
   void AbortRequest();
@@ -65,6 +66,9 @@
   void PrepareForNextRequest();
   void BeginClosing();
   void CheckReadTimeouts(time_point now);
+  /// Whether the connection neither reads nor serves a request and none lies
+  /// unread.
+  [[nodiscard]] bool IsIdle() const;
   [[nodiscard]] client_limits CurrentLimits() const;
   void End(client_end_reason reason);
   void RequestDestruction();
@@ -75,6 +79,8 @@
   client_limits limits_;
   client_request incoming_;
   bool head_received_ = false;
+  /// Sweeps that found unread bytes of a request past its time limit.
+  int sweeps_past_limit_ = 0;
   bool keep_alive_ = true;
   /// Only the end of the connection can delimit a response of unknown length
   /// (HTTP/1.0).
