--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.h
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.h
@@ -30,10 +30,13 @@
 
   /// Enforces time limits; called every sweep_interval.
   void Tick(time_point now);
-  /// Closes the connection unless it is reading or serving a request.
-  void CloseIfIdle();
+  /// Closes the connection unless it is reading or serving a request, or one
+  /// lies unread.
+  void CloseIfIdle(client_end_reason reason);
   /// Ends the request in flight because the process is about to exit.
   void AbortRequest();
+  /// Records once that this node ends the connection.
+  void RecordEnd(client_end_reason reason);
   [[nodiscard]] bool busy() const { return request_ != nullptr; }
   /// Since when the connection neither reads nor serves a request; empty while
   /// it does.
@@ -63,7 +66,11 @@
   void PrepareForNextRequest();
   void BeginClosing();
   void CheckReadTimeouts(time_point now);
+  /// Whether the connection neither reads nor serves a request and none lies
+  /// unread.
+  [[nodiscard]] bool IsIdle() const;
   [[nodiscard]] client_limits CurrentLimits() const;
+  void End(client_end_reason reason);
   void RequestDestruction();
 
   relay_environment& environment_;
@@ -72,6 +79,8 @@
   client_limits limits_;
   client_request incoming_;
   bool head_received_ = false;
+  /// Sweeps that found unread bytes of a request past its time limit.
+  int sweeps_past_limit_ = 0;
   bool keep_alive_ = true;
   /// Only the end of the connection can delimit a response of unknown length
   /// (HTTP/1.0).
@@ -81,6 +90,7 @@
   bool response_finished_ = false;
   bool closing_ = false;
   bool destruction_requested_ = false;
+  bool end_recorded_ = false;
   time_point idle_since_{};
   time_point closing_since_{};
   std::unique_ptr<relay_request> request_;
