HTTP client: time in which the loop stands still is no silence of the peer

Callers saw requests fail as timed out, or retried, although the upstream had answered in time. After a pause of the node's loop (a long table to parse, a stopped process) libevent processes the timeout of a connection together with its readable socket, drops the read and reports only the timeout; evhttp then ends the call with the response unread in the socket.

The client now measures silence itself, from the last byte sent or received, and before it ends a call it looks whether bytes lie unread in the socket; if so the loop reads them first.

--- a/src/skylarkcroft/http/skylarkcroft_http_client.cc
+++ b/src/skylarkcroft/http/skylarkcroft_http_client.cc
@@ -26,6 +26,11 @@
 constexpr milliseconds kMaxIdleAge{15000};
 constexpr milliseconds kIdleSweepPeriod{5000};
 constexpr size_t kMaxResponseHeaderBytes = 64 * 1024;
+// The client measures silence itself: evhttp would end a call whose response
+// arrived while the loop stood still.
+constexpr timeval kNoEvhttpTimeout{365 * 24 * 3600, 0};
+// Time until the loop has read what lies in a socket.
+constexpr milliseconds kUnreadBytesDelay{1};
 
 struct method_command {
   const char* name;
@@ -51,12 +56,6 @@
   return EVHTTP_REQ_GET;
 }
 
-timeval ToTimeval(milliseconds span) {
-  constexpr int kMillisPerSecond = 1000;
-  return {span.count() / kMillisPerSecond,
-          (span.count() % kMillisPerSecond) * kMillisPerSecond};
-}
-
 http_headers ReadHeaders(evhttp_request* raw) {
   http_headers headers;
   const evkeyvalq* input = evhttp_request_get_input_headers(raw);
@@ -106,6 +105,8 @@
       bufferevent* stream = evhttp_connection_get_bufferevent(raw);
       evbuffer_add_cb(bufferevent_get_output(stream), &connection::OnOutput,
                       this);
+      evbuffer_add_cb(bufferevent_get_input(stream), &connection::OnInput,
+                      this);
     }
     ~connection() { evhttp_connection_free(raw); }
     connection(const connection&) = delete;
@@ -114,13 +115,29 @@
     static void OnOutput(evbuffer* /*output*/, const evbuffer_cb_info* change,
                          void* self) {
       if (change->n_deleted > 0) {
-        static_cast<connection*>(self)->sent = true;
+        auto* link = static_cast<connection*>(self);
+        link->sent = true;
+        link->last_progress = SteadyNow();
+      }
+    }
+
+    static void OnInput(evbuffer* /*input*/, const evbuffer_cb_info* change,
+                        void* self) {
+      if (change->n_added > 0) {
+        static_cast<connection*>(self)->last_progress = SteadyNow();
       }
     }
 
+    [[nodiscard]] bool HasUnread() const {
+      const evutil_socket_t fd =
+          bufferevent_getfd(evhttp_connection_get_bufferevent(raw));
+      return fd >= 0 && HasUnreadBytes(fd);
+    }
+
     evhttp_connection* raw;
     endpoint peer;
     bool sent = false;
+    time_point last_progress{};
     time_point idle_since{};
   };
   using connection_ptr = std::unique_ptr<connection>;
@@ -136,8 +153,10 @@
     bool cancelled = false;
     bool nagle_disabled = false;
     http_outcome failure = http_outcome::kConnectFailed;
+    milliseconds progress_timeout{};
     event_loop::handle_ptr connect_timer;
     event_loop::handle_ptr total_timer;
+    event_loop::handle_ptr progress_timer;
   };
 
   explicit impl(event_loop& loop)
@@ -168,6 +187,9 @@
           options.total_timeout, [this, id = state->id] { OnTotalLimit(id); });
     }
     state->link->sent = false;
+    state->link->last_progress = SteadyNow();
+    state->progress_timeout = options.progress_timeout;
+    CheckProgressAfter(*state, options.progress_timeout);
     live_.emplace(state->id, std::move(owned));
     Configure(*state, options);
     evhttp_request* raw = MakeRequest(peer, request, state);
@@ -227,9 +249,8 @@
   }
 
   static void Configure(call_state& state, const http_call_options& options) {
-    const timeval timeout = ToTimeval(options.progress_timeout);
     evhttp_connection* raw = state.link->raw;
-    evhttp_connection_set_timeout_tv(raw, &timeout);
+    evhttp_connection_set_timeout_tv(raw, &kNoEvhttpTimeout);
     evhttp_connection_set_retries(raw, 0);
     evhttp_connection_set_max_body_size(
         raw, static_cast<ssize_t>(options.max_body_bytes));
@@ -288,6 +309,34 @@
                 {}});
   }
 
+  void CheckProgressAfter(call_state& state, duration delay) {
+    state.progress_timer =
+        loop_.After(delay, [this, id = state.id] { CheckProgress(id); });
+  }
+
+  void CheckProgress(uint64_t id) {
+    const auto found = live_.find(id);
+    if (found == live_.end()) {
+      return;
+    }
+    call_state& state = *found->second;
+    const connection& link = *state.link;
+    const duration left =
+        link.last_progress + state.progress_timeout - SteadyNow();
+    if (left > duration(0)) {
+      CheckProgressAfter(state, left);
+      return;
+    }
+    if (link.HasUnread()) {
+      CheckProgressAfter(state, kUnreadBytesDelay);
+      return;
+    }
+    EndAtLimit(
+        id, {link.sent ? http_outcome::kTimedOut : http_outcome::kConnectFailed,
+             link.sent,
+             {}});
+  }
+
   // Only from a timer: no callback of evhttp is under way, so the connection
   // goes at once and calls nothing more.
   void EndAtLimit(uint64_t id, const http_result& result) {
