Runs: a silent try is given up only once a further one is granted

Callers saw requests end with 504, and begun streams with an error, because their upstream was silent for longer than progress_timeout_ms and went on shortly after. A try ended by the clock alone: then the run asked whether a further try was allowed, by the number of tries, the retry budget and the upstreams. Where it was not, the request ended although its upstream was sound; a request that may run only once always did. With a single upstream the retries went to that same upstream, four tries for one request.

A client call that is silent now asks whether it may end. The run agrees only when another upstream takes requests, the prompt is not quarantined, a try is left and the retry budget gives one; the try goes to that upstream at once. Until then it waits for its own upstream, at the longest until the request's deadline. Of two hedged tries the silent one ends, as before, since the other has taken over.

--- a/src/skylarkcroft/attempt/skylarkcroft_attempt.cc
+++ b/src/skylarkcroft/attempt/skylarkcroft_attempt.cc
@@ -113,6 +113,7 @@
     };
     events.on_data = [this](std::string_view data) { OnData(data); };
     events.on_done = [this](const http_result& result) { OnDone(result); };
+    events.may_end_silent = events_.may_end_silent;
     call_ = client.Send(start_.address, request, options, std::move(events));
   }
 
@@ -207,8 +208,11 @@
 class service_attempt final : public attempt {
  public:
   service_attempt(std::function<void(const attempt_result&)> on_end,
-                  std::function<void(const announcement&)> on_announced)
-      : on_end_(std::move(on_end)), on_announced_(std::move(on_announced)) {}
+                  std::function<void(const announcement&)> on_announced,
+                  std::function<bool()> may_end_silent)
+      : on_end_(std::move(on_end)),
+        on_announced_(std::move(on_announced)),
+        may_end_silent_(std::move(may_end_silent)) {}
 
   void Send(http_client& client, const service_attempt_options& start,
             const http_request& request) {
@@ -233,6 +237,7 @@
         EndWith(result.response);
       }
     };
+    events.may_end_silent = may_end_silent_;
     call_ = client.Send(start.address, request, options, std::move(events));
   }
 
@@ -277,6 +282,7 @@
 
   std::function<void(const attempt_result&)> on_end_;
   std::function<void(const announcement&)> on_announced_;
+  std::function<bool()> may_end_silent_;
   bool leaving_ = false;
   http_call_ptr call_;
   std::unique_ptr<connect_check> check_;
@@ -297,9 +303,10 @@
     http_client& client, const service_attempt_options& start,
     const http_request& request,
     std::function<void(const attempt_result&)> on_end,
-    std::function<void(const announcement&)> on_announced) {
-  auto started = std::make_unique<service_attempt>(std::move(on_end),
-                                                   std::move(on_announced));
+    std::function<void(const announcement&)> on_announced,
+    std::function<bool()> may_end_silent) {
+  auto started = std::make_unique<service_attempt>(
+      std::move(on_end), std::move(on_announced), std::move(may_end_silent));
   started->Send(client, start, request);
   return started;
 }
--- a/src/skylarkcroft/attempt/skylarkcroft_attempt.h
+++ b/src/skylarkcroft/attempt/skylarkcroft_attempt.h
@@ -27,6 +27,10 @@
   /// What the upstream tells of itself, at the head of its response; may be
   /// empty.
   std::function<void(const announcement&)> on_announced{};
+  /// The engine has been silent for the progress timeout; whether the attempt
+  /// ends as timed out. Asked again while the silence lasts; when empty, the
+  /// attempt ends.
+  std::function<bool()> may_end_silent{};
 };
 
 /// One attempt at an upstream. Destroying it closes the connection.
@@ -70,12 +74,13 @@
 
 /// Sends `request` to a plain service and collects the whole response.
 /// `on_announced` is called at its head with what the service tells of itself;
-/// it may be empty.
+/// it may be empty. `may_end_silent` is as in engine_attempt_callbacks.
 attempt_ptr StartServiceAttempt(
     http_client& client, const service_attempt_options& start,
     const http_request& request,
     std::function<void(const attempt_result&)> on_end,
-    std::function<void(const announcement&)> on_announced = {});
+    std::function<void(const announcement&)> on_announced = {},
+    std::function<bool()> may_end_silent = {});
 
 }  // namespace skylarkcroft
 
--- a/src/skylarkcroft/attempt/skylarkcroft_hedged_attempt.cc
+++ b/src/skylarkcroft/attempt/skylarkcroft_hedged_attempt.cc
@@ -47,6 +47,11 @@
     events.on_end = [this, side](const attempt_result& result) {
       OnEnd(side, result);
     };
+    // The other attempt, where it runs, is the one that takes over.
+    events.may_end_silent = [this, side] {
+      return StateOf(OtherSide(side)).running || !events_.may_end_silent ||
+             events_.may_end_silent();
+    };
     return events;
   }
 
--- a/src/skylarkcroft/http/skylarkcroft_http_client.cc
+++ b/src/skylarkcroft/http/skylarkcroft_http_client.cc
@@ -31,6 +31,8 @@
 constexpr timeval kNoEvhttpTimeout{365 * 24 * 3600, 0};
 // Time until the loop has read what lies in a socket.
 constexpr milliseconds kUnreadBytesDelay{1};
+// Time between two questions whether a silent call may end.
+constexpr milliseconds kSilentCallDelay{50};
 
 struct method_command {
   const char* name;
@@ -331,6 +333,13 @@
       CheckProgressAfter(state, kUnreadBytesDelay);
       return;
     }
+    const bool may_end = !link.sent || state.cancelled ||
+                         !state.events.may_end_silent ||
+                         state.events.may_end_silent();
+    if (!may_end) {
+      CheckProgressAfter(state, kSilentCallDelay);
+      return;
+    }
     EndAtLimit(
         id, {link.sent ? http_outcome::kTimedOut : http_outcome::kConnectFailed,
              link.sent,
--- a/src/skylarkcroft/http/skylarkcroft_http_client.h
+++ b/src/skylarkcroft/http/skylarkcroft_http_client.h
@@ -51,6 +51,10 @@
   /// Body bytes as they arrive; when empty, the body is collected.
   std::function<void(std::string_view)> on_data;
   std::function<void(http_result)> on_done;
+  /// The progress timeout has passed; whether the call ends as timed out. Asked
+  /// again while the peer stays silent; when empty, the call ends. Must not
+  /// destroy the call.
+  std::function<bool()> may_end_silent{};
 };
 
 /// Timeouts and bounds of one call.
--- a/src/skylarkcroft/node/skylarkcroft_request_run.cc
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.cc
@@ -43,10 +43,7 @@
                             HashPrompt(request_.completion->prompt));
   }
   const duration left = request_.deadline - environment_.clock();
-  deadline_timer_ = environment_.loop.After(left, [this] {
-    Fail(refusal_reason::kUpstreamTimeout, "the deadline has passed",
-         std::nullopt);
-  });
+  deadline_timer_ = environment_.loop.After(left, [this] { OnDeadline(); });
 }
 
 request_run::~request_run() = default;
@@ -294,6 +291,7 @@
 
 void request_run::Send(const upstream& target, time_point now) {
   current_upstream_ = target;
+  try_is_silent_ = false;
   upstream_name_ = target.name;
   last_zone_ = target.availability_zone;
   ++tries_;
@@ -316,6 +314,7 @@
     answer_->SetUsage(data);
   };
   events.on_end = [this](const attempt_result& result) { OnTryEnded(result); };
+  events.may_end_silent = [this] { return MayEndSilent(); };
   const std::optional<duration> delay = HedgeDelay();
   if (!delay) {
     try_ = StartEngineTry(target.address, std::move(events), now);
@@ -417,7 +416,8 @@
       [this](const attempt_result& result) { OnTryEnded(result); },
       [this, address = target.address](const announcement& told) {
         OnAnnounced(address, told);
-      });
+      },
+      [this] { return MayEndSilent(); });
 }
 
 void request_run::OnAnnounced(const endpoint& address,
@@ -432,6 +432,7 @@
 void request_run::OnToken(const std::string& data) {
   may_have_run_ = true;
   const time_point now = environment_.clock();
+  try_is_silent_ = false;
   if (!try_first_token_at_.has_value()) {
     try_first_token_at_ = now;
   }
@@ -446,6 +447,41 @@
   answer_->AppendToken(data);
 }
 
+void request_run::OnDeadline() {
+  if (try_ != nullptr && try_is_silent_) {
+    may_have_run_ = true;
+    DropTry(attempt_outcome::kTimedOut, environment_.clock());
+  }
+  Fail(refusal_reason::kUpstreamTimeout, "the deadline has passed",
+       std::nullopt);
+}
+
+bool request_run::MayEndSilent() {
+  const time_point now = environment_.clock();
+  try_is_silent_ = true;
+  if (held_for_move_ || !MayRetry(true, now)) {
+    return false;
+  }
+  choice_query query = MakeQuery();
+  query.attempted.push_back(current_upstream_.name);
+  const std::vector<upstream_state>& members =
+      environment_.directory.UpstreamsInPool(request_.target.name);
+  const std::optional<std::string> chosen =
+      environment_.choose(query, members, now);
+  const upstream* found = chosen ? FindUpstream(members, *chosen) : nullptr;
+  if (found == nullptr || found->name == current_upstream_.name ||
+      environment_.quarantine.Decide(prompt_, now).decision !=
+          quarantine_decision::kAllowed) {
+    return false;
+  }
+  const upstream target = *found;
+  if (!environment_.take_retry(request_.target.name)) {
+    return false;
+  }
+  successor_ = target;
+  return true;
+}
+
 void request_run::OnTryEnded(const attempt_result& result) {
   const time_point now = environment_.clock();
   may_have_run_ = may_have_run_ || result.may_have_run;
@@ -478,20 +514,32 @@
   if (held_for_move_) {
     return;
   }
+  if (successor_) {
+    CountRetry(result.outcome);
+    Send(*std::exchange(successor_, std::nullopt), now);
+    return;
+  }
   RetryOrFail(result, from, now);
 }
 
-bool request_run::MayRetry(const attempt_result& result, time_point now) const {
+bool request_run::MayRetry(bool try_may_have_run, time_point now) const {
   if (now >= request_.deadline ||
       tries_ - paused_tries_ >= request_.target.retry.max_attempts) {
     return false;
   }
-  return request_.idempotent || !result.may_have_run;
+  return request_.idempotent || !try_may_have_run;
+}
+
+void request_run::CountRetry(attempt_outcome outcome) {
+  environment_.count_retry(ToString(outcome));
+  if (!answer_->tokens().empty()) {
+    environment_.count_event("resumed");
+  }
 }
 
 void request_run::RetryOrFail(const attempt_result& result,
                               const upstream& from, time_point now) {
-  if (!MayRetry(result, now)) {
+  if (!MayRetry(result.may_have_run, now)) {
     FailAfter(result, from);
     return;
   }
@@ -500,10 +548,7 @@
     FailAfter(result, from);
     return;
   }
-  environment_.count_retry(ToString(result.outcome));
-  if (!answer_->tokens().empty()) {
-    environment_.count_event("resumed");
-  }
+  CountRetry(result.outcome);
   ScheduleRetry();
 }
 
--- a/src/skylarkcroft/node/skylarkcroft_request_run.h
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.h
@@ -122,9 +122,13 @@
   void OnHedgeLeft(hedge_side side, const attempt_result& result);
   void SendToService(const upstream& target, time_point now);
   void OnToken(const std::string& data);
+  /// Whether the current try, whose upstream is silent, ends: only once a
+  /// further try is granted. It goes to `successor_`.
+  bool MayEndSilent();
+  void OnDeadline();
   void OnTryEnded(const attempt_result& result);
-  [[nodiscard]] bool MayRetry(const attempt_result& result,
-                              time_point now) const;
+  [[nodiscard]] bool MayRetry(bool try_may_have_run, time_point now) const;
+  void CountRetry(attempt_outcome outcome);
   void RetryOrFail(const attempt_result& result, const upstream& from,
                    time_point now);
   void ScheduleRetry();
@@ -158,6 +162,8 @@
   /// Upstream of a second try beside the current one.
   std::optional<upstream> hedge_upstream_;
   time_point try_started_{};
+  /// Upstream of the try that was granted when the current one went silent.
+  std::optional<upstream> successor_;
   /// When the first token of the current try arrived.
   std::optional<time_point> try_first_token_at_;
   prompt_key prompt_;
@@ -169,6 +175,7 @@
   int64_t paused_tries_ = 0;
   bool started_ = false;
   bool may_have_run_ = false;
+  bool try_is_silent_ = false;
   bool held_for_move_ = false;
   bool ended_ = false;
 };
