Relay: the line of a request tells what followed an upstream's silence

The lines could not tell an attempt that was given up for its upstream's silence and replaced from one without a successor: both have last_failure silent, and the reason of the end may be a later one. The line "request ended" now has a member silence: replaced, or the reason why no other attempt was sent. One member a request, so the volume stays bounded.

--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -279,6 +279,9 @@
 
 void relay_request::SendTo(const placement& placed) {
   const time_point now = environment_.clock();
+  if (std::exchange(silence_unanswered_, false)) {
+    record_.silence = "replaced";
+  }
   record_.upstream = placed.upstream.id;
   record_.upstream_framing.clear();
   record_.candidates = placed.candidates;
@@ -660,6 +663,7 @@
 
 void relay_request::Fail(attempt_failure failure) {
   record_.last_failure = std::string(ToString(failure));
+  silence_unanswered_ = failure == attempt_failure::kSilent;
   const time_point now = environment_.clock();
   environment_.on_attempt_failed(DescribeFailure(failure, now));
   RecordIfCrash(failure, now);
@@ -879,6 +883,9 @@
 
 void relay_request::RecordEnd(int status, const std::string& reason) {
   ended_ = true;
+  if (silence_unanswered_) {
+    record_.silence = reason;
+  }
   record_.status = status;
   record_.reason = reason;
   record_.total = std::chrono::duration_cast<milliseconds>(
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -180,6 +180,8 @@
   /// Any attempt so far may have executed the request.
   bool may_have_executed_ = false;
   bool execution_counted_ = false;
+  /// The last attempt ended for its silence, and no other has been sent since.
+  bool silence_unanswered_ = false;
   bool ended_ = false;
   request_record record_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/skylarkcroft/relay/skylarkcroft_request_record.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_request_record.cc
@@ -31,6 +31,7 @@
       {"status", std::to_string(record.status)},
       {"reason", record.reason},
       {"last_failure", record.last_failure},
+      {"silence", record.silence},
       {"tables_version", std::to_string(record.tables_version)},
       {"tables_age_ms", Ms(record.tables_age)},
       {"upstreams_used", std::to_string(record.upstreams_used)},
--- a/src/skylarkcroft/relay/skylarkcroft_request_record.h
+++ b/src/skylarkcroft/relay/skylarkcroft_request_record.h
@@ -19,6 +19,10 @@
   int status = 0;          ///< HTTP status; 0 if the client left.
   std::string reason{};
   std::string last_failure{};  ///< Name of the last attempt_failure.
+  /// What followed the last silence of an upstream beyond its limit: `replaced`
+  /// by an attempt at another upstream, or why none was sent. Empty without
+  /// one.
+  std::string silence{};
   int64_t tables_version = 0;
   milliseconds tables_age{0};
   /// Attempts that failed after the request was sent.
