Relay: a silent attempt is given up only once its successor is granted

Callers saw requests end without an answer (a stream cut, a whole request with 502) because their upstream paused for a second or so, though it was sound and went on.

Cause: CheckUpstreamSilence() gave an attempt up after 1.2 s without a byte (0.4 of the time given for a service without a model) as soon as max_attempts left another one. Only then were the quarantine, the balancer and the retry budget asked, and when one of them refused the request ended. It also gave up a stream on a route of kind kAlways after its first event, which nothing can continue unless the route is resumable, and a request with one upstream was sent to that same one again.

Now the attempt stays, and at most every 200 ms (silence_recheck) the relay asks in this order: may the request be sent again, quarantine, retry budget (without using it), a choice of another upstream, a new connection to it. Only when that is accepted, and if the attempt is still silent, the other upstream is not leaving and the first three still agree, the unit of the budget is used, the attempt is given up and the request is sent on the connection just opened. Otherwise nothing is consumed and the answer is delivered when it comes. The member silence of "request ended" tells what was in the way.

Weighed: giving the first attempt up before connecting, as before, loses an answer that was on its way when the other upstream accepts no connection. Keeping it until the other one has begun to answer would let two upstreams work on one request for as long as a prompt takes to read; with the attempt reset in the same moment in which the other request is written, none works on it 400 ms later. What is left is an upstream that accepts the connection and then declines the request; it ends as before where no attempt remains. Going on at the same upstream over another connection is no longer tried: it drops the answer that upstream may be about to send.

Ruled out: unsafe requests and streams that may not be resumed were not given up on the code before, except a stream on a kAlways route.

--- a/src/skylarkcroft/limits/skylarkcroft_service_retry_budget.cc
+++ b/src/skylarkcroft/limits/skylarkcroft_service_retry_budget.cc
@@ -25,8 +25,8 @@
   activity.requests.push_back(now);
 }
 
-bool service_retry_budget::TryRetry(const std::string& service, size_t nodes,
-                                    time_point now) {
+bool service_retry_budget::HasRetryLeft(const std::string& service,
+                                        size_t nodes, time_point now) {
   recent_activity& activity = services_[service];
   DropOldTimes(activity, now);
   const double reserve_part =
@@ -35,10 +35,15 @@
       parameters_.used_fraction *
       (parameters_.share * static_cast<double>(activity.requests.size()) +
        reserve_part);
-  if (static_cast<double>(activity.retries.size()) + 1 > budget) {
+  return static_cast<double>(activity.retries.size()) + 1 <= budget;
+}
+
+bool service_retry_budget::TryRetry(const std::string& service, size_t nodes,
+                                    time_point now) {
+  if (!HasRetryLeft(service, nodes, now)) {
     return false;
   }
-  activity.retries.push_back(now);
+  services_[service].retries.push_back(now);
   return true;
 }
 
--- a/src/skylarkcroft/limits/skylarkcroft_service_retry_budget.h
+++ b/src/skylarkcroft/limits/skylarkcroft_service_retry_budget.h
@@ -34,6 +34,9 @@
   }
   /// Counts a request, not its retries.
   void RecordRequest(const std::string& service, time_point now);
+  /// Whether TryRetry() would return true. Counts nothing.
+  [[nodiscard]] bool HasRetryLeft(const std::string& service, size_t nodes,
+                                  time_point now);
   /// Counts one retry; returns false when this node's part of the budget is
   /// used up. `nodes` is the number of nodes, including this one.
   bool TryRetry(const std::string& service, size_t nodes, time_point now);
--- a/src/skylarkcroft/relay/skylarkcroft_relay_parameters.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_parameters.h
@@ -22,6 +22,8 @@
   /// The limit for a service without a model, as a share of the time that the
   /// request was given.
   double service_silence_share = 0.4;
+  /// Interval at which a successor is sought for an attempt that stays silent.
+  milliseconds silence_recheck{200};
   /// Time within which requests to an upstream that has told that it leaves
   /// have to end.
   milliseconds leaving_time{1800};
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -279,9 +279,6 @@
 
 void relay_request::SendTo(const placement& placed) {
   const time_point now = environment_.clock();
-  if (std::exchange(silence_unanswered_, false)) {
-    record_.silence = "replaced";
-  }
   record_.upstream = placed.upstream.id;
   record_.upstream_framing.clear();
   record_.candidates = placed.candidates;
@@ -661,10 +658,8 @@
   return record;
 }
 
-void relay_request::Fail(attempt_failure failure) {
+void relay_request::RecordFailure(attempt_failure failure, time_point now) {
   record_.last_failure = std::string(ToString(failure));
-  silence_unanswered_ = failure == attempt_failure::kSilent;
-  const time_point now = environment_.clock();
   environment_.on_attempt_failed(DescribeFailure(failure, now));
   RecordIfCrash(failure, now);
   const bool sent = failure != attempt_failure::kNoConnection;
@@ -679,16 +674,25 @@
   if (service_may_have_executed && !attempt_->execution_started) {
     RecordExecutionStarted();
   }
+}
+
+bool relay_request::MayRetryAfter(attempt_failure failure, int upstreams_used,
+                                  time_point now) const {
   const retry_context context{failure,
                               gate_.route->MayExecuteTwice(),
                               response_started_,
                               gate_.route->resumable,
-                              record_.upstreams_used,
+                              upstreams_used,
                               gate_.route->max_attempts,
                               RemainingTime(now).count() > 0};
-  const bool may_retry =
-      MayRetry(context) &&
-      record_.connect_tries < environment_.parameters.max_connect_tries;
+  return MayRetry(context) &&
+         record_.connect_tries < environment_.parameters.max_connect_tries;
+}
+
+void relay_request::Fail(attempt_failure failure) {
+  const time_point now = environment_.clock();
+  RecordFailure(failure, now);
+  const bool may_retry = MayRetryAfter(failure, record_.upstreams_used, now);
   const bool forward_error = failure == attempt_failure::kErrorResponse &&
                              !may_retry && !response_started_ &&
                              (!ImpliesNotExecuted(attempt_->head->status) ||
@@ -800,22 +804,94 @@
   if (attempt_ == nullptr || attempt_->paused || !attempt_->exchange->sent()) {
     return;
   }
-  const bool can_retry = gate_.route->MayExecuteTwice() &&
-                         record_.upstreams_used + 1 < gate_.route->max_attempts;
+  const bool search_is_due =
+      !attempt_->opens_successor && now >= attempt_->next_successor_search;
+  if (search_is_due && IsUpstreamSilent(now) && MayReplaceSilentAttempt(now)) {
+    OpenSuccessor(now);
+  }
+}
+
+bool relay_request::IsUpstreamSilent(time_point now) const {
   const milliseconds silence =
       std::chrono::duration_cast<milliseconds>(now - attempt_->last_byte_at);
   if (cache_tokens_ > 0) {
-    if (can_retry && IsEngineTimedOut(silence, now)) {
-      Fail(attempt_failure::kSilent);
-    }
-    return;
+    return IsEngineTimedOut(silence, now);
   }
   const milliseconds limit(static_cast<milliseconds::rep>(
       environment_.parameters.service_silence_share *
       static_cast<double>(record_.time_given.count())));
-  if (silence > limit && can_retry) {
-    Fail(attempt_failure::kSilent);
+  return silence > limit;
+}
+
+bool relay_request::MayReplaceSilentAttempt(time_point now) {
+  attempt_->next_successor_search =
+      now + environment_.parameters.silence_recheck;
+  if (!MayRetryAfter(attempt_failure::kSilent, record_.upstreams_used + 1,
+                     now)) {
+    record_.silence = "may_not_repeat";
+    return false;
+  }
+  const quarantine_decision quarantine =
+      environment_.quarantine.Decide(prompt_, now).decision;
+  if (quarantine != quarantine_decision::kAllowed) {
+    record_.silence = ToString(quarantine);
+    return false;
+  }
+  if (!environment_.retries.HasRetryLeft(service_name_,
+                                         environment_.node_count(), now)) {
+    record_.silence = "repeats_used_up";
+    return false;
+  }
+  return true;
+}
+
+void relay_request::OpenSuccessor(time_point now) {
+  const std::optional<placement> successor =
+      environment_.balancer.Choose(MakePlacementRequest(), now);
+  if (!successor.has_value() ||
+      successor->upstream.id == attempt_->placed.upstream.id) {
+    record_.silence = "no_other_upstream";
+    return;
+  }
+  attempt_->opens_successor = true;
+  environment_.connections.OpenIdle(
+      successor->upstream.id, successor->upstream.address,
+      [this, alive = std::weak_ptr<bool>(alive_),
+       silent = std::weak_ptr<upstream_exchange>(attempt_->exchange),
+       successor = *successor](connect_outcome outcome) {
+        const bool still_waits = !alive.expired() && attempt_ != nullptr &&
+                                 attempt_->exchange == silent.lock();
+        if (still_waits) {
+          OnSuccessorOpened(successor, outcome);
+        }
+      });
+}
+
+void relay_request::OnSuccessorOpened(const placement& successor,
+                                      connect_outcome outcome) {
+  const time_point now = environment_.clock();
+  attempt_->opens_successor = false;
+  if (outcome != connect_outcome::kAccepted) {
+    record_.silence = "no_connection";
+    return;
+  }
+  const std::string& id = successor.upstream.id;
+  const bool wanted = !IsEndUnconfirmed() && !attempt_->paused &&
+                      IsUpstreamSilent(now) &&
+                      !environment_.balancer.IsLeaving(id);
+  if (!wanted || !MayReplaceSilentAttempt(now)) {
+    return;
   }
+  if (response_.HasClientLeft()) {
+    CloseAttempt(upstream_outcome::kInconclusive);
+    RecordEnd(0, "client_gone");
+    return;
+  }
+  environment_.retries.TryRetry(service_name_, environment_.node_count(), now);
+  RecordFailure(attempt_failure::kSilent, now);
+  CloseFailedAttempt(attempt_failure::kSilent);
+  record_.silence = "replaced";
+  SendTo(successor);
 }
 
 void relay_request::OnClientDisconnected() {
@@ -883,9 +959,6 @@
 
 void relay_request::RecordEnd(int status, const std::string& reason) {
   ended_ = true;
-  if (silence_unanswered_) {
-    record_.silence = reason;
-  }
   record_.status = status;
   record_.reason = reason;
   record_.total = std::chrono::duration_cast<milliseconds>(
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -64,6 +64,10 @@
     bool event_seen = false;
     /// Reading is paused because the client is too slow.
     bool paused = false;
+    /// From when on a successor may be sought if the upstream is silent.
+    time_point next_successor_search{};
+    /// A connection to a possible successor is being opened.
+    bool opens_successor = false;
     /// When the response ended with its connection. From then on it is not
     /// known whether the upstream's process has ended too.
     std::optional<time_point> ended_at;
@@ -129,6 +133,11 @@
   /// unless its status would wrongly tell the client that the request was not
   /// executed.
   void Fail(attempt_failure failure);
+  /// Counts the failed attempt and tells what is known of it.
+  void RecordFailure(attempt_failure failure, time_point now);
+  /// `upstreams_used` includes the attempt that failed, if it was sent.
+  [[nodiscard]] bool MayRetryAfter(attempt_failure failure, int upstreams_used,
+                                   time_point now) const;
   void CloseAttempt(upstream_outcome outcome);
   void CloseFailedAttempt(attempt_failure failure);
   /// Records a byte, a success or a failure of the attempt for the quarantine.
@@ -140,7 +149,15 @@
   /// Cancels an attempt without output if its prompt has been quarantined since
   /// it was sent; returns whether it has.
   bool RecallIfQuarantined(time_point now);
+  /// A sound upstream may pause, so a silent attempt goes on until another
+  /// upstream is allowed to take over and has accepted a connection.
   void CheckUpstreamSilence(time_point now);
+  [[nodiscard]] bool IsUpstreamSilent(time_point now) const;
+  /// Whether a successor of the silent attempt may be sent now.
+  bool MayReplaceSilentAttempt(time_point now);
+  /// Finds another upstream and opens a connection to it.
+  void OpenSuccessor(time_point now);
+  void OnSuccessorOpened(const placement& successor, connect_outcome outcome);
   /// `silence` is the time since the attempt's last byte.
   [[nodiscard]] bool IsEngineTimedOut(milliseconds silence,
                                       time_point now) const;
@@ -180,8 +197,6 @@
   /// Any attempt so far may have executed the request.
   bool may_have_executed_ = false;
   bool execution_counted_ = false;
-  /// The last attempt ended for its silence, and no other has been sent since.
-  bool silence_unanswered_ = false;
   bool ended_ = false;
   request_record record_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/tests/limits/token_quotas_test.cc
+++ b/tests/limits/token_quotas_test.cc
@@ -190,4 +190,17 @@
   CHECK(budget.TryRetry("s", 7, kStart + milliseconds(10001)));
 }
 
+TEST_CASE("Asking whether a retry is left uses none up", "[limits][repeats]") {
+  service_retry_budget_parameters parameters;
+  parameters.share = 0;
+  parameters.reserve = 1;
+  parameters.used_fraction = 1;
+  service_retry_budget budget(parameters);
+  CHECK(budget.HasRetryLeft("s", 1, kStart));
+  CHECK(budget.HasRetryLeft("s", 1, kStart));
+  CHECK(budget.TryRetry("s", 1, kStart));
+  CHECK_FALSE(budget.HasRetryLeft("s", 1, kStart));
+  CHECK_FALSE(budget.TryRetry("s", 1, kStart));
+}
+
 }  // namespace skylarkcroft
