--- a/tests/relay/relay_quarantine_test.cc
+++ b/tests/relay/relay_quarantine_test.cc
@@ -32,13 +32,14 @@
     });
   }
 
-  /// Sends one request, waits for its end and returns its record.
+  /// Sends one request, waits for its end and returns its record. Its body is
+  /// another one with each prompt.
   request_record Ask(const std::string& path, const std::string& parts) {
     const size_t before = relay.records.size();
     raw_client client(relay.loop, relay.server.address());
-    client.Send(
-        fixture::Request(path, "r" + std::to_string(before),
-                         "X-Tokens: 10,5\r\nX-Parts: " + parts + "\r\n"));
+    client.Send(fixture::Request(path, "r" + std::to_string(before),
+                                 "X-Tokens: 10,5\r\nX-Parts: " + parts + "\r\n",
+                                 parts));
     REQUIRE(relay.Await([&] { return relay.records.size() > before; }));
     relay.loop.RunFor(milliseconds(20));
     response = client.received;
