Quarantine: a model of a fleet shows which requests the quarantine rejects

What callers saw: nothing yet, the module is not wired in.

Cause: the first version accused each request with three crashes.

Change: crashes of a request that alone was in two of them, or that has more, are not held against the others; where more than eight others have as many crashes within 5 s, none is accused until it has more; a repeat that breaks within 10 ms of the first crash is the same crash. Quarantines last 10 minutes, 3 hours, then 48 hours.

Ruled out: rejecting after two crashes, as the parts do for 15 s.

--- a/src/skylarkcroft/quarantine/skylarkcroft_request_quarantine.cc
+++ b/src/skylarkcroft/quarantine/skylarkcroft_request_quarantine.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 namespace skylarkcroft {
@@ -15,6 +16,10 @@
 constexpr milliseconds kOldSuccessPause{10000};
 // Ages beyond this are told as this.
 constexpr milliseconds kMaxToldAge = std::chrono::hours(24);
+// Explains a crash for all requests, however many crashes they have.
+constexpr size_t kStrongest = std::numeric_limits<size_t>::max();
+// While reports of a crash are under way, counts of requests may be one apart.
+constexpr size_t kMarginUnderWay = 2;
 
 milliseconds ToMilliseconds(duration span) {
   return std::max(milliseconds(0),
@@ -34,10 +39,10 @@
   if (known && IsRejecting(found->second, now)) {
     return reject(found->second.ends_at + parameters_.end_delay - now);
   }
-  const std::vector<suspected_crash> crashes = suspects_.Crashes(request);
-  if (crashes.size() >= CrashesToAccuse(request)) {
+  if (IsAccused(request)) {
     return reject(Length(known ? found->second.relapses + 1 : 0, false));
   }
+  const std::vector<suspected_crash> crashes = suspects_.Crashes(request);
   const bool blocked = parameters_.crashes_to_block > 0 &&
                        crashes.size() >= parameters_.crashes_to_block &&
                        now - crashes.back().at < parameters_.repeat_block;
@@ -65,7 +70,7 @@
 
 void request_quarantine::ExplainCrash(uint32_t upstream, time_point now) {
   if (!suspects_.IsExplained(upstream, now)) {
-    suspects_.Explain(upstream, now, now);
+    suspects_.Explain(upstream, now, kStrongest, now);
     untold_.explained.push_back(upstream);
   }
 }
@@ -98,7 +103,7 @@
     std::erase(alive_to_tell_, upstream);
   }
   for (const uint32_t upstream : notice.explained) {
-    suspects_.Explain(upstream, now, now);
+    suspects_.Explain(upstream, now, kStrongest, now);
   }
   for (const quarantined_request& told : notice.quarantined) {
     OnPeerQuarantine(told, now);
@@ -218,7 +223,7 @@
     if (is_own) {
       ExplainCrash(crash.upstream, now);
     } else {
-      suspects_.Explain(crash.upstream, crash.at, now);
+      suspects_.Explain(crash.upstream, crash.at, kStrongest, now);
     }
     return;
   }
@@ -231,9 +236,78 @@
   }
   if (count >= CrashesToAccuse(request)) {
     accused_[request] = accused_[request] || is_own;
+    ExplainBy(request, kMarginUnderWay, now);
   }
 }
 
+void request_quarantine::ExplainBy(request_key request, size_t margin,
+                                   time_point now) {
+  const std::vector<suspected_crash> crashes = suspects_.Crashes(request);
+  if (crashes.size() < parameters_.suspects.min_crashes) {
+    return;
+  }
+  for (const suspected_crash& crash : crashes) {
+    suspects_.Explain(crash.upstream, crash.at, crashes.size() + 1 - margin,
+                      now);
+  }
+}
+
+std::vector<request_key> request_quarantine::Rivals(request_key request) const {
+  const size_t count = suspects_.Count(request);
+  std::vector<request_key> rivals;
+  for (const auto& [other, is_own] : accused_) {
+    if (other != request && suspects_.Count(other) >= count) {
+      rivals.push_back(other);
+    }
+  }
+  return rivals;
+}
+
+bool request_quarantine::IsSoleSuspect(
+    request_key request, const std::vector<request_key>& group) const {
+  const std::vector<suspected_crash> crashes = suspects_.Crashes(request);
+  const auto is_sole = [&](const suspected_crash& crash) {
+    return std::none_of(group.begin(), group.end(), [&](request_key other) {
+      return other != request && suspects_.HasCrash(other, crash);
+    });
+  };
+  return static_cast<size_t>(
+             std::count_if(crashes.begin(), crashes.end(), is_sole)) >=
+         parameters_.min_sole_crashes;
+}
+
+bool request_quarantine::IsAccused(request_key request) const {
+  const std::vector<suspected_crash> crashes = suspects_.Crashes(request);
+  if (!accused_.contains(request) ||
+      crashes.size() < CrashesToAccuse(request)) {
+    return false;
+  }
+  if (quarantined_.contains(request)) {
+    return true;
+  }
+  std::vector<request_key> group = Rivals(request);
+  if (group.size() > parameters_.max_rivals) {
+    return false;
+  }
+  group.push_back(request);
+  const bool is_sole = IsSoleSuspect(request, group);
+  std::vector<request_key> stronger;
+  std::copy_if(group.begin(), group.end(), std::back_inserter(stronger),
+               [&](request_key other) {
+                 return other != request &&
+                        (suspects_.Count(other) > crashes.size() ||
+                         (!is_sole && IsSoleSuspect(other, group)));
+               });
+  const auto unexplained =
+      std::count_if(crashes.begin(), crashes.end(), [&](const auto& crash) {
+        return std::none_of(stronger.begin(), stronger.end(),
+                            [&](request_key other) {
+                              return suspects_.HasCrash(other, crash);
+                            });
+      });
+  return static_cast<size_t>(unexplained) >= CrashesToAccuse(request);
+}
+
 void request_quarantine::TellCrash(request_key request,
                                    const suspected_crash& crash,
                                    time_point now) {
@@ -262,40 +336,53 @@
 }
 
 void request_quarantine::Accuse(time_point now) {
-  std::vector<std::pair<request_key, bool>> certain;
   std::erase_if(accused_, [&](const auto& entry) {
-    if (suspects_.Count(entry.first) < CrashesToAccuse(entry.first)) {
-      return true;
-    }
-    if (suspects_.CertainCount(entry.first, now) <
-        CrashesToAccuse(entry.first)) {
-      return false;
-    }
-    certain.push_back(entry);
-    return true;
+    const std::vector<suspected_crash> crashes = suspects_.Crashes(entry.first);
+    return crashes.size() < CrashesToAccuse(entry.first) ||
+           now - crashes.back().at > parameters_.rank_span;
   });
-  for (const auto& [request, is_own] : certain) {
-    const auto found = quarantined_.find(request);
-    const int relapses =
-        found == quarantined_.end() ? 0 : found->second.relapses + 1;
-    const bool was_sound = LastSuccess(request, now).has_value();
-    const time_point first = suspects_.Crashes(request).front().at;
-    Insert(request, {first, now + Length(relapses, was_sound), relapses},
-           "crashes", now);
-    if (is_own) {
-      untold_.quarantined.push_back(
-          Describe(request, quarantined_.at(request), now));
+  std::vector<request_key> due;
+  std::vector<suspected_crash> explained;
+  for (const auto& [request, is_own] : accused_) {
+    if (suspects_.CertainCount(request, now) < CrashesToAccuse(request) ||
+        !IsAccused(request)) {
+      continue;
     }
+    due.push_back(request);
+    if (IsSoleSuspect(request, Rivals(request))) {
+      const std::vector<suspected_crash> crashes = suspects_.Crashes(request);
+      explained.insert(explained.end(), crashes.begin(), crashes.end());
+    }
+  }
+  for (const request_key request : due) {
+    Quarantine(request, now);
+  }
+  for (const suspected_crash& crash : explained) {
+    suspects_.Explain(crash.upstream, crash.at, kStrongest, now);
+  }
+}
+
+void request_quarantine::Quarantine(request_key request, time_point now) {
+  const auto found = quarantined_.find(request);
+  const int relapses =
+      found == quarantined_.end() ? 0 : found->second.relapses + 1;
+  const bool was_sound = LastSuccess(request, now).has_value();
+  const std::vector<suspected_crash> crashes = suspects_.Crashes(request);
+  const time_point first = crashes.empty() ? now : crashes.front().at;
+  const bool is_own = accused_.at(request);
+  Insert(request, {first, now + Length(relapses, was_sound), relapses},
+         "crashes", now);
+  if (is_own) {
+    untold_.quarantined.push_back(
+        Describe(request, quarantined_.at(request), now));
   }
 }
 
 void request_quarantine::Insert(request_key request, const quarantine& added,
                                 std::string_view source, time_point now) {
-  const std::vector<suspected_crash> crashes = suspects_.Crashes(request);
+  ExplainBy(request, 1, now);
   suspects_.Clear(request, now);
-  for (const suspected_crash& crash : crashes) {
-    suspects_.Explain(crash.upstream, crash.at, now);
-  }
+  accused_.erase(request);
   // Makes room before the insertion, so that the new one is not dropped.
   if (!quarantined_.contains(request)) {
     DropExcess();
--- a/src/skylarkcroft/quarantine/skylarkcroft_request_quarantine.h
+++ b/src/skylarkcroft/quarantine/skylarkcroft_request_quarantine.h
@@ -22,6 +22,14 @@
 /// Parameters of request_quarantine.
 struct request_quarantine_parameters {
   request_suspects_parameters suspects;
+  /// A request that alone was in so many crashes is what caused them; the
+  /// crashes that it shares with others are then not held against these.
+  size_t min_sole_crashes = 2;
+  /// If more others have as many crashes, the latest within `rank_span`, none
+  /// of them is accused: upstreams crash for another reason, and a request that
+  /// does crash them will soon have more crashes than the others.
+  size_t max_rivals = 8;
+  milliseconds rank_span{5000};
   /// A request is not suspected for this long after a success.
   milliseconds good_standing{2000};
   /// A request with this many crashes is rejected for `repeat_block` after the
@@ -30,8 +38,8 @@
   milliseconds repeat_block{15000};
   /// Length of the first quarantine. Each relapse multiplies it.
   milliseconds first_quarantine{600000};
-  int relapse_factor = 6;
-  milliseconds max_quarantine{86400000};
+  int relapse_factor = 18;
+  milliseconds max_quarantine{172800000};
   /// Length of the first quarantine of a request that ended well before its
   /// crashes.
   milliseconds first_quarantine_of_sound{10000};
@@ -82,9 +90,10 @@
 ///    attempt. ExplainCrash() instead if a quarantined prompt part explains it.
 /// 4. RecordSuccess() if an upstream that ran the request gave a whole answer
 ///    with any status; not if the answer says that the request was not run.
-/// TakeNotice() after each of these and after OnNotice() and Tick(); what it
-/// returns goes to all peers at once. Report() goes to all peers about once a
-/// second.
+/// TakeNotice() at the end of the turn of the event loop in which any of these,
+/// OnNotice() or Tick() was called, so that what one crash broke goes to all
+/// peers in one datagram. Report() goes to all peers as often as the report of
+/// quarantined parts.
 class request_quarantine {
  public:
   /// `on_event` is called for each change.
@@ -163,8 +172,21 @@
                 time_point now);
   void TellCrash(request_key request, const suspected_crash& crash,
                  time_point now);
+  /// Crashes under a request explain those of others that have fewer by at
+  /// least `margin`.
+  void ExplainBy(request_key request, size_t margin, time_point now);
+  /// Others that may be accused and have as many crashes.
+  [[nodiscard]] std::vector<request_key> Rivals(request_key request) const;
+  /// Whether the request has enough crashes in which no other one of a group
+  /// was, so that it must be what caused them.
+  [[nodiscard]] bool IsSoleSuspect(request_key request,
+                                   const std::vector<request_key>& group) const;
+  /// Whether the request has enough crashes that its rivals do not explain, and
+  /// few rivals.
+  [[nodiscard]] bool IsAccused(request_key request) const;
   /// Quarantines the requests whose crashes are certain.
   void Accuse(time_point now);
+  void Quarantine(request_key request, time_point now);
   [[nodiscard]] bool IsRejecting(const quarantine& entry,
                                  time_point now) const {
     return entry.state != phase::kLapsed &&
--- a/src/skylarkcroft/quarantine/skylarkcroft_request_suspects.cc
+++ b/src/skylarkcroft/quarantine/skylarkcroft_request_suspects.cc
@@ -62,10 +62,10 @@
 }
 
 void request_suspects::Explain(uint32_t upstream, time_point at,
-                               time_point now) {
+                               size_t strength, time_point now) {
   for (auto entry = requests_.begin(); entry != requests_.end();) {
     std::vector<suspected_crash>& crashes = entry->second;
-    if (crashes.size() < parameters_.min_crashes) {
+    if (crashes.size() < strength) {
       std::erase_if(crashes, [&](const suspected_crash& crash) {
         return IsSameCrash(crash, upstream, at);
       });
@@ -113,6 +113,16 @@
   return found == requests_.end() ? 0 : found->second.size();
 }
 
+bool request_suspects::HasCrash(request_key request,
+                                const suspected_crash& crash) const {
+  const auto found = requests_.find(request);
+  return found != requests_.end() &&
+         std::any_of(found->second.begin(), found->second.end(),
+                     [&](const suspected_crash& known) {
+                       return IsSameCrash(known, crash.upstream, crash.at);
+                     });
+}
+
 size_t request_suspects::CertainCount(request_key request,
                                       time_point now) const {
   const auto found = requests_.find(request);
@@ -172,7 +182,8 @@
   const suspected_crash& second = one.at < other.at ? other : one;
   // A repeat that was sent because of the first crash was not there before it.
   const bool at_once = second.sent_at + parameters_.transit < first.at;
-  return at_once && second.at - first.at < parameters_.min_crash_gap;
+  return second.at - first.at <
+         (at_once ? parameters_.min_crash_gap : parameters_.min_repeat_gap);
 }
 
 bool request_suspects::RefuteWithin(uint32_t upstream, time_point alive_at,
--- a/src/skylarkcroft/quarantine/skylarkcroft_request_suspects.h
+++ b/src/skylarkcroft/quarantine/skylarkcroft_request_suspects.h
@@ -37,6 +37,8 @@
   /// Upstreams that crash closer together than this have a common cause, such
   /// as the loss of their rack, if they had the request at the same time.
   milliseconds min_crash_gap{100};
+  /// The same if one had the request only after the other had crashed.
+  milliseconds min_repeat_gap{10};
   /// Requests with one crash, and with more, are forgotten after these times.
   milliseconds max_age_single{600000};
   milliseconds max_age{3600000};
@@ -65,13 +67,17 @@
   /// The same when a peer has told of the bytes.
   void RefuteByPeer(uint32_t upstream, time_point told_at);
   /// The crash of an upstream at `at` is due to something else than the
-  /// requests that have too few crashes to be accused.
-  void Explain(uint32_t upstream, time_point at, time_point now);
+  /// requests with fewer than `strength` crashes.
+  void Explain(uint32_t upstream, time_point at, size_t strength,
+               time_point now);
   void DropOld(time_point now);
 
   /// The crashes under a request, in order of their arrival.
   [[nodiscard]] std::vector<suspected_crash> Crashes(request_key request) const;
   [[nodiscard]] size_t Count(request_key request) const;
+  /// Whether the request was at the upstream of `crash` as well.
+  [[nodiscard]] bool HasCrash(request_key request,
+                              const suspected_crash& crash) const;
   /// The number of crashes that can no longer be refuted.
   [[nodiscard]] size_t CertainCount(request_key request, time_point now) const;
   [[nodiscard]] bool IsExplained(uint32_t upstream, time_point at) const;
