Quarantine: requests that crash the same upstreams do not hide each other

What callers saw: nothing yet, the module is not wired in.

Cause: when a request had three crashes, those of others with fewer were removed at once, and the third crash was closed to reports still under way. Of two deadly requests at the same upstreams the one that was reported second was not rejected, and one that ran beside others was, if it was reported first.

Change: crashes are weighed only when an accusation is certain. Those of the accused are then removed from requests with fewer crashes, and from those with as many that the others explain. Only a quarantined request, a part or one that alone was in two crashes closes a crash to later reports. IsExplained() lets the relay keep such crashes out of the evidence against prompt parts.

--- a/src/skylarkcroft/quarantine/skylarkcroft_request_quarantine.cc
+++ b/src/skylarkcroft/quarantine/skylarkcroft_request_quarantine.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <limits>
 #include <utility>
 
 namespace skylarkcroft {
@@ -16,10 +15,6 @@
 constexpr milliseconds kOldSuccessPause{10000};
 // Ages beyond this are told as this.
 constexpr milliseconds kMaxToldAge = std::chrono::hours(24);
-// Explains a crash for all requests, however many crashes they have.
-constexpr size_t kStrongest = std::numeric_limits<size_t>::max();
-// While reports of a crash are under way, counts of requests may be one apart.
-constexpr size_t kMarginUnderWay = 2;
 
 milliseconds ToMilliseconds(duration span) {
   return std::max(milliseconds(0),
@@ -236,19 +231,16 @@
   }
   if (count >= CrashesToAccuse(request)) {
     accused_[request] = accused_[request] || is_own;
-    ExplainBy(request, kMarginUnderWay, now);
   }
 }
 
-void request_quarantine::ExplainBy(request_key request, size_t margin,
-                                   time_point now) {
+void request_quarantine::ExplainWeaker(request_key request, time_point now) {
   const std::vector<suspected_crash> crashes = suspects_.Crashes(request);
   if (crashes.size() < parameters_.suspects.min_crashes) {
     return;
   }
   for (const suspected_crash& crash : crashes) {
-    suspects_.Explain(crash.upstream, crash.at, crashes.size() + 1 - margin,
-                      now);
+    suspects_.Explain(crash.upstream, crash.at, crashes.size(), now);
   }
 }
 
@@ -342,24 +334,34 @@
            now - crashes.back().at > parameters_.rank_span;
   });
   std::vector<request_key> due;
+  std::vector<request_key> bystanders;
   std::vector<suspected_crash> explained;
+  std::vector<suspected_crash> explained_for_all;
   for (const auto& [request, is_own] : accused_) {
-    if (suspects_.CertainCount(request, now) < CrashesToAccuse(request) ||
-        !IsAccused(request)) {
+    if (!IsAccused(request)) {
+      bystanders.push_back(request);
       continue;
     }
-    due.push_back(request);
-    if (IsSoleSuspect(request, Rivals(request))) {
-      const std::vector<suspected_crash> crashes = suspects_.Crashes(request);
-      explained.insert(explained.end(), crashes.begin(), crashes.end());
+    if (suspects_.CertainCount(request, now) < CrashesToAccuse(request)) {
+      continue;
     }
+    due.push_back(request);
+    std::vector<suspected_crash>& list =
+        IsSoleSuspect(request, Rivals(request)) ? explained_for_all : explained;
+    const std::vector<suspected_crash> crashes = suspects_.Crashes(request);
+    list.insert(list.end(), crashes.begin(), crashes.end());
   }
   for (const request_key request : due) {
     Quarantine(request, now);
   }
-  for (const suspected_crash& crash : explained) {
+  for (const suspected_crash& crash : explained_for_all) {
     suspects_.Explain(crash.upstream, crash.at, kStrongest, now);
   }
+  for (const suspected_crash& crash : explained) {
+    for (const request_key bystander : bystanders) {
+      suspects_.Remove(bystander, crash.upstream, crash.at);
+    }
+  }
 }
 
 void request_quarantine::Quarantine(request_key request, time_point now) {
@@ -380,7 +382,7 @@
 
 void request_quarantine::Insert(request_key request, const quarantine& added,
                                 std::string_view source, time_point now) {
-  ExplainBy(request, 1, now);
+  ExplainWeaker(request, now);
   suspects_.Clear(request, now);
   accused_.erase(request);
   // Makes room before the insertion, so that the new one is not dropped.
--- a/src/skylarkcroft/quarantine/skylarkcroft_request_quarantine.h
+++ b/src/skylarkcroft/quarantine/skylarkcroft_request_quarantine.h
@@ -118,6 +118,12 @@
   /// Records that an upstream crashed by something else than the request, such
   /// as a quarantined prompt part.
   void ExplainCrash(uint32_t upstream, time_point now);
+  /// Whether a quarantined request or part is known to have crashed the
+  /// upstream just now: then the crash says nothing about the prompt parts of
+  /// other requests, and is not to be recorded in part_quarantine.
+  [[nodiscard]] bool IsExplained(uint32_t upstream, time_point now) const {
+    return suspects_.IsExplained(upstream, now);
+  }
   /// Records that a byte arrived from an upstream. Needed only while
   /// HasUnconfirmedCrashes().
   void RecordByte(uint32_t upstream, time_point now);
@@ -172,9 +178,8 @@
                 time_point now);
   void TellCrash(request_key request, const suspected_crash& crash,
                  time_point now);
-  /// Crashes under a request explain those of others that have fewer by at
-  /// least `margin`.
-  void ExplainBy(request_key request, size_t margin, time_point now);
+  /// The crashes under a request explain those of others that have fewer.
+  void ExplainWeaker(request_key request, time_point now);
   /// Others that may be accused and have as many crashes.
   [[nodiscard]] std::vector<request_key> Rivals(request_key request) const;
   /// Whether the request has enough crashes in which no other one of a group
--- a/src/skylarkcroft/quarantine/skylarkcroft_request_suspects.cc
+++ b/src/skylarkcroft/quarantine/skylarkcroft_request_suspects.cc
@@ -72,7 +72,9 @@
     }
     entry = crashes.empty() ? requests_.erase(entry) : std::next(entry);
   }
-  if (now - at < parameters_.same_crash && !IsExplained(upstream, at)) {
+  const bool for_all = strength == kStrongest;
+  if (for_all && now - at < parameters_.same_crash &&
+      !IsExplained(upstream, at)) {
     explained_.push_back({upstream, at});
   }
   if (explained_.size() > kMaxExplained) {
--- a/src/skylarkcroft/quarantine/skylarkcroft_request_suspects.h
+++ b/src/skylarkcroft/quarantine/skylarkcroft_request_suspects.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <unordered_map>
 #include <vector>
 
@@ -48,6 +49,9 @@
   bool operator==(const request_suspects_parameters&) const = default;
 };
 
+/// Explains a crash for all requests, however many crashes they have.
+inline constexpr size_t kStrongest = std::numeric_limits<size_t>::max();
+
 /// The requests under which upstreams crashed lately, with their crashes.
 class request_suspects {
  public:
@@ -60,6 +64,8 @@
   size_t Add(request_key request, const suspected_crash& crash, time_point now);
   /// Removes the crashes of a request until `until`.
   void Clear(request_key request, time_point until);
+  /// Removes the crash of an upstream from one request.
+  void Remove(request_key request, uint32_t upstream, time_point at);
   /// Removes the crash of an upstream from which bytes arrived at `alive_at`,
   /// if they show that only single responses broke off. Returns whether any
   /// crash was removed.
@@ -67,7 +73,8 @@
   /// The same when a peer has told of the bytes.
   void RefuteByPeer(uint32_t upstream, time_point told_at);
   /// The crash of an upstream at `at` is due to something else than the
-  /// requests with fewer than `strength` crashes.
+  /// requests with fewer than `strength` crashes; with kStrongest also than
+  /// those that are yet to be added.
   void Explain(uint32_t upstream, time_point at, size_t strength,
                time_point now);
   void DropOld(time_point now);
@@ -80,6 +87,7 @@
                               const suspected_crash& crash) const;
   /// The number of crashes that can no longer be refuted.
   [[nodiscard]] size_t CertainCount(request_key request, time_point now) const;
+  /// Whether the crash was explained for all requests.
   [[nodiscard]] bool IsExplained(uint32_t upstream, time_point at) const;
   [[nodiscard]] bool HasUnconfirmed(time_point now) const;
   [[nodiscard]] bool HasUnconfirmed(uint32_t upstream, time_point now) const;
@@ -103,8 +111,6 @@
   [[nodiscard]] bool HasCommonCause(const suspected_crash& one,
                                     const suspected_crash& other) const;
   bool RefuteWithin(uint32_t upstream, time_point alive_at, duration limit);
-  /// Removes the crash of an upstream from one request.
-  void Remove(request_key request, uint32_t upstream, time_point at);
   void DropExcess();
 
   request_suspects_parameters parameters_;
--- a/tests/quarantine/request_quarantine_test.cc
+++ b/tests/quarantine/request_quarantine_test.cc
@@ -226,6 +226,79 @@
   CHECK(peer.IsAllowed(kOther));
 }
 
+// Guards against prompt parts that are accused by the crashes of one request.
+TEST_CASE("The crash of a quarantined request is known as explained",
+          "[quarantine][request]") {
+  test_node node;
+  test_node peer;
+  node.Quarantine(kDeadly);
+  peer.now = node.now;
+  node.Crash(4, kOther);
+  CHECK_FALSE(node.quarantine.IsExplained(4, node.now));
+  node.Crash(4, kDeadly);
+  CHECK(node.quarantine.IsExplained(4, node.now));
+  CHECK_FALSE(node.quarantine.IsExplained(5, node.now));
+  peer.quarantine.OnNotice(node.quarantine.TakeNotice(), peer.now);
+  CHECK(peer.quarantine.IsExplained(4, peer.now));
+  node.Pass(milliseconds(3000));
+  CHECK_FALSE(node.quarantine.IsExplained(4, node.now));
+}
+
+// Guards against two requests that crash upstreams hiding each other.
+TEST_CASE("Two requests that crash the same upstreams are both rejected",
+          "[quarantine][request]") {
+  test_node node;
+  for (const uint32_t upstream : {1, 2, 3}) {
+    node.Crash(upstream, kDeadly);
+    node.Crash(upstream, kOther);
+    node.Pass(milliseconds(200));
+  }
+  node.Pass(milliseconds(1000));
+  CHECK_FALSE(node.IsAllowed(kDeadly));
+  CHECK_FALSE(node.IsAllowed(kOther));
+}
+
+TEST_CASE("A request that only ran beside others that crash upstreams goes on",
+          "[quarantine][request]") {
+  test_node node;
+  constexpr request_key kFirst = 20;
+  constexpr request_key kSecond = 21;
+  for (const uint32_t upstream : {1, 2, 3, 4, 5, 6}) {
+    node.Crash(upstream, upstream % 2 == 0 ? kFirst : kSecond);
+    if (upstream <= 3) {
+      node.Crash(upstream, kOther);
+    }
+    node.now += milliseconds(60);
+  }
+  node.Pass(milliseconds(1000));
+  CHECK_FALSE(node.IsAllowed(kFirst));
+  CHECK_FALSE(node.IsAllowed(kSecond));
+  CHECK(node.IsAllowed(kOther));
+}
+
+// Guards against accusing all requests while the upstreams crash for another
+// reason.
+TEST_CASE("Many requests with as many crashes are not rejected",
+          "[quarantine][request]") {
+  test_node node;
+  constexpr request_key kRequests = 40;
+  uint32_t upstream = 0;
+  for (int round = 0; round < 3; ++round) {
+    for (request_key request = 1; request <= kRequests; ++request) {
+      node.Crash(++upstream, request);
+    }
+    node.Pass(milliseconds(200));
+  }
+  node.Pass(milliseconds(1000));
+  CHECK(node.IsAllowed(kDeadly));
+  CHECK(node.quarantine.QuarantineCount() == 0);
+  // One that goes on to crash them has soon more crashes than the others.
+  node.Crash(++upstream, kDeadly);
+  node.Pass(milliseconds(1000));
+  CHECK_FALSE(node.IsAllowed(kDeadly));
+  CHECK(node.quarantine.QuarantineCount() == 1);
+}
+
 TEST_CASE("One crash after the quarantine brings it back, for longer",
           "[quarantine][request]") {
   test_node node;
