Relay: a request that its upstream reads late is not broken off

Callers got 502 "broken" for a request of some size when a sound upstream read nothing for about a second, also where the request could not be sent again.

Cause: connections to upstreams have TCP_USER_TIMEOUT 0.9 s, which is meant for links that carry nothing. The kernel applies it as well while the peer's window is zero, though the peer's kernel acknowledges every probe: an upstream that pauses with more of a request outstanding than its kernel buffers has its connection ended.

The limit is now set for each request as it is sent: 0.9 s as before up to 16 KiB, which a peer's kernel takes at once, 5 s above. The end of the request's time still bounds both. Not taken: a longer limit for all, which would find out later that a link is cut.

--- a/src/skylarkcroft/relay/skylarkcroft_upstream_connections.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_upstream_connections.cc
@@ -174,6 +174,11 @@
   void Send() {
     sent_ = true;
     connection_->last_request = request_.id;
+    const connection_parameters& limits = owner_.parameters_;
+    const bool may_wait_unread =
+        request_.bytes.size() > limits.max_buffered_request;
+    connection_->socket().SetAckTimeout(
+        may_wait_unread ? limits.unread_limit : limits.unacknowledged_limit);
     connection_->socket().Write(request_.bytes);
   }
 
--- a/src/skylarkcroft/relay/skylarkcroft_upstream_connections.h
+++ b/src/skylarkcroft/relay/skylarkcroft_upstream_connections.h
@@ -27,6 +27,12 @@
   milliseconds connect_timeout{400};
   /// A connection fails if sent data stays unacknowledged for this long.
   milliseconds unacknowledged_limit{900};
+  /// The same limit for a request above max_buffered_request. The kernel
+  /// applies it also while a sound upstream reads nothing, as in a pause of
+  /// some seconds.
+  milliseconds unread_limit{5000};
+  /// An upstream's kernel takes this many bytes before the upstream reads them.
+  size_t max_buffered_request = 16384;
   /// An idle connection is kept for this share of the Keep-Alive timeout that
   /// the upstream announces.
   double announced_idle_share = 0.6;
--- a/src/skylarkcroft/wire/skylarkcroft_stream_socket.cc
+++ b/src/skylarkcroft/wire/skylarkcroft_stream_socket.cc
@@ -29,6 +29,11 @@
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
+void SetUserTimeout(int fd, milliseconds ack_timeout) {
+  const auto limit = static_cast<unsigned int>(ack_timeout.count());
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
+}
+
 int OpenSocket(milliseconds ack_timeout) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0) {
@@ -36,8 +41,7 @@
                         "raise the limit of open files");
   }
   SetNoDelay(fd);
-  const auto limit = static_cast<unsigned int>(ack_timeout.count());
-  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
+  SetUserTimeout(fd, ack_timeout);
   return fd;
 }
 
@@ -155,6 +159,10 @@
   return skylarkcroft::HasPeerClosed(bufferevent_getfd(impl_->handle()));
 }
 
+void stream_socket::SetAckTimeout(milliseconds ack_timeout) {
+  SetUserTimeout(bufferevent_getfd(impl_->handle()), ack_timeout);
+}
+
 void stream_socket::ResetOnClose() {
   const linger reset{1, 0};
   setsockopt(bufferevent_getfd(impl_->handle()), SOL_SOCKET, SO_LINGER, &reset,
--- a/src/skylarkcroft/wire/skylarkcroft_stream_socket.h
+++ b/src/skylarkcroft/wire/skylarkcroft_stream_socket.h
@@ -47,6 +47,9 @@
   /// Whether the peer's end of stream or its reset has arrived right behind the
   /// bytes read so far, even if on_closed has not been called yet.
   [[nodiscard]] bool HasPeerClosed() const;
+  /// Changes how long sent data may stay unacknowledged, or written data unsent
+  /// because the peer reads nothing, until the connection fails.
+  void SetAckTimeout(milliseconds ack_timeout);
   /// Makes the destructor reset the connection instead of closing it, so that
   /// bytes which the system has not delivered by then are discarded.
   void ResetOnClose();
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <catch2/catch.hpp>
 #include <cerrno>
@@ -107,6 +108,22 @@
     close(connection);
     return error;
   }
+  /// Accepts a connection, reads a request with a body of `body_bytes` or the
+  /// end of the stream, writes `response` and closes.
+  void AnswerOne(size_t body_bytes, const std::string& response) const {
+    const int connection = accept(fd_, nullptr, nullptr);
+    std::string request;
+    std::array<char, 65536> block{};
+    ssize_t size = 0;
+    do {
+      size = recv(connection, block.data(), block.size(), 0);
+      request.append(block.data(),
+                     static_cast<size_t>(std::max<ssize_t>(size, 0)));
+    } while (size > 0 &&
+             request.size() < request.find("\r\n\r\n") + 4 + body_bytes);
+    send(connection, response.data(), response.size(), MSG_NOSIGNAL);
+    close(connection);
+  }
 
  private:
   int fd_;
