Relay: an upstream is not silent while the relay itself does not read

Callers that read slowly and then went on had their stream moved to another upstream or, where none was allowed, cut.

Cause: while the client is slow the relay does not read from the upstream.

Silence now begins with the last byte or with the moment at which reading was resumed, whichever is later.

--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -478,6 +478,7 @@
       response_.unsent() > environment_.parameters.max_client_backlog;
   if (pause != attempt_->paused) {
     attempt_->paused = pause;
+    attempt_->reading_since = environment_.clock();
     attempt_->exchange->SetReading(!pause);
   }
 }
@@ -812,8 +813,11 @@
 }
 
 bool relay_request::IsUpstreamSilent(time_point now) const {
+  // While the client was too slow, nothing was read.
+  const time_point silent_since =
+      std::max(attempt_->last_byte_at, attempt_->reading_since);
   const milliseconds silence =
-      std::chrono::duration_cast<milliseconds>(now - attempt_->last_byte_at);
+      std::chrono::duration_cast<milliseconds>(now - silent_since);
   if (cache_tokens_ > 0) {
     return IsEngineTimedOut(silence, now);
   }
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -64,6 +64,8 @@
     bool event_seen = false;
     /// Reading is paused because the client is too slow.
     bool paused = false;
+    /// When reading was last resumed.
+    time_point reading_since{};
     /// From when on a successor may be sought if the upstream is silent.
     time_point next_successor_search{};
     /// A connection to a possible successor is being opened.
@@ -158,7 +160,7 @@
   /// Finds another upstream and opens a connection to it.
   void OpenSuccessor(time_point now);
   void OnSuccessorOpened(const placement& successor, connect_outcome outcome);
-  /// `silence` is the time since the attempt's last byte.
+  /// `silence` is the time without a byte while the relay read.
   [[nodiscard]] bool IsEngineTimedOut(milliseconds silence,
                                       time_point now) const;
   void ApplyBackpressure();
