Relay: a refusal on a connection that carried no request is believed

Callers of unsafe routes got 502 instead of another attempt or a 503 when an upstream refused their request without naming its id on a connection that the relay had opened ahead, as it does to confirm the end of an answer.

Cause: a connection counted as kept if it was open before the request. A refusal without an id on a kept connection may be a copy of an earlier answer and is not believed, but a connection opened ahead has carried no request yet. It counts as kept now once a request was sent on it.

Evidence: "A refusal on a connection opened ahead is believed" got 502 malformed before and 503 declined after; [refusal] stays green.

--- a/src/skylarkcroft/relay/skylarkcroft_upstream_connections.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_upstream_connections.cc
@@ -68,6 +68,7 @@
   time_point idle_since{};
   milliseconds idle_limit;
   std::string last_request;  ///< Id of the last request sent.
+  bool used = false;         ///< A request was sent on it.
   bool connected = false;
   bool closed = false;
 
@@ -130,7 +131,6 @@
         {[this](std::string_view bytes) { return OnBytes(bytes); },
          [this] { Send(); }, [this](bool clean) { OnClosed(clean); }});
     if (connection_->connected) {
-      kept_ = true;
       Send();
     }
   }
@@ -173,6 +173,7 @@
 
   void Send() {
     sent_ = true;
+    kept_ = std::exchange(connection_->used, true);
     connection_->last_request = request_.id;
     const connection_parameters& limits = owner_.parameters_;
     const bool may_wait_unread =
--- a/tests/relay/upstream_connections_test.cc
+++ b/tests/relay/upstream_connections_test.cc
@@ -64,4 +64,24 @@
   CHECK(run.outcome == connect_outcome::kUnknown);
 }
 
+// Guards against refusals that count as answers to an earlier request, on
+// connections that have carried none.
+TEST_CASE("A refusal on a connection opened ahead is believed",
+          "[relay][connections][refusal][regression]") {
+  opening run;
+  REQUIRE(run.relay.Await([&] { return run.outcome.has_value(); }));
+  run.relay.SetHandler([](const received_request& request) {
+    request.write(
+        "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    request.close();
+  });
+  run.relay.balancer.Remove("two", SteadyNow());
+  run.relay.balancer.DropRemoved(SteadyNow() + milliseconds(60000));
+  raw_client client(run.relay.loop, run.relay.server.address());
+  client.Send(fixture::Request("/once/", "r1"));
+  REQUIRE(run.relay.Await([&] { return !run.relay.records.empty(); }));
+  CHECK(run.relay.records.back().last_failure == "declined");
+  CHECK(run.relay.records.back().status == 503);
+}
+
 }  // namespace skylarkcroft
