--- a/tests/relay/attempt_end_test.cc
+++ b/tests/relay/attempt_end_test.cc
@@ -153,6 +153,55 @@
   }
 }
 
+TEST_CASE("A stream that no further upstream continues is cut",
+          "[relay][attempt_end]") {
+  fixture relay;
+  const bool refuses = GENERATE(true, false);
+  relay.SetHandler([&](const received_request& request) {
+    if (relay.RequestCount() == 2) {
+      request.write(Bare("503 Full", "X-Not-Run: 1\r\n"));
+      return;
+    }
+    if (refuses) {
+      relay.first_upstream.StopListening();
+      relay.second_upstream.StopListening();
+    }
+    request.write(fixture::StreamHead(request) + fixture::EventChunk(1));
+    request.close();
+  });
+  raw_client client(relay.loop, relay.server.address());
+  client.Send(fixture::Request("/resume/", "r1"));
+  REQUIRE(relay.Await([&] { return client.closed; }));
+  CHECK(client.received.find("id: 1") != std::string::npos);
+  CHECK_FALSE(client.received.ends_with("0\r\n\r\n"));
+  CHECK(relay.records.back().last_failure ==
+        (refuses ? "no_connection" : "declined"));
+}
+
+TEST_CASE("A request in progress when its process exits is told by its end",
+          "[relay][attempt_end]") {
+  for (const char* path : kPaths) {
+    fixture relay;
+    const bool is_stream = std::string(path) == "/stream/";
+    relay.SetHandler([&](const received_request& request) {
+      if (is_stream) {
+        request.write(fixture::StreamHead(request) + fixture::EventChunk(1));
+      }
+    });
+    raw_client client(relay.loop, relay.server.address());
+    client.Send(fixture::Request(path, "r1"));
+    REQUIRE(relay.Await([&] { return relay.RequestCount() == 1; }));
+    relay.loop.RunFor(milliseconds(50));
+    relay.server.AbortAll();
+    relay.loop.RunFor(milliseconds(50));
+    INFO(path << ": " << client.received);
+    CHECK(relay.records.size() == 1);
+    CHECK_FALSE(client.received.ends_with("0\r\n\r\n"));
+    CHECK(client.received.starts_with(is_stream ? "HTTP/1.1 200"
+                                                : "HTTP/1.1 502"));
+  }
+}
+
 // The silent attempt is given up once its successor is connected, so an
 // upstream that declines after that leaves nothing to wait for.
 TEST_CASE("A successor that declines ends a request without attempts left",
