Relay: an answer on its way is not cut by the end of its connection

What callers saw: a client that read a large answer slowly lost its rest. With `Connection: close` this happened a second after the answer was queued; on a kept connection, when the idle limit passed, idle clients were closed to make room or at shutdown.

Cause: a closing connection was ended kLingerTimeout after the answer was queued, whether or not it had been sent, and a kept connection counted as idle from that moment on.

A connection with bytes unsent is no longer idle, and the linger time of a closing one starts when the client's system has acknowledged everything. So that no client holds its connection by reading nothing, one that takes no byte for 10 s (max_client_stall) is ended with the reason `stalled`; its test failed before, as the connection was ended for other reasons.

--- a/src/skylarkcroft/internal/skylarkcroft_socket_state.cc
+++ b/src/skylarkcroft/internal/skylarkcroft_socket_state.cc
@@ -1,5 +1,7 @@
 #include "skylarkcroft/internal/skylarkcroft_socket_state.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/types.h>
 
@@ -21,4 +23,12 @@
   return recv(fd, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+size_t UnacknowledgedBytes(int fd) {
+  int bytes = 0;
+  if (ioctl(fd, SIOCOUTQ, &bytes) != 0) {
+    return 0;
+  }
+  return static_cast<size_t>(bytes);
+}
+
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
@@ -272,13 +272,15 @@
   }
   reader_.Reset();
   idle_since_ = environment_.clock();
+  delivery_.Restart(idle_since_);
   socket_.DeliverUnread();
 }
 
 void client_connection::BeginClosing() {
   if (!closing_) {
     closing_ = true;
-    closing_since_ = environment_.clock();
+    lingering_since_ = environment_.clock();
+    delivery_.Restart(lingering_since_);
   }
 }
 
@@ -305,23 +307,46 @@
     return;
   }
   if (closing_) {
-    if (socket_.unsent() == 0) {
-      socket_.ShutdownWrite();
-    }
-    if (now - closing_since_ > kLingerTimeout) {
-      End(client_end_reason::kAnswered);
-    }
+    TickClosing(now);
     return;
   }
   if (request_ != nullptr) {
     request_->Tick(now);
     return;
   }
+  if (CheckDelivery(socket_.unsent(), now)) {
+    idle_since_ = now;
+    return;
+  }
   CheckReadTimeouts(now);
 }
 
+void client_connection::TickClosing(time_point now) {
+  if (socket_.unsent() == 0) {
+    socket_.ShutdownWrite();
+  }
+  if (CheckDelivery(socket_.undelivered(), now)) {
+    lingering_since_ = now;
+  } else if (now - lingering_since_ > kLingerTimeout) {
+    End(client_end_reason::kAnswered);
+  }
+}
+
+bool client_connection::CheckDelivery(size_t undelivered, time_point now) {
+  if (undelivered == 0) {
+    return false;
+  }
+  // What the system holds for the client becomes fewer before `unsent` does.
+  if (delivery_.Observe(socket_.undelivered(), now) >
+      environment_.parameters.max_client_stall) {
+    End(client_end_reason::kStalled);
+  }
+  return true;
+}
+
 std::optional<time_point> client_connection::idle_since() const {
-  const bool idle = request_ == nullptr && !reader_.started() && !closing_;
+  const bool idle = request_ == nullptr && !reader_.started() && !closing_ &&
+                    socket_.unsent() == 0;
   return idle ? std::optional<time_point>(idle_since_) : std::nullopt;
 }
 
--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.h
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "skylarkcroft/internal/skylarkcroft_time.h"
+#include "skylarkcroft/relay/skylarkcroft_delivery_progress.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_environment.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_request.h"
 #include "skylarkcroft/relay/skylarkcroft_response_writer.h"
@@ -65,6 +66,10 @@
   void OnResponseFinished();
   void PrepareForNextRequest();
   void BeginClosing();
+  void TickClosing(time_point now);
+  /// Ends the connection if the client takes nothing of its answer; returns
+  /// whether bytes of it are undelivered.
+  bool CheckDelivery(size_t undelivered, time_point now);
   void CheckReadTimeouts(time_point now);
   /// Whether the connection neither reads nor serves a request and none lies
   /// unread.
@@ -92,7 +97,9 @@
   bool destruction_requested_ = false;
   bool end_recorded_ = false;
   time_point idle_since_{};
-  time_point closing_since_{};
+  /// Since when a closing connection has had nothing left to deliver.
+  time_point lingering_since_{};
+  delivery_progress delivery_;
   std::unique_ptr<relay_request> request_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   stream_socket socket_;
--- a/src/skylarkcroft/relay/skylarkcroft_relay_parameters.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_parameters.h
@@ -46,6 +46,8 @@
   /// Reading from the upstream pauses while more bytes than this are queued for
   /// the client.
   size_t max_client_backlog = 262144;
+  /// A client that takes no byte of its answer for this long is ended.
+  milliseconds max_client_stall{10000};
   client_capacity clients;
   /// New requests are rejected from this long after the shutdown request, so
   /// that those in flight can complete before shutdown_limit.
--- a/src/skylarkcroft/wire/skylarkcroft_stream_socket.cc
+++ b/src/skylarkcroft/wire/skylarkcroft_stream_socket.cc
@@ -169,6 +169,10 @@
   return evbuffer_get_length(bufferevent_get_output(impl_->handle()));
 }
 
+size_t stream_socket::undelivered() const {
+  return unsent() + UnacknowledgedBytes(bufferevent_getfd(impl_->handle()));
+}
+
 bool stream_socket::HasUnread() const {
   return evbuffer_get_length(bufferevent_get_input(impl_->handle())) > 0 ||
          HasUnreadBytes(bufferevent_getfd(impl_->handle()));
--- a/src/skylarkcroft/wire/skylarkcroft_stream_socket.h
+++ b/src/skylarkcroft/wire/skylarkcroft_stream_socket.h
@@ -55,6 +55,8 @@
   void ShutdownWrite();
   /// Written bytes that were not yet passed to the kernel.
   [[nodiscard]] size_t unsent() const;
+  /// Written bytes that the peer's system has not acknowledged.
+  [[nodiscard]] size_t undelivered() const;
   /// Whether bytes have arrived that on_bytes has not consumed, even if the
   /// event loop has not read them yet.
   [[nodiscard]] bool HasUnread() const;
--- a/tests/relay/connection_end_test.cc
+++ b/tests/relay/connection_end_test.cc
@@ -17,6 +17,10 @@
 constexpr milliseconds kLimit{200};
 constexpr milliseconds kPause{400};
 
+// More than the buffers of a connection take.
+constexpr size_t kLargeBody = 4000000;
+constexpr int kSmallReceiveBuffer = 65536;
+
 bool Contains(const std::string& text, const std::string& part) {
   return text.find(part) != std::string::npos;
 }
@@ -45,6 +49,24 @@
   }
 };
 
+/// A client that reads on all the time, but takes some four seconds for a large
+/// answer.
+struct slow_reader {
+  explicit slow_reader(limited_relay& relay)
+      : socket(relay.server.address(), kSmallReceiveBuffer),
+        reading(relay.loop.Every(milliseconds(10),
+                                 [this] { socket.Read(kLargeBody / 400); })) {}
+
+  blocking_client socket;
+  event_loop::handle_ptr reading;
+};
+
+std::string BodyOf(const std::string& response) {
+  const size_t end_of_head = response.find("\r\n\r\n");
+  return end_of_head == std::string::npos ? ""
+                                          : response.substr(end_of_head + 4);
+}
+
 }  // namespace
 
 // Guards against a whole request that is cut without an answer because the
@@ -159,6 +181,75 @@
   CHECK(relay.RequestCount() == 0);
 }
 
+// Guards against a large answer that is cut because its client reads it for
+// longer than a closing connection lingers.
+TEST_CASE("A slow client gets a large last answer whole",
+          "[relay][connection_end][regression]") {
+  const std::string body(kLargeBody, 'x');
+  limited_relay relay;
+  relay.SetHandler([&](const received_request& request) {
+    request.write(fixture::Response(request, body));
+  });
+  slow_reader client(relay);
+  client.socket.Send(fixture::Request("/safe/", "r1", "Connection: close\r\n"));
+  REQUIRE(relay.Await([&] { return client.socket.ended; }));
+  CHECK((BodyOf(client.socket.received) == body));
+}
+
+// Guards against a large answer that is cut because its connection counts as
+// idle while the answer is on its way.
+TEST_CASE("A kept connection is not idle before its answer is delivered",
+          "[relay][connection_end][planned_stop][regression]") {
+  const std::string body(kLargeBody, 'x');
+  enum class ended_by { kIdleLimit, kExcess, kShutdown };
+  const auto by =
+      GENERATE(ended_by::kIdleLimit, ended_by::kExcess, ended_by::kShutdown);
+  limited_relay relay;
+  if (by != ended_by::kIdleLimit) {
+    relay.map.limits.idle_timeout = milliseconds(15000);
+  }
+  relay.SetHandler([&](const received_request& request) {
+    request.write(fixture::Response(request, body));
+  });
+  slow_reader client(relay);
+  client.socket.Send(fixture::Request("/safe/", "r1"));
+  REQUIRE(relay.Await([&] { return relay.records.size() == 1; }));
+  if (by == ended_by::kExcess) {
+    relay.environment.parameters.clients = {4, 0, milliseconds(10)};
+  } else if (by == ended_by::kShutdown) {
+    relay.since_shutdown = milliseconds(2500);
+  }
+  const auto close_idle = relay.loop.Every(milliseconds(50), [&] {
+    if (by == ended_by::kShutdown) {
+      relay.server.CloseIdle();
+    }
+  });
+  REQUIRE(relay.Await([&] { return client.socket.ended; }));
+  CHECK((BodyOf(client.socket.received) == body));
+}
+
+// A client must not hold its connection by taking nothing of its answer.
+TEST_CASE("A client that reads nothing of its answer is ended",
+          "[relay][connection_end]") {
+  const std::string connection = GENERATE("close", "keep-alive");
+  const std::string body(kLargeBody, 'x');
+  limited_relay relay;
+  relay.environment.parameters.max_client_stall = milliseconds(300);
+  std::vector<client_end> ends;
+  relay.environment.on_client_ended = [&](const client_end& end) {
+    ends.push_back(end);
+  };
+  relay.SetHandler([&](const received_request& request) {
+    request.write(fixture::Response(request, body));
+  });
+  blocking_client client(relay.server.address(), kSmallReceiveBuffer);
+  client.Send(
+      fixture::Request("/safe/", "r1", "Connection: " + connection + "\r\n"));
+  REQUIRE(relay.Await([&] { return !ends.empty(); }));
+  CHECK(ends.front().reason == client_end_reason::kStalled);
+  CHECK(ends.front().unsent > 0);
+}
+
 // A client must not hold its connection by sending bytes without end.
 TEST_CASE("A request that arrives byte by byte gets a 408",
           "[relay][connection_end]") {
