Relay: the last answers are sent before the process ends

Cause: at the shutdown limit every request was ended with a 502 or 503, and the loop was stopped in the same call. The answers lay in the connections' buffers, which only a further turn of the loop sends.

Evidence: a node is stopped while an upstream does not answer, and destroyed as soon as its loop has stopped.

The loop now goes on after the limit until nothing is in flight, unsent or unread, 200 ms at most, half of the time that is kept for the exit. Requests that lie unread at the limit are read then and refused; that was not tried by a test. The adapter test's node has a grace of 1400 ms so that its end comes before that of the request; no other test of it stops a node.

--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.h
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.h
@@ -39,6 +39,10 @@
   /// Records once that this node ends the connection.
   void RecordEnd(client_end_reason reason);
   [[nodiscard]] bool busy() const { return request_ != nullptr; }
+  /// Whether no request is in flight and nothing is left to send or to read.
+  [[nodiscard]] bool IsSettled() const {
+    return !busy() && socket_.unsent() == 0 && !socket_.HasUnread();
+  }
   /// Since when the connection neither reads nor serves a request; empty while
   /// it does.
   [[nodiscard]] std::optional<time_point> idle_since() const;
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -67,6 +67,8 @@
 constexpr size_t kArchiveWriters = 2;
 // Time kept to exit before the process would be killed.
 constexpr milliseconds kExitMargin{400};
+// The part of it in which the last answers are sent.
+constexpr milliseconds kLastAnswersTime{200};
 // Requests to a leaving upstream have to end this long before it may exit.
 constexpr milliseconds kLeavingMargin{200};
 constexpr int kOkStatus = 200;
@@ -535,7 +537,8 @@
                      metrics_.Render()});
   }
 
-  /// Stops the loop once all clients are gone or the shutdown limit is reached.
+  /// Stops the loop once all clients are gone, or the shutdown limit is reached
+  /// and the last answers are sent.
   void ExitIfDrained() {
     const milliseconds since_shutdown = environment_.time_since_shutdown();
     if (since_shutdown >= kCloseIdleClientsAfter) {
@@ -549,7 +552,13 @@
     const bool drained =
         server_.clients() == 0 &&
         since_shutdown > environment_.parameters.reject_new_after;
-    if (!drained && !limit_reached) {
+    // What AbortAll() wrote is sent in the next turns of the loop.
+    const bool answers_sent =
+        limit_reached &&
+        (server_.IsSettled() ||
+         since_shutdown >=
+             environment_.parameters.shutdown_limit + kLastAnswersTime);
+    if (!drained && !answers_sent) {
       return;
     }
     server_.RecordExit();
--- a/src/skylarkcroft/relay/skylarkcroft_relay_server.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_server.cc
@@ -114,6 +114,12 @@
   }
 }
 
+bool relay_server::IsSettled() const {
+  return std::all_of(clients_.begin(), clients_.end(), [](const auto& entry) {
+    return entry.second->IsSettled();
+  });
+}
+
 size_t relay_server::busy() const {
   return static_cast<size_t>(
       std::count_if(clients_.begin(), clients_.end(),
--- a/src/skylarkcroft/relay/skylarkcroft_relay_server.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_server.h
@@ -31,6 +31,9 @@
   void AbortAll();
   /// Records the end of the connections that are left when the process exits.
   void RecordExit();
+  /// Whether no connection has a request in flight, bytes of an answer to send
+  /// or bytes of a client to read.
+  [[nodiscard]] bool IsSettled() const;
   /// Number of connections with a request in flight.
   [[nodiscard]] size_t busy() const;
   [[nodiscard]] size_t clients() const { return clients_.size(); }
--- a/tests/adapter/relay_node_test.cc
+++ b/tests/adapter/relay_node_test.cc
@@ -63,6 +63,7 @@
               store_, calls_, log_, SteadyNow, WallNowMs) {}
 
   [[nodiscard]] endpoint address() const { return node_.clients_address(); }
+  void Shutdown() { node_.Shutdown(); }
 
  private:
   static relay_settings Settings(const endpoint& platform,
@@ -80,6 +81,7 @@
     settings.bounds.strict_revocation = strict;
     settings.bounds.usage_window = milliseconds(1000);
     settings.bounds.lease = milliseconds(1500);
+    settings.bounds.grace_period = milliseconds(1400);
     return settings;
   }
 
@@ -196,6 +198,25 @@
   CHECK(Begins(on.Ask("k1"), "401"));
 }
 
+// Guards against requests that get neither an answer nor a refusal because the
+// process ends before the last answers are sent.
+TEST_CASE("A request still at work at the end of the grace gets a 502",
+          "[adapter][node][planned_stop][regression]") {
+  fixture mesh;
+  mesh.upstream.SetHandler([](const scripted_upstream::received_request&) {});
+  raw_client client(mesh.loop, mesh.relay->address());
+  client.Send(Request("r", "k1"));
+  const size_t before = mesh.upstream.requests.size();
+  REQUIRE(mesh.Await([&] { return mesh.upstream.requests.size() > before; }));
+  // The end of the grace comes before that of the request's time.
+  const auto term =
+      mesh.loop.After(milliseconds(1), [&] { mesh.relay->Shutdown(); });
+  mesh.loop.Run();
+  mesh.relay.reset();
+  REQUIRE(mesh.Await([&] { return client.closed; }));
+  CHECK(Begins(client.received, "502"));
+}
+
 TEST_CASE("A leaving upstream takes no requests", "[adapter][node][drain]") {
   fixture on;
   on.standin.Put("servers", "i-1", Entry(on.upstream.address(), "draining"));
