Node: a planned stop ends no request without an answer

Callers saw their connection close without an answer or an error event when a node that was stopped reached shutdown.limit_ms or got a second SIGTERM: the loop was stopped with requests under way. A large answer was also cut when all requests had ended but the caller had not yet taken what lay in the buffer of its connection, and a node that was leaving kept connections open whose next request it would refuse or lose.

At the limit, and at a second signal, everything under way now ends with the error shutting_down and its true run state; the loop stops once that has been taken, at the latest after a second. A drained node waits, within the limit, for bytes of answers to be taken and bytes of requests to be read. A refusal while leaving closes its connection. Deferred requests are left alone; another node goes on with them.

The refusal itself was sound before.

Ruled out: keeping "a second SIGTERM ends the process at once"; signals come in series from supervisors, and a second's delay costs less than lost requests.

--- a/src/skylarkcroft/http/skylarkcroft_connection_table.cc
+++ b/src/skylarkcroft/http/skylarkcroft_connection_table.cc
@@ -5,11 +5,13 @@
 #include <event2/event.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <utility>
 
 #include "skylarkcroft/http/skylarkcroft_problem.h"
+#include "skylarkcroft/internal/skylarkcroft_socket_state.h"
 
 namespace skylarkcroft {
 namespace {
@@ -64,6 +66,11 @@
     return receiving_since_.has_value() && now - *receiving_since_ > limit;
   }
 
+  [[nodiscard]] bool HasBytesWaiting() const {
+    return evbuffer_get_length(bufferevent_get_output(stream_)) > 0 ||
+           HasUnreadBytes(bufferevent_getfd(stream_));
+  }
+
   void HoldAtMost(size_t bytes) {
     bufferevent_setwatermark(stream_, EV_READ, 0, bytes);
   }
@@ -167,6 +174,12 @@
   }
 }
 
+bool connection_table::HasBytesWaiting() const {
+  return std::any_of(open_.begin(), open_.end(), [](const auto& entry) {
+    return !entry.second->Freed() && entry.second->HasBytesWaiting();
+  });
+}
+
 void connection_table::Clear() { open_.clear(); }
 
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/http/skylarkcroft_connection_table.h
+++ b/src/skylarkcroft/http/skylarkcroft_connection_table.h
@@ -45,6 +45,9 @@
   /// Answers 408 on each connection whose request is overdue and closes it, and
   /// forgets connections that have been closed.
   void Sweep(time_point now);
+  /// Whether bytes of answers wait to be taken, or bytes of requests to be
+  /// read.
+  [[nodiscard]] bool HasBytesWaiting() const;
   /// Forgets all connections.
   void Clear();
 
--- a/src/skylarkcroft/http/skylarkcroft_http_server.cc
+++ b/src/skylarkcroft/http/skylarkcroft_http_server.cc
@@ -327,6 +327,9 @@
 
   const endpoint& address() const { return address_; }
   size_t open_exchanges() const { return state_->open_count; }
+  bool has_bytes_waiting() const {
+    return state_->connections.HasBytesWaiting();
+  }
   uint64_t connections_accepted() const {
     return state_->connections.accepted();
   }
@@ -371,6 +374,10 @@
 
 size_t http_server::open_exchanges() const { return impl_->open_exchanges(); }
 
+bool http_server::has_bytes_waiting() const {
+  return impl_->has_bytes_waiting();
+}
+
 uint64_t http_server::connections_accepted() const {
   return impl_->connections_accepted();
 }
--- a/src/skylarkcroft/http/skylarkcroft_http_server.h
+++ b/src/skylarkcroft/http/skylarkcroft_http_server.h
@@ -71,6 +71,9 @@
   void StopAccepting();
   /// Requests whose answers have not ended.
   [[nodiscard]] size_t open_exchanges() const;
+  /// Whether bytes of answers wait to be taken, or bytes of requests to be
+  /// read.
+  [[nodiscard]] bool has_bytes_waiting() const;
   /// Connections accepted so far.
   [[nodiscard]] uint64_t connections_accepted() const;
   /// Connections that are open, or were closed within the last second.
--- a/src/skylarkcroft/node/skylarkcroft_front.cc
+++ b/src/skylarkcroft/node/skylarkcroft_front.cc
@@ -316,7 +316,11 @@
 
 void front::Refuse(const http_exchange_ptr& exchange, const problem& why) {
   environment_.metrics.CountRefusal(why.reason);
-  exchange->Reply(ToResponse(why));
+  http_response refusal = ToResponse(why);
+  if (why.reason == refusal_reason::kShuttingDown) {
+    refusal.headers.Add("Connection", "close");
+  }
+  exchange->Reply(refusal);
 }
 
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/node/skylarkcroft_node.cc
+++ b/src/skylarkcroft/node/skylarkcroft_node.cc
@@ -61,6 +61,9 @@
 constexpr milliseconds kFirstReportsCheck{20};
 // Time before the end of a shutdown at which what is unfinished is moved.
 constexpr milliseconds kHandoverMargin{3000};
+// Longest time for sending the errors of what is cut at the end.
+constexpr milliseconds kFlushLimit{1000};
+constexpr milliseconds kFlushPollPeriod{10};
 constexpr milliseconds kLimitsPeriodPerMember{60};
 /// Up to this many members, claims do not wait for the next round.
 constexpr size_t kHurriedMembers = 16;
@@ -175,7 +178,7 @@
 
   void Shutdown() {
     if (shutdown_requested_) {
-      loop_.Stop();
+      EndNow();
       return;
     }
     shutdown_requested_ = true;
@@ -190,7 +193,7 @@
     handover_timer_ =
         loop_.After(settle + limit - std::min(kHandoverMargin, limit / 2),
                     [this] { handover_->HandOver([](bool /*taken*/) {}); });
-    limit_timer_ = loop_.After(settle + limit, [this] { loop_.Stop(); });
+    limit_timer_ = loop_.After(settle + limit, [this] { EndNow(); });
   }
 
   const endpoint& callers_address() const { return callers_server_.address(); }
@@ -415,14 +418,36 @@
     callers_server_.StopAccepting();
     drain_timer_ = loop_.Every(kDrainPollPeriod, [this] {
       if (registry_.active_read() == 0 && front_.open_writers() == 0 &&
-          handover_->active_reads() == 0 &&
-          callers_server_.open_exchanges() == 0) {
+          handover_->active_reads() == 0 && AllSent()) {
         log_.Log({log_level::kInfo, "drained", "", "", "", "", {}});
         loop_.Stop();
       }
     });
   }
 
+  [[nodiscard]] bool AllSent() const {
+    return callers_server_.open_exchanges() == 0 &&
+           !callers_server_.has_bytes_waiting();
+  }
+
+  // Ends what is under way with an error, and the loop once callers have taken
+  // it.
+  void EndNow() {
+    if (flush_timer_) {
+      return;
+    }
+    front_.RefuseNew();
+    handover_timer_.reset();
+    limit_timer_ = loop_.After(kFlushLimit, [this] { loop_.Stop(); });
+    flush_timer_ = loop_.Every(kFlushPollPeriod, [this] {
+      if (AllSent()) {
+        loop_.Stop();
+      }
+    });
+    runner_.FailAll(refusal_reason::kShuttingDown,
+                    "this node has left; send it again");
+  }
+
   event_loop& loop_;
   const settings config_;
   logger& log_;
@@ -475,6 +500,7 @@
   event_loop::handle_ptr drain_timer_;
   event_loop::handle_ptr handover_timer_;
   event_loop::handle_ptr limit_timer_;
+  event_loop::handle_ptr flush_timer_;
   bool shutdown_requested_ = false;
 };
 
--- a/src/skylarkcroft/node/skylarkcroft_request_runner.cc
+++ b/src/skylarkcroft/node/skylarkcroft_request_runner.cc
@@ -261,6 +261,16 @@
   }
 }
 
+void request_runner::FailAll(refusal_reason reason, const std::string& detail) {
+  constexpr std::chrono::seconds kRetrySoon{1};
+  for (const auto& [id, entry] : environment_.registry.entries()) {
+    // What is stored goes on at another node.
+    if (entry.run != nullptr && !entry.deferred) {
+      entry.run->Fail(reason, detail, kRetrySoon);
+    }
+  }
+}
+
 void request_runner::Sweep() {
   const time_point now = environment_.clock();
   const answer_settings& bounds = environment_.answers;
--- a/src/skylarkcroft/node/skylarkcroft_request_runner.h
+++ b/src/skylarkcroft/node/skylarkcroft_request_runner.h
@@ -54,6 +54,8 @@
   /// Goes on with a request that a leaving node handed over. False when the
   /// tables in force have no such caller, route or pool.
   bool Adopt(const handover_record& record);
+  /// Ends all requests as failed, except deferred ones.
+  void FailAll(refusal_reason reason, const std::string& detail);
   /// Runs a stored request; `done` gets how it ended.
   void RunDeferred(const deferred_request& stored,
                    std::function<void(const deferred_run_result&)> done);
--- a/tests/node/scripted_node.h
+++ b/tests/node/scripted_node.h
@@ -14,7 +14,12 @@
 /// A node with one engine whose answers the test writes.
 class scripted_node {
  public:
-  explicit scripted_node(scripted_upstream::handler answer) {
+  explicit scripted_node(scripted_upstream::handler answer,
+                         const shutdown_settings& shutdown =
+                             {milliseconds(50), milliseconds(120000)})
+      : fixture(0, 0) {
+    fixture.shutdown = shutdown;
+    fixture.AddNode();
     engine.SetHandler([this, answer = std::move(answer)](
                           const scripted_upstream::received_request& request) {
       if (request.head.target.starts_with("/load")) {
@@ -59,7 +64,7 @@
     return "id: " + std::to_string(number) + "\ndata: " + data.dump() + "\n\n";
   }
 
-  node_fixture fixture{1, 0};
+  node_fixture fixture;
   scripted_upstream engine{fixture.loop};
   int tries = 0;
 
