Notices: a datagram with an array of excessive length is refused

What callers saw: nothing yet; a node that gets such a datagram of 9 bytes on its port for peers may end.

Evidence: found by random changes of an encoded notice. On the code before, both new tests failed by "[json.exception.out_of_range.408] excessive array size:".

Ruled out: datagrams of 1,200 to 65,507 bytes that nest one array a byte are refused by both. Open: DecodeReport and DecodeChanges make the same call outside their try blocks; they are not changed here.

--- a/src/skylarkcroft/quarantine/skylarkcroft_quarantine_notice.cc
+++ b/src/skylarkcroft/quarantine/skylarkcroft_quarantine_notice.cc
@@ -142,11 +142,12 @@
 }
 
 std::optional<quarantine_notice> DecodeNotice(std::string_view bytes) {
-  const json items = json::from_cbor(bytes.begin(), bytes.end(), true, false);
-  if (!items.is_array() || items.empty() || items.front() != kFormatName) {
-    return std::nullopt;
-  }
   try {
+    // Throws for lengths that it cannot hold even if told not to.
+    const json items = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    if (!items.is_array() || items.empty() || items.front() != kFormatName) {
+      return std::nullopt;
+    }
     return DecodeItems(items);
   } catch (const json::exception&) {
     // Not written by this program. The caller counts it as malformed.
--- a/tests/quarantine/quarantine_notice_test.cc
+++ b/tests/quarantine/quarantine_notice_test.cc
@@ -86,4 +86,11 @@
   CHECK_FALSE(memory.LastSuccess(2).has_value());
 }
 
+// Guards against a datagram of a few bytes that ends the process: the length of
+// its array is beyond what the decoder can hold.
+TEST_CASE("An array of excessive length is no notice", "[quarantine][codec]") {
+  const std::string datagram = "\x9b\xff\xff\xff\xff\xff\xff\xff\xfe";
+  CHECK_FALSE(DecodeNotice(datagram).has_value());
+}
+
 }  // namespace skylarkcroft
--- a/tests/quarantine/request_notice_test.cc
+++ b/tests/quarantine/request_notice_test.cc
@@ -98,6 +98,14 @@
   CHECK_FALSE(DecodeRequestNotice(notice(none, list(entry))).has_value());
 }
 
+// Guards against a datagram of a few bytes that ends the process: the length of
+// its array is beyond what the decoder can hold.
+TEST_CASE("An array of excessive length is no notice on requests",
+          "[quarantine][codec]") {
+  const std::string datagram = "\x9b\xff\xff\xff\xff\xff\xff\xff\xfe";
+  CHECK_FALSE(DecodeRequestNotice(datagram).has_value());
+}
+
 TEST_CASE("Bytes that were cut off are no notice on requests",
           "[quarantine][codec]") {
   const std::string datagram =
