--- a/fuzz/peer_datagram_fuzz.cc
+++ b/fuzz/peer_datagram_fuzz.cc
@@ -1,6 +1,7 @@
 #include "fuzz/fuzz_input.h"
 #include "skylarkcroft/peers/skylarkcroft_peer_report.h"
 #include "skylarkcroft/quarantine/skylarkcroft_quarantine_notice.h"
+#include "skylarkcroft/quarantine/skylarkcroft_request_notice.h"
 #include "skylarkcroft/store/skylarkcroft_table_changes.h"
 
 namespace skylarkcroft {
@@ -11,6 +12,7 @@
     static_cast<void>(DecodeReport(text));
     static_cast<void>(DecodeChanges(text));
     static_cast<void>(DecodeNotice(text));
+    static_cast<void>(DecodeRequestNotice(text));
   });
 }
 
