Documents from outside are refused beyond 100 levels of nesting

What was seen: a document with 100,000 nested arrays ended the process that read it, and so did each later start, as long as the document was there. It could be the operator's config or a table edit of a node, the body of a completion request, which any caller may send, or a datagram of 64 KB to the port for peers.

Cause: nlohmann::json parses text with a stack of its own, but copies and writes a document with one call a level, as it reads CBOR and MessagePack. ReadConfig copies members (json::value, json::items), the table rows copy the whole document, a completion request is written again for the upstream. A CBOR string of unstated length within another is read by a call as well.

Now ParseBoundedJson, DecodeBoundedCbor and DecodeBoundedMessagePack are the only readers of such documents. The parser's callback, or a pass over the events of the binary formats before the document is built, ends the reading at the first level too many, so that no deep document exists that could be copied. The cost of the second pass over a datagram was not measured.

--- a/src/skylarkcroft/attempt/skylarkcroft_completion_document.cc
+++ b/src/skylarkcroft/attempt/skylarkcroft_completion_document.cc
@@ -3,12 +3,13 @@
 #include <nlohmann/json.hpp>
 
 #include "skylarkcroft/attempt/skylarkcroft_buffered_response.h"
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
 
 namespace skylarkcroft {
 namespace {
 
 nlohmann::json ParseObject(const std::string& text) {
-  nlohmann::json parsed = nlohmann::json::parse(text, nullptr, false);
+  nlohmann::json parsed = ParseBoundedJson(text);
   return parsed.is_object() ? parsed : nlohmann::json::object();
 }
 
--- a/src/skylarkcroft/attempt/skylarkcroft_completion_request.cc
+++ b/src/skylarkcroft/attempt/skylarkcroft_completion_request.cc
@@ -4,6 +4,7 @@
 #include <cctype>
 #include <nlohmann/json.hpp>
 
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
 #include "skylarkcroft/internal/skylarkcroft_error.h"
 #include "skylarkcroft/internal/skylarkcroft_json_reader.h"
 
@@ -99,7 +100,7 @@
 }
 
 std::string ParseModelName(const std::string& body) {
-  const nlohmann::json document = nlohmann::json::parse(body, nullptr, false);
+  const nlohmann::json document = ParseBoundedJson(body);
   if (!document.is_object()) {
     return {};
   }
--- a/src/skylarkcroft/attempt/skylarkcroft_outcome_poller.cc
+++ b/src/skylarkcroft/attempt/skylarkcroft_outcome_poller.cc
@@ -7,6 +7,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
+
 namespace skylarkcroft {
 namespace {
 
@@ -21,7 +23,7 @@
 }
 
 std::optional<http_response> ParseOutcome(const std::string& body) {
-  const nlohmann::json document = nlohmann::json::parse(body, nullptr, false);
+  const nlohmann::json document = ParseBoundedJson(body);
   if (!document.is_object() || !document.contains("status") ||
       !document.at("status").is_number_integer()) {
     return std::nullopt;
--- a/src/skylarkcroft/claims/skylarkcroft_claim_record.cc
+++ b/src/skylarkcroft/claims/skylarkcroft_claim_record.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <string_view>
 
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
 #include "skylarkcroft/internal/skylarkcroft_digest.h"
 
 namespace skylarkcroft {
@@ -103,7 +104,7 @@
 }
 
 std::optional<claim_record> DecodeClaim(const std::string& text) {
-  const nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
+  const nlohmann::json document = ParseBoundedJson(text);
   try {
     const std::optional<claim_state> state =
         ParseState(document.at("state").get<std::string>());
--- a/src/skylarkcroft/cli/skylarkcroft_operators_client.cc
+++ b/src/skylarkcroft/cli/skylarkcroft_operators_client.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "skylarkcroft/cli/skylarkcroft_cli_errors.h"
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
 
 namespace skylarkcroft {
@@ -81,7 +82,7 @@
 }
 
 nlohmann::json ParseBody(const http_response& response) {
-  nlohmann::json body = nlohmann::json::parse(response.body, nullptr, false);
+  nlohmann::json body = ParseBoundedJson(response.body);
   return body.is_discarded() ? nlohmann::json() : body;
 }
 
--- a/src/skylarkcroft/control/skylarkcroft_lease_record.cc
+++ b/src/skylarkcroft/control/skylarkcroft_lease_record.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
+
 namespace skylarkcroft {
 namespace {
 
@@ -24,7 +26,7 @@
 }
 
 std::optional<lease_record> DecodeLease(const std::string& document) {
-  const nlohmann::json parsed = nlohmann::json::parse(document, nullptr, false);
+  const nlohmann::json parsed = ParseBoundedJson(document);
   try {
     lease_record record;
     record.holder.name = parsed.at("holder").get<std::string>();
--- a/src/skylarkcroft/control/skylarkcroft_stream_mover.cc
+++ b/src/skylarkcroft/control/skylarkcroft_stream_mover.cc
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
+
 namespace skylarkcroft {
 namespace {
 
@@ -104,9 +106,7 @@
 void stream_mover::OnExported(const transfer_ptr& pending,
                               const std::optional<http_response>& response) {
   const nlohmann::json exported =
-      Succeeded(response)
-          ? nlohmann::json::parse(response->body, nullptr, false)
-          : nlohmann::json();
+      Succeeded(response) ? ParseBoundedJson(response->body) : nlohmann::json();
   const std::optional<endpoint> target =
       streams_.ChooseTarget(pending->stream.request_id, clock_());
   const bool usable = exported.is_object() && exported.contains("kv") &&
--- a/src/skylarkcroft/control/skylarkcroft_upstream_order.cc
+++ b/src/skylarkcroft/control/skylarkcroft_upstream_order.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
+
 namespace skylarkcroft {
 
 bool SameWeights(const engine_state& left, const engine_state& right) {
@@ -24,7 +26,7 @@
 }
 
 std::optional<order_report> ParseOrderReport(std::string_view body) {
-  const nlohmann::json document = nlohmann::json::parse(body, nullptr, false);
+  const nlohmann::json document = ParseBoundedJson(body);
   try {
     order_report report;
     report.fence = document.at("fence").get<int64_t>();
--- a/src/skylarkcroft/deferred/skylarkcroft_deferred_record.cc
+++ b/src/skylarkcroft/deferred/skylarkcroft_deferred_record.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
 #include "skylarkcroft/internal/skylarkcroft_digest.h"
 
 namespace skylarkcroft {
@@ -94,7 +95,7 @@
 }
 
 std::optional<deferred_request> DecodeDeferred(const std::string& text) {
-  const nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
+  const nlohmann::json document = ParseBoundedJson(text);
   try {
     deferred_request request;
     request.id = document.at("id").get<std::string>();
@@ -121,7 +122,7 @@
 }
 
 std::optional<deferred_outcome> DecodeOutcome(const std::string& text) {
-  const nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
+  const nlohmann::json document = ParseBoundedJson(text);
   try {
     deferred_outcome outcome;
     outcome.id = document.at("id").get<std::string>();
--- a/src/skylarkcroft/duties/skylarkcroft_usage_journal.cc
+++ b/src/skylarkcroft/duties/skylarkcroft_usage_journal.cc
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
+
 namespace skylarkcroft {
 
 std::optional<int64_t> usage_journal::NewestWindow() const {
@@ -52,7 +54,7 @@
 }
 
 std::optional<usage_journal> DecodeJournal(const std::string& document) {
-  const nlohmann::json parsed = nlohmann::json::parse(document, nullptr, false);
+  const nlohmann::json parsed = ParseBoundedJson(document);
   try {
     usage_journal journal;
     for (const nlohmann::json& item : parsed) {
--- a/src/skylarkcroft/handover/skylarkcroft_handover_record.cc
+++ b/src/skylarkcroft/handover/skylarkcroft_handover_record.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
+
 namespace skylarkcroft {
 namespace {
 
@@ -44,7 +46,7 @@
 
 std::optional<std::vector<handover_record>> DecodeHandover(
     const std::string& body) {
-  const nlohmann::json document = nlohmann::json::parse(body, nullptr, false);
+  const nlohmann::json document = ParseBoundedJson(body);
   if (!document.is_array()) {
     return std::nullopt;
   }
--- a/src/skylarkcroft/handover/skylarkcroft_successors.cc
+++ b/src/skylarkcroft/handover/skylarkcroft_successors.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
+
 namespace skylarkcroft {
 namespace {
 
@@ -17,8 +19,7 @@
 }
 
 std::optional<drain_notice> DecodeDrain(const std::string& payload) {
-  const nlohmann::json document =
-      nlohmann::json::parse(payload, nullptr, false);
+  const nlohmann::json document = ParseBoundedJson(payload);
   if (!document.is_object()) {
     return std::nullopt;
   }
--- a/src/skylarkcroft/internal/skylarkcroft_json_reader.cc
+++ b/src/skylarkcroft/internal/skylarkcroft_json_reader.cc
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 #include <utility>
 
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
 #include "skylarkcroft/internal/skylarkcroft_error.h"
 
 namespace skylarkcroft {
@@ -193,7 +195,7 @@
 
 nlohmann::json ParseJson(std::string_view text) {
   try {
-    return nlohmann::json::parse(text);
+    return ParseBoundedJsonOrThrow(text);
   } catch (const nlohmann::json::parse_error& failure) {
     throw config_error(
         "$", "is not valid JSON near byte " + std::to_string(failure.byte),
@@ -201,6 +203,9 @@
   } catch (const nlohmann::json::out_of_range&) {
     throw config_error("$", "holds a number beyond the range of a double",
                        "use a smaller number");
+  } catch (const std::length_error& failure) {
+    throw config_error("$", std::string("has ") + failure.what(),
+                       "nest it less deeply");
   }
 }
 
--- a/src/skylarkcroft/limits/skylarkcroft_caller_allocations.cc
+++ b/src/skylarkcroft/limits/skylarkcroft_caller_allocations.cc
@@ -3,6 +3,8 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
+
 namespace skylarkcroft {
 namespace {
 
@@ -43,7 +45,7 @@
 
 allocations_by_caller DecodeAllocations(std::string_view payload) {
   allocations_by_caller allocations;
-  const json document = json::from_msgpack(payload, true, false);
+  const json document = DecodeBoundedMessagePack(payload);
   if (!document.is_object()) {
     return allocations;
   }
--- a/src/skylarkcroft/mesh/skylarkcroft_member.cc
+++ b/src/skylarkcroft/mesh/skylarkcroft_member.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <nlohmann/json.hpp>
 
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
 #include "skylarkcroft/internal/skylarkcroft_error.h"
 
 namespace skylarkcroft {
@@ -46,7 +47,7 @@
 
 std::optional<member_details> DecodeMemberDetails(std::string_view payload) {
   try {
-    return Read(json::from_msgpack(payload));
+    return Read(DecodeBoundedMessagePack(payload));
   } catch (const json::exception&) {
     return std::nullopt;
   } catch (const config_error&) {
--- a/src/skylarkcroft/mesh/skylarkcroft_mesh.cc
+++ b/src/skylarkcroft/mesh/skylarkcroft_mesh.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
 #include "skylarkcroft/mesh/skylarkcroft_mesh_transport.h"
 
 namespace skylarkcroft {
@@ -36,7 +37,7 @@
 std::vector<mesh_record> DecodeSuspects(const std::string& payload) {
   std::vector<mesh_record> suspected;
   try {
-    for (const json& fields : json::from_msgpack(payload)) {
+    for (const json& fields : DecodeBoundedMessagePack(payload)) {
       mesh_record record;
       record.publisher = fields.at(0).get<std::string>();
       record.topic = kMemberTopic;
--- a/src/skylarkcroft/mesh/skylarkcroft_mesh_message.cc
+++ b/src/skylarkcroft/mesh/skylarkcroft_mesh_message.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <nlohmann/json.hpp>
 
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
 #include "skylarkcroft/internal/skylarkcroft_digest.h"
 
 namespace skylarkcroft {
@@ -176,7 +177,7 @@
     return {std::nullopt, mesh_drop::kNotAuthentic};
   }
   try {
-    return {DecodeBody(json::from_msgpack(body)), mesh_drop::kMalformed};
+    return {DecodeBody(DecodeBoundedMessagePack(body)), mesh_drop::kMalformed};
   } catch (const json::exception&) {
     return {std::nullopt, mesh_drop::kMalformed};
   }
--- a/src/skylarkcroft/node/skylarkcroft_operators_api.cc
+++ b/src/skylarkcroft/node/skylarkcroft_operators_api.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "skylarkcroft/http/skylarkcroft_problem.h"
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
 #include "skylarkcroft/internal/skylarkcroft_digest.h"
 #include "skylarkcroft/log/skylarkcroft_logger.h"
 #include "skylarkcroft/metrics/skylarkcroft_metrics_registry.h"
@@ -178,7 +179,7 @@
                                     : tables->pools_document;
   ReplyJson(exchange, kOk,
             {{"revision", tables->revision},
-             {"document", nlohmann::json::parse(document)}});
+             {"document", ParseBoundedJson(document)}});
 }
 
 void operators_api::OnPut(const http_exchange_ptr& exchange, table_kind table) {
@@ -262,16 +263,14 @@
                   "its history"}});
       return;
     }
-    ReplyJson(
-        exchange, kOk,
-        {{"revision", revision},
-         {"document", nlohmann::json::parse(edit->document, nullptr, false)}});
+    ReplyJson(exchange, kOk,
+              {{"revision", revision},
+               {"document", ParseBoundedJson(edit->document)}});
   });
 }
 
 void operators_api::OnLogLevel(const http_exchange_ptr& exchange) {
-  const nlohmann::json body =
-      nlohmann::json::parse(exchange->request().body, nullptr, false);
+  const nlohmann::json body = ParseBoundedJson(exchange->request().body);
   const std::string name = StringMember(body, "level");
   const std::optional<log_level> level = ParseLogLevel(name);
   if (!level) {
--- a/src/skylarkcroft/peers/skylarkcroft_peer_report.cc
+++ b/src/skylarkcroft/peers/skylarkcroft_peer_report.cc
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
+
 namespace skylarkcroft {
 namespace {
 
@@ -227,7 +229,7 @@
 }
 
 std::optional<peer_report> DecodeReport(std::string_view bytes) {
-  const json items = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+  const json items = DecodeBoundedCbor(bytes);
   if (!items.is_array() || items.empty() || items.front() != kFormatVersion) {
     return std::nullopt;
   }
--- a/src/skylarkcroft/platform/skylarkcroft_cloud_api_client.cc
+++ b/src/skylarkcroft/platform/skylarkcroft_cloud_api_client.cc
@@ -1,6 +1,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
 #include "skylarkcroft/internal/skylarkcroft_error.h"
 #include "skylarkcroft/platform/skylarkcroft_cloud_api.h"
 #include "skylarkcroft/platform/skylarkcroft_cloud_codec.h"
@@ -35,7 +36,7 @@
 }
 
 bool HasCode(const std::string& body, const std::string& code) {
-  const json answer = json::parse(body, nullptr, false);
+  const json answer = ParseBoundedJson(body);
   return answer.is_object() && answer.contains("code") &&
          answer["code"] == code;
 }
--- a/src/skylarkcroft/platform/skylarkcroft_table_service_client.cc
+++ b/src/skylarkcroft/platform/skylarkcroft_table_service_client.cc
@@ -1,6 +1,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
 #include "skylarkcroft/internal/skylarkcroft_error.h"
 #include "skylarkcroft/internal/skylarkcroft_json_reader.h"
 #include "skylarkcroft/platform/skylarkcroft_service_caller.h"
@@ -65,7 +66,7 @@
 
 write_result ReadRefusal(const std::string& body) {
   try {
-    const json answer = json::parse(body);
+    const json answer = ParseBoundedJson(body);
     const std::string type = answer.value("__type", "");
     if (type.empty() || type.ends_with("TransactionInProgressException")) {
       return {write_outcome::kUnknown, {}};
--- a/src/skylarkcroft/quarantine/skylarkcroft_quarantine_archive.cc
+++ b/src/skylarkcroft/quarantine/skylarkcroft_quarantine_archive.cc
@@ -6,6 +6,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
+
 namespace skylarkcroft {
 namespace {
 
@@ -39,7 +41,7 @@
 
 std::optional<quarantined_parts> DecodeQuarantineRow(const stored_row& row,
                                                      milliseconds store_now) {
-  const json value = json::parse(row.value, nullptr, false);
+  const json value = ParseBoundedJson(row.value);
   try {
     quarantined_parts entry;
     entry.parts = value.at("parts").get<std::vector<part_key>>();
--- a/src/skylarkcroft/quarantine/skylarkcroft_request_notice.cc
+++ b/src/skylarkcroft/quarantine/skylarkcroft_request_notice.cc
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
+
 namespace skylarkcroft {
 namespace {
 
@@ -170,12 +172,11 @@
 }
 
 std::optional<request_notice> DecodeRequestNotice(std::string_view bytes) {
+  const json items = DecodeBoundedCbor(bytes);
+  if (!items.is_array() || items.empty() || items.front() != kFormatName) {
+    return std::nullopt;
+  }
   try {
-    // Throws for lengths that it cannot hold even if told not to.
-    const json items = json::from_cbor(bytes.begin(), bytes.end(), true, false);
-    if (!items.is_array() || items.empty() || items.front() != kFormatName) {
-      return std::nullopt;
-    }
     return DecodeItems(items);
   } catch (const json::exception&) {
     // Not written by this program. The caller counts it as malformed.
--- a/src/skylarkcroft/routing/skylarkcroft_cache_events.cc
+++ b/src/skylarkcroft/routing/skylarkcroft_cache_events.cc
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
+
 namespace skylarkcroft {
 namespace {
 
@@ -35,7 +37,7 @@
 }  // namespace
 
 std::optional<cache_event_page> ParseCacheEvents(std::string_view body) {
-  const nlohmann::json document = nlohmann::json::parse(body, nullptr, false);
+  const nlohmann::json document = ParseBoundedJson(body);
   if (!document.is_object()) {
     return std::nullopt;
   }
--- a/src/skylarkcroft/routing/skylarkcroft_load_poller.cc
+++ b/src/skylarkcroft/routing/skylarkcroft_load_poller.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
+
 namespace skylarkcroft {
 
 namespace {
@@ -19,7 +21,7 @@
 }  // namespace
 
 std::optional<load_report> ParseLoadReport(std::string_view body) {
-  const nlohmann::json document = nlohmann::json::parse(body, nullptr, false);
+  const nlohmann::json document = ParseBoundedJson(body);
   if (!document.is_object()) {
     return std::nullopt;
   }
--- a/src/skylarkcroft/store/skylarkcroft_table_changes.cc
+++ b/src/skylarkcroft/store/skylarkcroft_table_changes.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
+
 namespace skylarkcroft {
 namespace {
 
@@ -123,7 +125,7 @@
 }
 
 std::optional<table_changes> DecodeChanges(std::string_view bytes) {
-  const json items = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+  const json items = DecodeBoundedCbor(bytes);
   if (!items.is_array() || items.empty() || items.front() != kFormatName) {
     return std::nullopt;
   }
--- a/src/skylarkcroft/tables/skylarkcroft_table_rows.cc
+++ b/src/skylarkcroft/tables/skylarkcroft_table_rows.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
+
 namespace skylarkcroft {
 namespace {
 
@@ -17,7 +19,7 @@
 }
 
 nlohmann::json ParseObject(const std::string& text) {
-  nlohmann::json parsed = nlohmann::json::parse(text, nullptr, false);
+  nlohmann::json parsed = ParseBoundedJson(text);
   return parsed.is_object() ? parsed : nlohmann::json::object();
 }
 
--- a/src/skylarkcroft/tables/skylarkcroft_table_sync.cc
+++ b/src/skylarkcroft/tables/skylarkcroft_table_sync.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
 #include "skylarkcroft/internal/skylarkcroft_error.h"
 #include "skylarkcroft/mesh/skylarkcroft_mesh.h"
 #include "skylarkcroft/tables/skylarkcroft_active_tables.h"
@@ -22,7 +23,7 @@
 }
 
 json DecodeFields(const std::string& payload) {
-  json fields = json::from_msgpack(payload, true, false);
+  json fields = DecodeBoundedMessagePack(payload);
   return fields.is_object() ? fields : json::object();
 }
 
