--- a/src/skylarkcroft/duties/skylarkcroft_usage_journal.cc
+++ b/src/skylarkcroft/duties/skylarkcroft_usage_journal.cc
@@ -55,11 +55,16 @@
 
 std::optional<usage_journal> DecodeJournal(const std::string& document) {
   const nlohmann::json parsed = ParseBoundedJson(document);
+  if (!parsed.is_array()) {
+    return std::nullopt;
+  }
   try {
     usage_journal journal;
     for (const nlohmann::json& item : parsed) {
       usage_report report{item.at("window").get<int64_t>(), {}};
-      for (const auto& [workspace, begun] : item.at("begun").items()) {
+      const auto& counts =
+          item.at("begun").get_ref<const nlohmann::json::object_t&>();
+      for (const auto& [workspace, begun] : counts) {
         report.counts.push_back(
             {report.window, workspace, begun.get<int64_t>()});
       }
--- a/tests/duties/usage_test.cc
+++ b/tests/duties/usage_test.cc
@@ -48,4 +48,16 @@
   CHECK_FALSE(DecodeJournal("nonsense").has_value());
 }
 
+// Guards against a second report of a window with other counts, after a row
+// that is no journal was taken for one without reports.
+TEST_CASE("A document that is no usage journal is not read as an empty one",
+          "[duties][usage][odd_entry]") {
+  const std::string odd = GENERATE(
+      as<std::string>{}, "", "not a journal", "null", "{}", "7", "[[]]",
+      R"([{"window": 5}])", R"([{"window": 5, "begun": 3}])",
+      R"([{"window": 5, "begun": null}])", R"([{"window": 5, "begun": [1]}])");
+  CHECK_FALSE(DecodeJournal(odd).has_value());
+  CHECK(DecodeJournal("[]") == usage_journal{});
+}
+
 }  // namespace skylarkcroft
