Numbers of entries and configs are checked against their range

What was seen: an entry of an upstream with "slots": 1e300, -5 or, a start or an end out of range was used as an upstream, with whatever the conversion gave. The same held for attempts, ranks and timeouts of a config.

Cause: json::value(key, 1) and a cast of a double convert without a check; a double outside the range of an integer is undefined behaviour, a longer integer loses its upper bits.

--- a/tests/adapter/platform_documents_test.cc
+++ b/tests/adapter/platform_documents_test.cc
@@ -77,4 +77,31 @@
   CHECK_FALSE(ReadUpstream("i-1", value).has_value());
 }
 
+// Guards against undefined conversions of numbers that are out of the range of
+// their type, which gave an upstream slots, a start or an end by accident.
+TEST_CASE("An entry with a number out of range names no upstream",
+          "[adapter][directory][odd_entry]") {
+  const std::string member =
+      GENERATE(as<std::string>{}, R"("slots": 1e300)", R"("slots": -5)",
+               R"("slots": 4294967297)", R"("born": 1e300)",
+               R"("born": 18446744073709551615)", R"("leaves_ms": 1e300)",
+               R"("leaves_ms": -9223372036854775808)",
+               R"("address": "10.0.0.1:65536")", R"("address": "10.0.0.1:-1")");
+  CHECK_FALSE(ReadUpstream("i-1", R"({"service": "s", "state": "ready",
+      "address": "10.0.0.1:80", )" + member +
+                                      "}")
+                  .has_value());
+}
+
+TEST_CASE("A config with a number out of range is none",
+          "[adapter][config][odd_entry]") {
+  const std::string member = GENERATE(
+      as<std::string>{}, R"("timeout_ms": 1e300)", R"("attempts": 1e300)",
+      R"("attempts": 4294967297)", R"("priority": -1e300)");
+  CHECK_FALSE(ReadConfig(R"({"version": 1, "services": [], "routes": [
+      {"host": "h", "path_prefix": "/", "service": "s", )" +
+                         member + "}]}")
+                  .has_value());
+}
+
 }  // namespace skylarkcroft
--- a/tests/adapter/store_replica_test.cc
+++ b/tests/adapter/store_replica_test.cc
@@ -191,4 +191,43 @@
   }));
 }
 
+// Guards against a node that ends, or no longer follows the list of upstreams,
+// because of one odd entry in it.
+TEST_CASE("An odd entry in the list of upstreams leaves the others in force",
+          "[adapter][store][odd_entry]") {
+  constexpr size_t kLevels = 20000;
+  const std::string nested =
+      std::string(kLevels, '[') + std::string(kLevels, ']');
+  const std::vector<std::string> odd = {
+      R"({"service": "desk", "address": "127.0.0.1:9", "state": "ready",
+          "more": )" +
+          nested + "}",
+      R"({"service": "desk", "address": "127.0.0.1:9", "state": "ready",
+          "slots": 1e300})",
+      R"({"service": "desk", "address": "127.0.0.1:65536", "state": "ready"})",
+      R"({"service": "desk", "address": )" + nested + "}",
+      "[1e400]",
+      "\xff\xfe",
+      ""};
+  resting_node node;
+  const auto usable = [&node](size_t count) {
+    return node.Await(milliseconds(3000), [&] {
+      return node.balancer.UsableCount("desk") == count;
+    });
+  };
+  REQUIRE(usable(1));
+  for (size_t i = 0; i < odd.size(); ++i) {
+    node.standin.Put("servers", "a-" + std::to_string(i), odd[i]);
+    node.standin.Put("servers", "z-" + std::to_string(i), odd[i]);
+  }
+  node.standin.Put("servers", "i-2", Entry("ready"));
+  CHECK(usable(2));
+  node.standin.Put("servers", "i-1", odd.front());
+  CHECK(usable(1));
+  node.standin.Put("servers", "i-1", Entry("ready"));
+  CHECK(usable(2));
+  node.standin.Put("servers", "i-2", Entry("draining"));
+  CHECK(usable(1));
+}
+
 }  // namespace skylarkcroft
