Relay: requests that crash upstreams are known by all that makes them the same

What callers saw: one request that crashes each upstream that runs it came again with the same path, workspace and body and was sent again; up to 192 upstreams ended under one request, and the requests beside it broke with them.

Cause: a request was known by the last part of its prompt, so not at all at a plain service; a crash later than 150 ms after the first output did not count; crashes of sound parts were dropped with the record of the request; the block ended after 15 s.

Now each request of each service has a key of service, method, target, workspace and body. request_quarantine decides at the start, before each retry and while an attempt waits without output (503 if it cannot have run, else 502). Each broken attempt is a crash, at any time; one that a quarantined part explains is told as explained; each whole answer with a status that does not mean "not run" is a success. Nodes tell each other at once, at the end of the turn of the loop, and in the periodic reports of quarantines. The archive keeps quarantined requests beside parts, in rows with another key prefix, at most 100 a call. The quarantine of parts no longer counts crashes of one request in the relay; the block after two crashes is that of the key. The lines "attempt failed", "request ended" and "request quarantined" carry the key.

relay_quarantine_test.cc: its requests with different prompts had the same path and body, and are different requests now only if their bodies differ; each prompt has its own body there. What is checked is unchanged.

--- a/src/skylarkcroft/quarantine/skylarkcroft_quarantine_archive.cc
+++ b/src/skylarkcroft/quarantine/skylarkcroft_quarantine_archive.cc
@@ -3,7 +3,11 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <functional>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 #include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
@@ -14,6 +18,12 @@
 using nlohmann::json;
 
 constexpr const char* kTable = "quarantines";
+constexpr const char* kRequestPrefix = "request-";
+// The store takes no more in one transaction.
+constexpr size_t kMaxRowsPerCall = 100;
+// Far beyond the longest quarantine.
+constexpr milliseconds kLongestSpan = std::chrono::hours(24 * 365);
+constexpr int64_t kMaxRelapses = 1000;
 // Least time between two calls of a node; bounds the load on the store.
 constexpr milliseconds kCallInterval{1000};
 // Time that the first writer has after a restore of the store; it learns of the
@@ -27,44 +37,120 @@
       XXH3_64bits(sorted.data(), sorted.size() * sizeof(part_key))});
 }
 
+// Tells the rows of requests from those of parts.
+std::string RowKey(request_key request) {
+  return kRequestPrefix + ToString(std::vector<part_key>{request});
+}
+
+// What the rows of both kinds say of a quarantine. Times are on the store's
+// clock.
+struct row_times {
+  milliseconds first_crash_age{0};
+  milliseconds remaining{0};
+  int relapses = 0;
+};
+
+json EncodeTimes(const row_times& times, milliseconds store_now) {
+  return {{"first_crash_ms", (store_now - times.first_crash_age).count()},
+          {"ends_ms", (store_now + times.remaining).count()},
+          {"relapses", times.relapses}};
+}
+
+// The span from one moment to another; throws where it is longer than any that
+// is written.
+milliseconds SpanBetween(int64_t from_ms, int64_t to_ms) {
+  int64_t span = 0;
+  if (__builtin_sub_overflow(to_ms, from_ms, &span) ||
+      span > kLongestSpan.count() || span < -kLongestSpan.count()) {
+    throw std::out_of_range("time of a quarantine is out of range");
+  }
+  return milliseconds(span);
+}
+
+row_times DecodeTimes(const json& value, milliseconds store_now) {
+  const auto number = [&value](const char* name) {
+    return value.at(name).get<int64_t>();
+  };
+  return {SpanBetween(number("first_crash_ms"), store_now.count()),
+          SpanBetween(store_now.count(), number("ends_ms")),
+          static_cast<int>(
+              std::clamp<int64_t>(number("relapses"), 0, kMaxRelapses))};
+}
+
+// Empty where a row is not valid.
+std::optional<int> RelapsesIn(const stored_row& row, milliseconds store_now) {
+  const std::optional<quarantined_parts> parts =
+      DecodeQuarantineRow(row, store_now);
+  if (parts.has_value()) {
+    return parts->relapses;
+  }
+  const std::optional<quarantined_request> request =
+      DecodeRequestRow(row, store_now);
+  return request.has_value() ? std::optional<int>(request->relapses)
+                             : std::nullopt;
+}
+
+// Empty where `decode` throws: the row was not written by this program, and
+// the writer replaces it.
+template <typename Entry>
+std::optional<Entry> DecodeRow(
+    const stored_row& row, const std::function<Entry(const json&)>& decode) {
+  try {
+    return decode(ParseBoundedJson(row.value));
+  } catch (const json::exception&) {
+    return std::nullopt;
+  } catch (const std::out_of_range&) {
+    return std::nullopt;
+  }
+}
+
 }  // namespace
 
 row_change EncodeQuarantineRow(const quarantined_parts& entry,
                                milliseconds store_now) {
-  const json value = {
-      {"parts", entry.parts},
-      {"first_crash_ms", (store_now - entry.first_crash_age).count()},
-      {"ends_ms", (store_now + entry.remaining).count()},
-      {"relapses", entry.relapses}};
+  json value = EncodeTimes(
+      {entry.first_crash_age, entry.remaining, entry.relapses}, store_now);
+  value["parts"] = entry.parts;
   return {kTable, RowKey(entry.parts), value.dump()};
 }
 
+row_change EncodeRequestRow(const quarantined_request& entry,
+                            milliseconds store_now) {
+  json value = EncodeTimes(
+      {entry.first_crash_age, entry.remaining, entry.relapses}, store_now);
+  value["request"] = entry.request;
+  return {kTable, RowKey(entry.request), value.dump()};
+}
+
 std::optional<quarantined_parts> DecodeQuarantineRow(const stored_row& row,
                                                      milliseconds store_now) {
-  const json value = ParseBoundedJson(row.value);
-  try {
-    quarantined_parts entry;
-    entry.parts = value.at("parts").get<std::vector<part_key>>();
-    entry.first_crash_age =
-        store_now - milliseconds(value.at("first_crash_ms").get<int64_t>());
-    entry.remaining =
-        milliseconds(value.at("ends_ms").get<int64_t>()) - store_now;
-    entry.relapses = std::max(value.at("relapses").get<int>(), 0);
-    const bool valid =
-        !entry.parts.empty() && entry.parts.size() <= kMaxSharedParts;
-    return valid ? std::optional<quarantined_parts>(std::move(entry))
-                 : std::nullopt;
-  } catch (const json::exception&) {
-    // Not written by this program; the writer replaces it.
-    return std::nullopt;
-  }
+  return DecodeRow<quarantined_parts>(row, [&](const json& value) {
+    const auto parts = value.at("parts").get<std::vector<part_key>>();
+    if (parts.empty() || parts.size() > kMaxSharedParts) {
+      throw std::out_of_range("number of prompt parts is out of range");
+    }
+    const row_times times = DecodeTimes(value, store_now);
+    return quarantined_parts{parts, times.first_crash_age, times.remaining,
+                             times.relapses};
+  });
+}
+
+std::optional<quarantined_request> DecodeRequestRow(const stored_row& row,
+                                                    milliseconds store_now) {
+  return DecodeRow<quarantined_request>(row, [&](const json& value) {
+    const row_times times = DecodeTimes(value, store_now);
+    return quarantined_request{value.at("request").get<request_key>(),
+                               times.first_crash_age, times.remaining,
+                               times.relapses};
+  });
 }
 
 quarantine_archive::quarantine_archive(
-    row_store& store, part_quarantine& quarantine, clock_fn clock,
-    std::function<void(store_outcome)> on_outcome)
+    row_store& store, part_quarantine& parts, request_quarantine& requests,
+    clock_fn clock, std::function<void(store_outcome)> on_outcome)
     : store_(store),
-      quarantine_(quarantine),
+      parts_(parts),
+      requests_(requests),
       clock_(std::move(clock)),
       on_outcome_(std::move(on_outcome)) {}
 
@@ -76,8 +162,9 @@
       role.is_second_writer && now < first_writer_until_;
   const bool must_write =
       loaded_ && changed_ && role.is_writer && !waits_for_first;
-  const bool must_read =
-      !loaded_ || (role.is_isolated && quarantine_.HasUnconfirmedCrashes(now));
+  const bool saw_crashes =
+      parts_.HasUnconfirmedCrashes(now) || requests_.HasUnconfirmedCrashes(now);
+  const bool must_read = !loaded_ || (role.is_isolated && saw_crashes);
   if (must_read || must_write) {
     next_call_ = now + kCallInterval;
     Read(must_write);
@@ -114,49 +201,69 @@
     return false;
   }
   const bool changed_before = changed_;
-  quarantine_notice notice;
+  quarantine_notice of_parts;
+  request_notice of_requests;
   for (const stored_row& row : view.rows) {
-    const std::optional<quarantined_parts> entry =
+    const std::optional<quarantined_parts> parts =
         DecodeQuarantineRow(row, *view.responded_at);
-    if (entry.has_value()) {
-      notice.quarantined.push_back(*entry);
+    if (parts.has_value()) {
+      of_parts.quarantined.push_back(*parts);
+      continue;
+    }
+    const std::optional<quarantined_request> request =
+        DecodeRequestRow(row, *view.responded_at);
+    if (request.has_value()) {
+      of_requests.quarantined.push_back(*request);
     }
   }
-  quarantine_.OnNotice(notice, now);
+  parts_.OnNotice(of_parts, now);
+  requests_.OnNotice(of_requests, now);
   // What was read needs no writing.
   changed_ = changed_before;
   return true;
 }
 
+std::vector<row_change> quarantine_archive::Rows(milliseconds store_now,
+                                                 time_point now) const {
+  std::vector<row_change> rows;
+  for (const quarantined_parts& entry : parts_.Entries(now)) {
+    rows.push_back(EncodeQuarantineRow(entry, store_now));
+  }
+  for (const quarantined_request& entry : requests_.Entries(now)) {
+    rows.push_back(EncodeRequestRow(entry, store_now));
+  }
+  return rows;
+}
+
 void quarantine_archive::Write(const store_response& view, time_point now) {
+  const std::vector<row_change> rows = Rows(*view.responded_at, now);
+  std::unordered_map<std::string, std::optional<int>> stored;
+  for (const stored_row& row : view.rows) {
+    stored[row.key] = RelapsesIn(row, *view.responded_at);
+  }
   row_transaction changes;
-  for (const quarantined_parts& entry : quarantine_.Entries(now)) {
-    const row_change row = EncodeQuarantineRow(entry, *view.responded_at);
-    const bool known = std::any_of(
-        view.rows.begin(), view.rows.end(), [&](const stored_row& other) {
-          const std::optional<quarantined_parts> stored =
-              DecodeQuarantineRow(other, *view.responded_at);
-          return other.key == row.key && stored.has_value() &&
-                 stored->relapses == entry.relapses;
-        });
-    if (!known) {
+  std::unordered_set<std::string> present;
+  for (const row_change& row : rows) {
+    present.insert(row.key);
+    const auto known = stored.find(row.key);
+    const bool is_current =
+        known != stored.end() && known->second.has_value() &&
+        known->second == RelapsesIn({kTable, row.key, *row.value, 0, false},
+                                    *view.responded_at);
+    if (!is_current) {
       changes.changes.push_back(row);
     }
   }
-  const std::vector<quarantined_parts> entries = quarantine_.Entries(now);
   for (const stored_row& row : view.rows) {
-    const bool present = std::any_of(entries.begin(), entries.end(),
-                                     [&](const quarantined_parts& entry) {
-                                       return RowKey(entry.parts) == row.key;
-                                     });
-    if (!present) {
+    if (!present.contains(row.key)) {
       changes.changes.push_back({kTable, row.key, std::nullopt});
     }
   }
-  changed_ = false;
+  changed_ = changes.changes.size() > kMaxRowsPerCall;
   if (changes.changes.empty()) {
     return;
   }
+  changes.changes.resize(std::min(changes.changes.size(), kMaxRowsPerCall));
   calling_ = true;
   const std::weak_ptr<bool> alive = alive_;
   store_.Commit(changes, [this, alive](const store_response& done) {
--- a/src/skylarkcroft/quarantine/skylarkcroft_quarantine_archive.h
+++ b/src/skylarkcroft/quarantine/skylarkcroft_quarantine_archive.h
@@ -9,6 +9,7 @@
 #include "skylarkcroft/internal/skylarkcroft_time.h"
 #include "skylarkcroft/quarantine/skylarkcroft_part_quarantine.h"
 #include "skylarkcroft/quarantine/skylarkcroft_quarantine_notice.h"
+#include "skylarkcroft/quarantine/skylarkcroft_request_quarantine.h"
 #include "skylarkcroft/store/skylarkcroft_row_store.h"
 
 namespace skylarkcroft {
@@ -26,15 +27,16 @@
   bool operator==(const archive_role&) const = default;
 };
 
-/// Keeps quarantines in the store, so that they outlast the end of all nodes
-/// and reach nodes that are cut off from their peers. Reads them once at the
-/// start; times are kept on the store's own clock.
+/// Keeps quarantines of parts and of requests in the store, so that they
+/// outlast the end of all nodes and reach nodes that are cut off from their
+/// peers. Reads them once at the start; times are kept on the store's own
+/// clock.
 class quarantine_archive {
  public:
   /// `on_outcome` is called with the outcome of each call to the store. The
-  /// store and the quarantine must outlive the archive.
-  quarantine_archive(row_store& store, part_quarantine& quarantine,
-                     clock_fn clock,
+  /// store and the quarantines must outlive the archive.
+  quarantine_archive(row_store& store, part_quarantine& parts,
+                     request_quarantine& requests, clock_fn clock,
                      std::function<void(store_outcome)> on_outcome);
 
   /// Starts the call that is due, if any; to be called regularly.
@@ -49,9 +51,13 @@
   /// Takes in the rows of the store; returns whether they could be read.
   bool Apply(const store_response& view, time_point now);
   void Write(const store_response& view, time_point now);
+  /// The rows of all quarantines in force.
+  [[nodiscard]] std::vector<row_change> Rows(milliseconds store_now,
+                                             time_point now) const;
 
   row_store& store_;
-  part_quarantine& quarantine_;
+  part_quarantine& parts_;
+  request_quarantine& requests_;
   clock_fn clock_;
   std::function<void(store_outcome)> on_outcome_;
   bool loaded_ = false;
@@ -66,9 +72,13 @@
 /// Row of a quarantine; `store_now` is the time of the store's clock.
 row_change EncodeQuarantineRow(const quarantined_parts& entry,
                                milliseconds store_now);
-/// Reads a row; returns nothing if it is invalid.
+row_change EncodeRequestRow(const quarantined_request& entry,
+                            milliseconds store_now);
+/// Reads a row; returns nothing if it is invalid or of another kind.
 std::optional<quarantined_parts> DecodeQuarantineRow(const stored_row& row,
                                                      milliseconds store_now);
+std::optional<quarantined_request> DecodeRequestRow(const stored_row& row,
+                                                    milliseconds store_now);
 
 }  // namespace skylarkcroft
 
--- a/src/skylarkcroft/relay/skylarkcroft_attempt_record.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_attempt_record.cc
@@ -9,6 +9,7 @@
   entry.request_id = record.request_id;
   entry.upstream = record.upstream;
   entry.fields = {
+      {"request_key", record.request_key},
       {"service", record.service},
       {"failure", record.failure},
       {"head_received", record.head_received ? "true" : "false"},
--- a/src/skylarkcroft/relay/skylarkcroft_attempt_record.h
+++ b/src/skylarkcroft/relay/skylarkcroft_attempt_record.h
@@ -13,6 +13,8 @@
 /// What is known of an attempt at an upstream that failed, for its log line.
 struct attempt_record {
   std::string request_id{};
+  /// Names the request and its repeats at all nodes, in quarantines too.
+  std::string request_key{};
   std::string service{};
   std::string upstream{};
   std::string failure{};  ///< Name of the attempt_failure.
--- a/src/skylarkcroft/relay/skylarkcroft_relay_environment.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_environment.h
@@ -10,6 +10,7 @@
 #include "skylarkcroft/limits/skylarkcroft_token_quotas.h"
 #include "skylarkcroft/placement/skylarkcroft_load_balancer.h"
 #include "skylarkcroft/quarantine/skylarkcroft_part_quarantine.h"
+#include "skylarkcroft/quarantine/skylarkcroft_request_quarantine.h"
 #include "skylarkcroft/relay/skylarkcroft_attempt_record.h"
 #include "skylarkcroft/relay/skylarkcroft_header_names.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_parameters.h"
@@ -30,6 +31,7 @@
   token_quotas& quotas;
   service_retry_budget& retries;
   part_quarantine& quarantine;
+  request_quarantine& crashing_requests;
   header_names names;
   relay_parameters parameters;
   gate_parameters gate;
@@ -51,7 +53,7 @@
   std::function<void(std::string_view what, const std::string& upstream,
                      const std::string& request_id, milliseconds duration)>
       on_announcement;
-  /// Called when the quarantine may have something to tell the peers.
+  /// Called when a quarantine may have something to tell the peers.
   std::function<void()> on_quarantine_changed;
   /// Called for each failed attempt.
   std::function<void(const attempt_record&)> on_attempt_failed;
--- a/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
@@ -23,6 +23,11 @@
       quarantines_(
           registry_.Gauge({"skylarkcroft_quarantines",
                            "Sets of prompt parts whose requests are rejected.",
+                           {}})),
+      quarantined_requests_(
+          registry_.Gauge({"skylarkcroft_quarantined_requests",
+                           "Requests that are or were quarantined and are not "
+                           "yet forgotten.",
                            {}})) {}
 
 void relay_metrics::RecordRequest(const request_record& record) {
@@ -104,6 +109,18 @@
       .Increment();
 }
 
+void relay_metrics::SetQuarantinedRequests(size_t count) {
+  quarantined_requests_.Set(static_cast<double>(count));
+}
+
+void relay_metrics::RecordRequestQuarantineChange(const std::string& what) {
+  registry_
+      .Counter({"skylarkcroft_request_quarantine_changes_total",
+                "Changes of which requests are quarantined, by kind.",
+                {{"change", what}}})
+      .Increment();
+}
+
 void relay_metrics::RecordArchiveCall(std::string_view outcome) {
   registry_
       .Counter({"skylarkcroft_quarantine_store_calls_total",
--- a/src/skylarkcroft/relay/skylarkcroft_relay_metrics.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.h
@@ -33,6 +33,9 @@
   void SetQuarantines(size_t count);
   /// Counts a change of what is quarantined; `what` names it.
   void RecordQuarantineChange(const std::string& what);
+  void SetQuarantinedRequests(size_t count);
+  /// Counts a change of which requests are quarantined.
+  void RecordRequestQuarantineChange(const std::string& what);
   [[nodiscard]] std::string Render() const {
     return registry_.RenderPrometheus();
   }
@@ -45,6 +48,7 @@
   counter& dropped_log_lines_;
   gauge& clients_;
   gauge& quarantines_;
+  gauge& quarantined_requests_;
 };
 
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -24,8 +24,11 @@
 #include "skylarkcroft/quarantine/skylarkcroft_part_quarantine.h"
 #include "skylarkcroft/quarantine/skylarkcroft_quarantine_archive.h"
 #include "skylarkcroft/quarantine/skylarkcroft_quarantine_notice.h"
+#include "skylarkcroft/quarantine/skylarkcroft_request_notice.h"
+#include "skylarkcroft/quarantine/skylarkcroft_request_quarantine.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_environment.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_metrics.h"
+#include "skylarkcroft/relay/skylarkcroft_relay_quarantines.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_server.h"
 #include "skylarkcroft/relay/skylarkcroft_store_replica.h"
 #include "skylarkcroft/relay/skylarkcroft_upstream_connections.h"
@@ -63,6 +66,9 @@
 constexpr double kMaxReadyAgeShare = 0.5;
 // Quarantines are told in one of so many reports.
 constexpr int kReportsPerQuarantineReport = 5;
+// Quarantines of requests end at the nodes over this time, so that few of them
+// try the request at once.
+constexpr milliseconds kMaxQuarantineEndDelay{10000};
 // Nodes that write quarantines to the store; two, so that one may fail.
 constexpr size_t kArchiveWriters = 2;
 // Time kept to exit before the process would be killed.
@@ -124,9 +130,13 @@
         quotas_(settings.first_start),
         retries_(MakeRetryBudgetParameters(settings.bounds)),
         quarantine_(
-            part_quarantine_parameters{},
+            PartQuarantineOfRelay(),
             [this](const quarantine_event& event) { LogQuarantine(event); }),
-        archive_(store, quarantine_, clock_,
+        crashing_requests_(MakeRequestQuarantineParameters(),
+                           [this](const request_quarantine_event& event) {
+                             LogRequestQuarantine(event);
+                           }),
+        archive_(store, quarantine_, crashing_requests_, clock_,
                  [this](store_outcome outcome) {
                    metrics_.RecordArchiveCall(ToString(outcome));
                  }),
@@ -206,6 +216,7 @@
                                   quotas_,
                                   retries_,
                                   quarantine_,
+                                  crashing_requests_,
                                   adapter_.names,
                                   relay_parameters{},
                                   gate_parameters{},
@@ -259,6 +270,14 @@
     return environment;
   }
 
+  request_quarantine_parameters MakeRequestQuarantineParameters() {
+    request_quarantine_parameters parameters = RequestQuarantineOfRelay();
+    parameters.end_delay =
+        milliseconds(std::uniform_int_distribution<milliseconds::rep>(
+            0, kMaxQuarantineEndDelay.count())(random_));
+    return parameters;
+  }
+
   void ApplyBounds(relay_environment& environment) const {
     environment.gate.max_tables_age_to_accept_key =
         settings_.bounds.strict_revocation
@@ -348,6 +367,7 @@
     }
     metrics_.SetClients(server_.clients());
     quarantine_.Tick(now);
+    crashing_requests_.Tick(now);
     TellQuarantineNews();
     archive_.Tick(now, ArchiveRole(now));
     SendReportIfDue(now);
@@ -381,7 +401,14 @@
     quarantine_notice notice;
     notice.quarantined = quarantine_.Report(now);
     metrics_.SetQuarantines(quarantine_.Entries(now).size());
-    for (const std::string& bytes : EncodeNotice(notice)) {
+    request_notice requests;
+    requests.quarantined = crashing_requests_.Report(now);
+    metrics_.SetQuarantinedRequests(crashing_requests_.QuarantineCount());
+    std::vector<std::string> datagrams = EncodeNotice(notice);
+    for (const std::string& bytes : EncodeRequestNotice(requests)) {
+      datagrams.push_back(bytes);
+    }
+    for (const std::string& bytes : datagrams) {
       for (const endpoint& target : targets) {
         channel_.Send(target, bytes);
       }
@@ -393,6 +420,20 @@
     if (!notice.empty()) {
       Broadcast(EncodeNotice(notice));
     }
+    // What one crash broke arrives in one turn of the loop and goes out in one
+    // datagram.
+    if (request_news_timer_ == nullptr) {
+      request_news_timer_ =
+          loop_.After(milliseconds(0), [this] { TellRequestNews(); });
+    }
+  }
+
+  void TellRequestNews() {
+    request_news_timer_ = nullptr;
+    const request_notice notice = crashing_requests_.TakeNotice();
+    if (!notice.empty()) {
+      Broadcast(EncodeRequestNotice(notice));
+    }
   }
 
   [[nodiscard]] archive_role ArchiveRole(time_point now) const {
@@ -419,6 +460,19 @@
               {"relapses", std::to_string(event.entry.relapses)}});
   }
 
+  void LogRequestQuarantine(const request_quarantine_event& event) {
+    metrics_.RecordRequestQuarantineChange(std::string(event.what));
+    archive_.OnChange();
+    LogEvent(
+        log_level::kWarn, "request " + std::string(event.what),
+        {{"source", std::string(event.source)},
+         {"request_key", ToString(std::vector<part_key>{event.entry.request})},
+         {"first_crash_age_ms",
+          std::to_string(event.entry.first_crash_age.count())},
+         {"remaining_ms", std::to_string(event.entry.remaining.count())},
+         {"relapses", std::to_string(event.entry.relapses)}});
+  }
+
   void SendReport(const peer_report& report,
                   const std::vector<endpoint>& targets) {
     const std::vector<std::string> datagrams = EncodeReport(report);
@@ -497,9 +551,16 @@
       return;
     }
     const std::optional<quarantine_notice> notice = DecodeNotice(bytes);
-    metrics_.RecordDatagram(notice.has_value());
     if (notice.has_value()) {
+      metrics_.RecordDatagram(true);
       quarantine_.OnNotice(*notice, clock_());
+      return;
+    }
+    const std::optional<request_notice> requests = DecodeRequestNotice(bytes);
+    metrics_.RecordDatagram(requests.has_value());
+    if (requests.has_value()) {
+      crashing_requests_.OnNotice(*requests, clock_());
+      TellQuarantineNews();
     }
   }
 
@@ -590,6 +651,7 @@
   token_quotas quotas_;
   service_retry_budget retries_;
   part_quarantine quarantine_;
+  request_quarantine crashing_requests_;
   quarantine_archive archive_;
   usage_ledger ledger_;
   fleet_planner planner_{fleet_planner_parameters{}};
@@ -607,6 +669,7 @@
   report_schedule quarantine_schedule_;
   broadcast_queue broadcasts_{kBroadcastBytesPerSecond};
   event_loop::handle_ptr broadcast_timer_;
+  event_loop::handle_ptr request_news_timer_;
   event_loop::handle_ptr housekeeping_timer_;
   event_loop::handle_ptr exit_timer_;
 };
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -162,11 +162,22 @@
     cache_tokens_ = pool->engine->cache_tokens;
     prompt_ = MakePromptKey(service_name_, generation_);
   }
+  key_ =
+      MakeRequestKey({service_name_, request_.head.method, request_.head.target,
+                      record_.workspace, request_.body});
+  record_.request_key = ToString(std::vector<part_key>{key_});
+}
+
+quarantine_verdict relay_request::DecideQuarantine(time_point now) const {
+  const quarantine_verdict of_parts =
+      environment_.quarantine.Decide(prompt_, now);
+  return of_parts.decision == quarantine_decision::kAllowed
+             ? environment_.crashing_requests.Decide(key_, now)
+             : of_parts;
 }
 
 bool relay_request::CheckQuarantine() {
-  const quarantine_verdict verdict =
-      environment_.quarantine.Decide(prompt_, environment_.clock());
+  const quarantine_verdict verdict = DecideQuarantine(environment_.clock());
   if (verdict.decision == quarantine_decision::kAllowed) {
     return true;
   }
@@ -292,6 +303,7 @@
   attempt_->last_byte_at = now;
   tried_upstreams_.push_back(placed.upstream.id);
   splitter_.Clear();
+  RecordSending(now);
   environment_.balancer.RecordRequestSent(placed.upstream.id, placed.work,
                                           generation_, now);
   const exchange_request request{
@@ -304,6 +316,16 @@
                 [this](exchange_result result) { OnEnd(result); }});
 }
 
+void relay_request::RecordSending(time_point now) {
+  request_quarantine& quarantine = environment_.crashing_requests;
+  quarantine.RecordSending(key_, now);
+  attempt_->is_trial =
+      quarantine.Decide(key_, now).decision != quarantine_decision::kAllowed;
+  if (attempt_->is_trial) {
+    environment_.on_quarantine_changed();
+  }
+}
+
 bool relay_request::IsForeignResponse(const message_head& head) const {
   if (!IsSuccess(head.status)) {
     return false;
@@ -579,9 +601,7 @@
   } else {
     response_.Finish();
   }
-  if (attempt_->first_output_at.has_value()) {
-    RecordSuccess();
-  }
+  RecordWholeAnswer(status);
   CloseAttempt(upstream_outcome::kSuccess);
   RecordEnd(status, "answered");
 }
@@ -595,46 +615,72 @@
   const bool head_only = request_.head.method == "HEAD";
   response_.Send(status, ClientResponseHeaders(head), attempt_->body,
                  head_only ? head.content_length : std::nullopt);
-  if (IsSuccess(status)) {
-    RecordSuccess();
-  }
+  RecordWholeAnswer(status);
   CloseAttempt(status < kFirstServerError ? upstream_outcome::kSuccess
                                           : upstream_outcome::kFailure);
   RecordEnd(status, "answered");
 }
 
 void relay_request::RecordSignOfLife(time_point now) {
+  const std::string& upstream = attempt_->placed.upstream.id;
   if (environment_.quarantine.HasUnconfirmedCrashes(now)) {
-    environment_.quarantine.RecordByte(
-        UpstreamKey(attempt_->placed.upstream.id), now);
+    environment_.quarantine.RecordByte(UpstreamKey(upstream), now);
+  }
+  if (environment_.crashing_requests.HasUnconfirmedCrashes(now)) {
+    environment_.crashing_requests.RecordByte(UpstreamKey(upstream), now);
   }
 }
 
-void relay_request::RecordSuccess() {
-  environment_.quarantine.RecordSuccess(prompt_, environment_.clock());
+void relay_request::RecordWholeAnswer(int status) {
+  const time_point now = environment_.clock();
+  const bool has_output =
+      !attempt_->is_stream || attempt_->first_output_at.has_value();
+  if (IsSuccess(status) && has_output) {
+    environment_.quarantine.RecordSuccess(prompt_, now);
+  }
+  if (!ImpliesNotExecuted(status)) {
+    environment_.crashing_requests.RecordSuccess(key_, now);
+  }
   environment_.on_quarantine_changed();
 }
 
 void relay_request::RecordIfCrash(attempt_failure failure, time_point now) {
+  if (failure != attempt_failure::kBroken) {
+    return;
+  }
+  request_quarantine& requests = environment_.crashing_requests;
+  const uint32_t upstream = UpstreamKey(attempt_->placed.upstream.id);
+  const bool part_is_known =
+      environment_.quarantine.Decide(prompt_, now).decision ==
+      quarantine_decision::kPartQuarantined;
+  if (part_is_known) {
+    requests.ExplainCrash(upstream, now);
+  } else {
+    requests.RecordCrash(upstream, key_, attempt_->started_at, now);
+  }
+  RecordCrashOfParts(now);
+  environment_.on_quarantine_changed();
+}
+
+void relay_request::RecordCrashOfParts(time_point now) {
   const time_point broken_at = attempt_->ended_at.value_or(now);
   const bool is_late =
       attempt_->first_output_at.has_value() &&
       broken_at - *attempt_->first_output_at > kFirstOutputWindow;
-  if (failure != attempt_failure::kBroken || is_late ||
-      prompt_.shared.empty()) {
+  if (is_late || prompt_.shared.empty()) {
     return;
   }
   environment_.quarantine.RecordCrash(
       {UpstreamKey(attempt_->placed.upstream.id), prompt_.request,
        attempt_->head.has_value(), prompt_.shared},
       now);
-  environment_.on_quarantine_changed();
 }
 
 attempt_record relay_request::DescribeFailure(attempt_failure failure,
                                               time_point now) const {
   attempt_record record;
   record.request_id = request_id_;
+  record.request_key = record_.request_key;
   record.service = service_name_;
   record.upstream = attempt_->placed.upstream.id;
   record.failure = std::string(ToString(failure));
@@ -698,8 +744,7 @@
     RecordEnd(0, "client_gone");
     return;
   }
-  const quarantine_decision quarantine =
-      environment_.quarantine.Decide(prompt_, now).decision;
+  const quarantine_decision quarantine = DecideQuarantine(now).decision;
   if (may_retry && quarantine == quarantine_decision::kAllowed) {
     StartNextAttempt();
     return;
@@ -771,11 +816,17 @@
 bool relay_request::RecallIfQuarantined(time_point now) {
   const bool waiting =
       attempt_ != nullptr && !attempt_->first_output_at.has_value();
-  if (!waiting || environment_.quarantine.Decide(prompt_, now).decision !=
-                      quarantine_decision::kPartQuarantined) {
+  if (!waiting) {
+    return false;
+  }
+  const quarantine_decision decision =
+      (attempt_->is_trial ? environment_.quarantine.Decide(prompt_, now)
+                          : DecideQuarantine(now))
+          .decision;
+  if (decision == quarantine_decision::kAllowed) {
     return false;
   }
-  AbortRequest(std::string(ToString(quarantine_decision::kPartQuarantined)));
+  AbortRequest(std::string(ToString(decision)));
   return true;
 }
 
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -62,6 +62,8 @@
     time_point last_byte_at{};
     /// An event with an id has been forwarded.
     bool event_seen = false;
+    /// The one attempt that is allowed after a quarantine of the request.
+    bool is_trial = false;
     /// Reading is paused because the client is too slow.
     bool paused = false;
     /// When the response ended with its connection. From then on it is not
@@ -73,8 +75,9 @@
 
   bool CheckGate();
   void ChooseRoutedService();
-  /// Rejects the request if its prompt crashes upstreams.
+  /// Rejects the request if it or its prompt crashes upstreams.
   bool CheckQuarantine();
+  [[nodiscard]] quarantine_verdict DecideQuarantine(time_point now) const;
   bool AcquireQuota();
   void SetDeadline();
   [[nodiscard]] milliseconds RemainingTime(time_point now) const;
@@ -83,6 +86,7 @@
   /// Ends the request where no upstream of its service takes it.
   void EndWithoutUpstream(time_point now);
   void SendTo(const placement& placed);
+  void RecordSending(time_point now);
   [[nodiscard]] std::string FormatRequest(const placement& placed) const;
   void OnHead(const message_head& head);
   void OnBody(std::string_view bytes);
@@ -131,14 +135,17 @@
   void Fail(attempt_failure failure);
   void CloseAttempt(upstream_outcome outcome);
   void CloseFailedAttempt(attempt_failure failure);
-  /// Records a byte, a success or a failure of the attempt for the quarantine.
+  /// Records a byte, a success or a failure of the attempt for the quarantines.
   void RecordSignOfLife(time_point now);
-  void RecordSuccess();
+  /// The attempt ended with a whole answer of this status.
+  void RecordWholeAnswer(int status);
   void RecordIfCrash(attempt_failure failure, time_point now);
+  /// Records a crash as evidence against the parts of the prompt.
+  void RecordCrashOfParts(time_point now);
   [[nodiscard]] attempt_record DescribeFailure(attempt_failure failure,
                                                time_point now) const;
-  /// Cancels an attempt without output if its prompt has been quarantined since
-  /// it was sent; returns whether it has.
+  /// Cancels an attempt without output if the request or its prompt has been
+  /// quarantined since it was sent; returns whether it has.
   bool RecallIfQuarantined(time_point now);
   void CheckUpstreamSilence(time_point now);
   /// `silence` is the time since the attempt's last byte.
@@ -161,6 +168,8 @@
   std::string service_name_;
   generation_shape generation_;
   prompt_key prompt_;
+  /// The same for the request and its repeats.
+  request_key key_ = 0;
   int urgency_ = 0;
   /// Cache of one engine of the pool, in tokens; 0 for a service without a
   /// model.
--- a/src/skylarkcroft/relay/skylarkcroft_request_record.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_request_record.cc
@@ -26,6 +26,7 @@
   entry.caller = record.workspace;
   entry.upstream = record.upstream;
   entry.fields = {
+      {"request_key", record.request_key},
       {"route", record.route},
       {"service", record.service},
       {"status", std::to_string(record.status)},
--- a/src/skylarkcroft/relay/skylarkcroft_request_record.h
+++ b/src/skylarkcroft/relay/skylarkcroft_request_record.h
@@ -12,6 +12,9 @@
 /// The inputs and the outcome of one client request, for its log line.
 struct request_record {
   std::string request_id{};
+  /// Names the request and its repeats at all nodes; empty if it was rejected
+  /// before its service was chosen.
+  std::string request_key{};
   std::string route{};
   std::string service{};
   std::string workspace{};
--- a/tests/quarantine/quarantine_archive_test.cc
+++ b/tests/quarantine/quarantine_archive_test.cc
@@ -16,13 +16,15 @@
   explicit archive_bench(memory_row_store& used)
       : store(used),
         archive(
-            used, node, [this] { return now; }, [](store_outcome) {}) {}
+            used, node, requests, [this] { return now; },
+            [](store_outcome) {}) {}
 
   void Pass(milliseconds span, const archive_role& role) {
     for (milliseconds passed{0}; passed < span; passed += milliseconds(100)) {
       now += milliseconds(100);
       store.now += milliseconds(100);
       node.Tick(now);
+      requests.Tick(now);
       archive.Tick(now, role);
       store.Answer();
     }
@@ -45,6 +47,9 @@
   time_point now{std::chrono::seconds(1000)};
   part_quarantine node{part_quarantine_parameters{},
                        [this](const quarantine_event&) { archive.OnChange(); }};
+  request_quarantine requests{
+      request_quarantine_parameters{},
+      [this](const request_quarantine_event&) { archive.OnChange(); }};
   quarantine_archive archive;
 };
 
@@ -207,4 +212,111 @@
   CHECK(store.rows.empty());
 }
 
+namespace {
+
+constexpr request_key kBadRequest = 77;
+
+void QuarantineRequest(archive_bench& bench, request_key request,
+                       const archive_role& role) {
+  for (uint32_t number = 1; number <= 3; ++number) {
+    bench.requests.RecordCrash(number, request, bench.now, bench.now);
+    bench.Pass(milliseconds(500), role);
+  }
+  bench.Pass(milliseconds(3000), role);
+}
+
+bool RejectsRequest(const archive_bench& bench, request_key request) {
+  return bench.requests.Decide(request, bench.now).decision !=
+         quarantine_decision::kAllowed;
+}
+
+}  // namespace
+
+// Guards against a request that crashes upstreams anew after all nodes were
+// restarted, or through a node that is cut off.
+TEST_CASE("A quarantined request outlasts the end of all nodes",
+          "[quarantine][archive][crashing_request]") {
+  memory_row_store store;
+  {
+    archive_bench writer(store);
+    QuarantineRequest(writer, kBadRequest, kWriter);
+    REQUIRE(RejectsRequest(writer, kBadRequest));
+  }
+  REQUIRE(store.rows.size() == 1);
+  archive_bench started(store);
+  CHECK_FALSE(RejectsRequest(started, kBadRequest));
+  started.Pass(milliseconds(1000), kReader);
+  CHECK(RejectsRequest(started, kBadRequest));
+  CHECK_FALSE(RejectsRequest(started, kBadRequest + 1));
+  // Reading it is no change that would be written again.
+  started.Pass(milliseconds(5000), kWriter);
+  CHECK(store.writes == 1);
+}
+
+TEST_CASE("Rows of parts and of requests are kept side by side",
+          "[quarantine][archive][crashing_request]") {
+  memory_row_store store;
+  archive_bench writer(store);
+  writer.Quarantine(kWriter);
+  QuarantineRequest(writer, kBadRequest, kWriter);
+  REQUIRE(store.rows.size() == 2);
+  archive_bench started(store);
+  started.Pass(milliseconds(1000), kReader);
+  CHECK(started.IsRejected(kBad));
+  CHECK(RejectsRequest(started, kBadRequest));
+  SECTION("a request that ended well is removed") {
+    writer.requests.RecordSuccess(kBadRequest, writer.now);
+    writer.Pass(milliseconds(2000), kWriter);
+    CHECK(store.rows.size() == 1);
+  }
+  SECTION("both are written again after a restore") {
+    store.rows.clear();
+    writer.archive.OnStoreRestored(writer.now);
+    writer.Pass(milliseconds(2000), kWriter);
+    CHECK(store.rows.size() == 2);
+  }
+}
+
+// Guards against a transaction that the store refuses for its size.
+TEST_CASE("Many quarantined requests are written in several calls",
+          "[quarantine][archive][crashing_request][bounds]") {
+  constexpr request_key kRequests = 250;
+  memory_row_store store;
+  archive_bench writer(store);
+  request_notice notice;
+  for (request_key request = 1; request <= kRequests; ++request) {
+    notice.quarantined.push_back(
+        {request, milliseconds(100), milliseconds(600000), 0});
+  }
+  writer.requests.OnNotice(notice, writer.now);
+  writer.Pass(milliseconds(6000), kWriter);
+  CHECK(store.rows.size() == kRequests);
+  CHECK(store.writes == 3);
+}
+
+// Guards against a node that ends or forgets its quarantines because of a row
+// of another writer.
+TEST_CASE("An odd row among the quarantines leaves the others in force",
+          "[quarantine][archive][odd_entry]") {
+  const std::string value = GENERATE(
+      as<std::string>{}, "", "{", "[]", R"({"request": "x"})",
+      R"({"request": 5, "first_crash_ms": -9223372036854775808,
+          "ends_ms": 9223372036854775807, "relapses": 0})",
+      R"({"request": 1e300, "first_crash_ms": 0, "ends_ms": 1,
+          "relapses": 0})",
+      R"({"parts": [], "first_crash_ms": 0, "ends_ms": 1, "relapses": 0})",
+      R"({"parts": [5], "first_crash_ms": 9223372036854775807,
+          "ends_ms": -9223372036854775808, "relapses": 99999999999})");
+  memory_row_store store;
+  archive_bench writer(store);
+  QuarantineRequest(writer, kBadRequest, kWriter);
+  store.rows.push_back({"quarantines", "a", value, 1, false});
+  store.rows.push_back({"quarantines", "request-z", value, 1, false});
+  archive_bench started(store);
+  started.Pass(milliseconds(1000), kReader);
+  CHECK(RejectsRequest(started, kBadRequest));
+  CHECK_FALSE(RejectsRequest(started, 5));
+  CHECK_FALSE(started.IsRejected(5));
+}
+
 }  // namespace skylarkcroft
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -16,6 +16,7 @@
 
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
 #include "skylarkcroft/internal/skylarkcroft_socket_address.h"
+#include "skylarkcroft/relay/skylarkcroft_relay_quarantines.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_server.h"
 #include "skylarkcroft/wire/skylarkcroft_stream_socket.h"
 #include "tests/relay/scripted_upstream.h"
@@ -190,12 +191,13 @@
     return done();
   }
 
-  /// A POST request with the body "hi" and 2500 ms left.
+  /// A POST request with 2500 ms left.
   static std::string Request(const std::string& path, const std::string& id,
-                             const std::string& extra_headers = "") {
+                             const std::string& extra_headers = "",
+                             const std::string& body = "hi") {
     return "POST " + path + " HTTP/1.1\r\nHost: shop\r\nX-Id: " + id +
            "\r\nX-Left: 2500\r\n" + extra_headers +
-           "Content-Length: 2\r\n\r\nhi";
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   }
   /// A complete response to `request` with status 200.
   static std::string Response(
@@ -240,8 +242,10 @@
   upstream_connections connections;
   token_quotas quotas{true};
   service_retry_budget retries{service_retry_budget_parameters{}};
-  part_quarantine quarantine{part_quarantine_parameters{},
+  part_quarantine quarantine{PartQuarantineOfRelay(),
                              [](const quarantine_event&) {}};
+  request_quarantine crashing_requests{RequestQuarantineOfRelay(),
+                                       [](const request_quarantine_event&) {}};
   std::vector<std::string> announcements;  ///< Kind and upstream of each.
   std::vector<request_record> records;
   std::vector<attempt_record> failed_attempts;
@@ -286,6 +290,7 @@
         quotas,
         retries,
         quarantine,
+        crashing_requests,
         names,
         relay_parameters{},
         gate_parameters{},
--- a/tests/relay/relay_quarantine_test.cc
+++ b/tests/relay/relay_quarantine_test.cc
@@ -24,7 +24,9 @@
       if (crashes) {
         ++crashes_seen;
         request.write(fixture::StreamHead(request));
-        request.close();
+        // Breaks within 10 ms count as one crash of a request.
+        crash_ =
+            relay.loop.After(milliseconds(20), [request] { request.close(); });
         return;
       }
       request.write(fixture::StreamHead(request) + fixture::EventChunk(1) +
@@ -32,13 +34,14 @@
     });
   }
 
-  /// Sends one request, waits for its end and returns its record.
+  /// Sends one request, waits for its end and returns its record. Its body is
+  /// another one with each prompt.
   request_record Ask(const std::string& path, const std::string& parts) {
     const size_t before = relay.records.size();
     raw_client client(relay.loop, relay.server.address());
-    client.Send(
-        fixture::Request(path, "r" + std::to_string(before),
-                         "X-Tokens: 10,5\r\nX-Parts: " + parts + "\r\n"));
+    client.Send(fixture::Request(path, "r" + std::to_string(before),
+                                 "X-Tokens: 10,5\r\nX-Parts: " + parts + "\r\n",
+                                 parts));
     REQUIRE(relay.Await([&] { return relay.records.size() > before; }));
     relay.loop.RunFor(milliseconds(20));
     response = client.received;
@@ -57,6 +60,9 @@
   event_loop::handle_ptr tick;
   int crashes_seen = 0;
   std::string response;
+
+ private:
+  event_loop::handle_ptr crash_;
 };
 
 }  // namespace
