Quarantine: bytes that are read late do not take a crash back

What callers saw: nothing yet, the module is not wired in.

Cause: a crash is taken back if its upstream sends a byte to any node 30 to 300 ms later. A node whose loop pauses reads the last bytes of a broken connection that late, so that the crash of a deadly request did not count anywhere.

Change: it is not taken back if another request broke off at the same upstream within 100 ms; a single response that breaks off by itself does so alone.

--- a/src/skylarkcroft/quarantine/skylarkcroft_request_suspects.cc
+++ b/src/skylarkcroft/quarantine/skylarkcroft_request_suspects.cc
@@ -188,20 +188,32 @@
          (at_once ? parameters_.min_crash_gap : parameters_.min_repeat_gap);
 }
 
+bool request_suspects::IsShared(const recent_crash& crash) const {
+  return std::any_of(recent_.begin(), recent_.end(),
+                     [&](const recent_crash& other) {
+                       return other.upstream == crash.upstream &&
+                              other.request != crash.request &&
+                              std::chrono::abs(other.at - crash.at) <=
+                                  parameters_.broken_together;
+                     });
+}
+
 bool request_suspects::RefuteWithin(uint32_t upstream, time_point alive_at,
                                     duration limit) {
-  bool refuted = false;
-  std::erase_if(recent_, [&](const recent_crash& crash) {
+  std::vector<recent_crash> refuted;
+  for (const recent_crash& crash : recent_) {
     const duration silence = alive_at - crash.at;
     if (crash.upstream != upstream || silence < parameters_.transit ||
-        silence >= limit) {
-      return false;
+        silence >= limit || IsShared(crash)) {
+      continue;
     }
+    refuted.push_back(crash);
+  }
+  for (const recent_crash& crash : refuted) {
     Remove(crash.request, crash.upstream, crash.at);
-    refuted = true;
-    return true;
-  });
-  return refuted;
+    std::erase(recent_, crash);
+  }
+  return !refuted.empty();
 }
 
 void request_suspects::Remove(request_key request, uint32_t upstream,
--- a/src/skylarkcroft/quarantine/skylarkcroft_request_suspects.h
+++ b/src/skylarkcroft/quarantine/skylarkcroft_request_suspects.h
@@ -35,6 +35,9 @@
   milliseconds transit{30};
   /// Attempts that break at one upstream within this time broke by one crash.
   milliseconds same_crash{1000};
+  /// If requests break off at one upstream within this time of each other, it
+  /// is not single responses that broke off.
+  milliseconds broken_together{100};
   /// Upstreams that crash closer together than this have a common cause, such
   /// as the loss of their rack, if they had the request at the same time.
   milliseconds min_crash_gap{100};
@@ -100,6 +103,8 @@
     uint32_t upstream = 0;
     time_point at{};
     request_key request = 0;
+
+    bool operator==(const recent_crash&) const = default;
   };
   struct explained_crash {
     uint32_t upstream = 0;
@@ -110,6 +115,8 @@
                                  uint32_t upstream, time_point at) const;
   [[nodiscard]] bool HasCommonCause(const suspected_crash& one,
                                     const suspected_crash& other) const;
+  /// Whether several requests broke off at the upstream of a crash.
+  [[nodiscard]] bool IsShared(const recent_crash& crash) const;
   bool RefuteWithin(uint32_t upstream, time_point alive_at, duration limit);
   void DropExcess();
 
--- a/tests/quarantine/request_fleet.cc
+++ b/tests/quarantine/request_fleet.cc
@@ -324,6 +324,8 @@
     return;
   }
   constexpr int kNoticeSpanMs = 4;
+  constexpr milliseconds kShortestLoopPause{40};
+  constexpr milliseconds kLoopPauseSpan{100};
   const std::vector<request_ptr> broken =
       std::exchange(upstreams_[number].running, {});
   upstreams_[number].down_until = now_ + kDownTime;
@@ -332,17 +334,24 @@
   for (const request_ptr& victim : broken) {
     victim->ended = true;
     // Nodes notice the crash at slightly different times.
-    At(now_ + milliseconds(random_() % kNoticeSpanMs),
-       [this, victim, key, explained] {
-         request_quarantine& node = *nodes_[victim->node];
-         if (explained && victim->type == kind::kDeadlyPart) {
-           node.ExplainCrash(key, Clock());
-         } else {
-           node.RecordCrash(key, victim->key, victim->sent_at, Clock());
-         }
-         Flush(victim->node);
-         Repeat(victim);
-       });
+    const bool reads_late = scenario_.late_reader_share > 0 &&
+                            Uniform() < scenario_.late_reader_share;
+    const milliseconds delay =
+        reads_late ? kShortestLoopPause + Uniform(kLoopPauseSpan)
+                   : milliseconds(random_() % kNoticeSpanMs);
+    At(now_ + delay, [this, victim, key, explained, reads_late] {
+      request_quarantine& node = *nodes_[victim->node];
+      if (reads_late) {
+        node.RecordByte(key, Clock());
+      }
+      if (explained && victim->type == kind::kDeadlyPart) {
+        node.ExplainCrash(key, Clock());
+      } else {
+        node.RecordCrash(key, victim->key, victim->sent_at, Clock());
+      }
+      Flush(victim->node);
+      Repeat(victim);
+    });
   }
   upstreams_[number].key = ++upstream_number_;
 }
--- a/tests/quarantine/request_fleet.h
+++ b/tests/quarantine/request_fleet.h
@@ -56,6 +56,9 @@
   milliseconds herd_span{5};
   /// Share of the responses that break off by themselves.
   double broken_share = 0;
+  /// Share of the broken requests whose node reads the last bytes and the end
+  /// of the connection late, after a pause of its loop.
+  double late_reader_share = 0;
   /// All nodes lose their memory at this time.
   std::optional<milliseconds> restart_at;
   /// What was quarantined is read from an archive after a restart.
--- a/tests/quarantine/request_fleet_test.cc
+++ b/tests/quarantine/request_fleet_test.cc
@@ -168,6 +168,23 @@
   CHECK(fleet.RejectingNodes() == nodes);
 }
 
+// Guards against bytes that a busy node reads after the crash, which look like
+// a sign of life of the upstream.
+TEST_CASE("The request is found although some nodes read the last bytes late",
+          "[quarantine][request][scale]") {
+  const size_t nodes = GENERATE(7, 63, 195);
+  const uint32_t seed = GENERATE(1, 2, 3, 4, 5);
+  CAPTURE(nodes, seed);
+  request_fleet_scenario scenario = Scenario(nodes);
+  scenario.late_reader_share = 0.2;
+  scenario.seed = seed;
+  scenario.length = milliseconds(20000);
+  request_fleet fleet(scenario);
+  const request_fleet_outcome outcome = fleet.Run();
+  CHECK(outcome.sent_late == 0);
+  CHECK(fleet.RejectingNodes() == nodes);
+}
+
 TEST_CASE("The request is found while nearly all upstreams crash",
           "[quarantine][request][scale]") {
   const size_t nodes = GENERATE(7, 63);
--- a/tests/quarantine/request_quarantine_test.cc
+++ b/tests/quarantine/request_quarantine_test.cc
@@ -173,6 +173,24 @@
   CHECK_FALSE(node.IsAllowed(kDeadly));
 }
 
+// Guards against bytes that a busy node reads after the crash, which look like
+// a sign of life of the upstream.
+TEST_CASE("Bytes mean nothing if several requests broke off together",
+          "[quarantine][request]") {
+  test_node node;
+  for (const uint32_t upstream : {1, 2, 3}) {
+    node.Crash(upstream, kDeadly);
+    node.now += milliseconds(5);
+    node.Crash(upstream, kOther + upstream);
+    node.Pass(milliseconds(100));
+    node.quarantine.RecordByte(upstream, node.now);
+    node.quarantine.OnNotice({{}, {}, {upstream}, {}, {}}, node.now);
+    node.Pass(milliseconds(1000));
+  }
+  CHECK_FALSE(node.IsAllowed(kDeadly));
+  CHECK(node.quarantine.TakeNotice().alive.empty());
+}
+
 TEST_CASE("Bytes that a peer got end the suspicion here as well",
           "[quarantine][request]") {
   test_node node;
