Relay: a crash by a quarantined request is not held against prompt parts

What callers could see: sound requests rejected as part_quarantined, after a quarantined request that was still under way crashed upstreams with the parts that they share.

Cause: each broken attempt with shared parts was recorded against them, also where the crash is known to be the request's.

Evidence: the new test on the code before failed for the quarantined request (HasUnconfirmedCrashes of the parts was true); the other half, a request that is not quarantined, passed. With the change both pass.

--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -658,7 +658,9 @@
   } else {
     requests.RecordCrash(upstream, key_, attempt_->started_at, now);
   }
-  RecordCrashOfParts(now);
+  if (!requests.IsExplained(upstream, now)) {
+    RecordCrashOfParts(now);
+  }
   environment_.on_quarantine_changed();
 }
 
--- a/tests/relay/request_quarantine_test.cc
+++ b/tests/relay/request_quarantine_test.cc
@@ -188,6 +188,32 @@
   }
 }
 
+// Guards against sound parts that are quarantined for the crashes of a request
+// that holds them.
+TEST_CASE("A crash by a quarantined request is not held against prompt parts",
+          "[relay][quarantine][crashing_request]") {
+  crashing_upstreams upstreams(true, crash_moment::kInHead);
+  fixture& relay = upstreams.relay;
+  const bool is_quarantined = GENERATE(true, false);
+  event_loop::handle_ptr crash;
+  relay.SetHandler([&](const received_request& request) {
+    request.write(fixture::StreamHead(request) + fixture::EventChunk(1));
+    crash = relay.loop.After(milliseconds(60), [&, request] {
+      request_notice notice;
+      notice.quarantined = {
+          {KeyOf("/stream/", kBad), milliseconds(500), milliseconds(60000), 0}};
+      if (is_quarantined) {
+        relay.crashing_requests.OnNotice(notice, SteadyNow());
+      }
+      request.close();
+    });
+  });
+  CHECK(
+      upstreams.Ask("/stream/", kBad, "X-Tokens: 10,5\r\nX-Parts: a:5,b:5\r\n")
+          .status == 502);
+  CHECK(relay.quarantine.HasUnconfirmedCrashes(SteadyNow()) != is_quarantined);
+}
+
 TEST_CASE("A connection that is refused is no crash of the request",
           "[relay][crashing_request]") {
   crashing_upstreams upstreams(false, crash_moment::kInHead);
