--- a/tests/adapter/odd_entries_test.cc
+++ b/tests/adapter/odd_entries_test.cc
@@ -218,7 +218,9 @@
   constexpr size_t kDatagramBytes = 65507;
   const std::vector<std::string> odd = {
       Repeat("\x81", kDatagramBytes), Repeat("\xa1\x60", kDatagramBytes / 2),
-      Repeat("\x9f", kDatagramBytes), Repeat("\x7f", kDatagramBytes),
+      Repeat("\x9f", kDatagramBytes),
+      // An array of more elements than memory can hold.
+      "\x9b\xff\xff\xff\xff\xff\xff\xff\xfe", Repeat("\x7f", kDatagramBytes),
       Repeat("\x5f", kDatagramBytes),
       // As a report, changes and a notice would begin.
       "\x8d\x04" + Repeat("\x7f", kDatagramBytes - 2),
