Relay: the steps of a planned stop follow from the grace period

What callers saw: with a grace period shorter than that of the known deployments, requests were taken until the moment in which they were cut.

Cause: idle clients were closed from 2.5 s and new requests refused from 2.8 s after SIGTERM on, whatever the grace period was. With a grace of 2 s nothing was refused before the limit at 1.6 s; below 0.4 s the limit was negative.

Evidence: a node with a grace of 1400 ms gets a request after 700 ms.

MakeShutdownPlan gives all steps as shares of the grace period, at most as late as before: at 8 s and above nothing changes. Open: a request that is taken is not yet weighed by its expected time against what is left.

--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -27,6 +27,7 @@
 #include "skylarkcroft/relay/skylarkcroft_relay_environment.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_metrics.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_server.h"
+#include "skylarkcroft/relay/skylarkcroft_shutdown_plan.h"
 #include "skylarkcroft/relay/skylarkcroft_store_replica.h"
 #include "skylarkcroft/relay/skylarkcroft_upstream_connections.h"
 
@@ -47,7 +48,6 @@
 constexpr milliseconds kBroadcastInterval{10};
 // Below the rate of the slowest links (10 Mbit/s), which also carry requests.
 constexpr double kBroadcastBytesPerSecond = 800000;
-constexpr milliseconds kCloseIdleClientsAfter{2500};
 // Usage windows sent to peers; the report of a window is due two
 // windows later.
 constexpr int64_t kRetainedUsageWindows = 4;
@@ -65,10 +65,6 @@
 constexpr int kReportsPerQuarantineReport = 5;
 // Nodes that write quarantines to the store; two, so that one may fail.
 constexpr size_t kArchiveWriters = 2;
-// Time kept to exit before the process would be killed.
-constexpr milliseconds kExitMargin{400};
-// The part of it in which the last answers are sent.
-constexpr milliseconds kLastAnswersTime{200};
 // Requests to a leaving upstream have to end this long before it may exit.
 constexpr milliseconds kLeavingMargin{200};
 constexpr int kOkStatus = 200;
@@ -273,8 +269,9 @@
     environment.quota_overage = settings_.bounds.quotas;
     environment.parameters.leaving_time =
         std::max(settings_.bounds.drain - kLeavingMargin, milliseconds(0));
-    environment.parameters.shutdown_limit =
-        settings_.bounds.grace_period - kExitMargin;
+    const shutdown_plan plan = MakeShutdownPlan(settings_.bounds.grace_period);
+    environment.parameters.reject_new_after = plan.reject_new_after;
+    environment.parameters.shutdown_limit = plan.limit;
   }
 
   duty_environment MakeDutyEnvironment(row_store& store, duty_calls& calls) {
@@ -540,24 +537,20 @@
   /// Stops the loop once all clients are gone, or the shutdown limit is reached
   /// and the last answers are sent.
   void ExitIfDrained() {
+    const shutdown_plan plan = MakeShutdownPlan(settings_.bounds.grace_period);
     const milliseconds since_shutdown = environment_.time_since_shutdown();
-    if (since_shutdown >= kCloseIdleClientsAfter) {
+    if (since_shutdown >= plan.close_idle_after) {
       server_.CloseIdle();
     }
-    const bool limit_reached =
-        since_shutdown >= environment_.parameters.shutdown_limit;
+    const bool limit_reached = since_shutdown >= plan.limit;
     if (limit_reached) {
       server_.AbortAll();
     }
     const bool drained =
-        server_.clients() == 0 &&
-        since_shutdown > environment_.parameters.reject_new_after;
+        server_.clients() == 0 && since_shutdown > plan.reject_new_after;
     // What AbortAll() wrote is sent in the next turns of the loop.
     const bool answers_sent =
-        limit_reached &&
-        (server_.IsSettled() ||
-         since_shutdown >=
-             environment_.parameters.shutdown_limit + kLastAnswersTime);
+        limit_reached && (server_.IsSettled() || since_shutdown >= plan.exit);
     if (!drained && !answers_sent) {
       return;
     }
--- a/tests/adapter/relay_node_test.cc
+++ b/tests/adapter/relay_node_test.cc
@@ -22,6 +22,7 @@
 namespace skylarkcroft {
 namespace {
 
+constexpr milliseconds kTestGrace{1400};
 constexpr const char* kConfig = R"({
   "version": %d,
   "routes": [{"name": "r", "host": "shop", "path_prefix": "/a/",
@@ -81,7 +82,7 @@
     settings.bounds.strict_revocation = strict;
     settings.bounds.usage_window = milliseconds(1000);
     settings.bounds.lease = milliseconds(1500);
-    settings.bounds.grace_period = milliseconds(1400);
+    settings.bounds.grace_period = kTestGrace;
     return settings;
   }
 
@@ -217,6 +218,22 @@
   CHECK(Begins(client.received, "502"));
 }
 
+// Guards against a node with a short grace period that takes requests until it
+// cuts them.
+TEST_CASE("Half way through a short grace, a request is refused at once",
+          "[adapter][node][planned_stop][regression]") {
+  fixture mesh;
+  mesh.upstream.SetHandler([](const scripted_upstream::received_request&) {});
+  raw_client busy(mesh.loop, mesh.relay->address());
+  busy.Send(Request("busy", "k1"));
+  const size_t before = mesh.upstream.requests.size();
+  REQUIRE(mesh.Await([&] { return mesh.upstream.requests.size() > before; }));
+  mesh.relay->Shutdown();
+  mesh.loop.RunFor(kTestGrace / 2);
+  CHECK(Begins(mesh.Ask("k1"), "503"));
+  CHECK(mesh.upstream.requests.size() == before + 1);
+}
+
 TEST_CASE("A leaving upstream takes no requests", "[adapter][node][drain]") {
   fixture on;
   on.standin.Put("servers", "i-1", Entry(on.upstream.address(), "draining"));
