HTTP server: a request that lies whole in the socket is not cut as silent

Callers lost requests on open connections without an answer: the connection was closed by http.io_timeout_ms although a whole request had arrived. While the loop stands still (a long table to parse, a stopped process) the timeout runs out and the request arrives; libevent then drops the read in favour of the timeout, and evhttp closes. By the same read timeout an answer that had been handed over was cut when the caller took it for longer than io_timeout_ms without sending anything, which no caller does.

The table of connections now measures silence. It runs from the last byte received, or from when an answer has been taken, and bytes unread in the socket end it. Callers that stop taking an answer are still ended by the write timeout.

Connections that are really silent were closed before and are closed now, by three new cases.

--- a/src/skylarkcroft/http/skylarkcroft_connection_table.cc
+++ b/src/skylarkcroft/http/skylarkcroft_connection_table.cc
@@ -42,7 +42,10 @@
 class connection_table::connection {
  public:
   connection(bufferevent* stream, uint64_t number, clock_fn clock)
-      : stream_(stream), number_(number), clock_(std::move(clock)) {
+      : stream_(stream),
+        number_(number),
+        clock_(std::move(clock)),
+        last_input_(clock_()) {
     bufferevent_incref(stream_);
     evbuffer_add_cb(bufferevent_get_input(stream_), &connection::OnInput, this);
   }
@@ -71,6 +74,18 @@
            HasUnreadBytes(bufferevent_getfd(stream_));
   }
 
+  // Bytes that arrived while the loop stood still are no silence, nor is the
+  // time in which the peer takes an answer.
+  [[nodiscard]] bool Silent(time_point now, milliseconds limit) {
+    if (evbuffer_get_length(bufferevent_get_output(stream_)) > 0) {
+      last_input_ = now;
+    }
+    return !answering_ && now - last_input_ > limit &&
+           !HasUnreadBytes(bufferevent_getfd(stream_));
+  }
+
+  void EndSocket() { shutdown(bufferevent_getfd(stream_), SHUT_RDWR); }
+
   void HoldAtMost(size_t bytes) {
     bufferevent_setwatermark(stream_, EV_READ, 0, bytes);
   }
@@ -91,6 +106,7 @@
 
   void ReceiveNext(size_t max_request_bytes, time_point now) {
     answering_ = false;
+    last_input_ = now;
     HoldAtMost(max_request_bytes);
     if (evbuffer_get_length(bufferevent_get_input(stream_)) > 0) {
       receiving_since_ = now;
@@ -112,6 +128,9 @@
   static void OnInput(evbuffer* /*input*/, const evbuffer_cb_info* change,
                       void* self) {
     auto* link = static_cast<connection*>(self);
+    if (change->n_added > 0) {
+      link->last_input_ = link->clock_();
+    }
     if (change->n_added == 0 || link->answering_ ||
         link->receiving_since_.has_value()) {
       return;
@@ -122,6 +141,7 @@
   bufferevent* stream_;
   uint64_t number_;
   clock_fn clock_;
+  time_point last_input_;
   bool answering_ = false;
   std::optional<time_point> receiving_since_;
 };
@@ -170,6 +190,8 @@
   for (const auto& [stream, open] : open_) {
     if (open->Overdue(now, limits_.request_timeout)) {
       open->Close();
+    } else if (open->Silent(now, limits_.silence_timeout)) {
+      open->EndSocket();
     }
   }
 }
--- a/src/skylarkcroft/http/skylarkcroft_connection_table.h
+++ b/src/skylarkcroft/http/skylarkcroft_connection_table.h
@@ -15,6 +15,8 @@
 
 /// Bounds on one connection of a server.
 struct connection_limits {
+  /// Longest silence while no answer is under way.
+  milliseconds silence_timeout{};
   /// Longest time from the first byte of a request to its last.
   milliseconds request_timeout{};
   /// Bytes held of a request that is being received.
--- a/src/skylarkcroft/http/skylarkcroft_http_server.cc
+++ b/src/skylarkcroft/http/skylarkcroft_http_server.cc
@@ -75,6 +75,10 @@
           (span.count() % kMillisPerSecond) * kMillisPerSecond};
 }
 
+// The table of connections measures silence itself: evhttp would close a
+// connection whose request arrived while the loop stood still.
+constexpr timeval kNoEvhttpTimeout{365 * 24 * 3600, 0};
+
 // What a server shares with its exchanges.
 struct server_state {
   server_state(const connection_limits& limits, timeval timeout)
@@ -205,15 +209,13 @@
     }
   }
 
-  // Gives up the request, so that it can be ended; the connection goes back to
-  // its timeout on receiving.
+  // Gives up the request, so that it can be ended.
   evhttp_request* Detach() {
     --server_->open_count;
     peer_gone_ = nullptr;
     if (connection_ != nullptr) {
       evhttp_connection_set_closecb(connection_, nullptr, nullptr);
-      bufferevent_set_timeouts(Stream(), &server_->io_timeout,
-                               &server_->io_timeout);
+      bufferevent_set_timeouts(Stream(), nullptr, &server_->io_timeout);
       server_->connections.OnAnswered(Stream(), SteadyNow());
     }
     return std::exchange(raw_, nullptr);
@@ -265,7 +267,7 @@
 connection_limits ToConnectionLimits(const http_server_limits& limits) {
   // Framing of a chunked body.
   constexpr size_t kSlackBytes = 64 * 1024;
-  return {limits.request_timeout,
+  return {limits.io_timeout, limits.request_timeout,
           limits.max_header_bytes + limits.max_body_bytes + kSlackBytes};
 }
 
@@ -273,8 +275,9 @@
   constexpr milliseconds kLongest{1000};
   constexpr milliseconds kShortest{1};
   constexpr int kSweepsPerTimeout = 4;
-  return std::clamp(limits.request_timeout / kSweepsPerTimeout, kShortest,
-                    kLongest);
+  return std::clamp(
+      std::min(limits.request_timeout, limits.io_timeout) / kSweepsPerTimeout,
+      kShortest, kLongest);
 }
 
 }  // namespace
@@ -295,7 +298,7 @@
                                 static_cast<ssize_t>(limits.max_header_bytes));
     evhttp_set_max_body_size(http_,
                              static_cast<ssize_t>(limits.max_body_bytes));
-    evhttp_set_timeout_tv(http_, &state_->io_timeout);
+    evhttp_set_timeout_tv(http_, &kNoEvhttpTimeout);
     evhttp_set_default_content_type(http_, nullptr);
     evhttp_set_gencb(http_, &impl::OnRequest, this);
     evhttp_set_bevcb(http_, &impl::OnAccept, this);
--- a/tests/http/hostile_peer_test.cc
+++ b/tests/http/hostile_peer_test.cc
@@ -8,10 +8,12 @@
 #include <catch2/catch.hpp>
 #include <functional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "skylarkcroft/http/skylarkcroft_http_server.h"
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
+#include "tests/node/raw_caller.h"
 
 namespace skylarkcroft {
 namespace {
@@ -146,6 +148,61 @@
   CHECK_THAT(peer.received(), Contains("late"));
 }
 
+// Guards against requests that are lost because their connection is closed as
+// silent while they lie whole in its socket.
+TEST_CASE("a request that arrives while the loop stands still is answered",
+          "[http][connection_end]") {
+  size_t seen = 0;
+  http_server_limits limits = SmallLimits();
+  limits.io_timeout = milliseconds(200);
+  hostile_bench bench(limits, CountAndAnswer(seen));
+  raw_peer peer(bench);
+  const std::string request = "GET / HTTP/1.1\r\n\r\n";
+  SECTION("as the first of its connection") {}
+  SECTION("as the second of its connection") {
+    peer.Send(request);
+    bench.Until([&] { return seen == 1; });
+  }
+  bench.loop.RunFor(milliseconds(20));
+  const size_t seen_before = seen;
+  peer.Send(request);
+  std::this_thread::sleep_for(2 * limits.io_timeout);
+  bench.Until([&] { return seen > seen_before || peer.closed(); });
+  CHECK(seen == seen_before + 1);
+}
+
+// Guards against answers that are cut while a caller on a slow link takes them.
+TEST_CASE("an answer may be taken for longer than a caller may be silent",
+          "[http][connection_end]") {
+  constexpr size_t kBodyBytes = 32 * 1024 * 1024;
+  http_server_limits limits = SmallLimits();
+  limits.io_timeout = milliseconds(300);
+  hostile_bench bench(limits, [&](const http_exchange_ptr& exchange) {
+    exchange->Reply({200, {}, std::string(kBodyBytes, 'x')});
+  });
+  raw_caller caller(bench.loop, bench.server.address());
+  caller.Send("GET / HTTP/1.1\r\n\r\n");
+  const auto reading = bench.loop.Every(
+      milliseconds(30), [&] { caller.ReadUpTo(kBodyBytes / 40); });
+  bench.Until(
+      [&] { return caller.received().size() > kBodyBytes || caller.closed(); });
+  CHECK(caller.received().size() > kBodyBytes);
+}
+
+TEST_CASE("a connection without a request is closed after the silence",
+          "[http][connection_end]") {
+  size_t seen = 0;
+  http_server_limits limits = SmallLimits();
+  limits.io_timeout = milliseconds(100);
+  hostile_bench bench(limits, CountAndAnswer(seen));
+  raw_peer peer(bench);
+  SECTION("that has sent nothing") {}
+  SECTION("that has sent part of a request") { peer.Send("GET / HT"); }
+  SECTION("that has had its answer") { peer.Send("GET / HTTP/1.1\r\n\r\n"); }
+  bench.Until([&] { return peer.closed(); });
+  CHECK(peer.closed());
+}
+
 TEST_CASE("a flood of headers is ended with a 4xx", "[http][hostile]") {
   size_t seen = 0;
   hostile_bench bench(SmallLimits(), CountAndAnswer(seen));
--- a/tests/node/raw_caller.h
+++ b/tests/node/raw_caller.h
@@ -46,6 +46,12 @@
   void ReadAsItComes() {
     reading_ = loop_.OnReadable(fd_, [this] { ReadOnce(); });
   }
+  /// Reads until `bytes` more have been read or no more have arrived.
+  void ReadUpTo(size_t bytes) {
+    const size_t target = received_.size() + bytes;
+    while (received_.size() < target && ReadOnce()) {
+    }
+  }
   /// Reads all that has arrived.
   void ReadRest() {
     while (ReadOnce()) {
