Node: SIGHUP does not end the process

A node had no handler for SIGHUP, so the signal ended it with all requests under way unanswered. The settings are read at the start only and the tables are polled, so there is nothing to reload; the signal is now ignored.

Evidence: on the code before, tests/node/paused_node_test.cc printed for "a node goes on after SIGHUP" 0 == 200 (no answer); it passes now.

--- a/src/skylarkcroft/node/skylarkcroft_run_node.cc
+++ b/src/skylarkcroft/node/skylarkcroft_run_node.cc
@@ -23,6 +23,8 @@
   const auto term = loop.OnSignal(SIGTERM, [&serving] { serving.Shutdown(); });
   const auto interrupt =
       loop.OnSignal(SIGINT, [&serving] { serving.Shutdown(); });
+  // Settings are read at the start only, and the tables are polled.
+  const auto hang_up = loop.OnSignal(SIGHUP, [] {});
   const nlohmann::json listening = {
       {"callers", ToString(serving.callers_address())},
       {"operators", ToString(serving.operators_address())},
--- a/tests/node/paused_node_test.cc
+++ b/tests/node/paused_node_test.cc
@@ -44,6 +44,7 @@
 
   void Stop() const { program_->Signal(SIGSTOP); }
   void Continue() const { program_->Signal(SIGCONT); }
+  void HangUp() const { program_->Signal(SIGHUP); }
 
   endpoint callers;
   endpoint operators;
@@ -100,5 +101,14 @@
       [&] { return fixture.Call(third.callers, ask).status == 401; }));
 }
 
+// Guards against a node that ends, with all its requests, at a SIGHUP.
+TEST_CASE("a node goes on after SIGHUP", "[node][planned_stop]") {
+  node_fixture fixture(0, 0);
+  const node_process one("hup", fixture.platform_address(), {});
+  one.HangUp();
+  fixture.loop.RunFor(milliseconds(200));
+  CHECK(fixture.Get(one.callers, "/healthz").status == 200);
+}
+
 }  // namespace
 }  // namespace skylarkcroft
