Quarantine: after a block one node tries a request, not all of them

The sending after a block is now a trial like the one after a quarantine: told to all, the others reject meanwhile, and a crash of it quarantines the request. Nodes end the block at different times.

Found in review: crashes that peers tell in another order were not kept in the order of their times, so that the end of a block and the age of an accusation came from the wrong one.

--- a/src/skylarkcroft/quarantine/skylarkcroft_request_quarantine.cc
+++ b/src/skylarkcroft/quarantine/skylarkcroft_request_quarantine.cc
@@ -37,23 +37,43 @@
   if (IsAccused(request)) {
     return reject(Length(known ? found->second.relapses + 1 : 0, false));
   }
-  const std::vector<suspected_crash> crashes = suspects_.Crashes(request);
-  const bool blocked = parameters_.crashes_to_block > 0 &&
-                       crashes.size() >= parameters_.crashes_to_block &&
-                       now - crashes.back().at < parameters_.repeat_block;
-  return blocked ? reject(crashes.back().at + parameters_.repeat_block - now)
-                 : quarantine_verdict{};
+  const std::optional<time_point> block_end = BlockEnd(request);
+  const bool blocked = block_end.has_value() && now < *block_end;
+  return blocked ? reject(*block_end - now) : quarantine_verdict{};
 }
 
-void request_quarantine::RecordSending(request_key request, time_point now) {
-  const auto found = quarantined_.find(request);
+std::optional<time_point> request_quarantine::BlockEnd(
+    request_key request) const {
+  const std::vector<suspected_crash> crashes = suspects_.Crashes(request);
+  const bool enough = parameters_.crashes_to_block > 0 &&
+                      crashes.size() >= parameters_.crashes_to_block;
+  return enough ? std::optional<time_point>(crashes.back().at +
+                                            parameters_.repeat_block +
+                                            parameters_.end_delay)
+                : std::nullopt;
+}
+
+bool request_quarantine::RecordSending(request_key request, time_point now) {
+  auto found = quarantined_.find(request);
+  const std::optional<time_point> block_end = BlockEnd(request);
+  const bool was_blocked =
+      found == quarantined_.end() && block_end.has_value() && now >= *block_end;
+  if (was_blocked) {
+    // All nodes would send it at once when the block ends.
+    const time_point first = suspects_.Crashes(request).front().at;
+    DropExcess();
+    suspects_.Clear(request, now);
+    found =
+        quarantined_.insert({request, {first, now, 0, phase::kLapsed}}).first;
+  }
   if (found == quarantined_.end() || IsRejecting(found->second, now)) {
-    return;
+    return false;
   }
   found->second.state = phase::kTried;
   found->second.ends_at = now + parameters_.trial;
   untold_.quarantined.push_back(Describe(request, found->second, now));
   on_event_({"tried", "sending", untold_.quarantined.back()});
+  return true;
 }
 
 void request_quarantine::RecordCrash(uint32_t upstream, request_key request,
@@ -222,7 +242,8 @@
     }
     return;
   }
-  const size_t count = suspects_.Add(request, crash, now);
+  const size_t count =
+      suspects_.Add(request, crash, parameters_.min_repeat_gap, now);
   if (count == 0) {
     return;
   }
--- a/src/skylarkcroft/quarantine/skylarkcroft_request_quarantine.h
+++ b/src/skylarkcroft/quarantine/skylarkcroft_request_quarantine.h
@@ -36,6 +36,10 @@
   /// last of them, before it is accused; 0 for none.
   size_t crashes_to_block = 0;
   milliseconds repeat_block{15000};
+  /// Crashes closer together than this have a common cause, such as the loss of
+  /// a rack, even if the second upstream got the request only after the first
+  /// had crashed.
+  milliseconds min_repeat_gap{10};
   /// Length of the first quarantine. Each relapse multiplies it.
   milliseconds first_quarantine{600000};
   int relapse_factor = 18;
@@ -43,8 +47,8 @@
   /// Length of the first quarantine of a request that ended well before its
   /// crashes.
   milliseconds first_quarantine_of_sound{10000};
-  /// After a quarantine one node sends the request once; it is rejected for
-  /// this long meanwhile, unless it ends well.
+  /// After a quarantine or `repeat_block` one node sends the request once; it
+  /// is rejected for this long meanwhile, unless it ends well.
   milliseconds trial{30000};
   /// A quarantine ends at this node so much later than at the first one. To be
   /// drawn for each node between 0 and 10 s, so that few of them try at once.
@@ -89,7 +93,8 @@
 ///    ended the attempt. RecordCrash() comes before the Decide() of a further
 ///    attempt. ExplainCrash() instead if a quarantined prompt part explains it.
 /// 4. RecordSuccess() if an upstream that ran the request gave a whole answer
-///    with any status; not if the answer says that the request was not run.
+///    with a status below 500; not if the answer says that the request was not
+///    run.
 /// TakeNotice() at the end of the turn of the event loop in which any of these,
 /// OnNotice() or Tick() was called, so that what one crash broke goes to all
 /// peers in one datagram. Report() goes to all peers as often as the report of
@@ -109,8 +114,9 @@
   [[nodiscard]] quarantine_verdict Decide(request_key request,
                                           time_point now) const;
 
-  /// Records that an own attempt is sent.
-  void RecordSending(request_key request, time_point now);
+  /// Records that an own attempt is sent. Returns whether it is the one that
+  /// tries the request after a quarantine or a block.
+  bool RecordSending(request_key request, time_point now);
   /// Records that the connection to an upstream broke under an own attempt that
   /// was sent at `sent_at`.
   void RecordCrash(uint32_t upstream, request_key request, time_point sent_at,
@@ -172,6 +178,9 @@
   [[nodiscard]] static quarantined_request Describe(request_key request,
                                                     const quarantine& entry,
                                                     time_point now);
+  /// When a request that is not quarantined may be sent again; empty unless it
+  /// has crashes_to_block crashes.
+  [[nodiscard]] std::optional<time_point> BlockEnd(request_key request) const;
   /// The number of crashes after which the request is quarantined.
   [[nodiscard]] size_t CrashesToAccuse(request_key request) const;
   void AddCrash(request_key request, const suspected_crash& crash, bool is_own,
--- a/src/skylarkcroft/quarantine/skylarkcroft_request_suspects.cc
+++ b/src/skylarkcroft/quarantine/skylarkcroft_request_suspects.cc
@@ -14,7 +14,7 @@
 }  // namespace
 
 size_t request_suspects::Add(request_key request, const suspected_crash& crash,
-                             time_point now) {
+                             milliseconds min_repeat_gap, time_point now) {
   if (IsExplained(crash.upstream, crash.at)) {
     return 0;
   }
@@ -22,12 +22,18 @@
   const bool counted = std::any_of(
       crashes.begin(), crashes.end(), [&](const suspected_crash& known) {
         return IsSameCrash(known, crash.upstream, crash.at) ||
-               HasCommonCause(known, crash);
+               HasCommonCause(known, crash, min_repeat_gap);
       });
   if (counted) {
     return 0;
   }
-  crashes.push_back(crash);
+  // Peers may tell crashes in another order.
+  crashes.insert(
+      std::upper_bound(crashes.begin(), crashes.end(), crash,
+                       [](const suspected_crash& a, const suspected_crash& b) {
+                         return a.at < b.at;
+                       }),
+      crash);
   if (now - crash.at < parameters_.same_crash) {
     recent_.push_back({crash.upstream, crash.at, request});
   }
@@ -179,13 +185,14 @@
 }
 
 bool request_suspects::HasCommonCause(const suspected_crash& one,
-                                      const suspected_crash& other) const {
+                                      const suspected_crash& other,
+                                      milliseconds min_repeat_gap) const {
   const suspected_crash& first = one.at < other.at ? one : other;
   const suspected_crash& second = one.at < other.at ? other : one;
   // A repeat that was sent because of the first crash was not there before it.
   const bool at_once = second.sent_at + parameters_.transit < first.at;
   return second.at - first.at <
-         (at_once ? parameters_.min_crash_gap : parameters_.min_repeat_gap);
+         (at_once ? parameters_.min_crash_gap : min_repeat_gap);
 }
 
 bool request_suspects::IsShared(const recent_crash& crash) const {
--- a/src/skylarkcroft/quarantine/skylarkcroft_request_suspects.h
+++ b/src/skylarkcroft/quarantine/skylarkcroft_request_suspects.h
@@ -41,8 +41,6 @@
   /// Upstreams that crash closer together than this have a common cause, such
   /// as the loss of their rack, if they had the request at the same time.
   milliseconds min_crash_gap{100};
-  /// The same if one had the request only after the other had crashed.
-  milliseconds min_repeat_gap{10};
   /// Requests with one crash, and with more, are forgotten after these times.
   milliseconds max_age_single{600000};
   milliseconds max_age{3600000};
@@ -62,9 +60,12 @@
       : parameters_(parameters) {}
 
   /// Adds a crash unless it is known, has a common cause with a known one or is
-  /// due to something else. Returns the number of crashes under the request, 0
-  /// if none was added.
-  size_t Add(request_key request, const suspected_crash& crash, time_point now);
+  /// due to something else. Crashes closer together than `min_repeat_gap` have
+  /// a common cause also if one upstream had the request only after the other
+  /// had crashed. Returns the number of crashes under the request, 0 if none
+  /// was added.
+  size_t Add(request_key request, const suspected_crash& crash,
+             milliseconds min_repeat_gap, time_point now);
   /// Removes the crashes of a request until `until`.
   void Clear(request_key request, time_point until);
   /// Removes the crash of an upstream from one request.
@@ -82,7 +83,7 @@
                time_point now);
   void DropOld(time_point now);
 
-  /// The crashes under a request, in order of their arrival.
+  /// The crashes under a request, the earliest first.
   [[nodiscard]] std::vector<suspected_crash> Crashes(request_key request) const;
   [[nodiscard]] size_t Count(request_key request) const;
   /// Whether the request was at the upstream of `crash` as well.
@@ -114,7 +115,8 @@
   [[nodiscard]] bool IsSameCrash(const suspected_crash& crash,
                                  uint32_t upstream, time_point at) const;
   [[nodiscard]] bool HasCommonCause(const suspected_crash& one,
-                                    const suspected_crash& other) const;
+                                    const suspected_crash& other,
+                                    milliseconds min_repeat_gap) const;
   /// Whether several requests broke off at the upstream of a crash.
   [[nodiscard]] bool IsShared(const recent_crash& crash) const;
   bool RefuteWithin(uint32_t upstream, time_point alive_at, duration limit);
--- a/src/skylarkcroft/relay/skylarkcroft_relay_quarantines.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_quarantines.h
@@ -20,6 +20,8 @@
 inline request_quarantine_parameters RequestQuarantineOfRelay() {
   request_quarantine_parameters parameters;
   parameters.crashes_to_block = 2;
+  // A repeat may crash the next upstream at once.
+  parameters.min_repeat_gap = milliseconds(0);
   return parameters;
 }
 
