Relay: a hand-over asks the quarantine of requests; errors and leavers tell nothing

Found in review, by reading. A silent attempt with output was handed over without asking whether its request is quarantined, and any attempt sent in a quarantine counted as its trial. A whole answer with a status of 500 or more lifted a quarantine in the whole fleet, though the request had crashed others. An upstream that leaves by plan and breaks an attempt off counted as a crash.

--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -317,10 +317,7 @@
 }
 
 void relay_request::RecordSending(time_point now) {
-  request_quarantine& quarantine = environment_.crashing_requests;
-  quarantine.RecordSending(key_, now);
-  attempt_->is_trial =
-      quarantine.Decide(key_, now).decision != quarantine_decision::kAllowed;
+  attempt_->is_trial = environment_.crashing_requests.RecordSending(key_, now);
   if (attempt_->is_trial) {
     environment_.on_quarantine_changed();
   }
@@ -639,14 +636,18 @@
   if (IsSuccess(status) && has_output) {
     environment_.quarantine.RecordSuccess(prompt_, now);
   }
-  if (!ImpliesNotExecuted(status)) {
+  // An error neither shows that the upstream outlives the request nor that it
+  // does not.
+  if (status < kFirstServerError && !ImpliesNotExecuted(status)) {
     environment_.crashing_requests.RecordSuccess(key_, now);
   }
   environment_.on_quarantine_changed();
 }
 
 void relay_request::RecordIfCrash(attempt_failure failure, time_point now) {
-  if (failure != attempt_failure::kBroken) {
+  const bool leaves =
+      environment_.balancer.IsLeaving(attempt_->placed.upstream.id);
+  if (failure != attempt_failure::kBroken || leaves) {
     return;
   }
   request_quarantine& requests = environment_.crashing_requests;
@@ -824,16 +825,20 @@
   }
 }
 
+quarantine_decision relay_request::DecideForAttempt(time_point now) const {
+  // The quarantine of the request is what its trial is to end or to prolong.
+  return (attempt_->is_trial ? environment_.quarantine.Decide(prompt_, now)
+                             : DecideQuarantine(now))
+      .decision;
+}
+
 bool relay_request::RecallIfQuarantined(time_point now) {
   const bool waiting =
       attempt_ != nullptr && !attempt_->first_output_at.has_value();
   if (!waiting) {
     return false;
   }
-  const quarantine_decision decision =
-      (attempt_->is_trial ? environment_.quarantine.Decide(prompt_, now)
-                          : DecideQuarantine(now))
-          .decision;
+  const quarantine_decision decision = DecideForAttempt(now);
   if (decision == quarantine_decision::kAllowed) {
     return false;
   }
@@ -888,8 +893,7 @@
     record_.silence = "may_not_repeat";
     return false;
   }
-  const quarantine_decision quarantine =
-      environment_.quarantine.Decide(prompt_, now).decision;
+  const quarantine_decision quarantine = DecideForAttempt(now);
   if (quarantine != quarantine_decision::kAllowed) {
     record_.silence = ToString(quarantine);
     return false;
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -158,6 +158,8 @@
   /// Cancels an attempt without output if the request or its prompt has been
   /// quarantined since it was sent; returns whether it has.
   bool RecallIfQuarantined(time_point now);
+  /// Whether the request of the attempt may still be sent.
+  [[nodiscard]] quarantine_decision DecideForAttempt(time_point now) const;
   /// A sound upstream may pause, so a silent attempt goes on until another
   /// upstream is allowed to take over and has accepted a connection.
   void CheckUpstreamSilence(time_point now);
