Node: hedges and hand-overs ask both quarantines; "not run" only without tokens

Found in review, by reading. A silent try was ended for another one, and a second one started beside it, though the request was quarantined. A request adopted with tokens of another node was refused as not run. A 5xx cleared the suspicion.

--- a/src/skylarkcroft/node/skylarkcroft_request_run.cc
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.cc
@@ -19,6 +19,7 @@
 // Longest time for which a service is asked after a lost outcome.
 constexpr milliseconds kOutcomeLimit{5000};
 constexpr std::chrono::seconds kRetryAfter{1};
+constexpr int kFirstServerError = 500;
 
 const upstream* FindUpstream(const std::vector<upstream_state>& members,
                              const std::string& name) {
@@ -206,6 +207,13 @@
   return query;
 }
 
+bool request_run::IsQuarantined(time_point now) const {
+  return environment_.crashing_requests.Decide(key_, now).decision !=
+             quarantine_decision::kAllowed ||
+         environment_.quarantine.Decide(prompt_, now).decision !=
+             quarantine_decision::kAllowed;
+}
+
 bool request_run::FailIfQuarantined(time_point now) {
   const quarantine_verdict of_request =
       environment_.crashing_requests.Decide(key_, now);
@@ -216,7 +224,8 @@
     return false;
   }
   environment_.count_event(ToString(verdict.decision));
-  if (tries_ == 0) {
+  const bool may_have_run = tries_ > 0 || !answer_->tokens().empty();
+  if (!may_have_run) {
     Fail(is_request ? refusal_reason::kRequestQuarantined
                     : refusal_reason::kPromptQuarantined,
          is_request ? "upstreams crashed under this request"
@@ -237,7 +246,8 @@
   if (result.outcome == attempt_outcome::kBroken) {
     RecordCrash(upstream_name, now);
   }
-  const bool answered = result.may_have_run && result.response.status != 0;
+  const bool answered = result.may_have_run && result.response.status != 0 &&
+                        result.response.status < kFirstServerError;
   if (result.outcome == attempt_outcome::kComplete || answered) {
     environment_.crashing_requests.RecordSuccess(key_, now);
     RecordByte(upstream_name, now);
@@ -420,7 +430,7 @@
       environment_.choose(query, members, now);
   const upstream* found = chosen ? FindUpstream(members, *chosen) : nullptr;
   if (found == nullptr || found->name == current_upstream_.name ||
-      !environment_.take_retry(request_.target.name)) {
+      IsQuarantined(now) || !environment_.take_retry(request_.target.name)) {
     return nullptr;
   }
   environment_.count_event("hedged");
@@ -515,8 +525,7 @@
       environment_.choose(query, members, now);
   const upstream* found = chosen ? FindUpstream(members, *chosen) : nullptr;
   if (found == nullptr || found->name == current_upstream_.name ||
-      environment_.quarantine.Decide(prompt_, now).decision !=
-          quarantine_decision::kAllowed) {
+      IsQuarantined(now)) {
     return false;
   }
   const upstream target = *found;
--- a/src/skylarkcroft/node/skylarkcroft_request_run.h
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.h
@@ -109,6 +109,7 @@
   void OnClaim(const claim_result& found, const std::function<void()>& on_held);
   void OnUnknownClaim(const std::string& upstream_name);
   void StartTry(time_point now);
+  [[nodiscard]] bool IsQuarantined(time_point now) const;
   void RecordForQuarantine(const attempt_result& result,
                            const std::string& upstream_name, time_point now);
   /// Records that a byte arrived from an upstream, for both quarantines.
