Quarantine: numbers of rows and sizes of datagrams are checked

Found in review, by reading. A number that is no integer in a row of the archive was converted, a first crash in the future could never be cleared, and a datagram of up to 64 KB was taken for a notice, though none is longer than 1,200 bytes.

--- a/src/skylarkcroft/quarantine/skylarkcroft_quarantine_archive.cc
+++ b/src/skylarkcroft/quarantine/skylarkcroft_quarantine_archive.cc
@@ -69,9 +69,14 @@
 
 row_times DecodeTimes(const json& value, milliseconds store_now) {
   const auto number = [&value](const char* name) {
-    return value.at(name).get<int64_t>();
+    const json& item = value.at(name);
+    if (!item.is_number_integer()) {
+      throw std::out_of_range("item is not an integer");
+    }
+    return item.get<int64_t>();
   };
-  return {SpanBetween(number("first_crash_ms"), store_now.count()),
+  return {std::max(SpanBetween(number("first_crash_ms"), store_now.count()),
+                   milliseconds(0)),
           SpanBetween(store_now.count(), number("ends_ms")),
           static_cast<int>(
               std::clamp<int64_t>(number("relapses"), 0, kMaxRelapses))};
--- a/src/skylarkcroft/quarantine/skylarkcroft_request_notice.cc
+++ b/src/skylarkcroft/quarantine/skylarkcroft_request_notice.cc
@@ -172,6 +172,9 @@
 }
 
 std::optional<request_notice> DecodeRequestNotice(std::string_view bytes) {
+  if (bytes.size() > kMaxDatagramBytes) {
+    return std::nullopt;
+  }
   const json items = DecodeBoundedCbor(bytes);
   if (!items.is_array() || items.empty() || items.front() != kFormatName) {
     return std::nullopt;
