--- a/tests/quarantine/request_quarantine_test.cc
+++ b/tests/quarantine/request_quarantine_test.cc
@@ -502,4 +502,65 @@
   CHECK(node.quarantine.Entries(node.now).empty());
 }
 
+// Guards against a request that all nodes send again in the moment in which its
+// block ends.
+TEST_CASE("After a block one node tries a request and the others reject it",
+          "[quarantine][request][regression]") {
+  request_quarantine_parameters parameters;
+  parameters.crashes_to_block = 2;
+  test_node first(parameters);
+  test_node second(parameters);
+  for (const uint32_t upstream : {1, 2}) {
+    first.Crash(upstream, kDeadly);
+    first.Pass(milliseconds(200));
+    second.Pass(milliseconds(200));
+    second.quarantine.OnNotice(first.quarantine.TakeNotice(), second.now);
+  }
+  REQUIRE_FALSE(first.IsAllowed(kDeadly));
+  REQUIRE_FALSE(second.IsAllowed(kDeadly));
+  first.Pass(parameters.repeat_block);
+  second.Pass(parameters.repeat_block);
+  REQUIRE(first.IsAllowed(kDeadly));
+  CHECK(first.quarantine.RecordSending(kDeadly, first.now));
+  second.quarantine.OnNotice(first.quarantine.TakeNotice(), second.now);
+  CHECK_FALSE(first.IsAllowed(kDeadly));
+  CHECK_FALSE(second.IsAllowed(kDeadly));
+  SECTION("a crash quarantines the request") {
+    first.Crash(3, kDeadly);
+    first.Pass(parameters.trial);
+    second.quarantine.OnNotice(first.quarantine.TakeNotice(), second.now);
+    second.Pass(parameters.trial);
+    CHECK_FALSE(first.IsAllowed(kDeadly));
+    CHECK_FALSE(second.IsAllowed(kDeadly));
+  }
+  SECTION("a success clears it") {
+    first.quarantine.RecordSuccess(kDeadly, first.now);
+    second.quarantine.OnNotice(first.quarantine.TakeNotice(), second.now);
+    CHECK(first.IsAllowed(kDeadly));
+    CHECK(second.IsAllowed(kDeadly));
+  }
+}
+
+// Guards against accusations that lapse because an older crash was told last.
+TEST_CASE("Crashes that are told in any order accuse a request",
+          "[quarantine][request][regression]") {
+  const std::vector<milliseconds> ages =
+      GENERATE(std::vector<milliseconds>{milliseconds(0), milliseconds(20000),
+                                         milliseconds(10000)},
+               std::vector<milliseconds>{milliseconds(20000),
+                                         milliseconds(10000), milliseconds(0)});
+  test_node node;
+  node.Pass(milliseconds(30000));
+  request_notice notice;
+  uint32_t upstream = 0;
+  for (const milliseconds age : ages) {
+    notice.crashes.push_back({++upstream, kDeadly, age, milliseconds(50)});
+  }
+  node.quarantine.OnNotice(notice, node.now);
+  CHECK_FALSE(node.IsAllowed(kDeadly));
+  node.Pass(milliseconds(2000));
+  CHECK_FALSE(node.IsAllowed(kDeadly));
+  CHECK(node.events == std::vector<std::string>{"quarantined"});
+}
+
 }  // namespace skylarkcroft
--- a/tests/relay/request_quarantine_test.cc
+++ b/tests/relay/request_quarantine_test.cc
@@ -247,4 +247,42 @@
   CHECK(upstreams.Ask("/once/", "was bad").status == 200);
 }
 
+// Guards against a request whose crashes are forgotten because an upstream
+// answers it with an error.
+TEST_CASE("An error answer does not clear a request that crashed upstreams",
+          "[relay][crashing_request][regression]") {
+  crashing_upstreams upstreams(false, crash_moment::kInHead);
+  fixture& relay = upstreams.relay;
+  REQUIRE(upstreams.Ask("/once/", kBad).status == 502);
+  upstreams.Wait();
+  const request_key key = KeyOf("/once/", kBad);
+  relay.SetHandler([](const received_request& request) {
+    request.write(
+        "HTTP/1.1 500 Error\r\nX-Id: " + request.head.headers.Get("X-Id") +
+        "\r\nX-Sig: s\r\nContent-Length: 0\r\n\r\n");
+  });
+  REQUIRE(upstreams.Ask("/once/", kBad).status == 500);
+  relay.crashing_requests.RecordCrash(77, key, SteadyNow(), SteadyNow());
+  CHECK(relay.crashing_requests.Decide(key, SteadyNow()).decision ==
+        quarantine_decision::kRequestCrashed);
+}
+
+// Guards against sound requests that are rejected after planned ends of
+// upstreams.
+TEST_CASE("An upstream that leaves does not crash by its requests",
+          "[relay][crashing_request][regression]") {
+  crashing_upstreams upstreams(false, crash_moment::kInHead);
+  fixture& relay = upstreams.relay;
+  relay.SetHandler([&relay](const received_request& request) {
+    const time_point now = SteadyNow();
+    relay.balancer.RecordLeaving(fixture::Entry("one", relay.first_upstream),
+                                 now, now);
+    relay.balancer.RecordLeaving(fixture::Entry("two", relay.second_upstream),
+                                 now, now);
+    request.close();
+  });
+  REQUIRE(upstreams.Ask("/once/", kBad).status == 502);
+  CHECK(relay.crashing_requests.SuspectCount() == 0);
+}
+
 }  // namespace skylarkcroft
