--- a/src/skylarkcroft/internal/skylarkcroft_bounded_json.cc
+++ b/src/skylarkcroft/internal/skylarkcroft_bounded_json.cc
@@ -57,8 +57,8 @@
 
 json Discarded() { return json(json::value_t::discarded); }
 
-// A scan of its own, since a callback of the parser makes large texts several
-// times slower to read. Right for well-formed texts; others are refused anyway.
+// A scan of its own: a callback of the parser would hold up the loop on large
+// texts. Right for well-formed texts; others are refused anyway.
 bool IsNestedTooDeep(std::string_view text) {
   int level = 0;
   bool quoted = false;
