Relay: a silent attempt goes on beside its successor

Callers saw streams end without their last event although every upstream was sound: upstreams that paused for a second or two, one after the other, and declined while they were full.

Cause: OnSuccessorOpened reset the silent attempt as soon as the kernel of another upstream had accepted a connection. Whether that upstream runs the request is not known then. Where it declined, broke or paused as well, the attempts were used up and the answer ended, though the first upstream would have gone on. Class: something sound is given up before what is to replace it is had.

Ruled out: a longer limit of silence (a pause of any length has the same end), asking the successor by a health check (it says nothing of the next request), not counting the declined attempt (the first one is gone all the same).

Change: the successor is sent while the silent attempt goes on. The first of the two that has output keeps the request, the other is reset in that moment, so that no two upstreams make an answer; a client that leaves ends both; both count as attempts and the successor takes from the retry budget as before. A request that may run only once has no successor, as before. `silence` in `request ended` tells what became of the successor.

Two tests were wrong and are replaced: "A successor that declines ends a request without attempts left" expected the fault; it now expects the answer of the silent attempt. "A successor of a silent attempt takes over once it is connected" expected the silent attempt to be closed before the successor has output; now it must be closed within 100 ms after that.

--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -59,6 +59,21 @@
   return value;
 }
 
+// The failure of an exchange that ended without a complete response.
+std::optional<attempt_failure> FailureOf(exchange_result result) {
+  switch (result) {
+    case exchange_result::kNoConnection:
+      return attempt_failure::kNoConnection;
+    case exchange_result::kBroken:
+      return attempt_failure::kBroken;
+    case exchange_result::kMalformed:
+      return attempt_failure::kMalformed;
+    case exchange_result::kComplete:
+      return std::nullopt;
+  }
+  return std::nullopt;
+}
+
 std::string FormatSeconds(milliseconds duration) {
   constexpr double kMillisPerSecond = 1000;
   constexpr size_t kMaxTextBytes = 32;
@@ -76,11 +91,7 @@
       request_(std::move(request)),
       response_(response) {}
 
-relay_request::~relay_request() {
-  if (attempt_ != nullptr) {
-    CloseAttempt(upstream_outcome::kInconclusive);
-  }
-}
+relay_request::~relay_request() { CancelAttempts(); }
 
 void relay_request::Start() {
   request_id_ = request_.head.headers.Get(environment_.names.request_id);
@@ -255,7 +266,7 @@
         "repeats_used_up", environment_.parameters.other_node_retry);
     return;
   }
-  SendTo(*placed);
+  Adopt(SendTo(*placed));
 }
 
 void relay_request::EndWithoutUpstream(time_point now) {
@@ -288,39 +299,44 @@
                                environment_.names);
 }
 
-void relay_request::SendTo(const placement& placed) {
+relay_request::attempt_ptr relay_request::SendTo(const placement& placed) {
   const time_point now = environment_.clock();
-  record_.upstream = placed.upstream.id;
-  record_.upstream_framing.clear();
-  record_.candidates = placed.candidates;
-  record_.running_there = placed.running;
-  record_.unread_there = placed.prefill_tokens;
-  record_.expected_first = placed.expected_first;
-  record_.peer_age = placed.peer_age;
-  attempt_ = std::make_unique<attempt>();
-  attempt_->placed = placed;
-  attempt_->started_at = now;
-  attempt_->last_byte_at = now;
+  attempt_ptr sent = std::make_unique<attempt>();
+  sent->placed = placed;
+  sent->started_at = now;
+  sent->last_byte_at = now;
   tried_upstreams_.push_back(placed.upstream.id);
-  splitter_.Clear();
-  RecordSending(now);
+  sent->is_trial = environment_.crashing_requests.RecordSending(key_, now);
+  if (sent->is_trial) {
+    environment_.on_quarantine_changed();
+  }
   environment_.balancer.RecordRequestSent(placed.upstream.id, placed.work,
                                           generation_, now);
   const exchange_request request{
       placed.upstream.id,    placed.upstream.address,
       FormatRequest(placed), environment_.names.request_id,
       request_id_,           request_.head.method == "HEAD"};
-  attempt_->exchange = environment_.connections.Start(
-      request, {[this](const message_head& head) { OnHead(head); },
-                [this](std::string_view bytes) { OnBody(bytes); },
-                [this](exchange_result result) { OnEnd(result); }});
+  attempt& from = *sent;
+  sent->exchange = environment_.connections.Start(
+      request,
+      {[this, &from](const message_head& head) { OnHead(from, head); },
+       [this, &from](std::string_view bytes) { OnBody(from, bytes); },
+       [this, &from](exchange_result result) { OnEnd(from, result); }});
+  return sent;
 }
 
-void relay_request::RecordSending(time_point now) {
-  attempt_->is_trial = environment_.crashing_requests.RecordSending(key_, now);
-  if (attempt_->is_trial) {
-    environment_.on_quarantine_changed();
-  }
+void relay_request::Adopt(attempt_ptr begun) {
+  attempt_ = std::move(begun);
+  splitter_.Clear();
+  const placement& placed = attempt_->placed;
+  record_.upstream = placed.upstream.id;
+  record_.upstream_framing =
+      attempt_->head.has_value() ? FramingOf(*attempt_->head) : "";
+  record_.candidates = placed.candidates;
+  record_.running_there = placed.running;
+  record_.unread_there = placed.prefill_tokens;
+  record_.expected_first = placed.expected_first;
+  record_.peer_age = placed.peer_age;
 }
 
 bool relay_request::IsForeignResponse(const message_head& head) const {
@@ -333,14 +349,15 @@
           head.headers.Get(environment_.names.request_id) != request_id_);
 }
 
-bool relay_request::MayBeRepeated(const message_head& head) const {
-  return attempt_->exchange->on_kept_connection() && !request_id_.empty() &&
-         head.headers.Get(environment_.names.request_id) != request_id_;
+bool relay_request::MayBeRepeated(const attempt& from) const {
+  return from.exchange->on_kept_connection() && !request_id_.empty() &&
+         from.head->headers.Get(environment_.names.request_id) != request_id_;
 }
 
 std::optional<attempt_failure> relay_request::ClassifyFailure(
-    const message_head& head) const {
-  if (MayBeRepeated(head)) {
+    const attempt& from) const {
+  const message_head& head = *from.head;
+  if (MayBeRepeated(from)) {
     return attempt_failure::kMalformed;
   }
   if (head.status == kMisdirected) {
@@ -363,27 +380,32 @@
   return std::nullopt;
 }
 
-void relay_request::OnHead(const message_head& head) {
+void relay_request::OnHead(attempt& from, const message_head& head) {
   const time_point now = environment_.clock();
-  environment_.balancer.RecordByte(attempt_->placed.upstream.id, now);
-  RecordSignOfLife(now);
-  attempt_->last_byte_at = now;
-  attempt_->head = head;
-  RecordAnnouncements(head, now);
+  environment_.balancer.RecordByte(from.placed.upstream.id, now);
+  RecordSignOfLife(from, now);
+  from.last_byte_at = now;
+  from.head = head;
+  RecordAnnouncements(from, now);
+  const bool failed = ClassifyFailure(from).has_value();
+  from.is_stream = IsEventStream(head) && !failed;
+  if (&from != attempt_.get()) {
+    return;
+  }
   record_.upstream_framing = FramingOf(head);
-  attempt_->is_stream =
-      IsEventStream(head) && !ClassifyFailure(head).has_value();
+  if (!failed) {
+    EndRace();
+  }
 }
 
-void relay_request::RecordAnnouncements(const message_head& head,
-                                        time_point now) {
+void relay_request::RecordAnnouncements(const attempt& from, time_point now) {
   // Such a response is another upstream's, or a copy of an earlier one.
-  if (head.status == kMisdirected || MayBeRepeated(head)) {
+  if (from.head->status == kMisdirected || MayBeRepeated(from)) {
     return;
   }
-  const upstream_entry& upstream = attempt_->placed.upstream;
-  const announcement told =
-      ReadAnnouncement(head.status, head.headers, environment_.names.leaving);
+  const upstream_entry& upstream = from.placed.upstream;
+  const announcement told = ReadAnnouncement(
+      from.head->status, from.head->headers, environment_.names.leaving);
   if (told.is_leaving) {
     const milliseconds allowed = environment_.parameters.leaving_time;
     if (environment_.balancer.RecordLeaving(upstream, now + allowed, now)) {
@@ -398,11 +420,11 @@
   }
 }
 
-void relay_request::RecordExecutionStarted() {
-  attempt_->execution_started = true;
+void relay_request::RecordExecutionStarted(attempt& started) {
+  started.execution_started = true;
   const time_point now = environment_.clock();
-  environment_.balancer.RecordResponseStart(attempt_->placed.upstream.id,
-                                            attempt_->placed.work, now);
+  environment_.balancer.RecordResponseStart(started.placed.upstream.id,
+                                            started.placed.work, now);
   if (!execution_counted_) {
     execution_counted_ = true;
     record_.first_byte =
@@ -413,10 +435,25 @@
   }
 }
 
-void relay_request::OnBody(std::string_view bytes) {
+void relay_request::OnBody(attempt& from, std::string_view bytes) {
   const time_point now = environment_.clock();
-  environment_.balancer.RecordByte(attempt_->placed.upstream.id, now);
-  RecordSignOfLife(now);
+  environment_.balancer.RecordByte(from.placed.upstream.id, now);
+  RecordSignOfLife(from, now);
+  if (&from == successor_.get()) {
+    if (ClassifyFailure(from).has_value()) {
+      // The body of a refusal or an error is no output.
+      return;
+    }
+    PromoteSuccessor();
+  }
+  const bool may_end_race = successor_ != nullptr;
+  if (may_end_race && !ClassifyFailure(*attempt_).has_value()) {
+    EndRace();
+  }
+  AcceptBody(bytes, now);
+}
+
+void relay_request::AcceptBody(std::string_view bytes, time_point now) {
   if (attempt_->execution_started) {
     record_.longest_pause = std::max(
         record_.longest_pause,
@@ -457,7 +494,7 @@
 void relay_request::ForwardEvents(std::string_view bytes) {
   for (const raw_sse_event& event : splitter_.Feed(bytes)) {
     if (!attempt_->execution_started) {
-      RecordExecutionStarted();
+      RecordExecutionStarted(*attempt_);
       attempt_->first_output_at = attempt_->last_byte_at;
     }
     const bool already_sent = event.id.has_value() &&
@@ -502,21 +539,17 @@
   }
 }
 
-void relay_request::OnEnd(exchange_result result) {
-  switch (result) {
-    case exchange_result::kNoConnection:
-      Fail(attempt_failure::kNoConnection);
-      return;
-    case exchange_result::kBroken:
-      Fail(attempt_failure::kBroken);
-      return;
-    case exchange_result::kMalformed:
-      Fail(attempt_failure::kMalformed);
-      return;
-    case exchange_result::kComplete:
-      OnCompleteResponse();
-      return;
+void relay_request::OnEnd(attempt& from, exchange_result result) {
+  if (&from == successor_.get()) {
+    OnSuccessorEnd(result);
+    return;
   }
+  const std::optional<attempt_failure> failure = FailureOf(result);
+  if (failure.has_value()) {
+    Fail(*failure);
+    return;
+  }
+  OnCompleteResponse();
 }
 
 bool relay_request::IsDelimited() const {
@@ -532,8 +565,7 @@
 }
 
 void relay_request::OnCompleteResponse() {
-  const std::optional<attempt_failure> failure =
-      ClassifyFailure(*attempt_->head);
+  const std::optional<attempt_failure> failure = ClassifyFailure(*attempt_);
   if (failure.has_value()) {
     Fail(*failure);
     return;
@@ -587,6 +619,7 @@
 }
 
 void relay_request::DeliverWholeResponse() {
+  EndRace();
   if (!attempt_->is_stream) {
     ForwardWholeResponse();
     return;
@@ -606,7 +639,7 @@
 
 void relay_request::ForwardWholeResponse() {
   if (!attempt_->execution_started) {
-    RecordExecutionStarted();
+    RecordExecutionStarted(*attempt_);
   }
   const message_head& head = *attempt_->head;
   const int status = head.status;
@@ -619,8 +652,8 @@
   RecordEnd(status, "answered");
 }
 
-void relay_request::RecordSignOfLife(time_point now) {
-  const std::string& upstream = attempt_->placed.upstream.id;
+void relay_request::RecordSignOfLife(const attempt& from, time_point now) {
+  const std::string& upstream = from.placed.upstream.id;
   if (environment_.quarantine.HasUnconfirmedCrashes(now)) {
     environment_.quarantine.RecordByte(UpstreamKey(upstream), now);
   }
@@ -644,61 +677,64 @@
   environment_.on_quarantine_changed();
 }
 
-void relay_request::RecordIfCrash(attempt_failure failure, time_point now) {
+void relay_request::RecordIfCrash(const attempt& failed,
+                                  attempt_failure failure, time_point now) {
   const bool leaves =
-      environment_.balancer.IsLeaving(attempt_->placed.upstream.id);
+      environment_.balancer.IsLeaving(failed.placed.upstream.id);
   if (failure != attempt_failure::kBroken || leaves) {
     return;
   }
   request_quarantine& requests = environment_.crashing_requests;
-  const uint32_t upstream = UpstreamKey(attempt_->placed.upstream.id);
+  const uint32_t upstream = UpstreamKey(failed.placed.upstream.id);
   const bool part_is_known =
       environment_.quarantine.Decide(prompt_, now).decision ==
       quarantine_decision::kPartQuarantined;
   if (part_is_known) {
     requests.ExplainCrash(upstream, now);
   } else {
-    requests.RecordCrash(upstream, key_, attempt_->started_at, now);
+    requests.RecordCrash(upstream, key_, failed.started_at, now);
   }
   if (!requests.IsExplained(upstream, now)) {
-    RecordCrashOfParts(now);
+    RecordCrashOfParts(failed, now);
   }
   environment_.on_quarantine_changed();
 }
 
-void relay_request::RecordCrashOfParts(time_point now) {
-  const time_point broken_at = attempt_->ended_at.value_or(now);
-  const bool is_late =
-      attempt_->first_output_at.has_value() &&
-      broken_at - *attempt_->first_output_at > kFirstOutputWindow;
+void relay_request::RecordCrashOfParts(const attempt& failed, time_point now) {
+  const time_point broken_at = failed.ended_at.value_or(now);
+  const bool is_late = failed.first_output_at.has_value() &&
+                       broken_at - *failed.first_output_at > kFirstOutputWindow;
   if (is_late || prompt_.shared.empty()) {
     return;
   }
   environment_.quarantine.RecordCrash(
-      {UpstreamKey(attempt_->placed.upstream.id), prompt_.request,
-       attempt_->head.has_value(), prompt_.shared},
+      {UpstreamKey(failed.placed.upstream.id), prompt_.request,
+       failed.head.has_value(), prompt_.shared},
       now);
 }
 
-attempt_record relay_request::DescribeFailure(attempt_failure failure,
+attempt_record relay_request::DescribeFailure(const attempt& failed,
+                                              attempt_failure failure,
                                               time_point now) const {
   attempt_record record;
   record.request_id = request_id_;
   record.request_key = record_.request_key;
   record.service = service_name_;
-  record.upstream = attempt_->placed.upstream.id;
+  record.upstream = failed.placed.upstream.id;
   record.failure = std::string(ToString(failure));
-  record.head_received = attempt_->head.has_value();
-  if (attempt_->head.has_value()) {
-    record.framing = FramingOf(*attempt_->head);
+  record.head_received = failed.head.has_value();
+  if (failed.head.has_value()) {
+    record.framing = FramingOf(*failed.head);
   }
-  record.partial_event_bytes = splitter_.remainder().size();
-  record.upstream_ended = attempt_->refused_at.has_value();
+  if (&failed == attempt_.get()) {
+    record.partial_event_bytes = splitter_.remainder().size();
+  }
+  record.upstream_ended = failed.refused_at.has_value();
   record.elapsed =
-      std::chrono::duration_cast<milliseconds>(now - attempt_->started_at);
-  if (attempt_->first_output_at.has_value()) {
+      std::chrono::duration_cast<milliseconds>(now - failed.started_at);
+  if (failed.first_output_at.has_value()) {
     record.output_age = std::chrono::duration_cast<milliseconds>(
-        attempt_->ended_at.value_or(now) - *attempt_->first_output_at);
+        failed.ended_at.value_or(now) - *failed.first_output_at);
   }
   record.part_keys = ToString(prompt_.shared);
   for (const prompt_part& part : generation_.parts) {
@@ -708,10 +744,11 @@
   return record;
 }
 
-void relay_request::RecordFailure(attempt_failure failure, time_point now) {
+void relay_request::RecordFailure(attempt& failed, attempt_failure failure,
+                                  time_point now) {
   record_.last_failure = std::string(ToString(failure));
-  environment_.on_attempt_failed(DescribeFailure(failure, now));
-  RecordIfCrash(failure, now);
+  environment_.on_attempt_failed(DescribeFailure(failed, failure, now));
+  RecordIfCrash(failed, failure, now);
   const bool sent = failure != attempt_failure::kNoConnection;
   if (sent) {
     ++record_.upstreams_used;
@@ -721,8 +758,8 @@
   may_have_executed_ = may_have_executed_ || !IsKnownNotExecuted(failure);
   const bool service_may_have_executed =
       !IsKnownNotExecuted(failure) && cache_tokens_ == 0;
-  if (service_may_have_executed && !attempt_->execution_started) {
-    RecordExecutionStarted();
+  if (service_may_have_executed && !failed.execution_started) {
+    RecordExecutionStarted(failed);
   }
 }
 
@@ -741,7 +778,13 @@
 
 void relay_request::Fail(attempt_failure failure) {
   const time_point now = environment_.clock();
-  RecordFailure(failure, now);
+  RecordFailure(*attempt_, failure, now);
+  if (successor_ != nullptr) {
+    CloseFailed(std::move(attempt_), failure);
+    Adopt(std::move(successor_));
+    record_.silence = "replaced";
+    return;
+  }
   const bool may_retry = MayRetryAfter(failure, record_.upstreams_used, now);
   const bool forward_error = failure == attempt_failure::kErrorResponse &&
                              !may_retry && !response_started_ &&
@@ -751,7 +794,7 @@
     ForwardWholeResponse();
     return;
   }
-  CloseFailedAttempt(failure);
+  CloseFailed(std::move(attempt_), failure);
   if (may_retry && response_.HasClientLeft()) {
     RecordEnd(0, "client_gone");
     return;
@@ -768,30 +811,33 @@
       environment_.parameters.other_node_retry);
 }
 
-void relay_request::CloseFailedAttempt(attempt_failure failure) {
-  const std::string upstream = attempt_->placed.upstream.id;
+void relay_request::CloseFailed(attempt_ptr failed, attempt_failure failure) {
+  const std::string upstream = failed->placed.upstream.id;
   switch (failure) {
     case attempt_failure::kNoConnection:
-      CloseAttempt(upstream_outcome::kUnreachable);
+      Close(std::move(failed), upstream_outcome::kUnreachable);
       break;
     case attempt_failure::kDeclined:
-      CloseAttempt(upstream_outcome::kFull);
+      Close(std::move(failed), upstream_outcome::kFull);
       break;
     case attempt_failure::kSilent:
-      CloseAttempt(upstream_outcome::kSilent);
+      Close(std::move(failed), upstream_outcome::kSilent);
       environment_.connections.CloseIdleTo(upstream);
       break;
     case attempt_failure::kMisdirected:
     case attempt_failure::kBroken:
     case attempt_failure::kMalformed:
     case attempt_failure::kErrorResponse:
-      CloseAttempt(upstream_outcome::kFailure);
+      Close(std::move(failed), upstream_outcome::kFailure);
       break;
   }
 }
 
 void relay_request::CloseAttempt(upstream_outcome outcome) {
-  const std::unique_ptr<attempt> closed = std::move(attempt_);
+  Close(std::move(attempt_), outcome);
+}
+
+void relay_request::Close(attempt_ptr closed, upstream_outcome outcome) {
   environment_.balancer.RecordRequestEnded(
       closed->placed.upstream.id, closed->placed.work,
       closed->execution_started, outcome, environment_.clock());
@@ -800,6 +846,14 @@
   environment_.loop.Defer([finished = closed->exchange] {});
 }
 
+void relay_request::CancelAttempts() {
+  CancelSuccessor();
+  if (attempt_ != nullptr) {
+    may_have_executed_ = may_have_executed_ || attempt_->exchange->sent();
+    CloseAttempt(upstream_outcome::kInconclusive);
+  }
+}
+
 void relay_request::Tick(time_point now) {
   if (ended_ || gate_.route == nullptr) {
     return;
@@ -809,6 +863,7 @@
     return;
   }
   if (RemainingTime(now).count() <= 0) {
+    CancelSuccessor();
     if (attempt_ != nullptr) {
       may_have_executed_ = may_have_executed_ || attempt_->exchange->sent();
       CloseAttempt(attempt_->execution_started ? upstream_outcome::kInconclusive
@@ -825,31 +880,39 @@
   }
 }
 
-quarantine_decision relay_request::DecideForAttempt(time_point now) const {
+quarantine_decision relay_request::DecideForAttempt(const attempt& sent,
+                                                    time_point now) const {
   // The quarantine of the request is what its trial is to end or to prolong.
-  return (attempt_->is_trial ? environment_.quarantine.Decide(prompt_, now)
-                             : DecideQuarantine(now))
+  return (sent.is_trial ? environment_.quarantine.Decide(prompt_, now)
+                        : DecideQuarantine(now))
       .decision;
 }
 
 bool relay_request::RecallIfQuarantined(time_point now) {
-  const bool waiting =
-      attempt_ != nullptr && !attempt_->first_output_at.has_value();
-  if (!waiting) {
+  if (attempt_ == nullptr) {
     return false;
   }
-  const quarantine_decision decision = DecideForAttempt(now);
-  if (decision == quarantine_decision::kAllowed) {
-    return false;
+  if (!attempt_->first_output_at.has_value()) {
+    const quarantine_decision decision = DecideForAttempt(*attempt_, now);
+    if (decision != quarantine_decision::kAllowed) {
+      AbortRequest(std::string(ToString(decision)));
+      return true;
+    }
   }
-  AbortRequest(std::string(ToString(decision)));
-  return true;
+  if (successor_ != nullptr) {
+    const quarantine_decision decision = DecideForAttempt(*successor_, now);
+    if (decision != quarantine_decision::kAllowed) {
+      CancelSuccessor();
+      record_.silence = ToString(decision);
+    }
+  }
+  return false;
 }
 
-bool relay_request::IsEngineTimedOut(milliseconds silence,
+bool relay_request::IsEngineTimedOut(const attempt& sent, milliseconds silence,
                                      time_point now) const {
   const relay_parameters& parameters = environment_.parameters;
-  const std::string& id = attempt_->placed.upstream.id;
+  const std::string& id = sent.placed.upstream.id;
   const bool silent_to_this_node = silence > parameters.engine_silence &&
                                    environment_.balancer.TimeSinceOwnByte(
                                        id, now) > parameters.engine_silence;
@@ -859,25 +922,33 @@
          (silent_to_all || silence > parameters.engine_silence_to_this_node);
 }
 
+int relay_request::attempts_in_flight() const {
+  return (attempt_ != nullptr ? 1 : 0) + (successor_ != nullptr ? 1 : 0);
+}
+
 void relay_request::CheckUpstreamSilence(time_point now) {
   if (attempt_ == nullptr || attempt_->paused || !attempt_->exchange->sent()) {
     return;
   }
   const bool search_is_due =
       !attempt_->opens_successor && now >= attempt_->next_successor_search;
-  if (search_is_due && IsUpstreamSilent(now) && MayReplaceSilentAttempt(now)) {
+  const bool all_silent =
+      IsUpstreamSilent(*attempt_, now) &&
+      (successor_ == nullptr || IsUpstreamSilent(*successor_, now));
+  if (search_is_due && all_silent && MayAddSuccessor(now)) {
     OpenSuccessor(now);
   }
 }
 
-bool relay_request::IsUpstreamSilent(time_point now) const {
+bool relay_request::IsUpstreamSilent(const attempt& sent,
+                                     time_point now) const {
   // While the client was too slow, nothing was read.
   const time_point silent_since =
-      std::max(attempt_->last_byte_at, attempt_->reading_since);
+      std::max(sent.last_byte_at, sent.reading_since);
   const milliseconds silence =
       std::chrono::duration_cast<milliseconds>(now - silent_since);
   if (cache_tokens_ > 0) {
-    return IsEngineTimedOut(silence, now);
+    return IsEngineTimedOut(sent, silence, now);
   }
   const milliseconds limit(static_cast<milliseconds::rep>(
       environment_.parameters.service_silence_share *
@@ -885,15 +956,15 @@
   return silence > limit;
 }
 
-bool relay_request::MayReplaceSilentAttempt(time_point now) {
+bool relay_request::MayAddSuccessor(time_point now) {
   attempt_->next_successor_search =
       now + environment_.parameters.silence_recheck;
-  if (!MayRetryAfter(attempt_failure::kSilent, record_.upstreams_used + 1,
-                     now)) {
+  if (!MayRetryAfter(attempt_failure::kSilent,
+                     record_.upstreams_used + attempts_in_flight(), now)) {
     record_.silence = "may_not_repeat";
     return false;
   }
-  const quarantine_decision quarantine = DecideForAttempt(now);
+  const quarantine_decision quarantine = DecideForAttempt(*attempt_, now);
   if (quarantine != quarantine_decision::kAllowed) {
     record_.silence = ToString(quarantine);
     return false;
@@ -909,8 +980,12 @@
 void relay_request::OpenSuccessor(time_point now) {
   const std::optional<placement> successor =
       environment_.balancer.Choose(MakePlacementRequest(), now);
-  if (!successor.has_value() ||
-      successor->upstream.id == attempt_->placed.upstream.id) {
+  const bool is_other =
+      successor.has_value() &&
+      successor->upstream.id != attempt_->placed.upstream.id &&
+      (successor_ == nullptr ||
+       successor->upstream.id != successor_->placed.upstream.id);
+  if (!is_other) {
     record_.silence = "no_other_upstream";
     return;
   }
@@ -936,32 +1011,78 @@
     record_.silence = "no_connection";
     return;
   }
-  const std::string& id = successor.upstream.id;
-  const bool wanted = !IsEndUnconfirmed() && !attempt_->paused &&
-                      IsUpstreamSilent(now) &&
-                      !environment_.balancer.IsLeaving(id);
-  if (!wanted || !MayReplaceSilentAttempt(now)) {
+  const bool all_silent =
+      IsUpstreamSilent(*attempt_, now) &&
+      (successor_ == nullptr || IsUpstreamSilent(*successor_, now));
+  const bool wanted = !IsEndUnconfirmed() && !attempt_->paused && all_silent &&
+                      !environment_.balancer.IsLeaving(successor.upstream.id);
+  if (!wanted || !MayAddSuccessor(now)) {
     return;
   }
   if (response_.HasClientLeft()) {
-    CloseAttempt(upstream_outcome::kInconclusive);
+    CancelAttempts();
     RecordEnd(0, "client_gone");
     return;
   }
   environment_.retries.TryRetry(service_name_, environment_.node_count(), now);
-  RecordFailure(attempt_failure::kSilent, now);
-  CloseFailedAttempt(attempt_failure::kSilent);
+  if (successor_ != nullptr) {
+    // No more than two upstreams have the request at a time.
+    PromoteSuccessor();
+  }
+  record_.silence = "successor_sent";
+  successor_ = SendTo(successor);
+}
+
+void relay_request::PromoteSuccessor() {
+  RecordFailure(*attempt_, attempt_failure::kSilent, environment_.clock());
+  CloseFailed(std::move(attempt_), attempt_failure::kSilent);
+  Adopt(std::move(successor_));
   record_.silence = "replaced";
-  SendTo(successor);
+}
+
+void relay_request::OnSuccessorEnd(exchange_result result) {
+  std::optional<attempt_failure> failure = FailureOf(result);
+  if (!failure.has_value()) {
+    failure = ClassifyFailure(*successor_);
+  }
+  if (failure.has_value()) {
+    DropSuccessor(*failure, environment_.clock());
+    return;
+  }
+  // A whole response without a body.
+  PromoteSuccessor();
+  OnCompleteResponse();
+}
+
+void relay_request::DropSuccessor(attempt_failure failure, time_point now) {
+  RecordFailure(*successor_, failure, now);
+  CloseFailed(std::move(successor_), failure);
+  record_.silence = "successor_failed";
+}
+
+void relay_request::CancelSuccessor() {
+  if (successor_ == nullptr) {
+    return;
+  }
+  if (successor_->exchange->sent()) {
+    ++record_.upstreams_used;
+    may_have_executed_ = true;
+  }
+  Close(std::move(successor_), upstream_outcome::kInconclusive);
+}
+
+void relay_request::EndRace() {
+  if (successor_ != nullptr) {
+    CancelSuccessor();
+    record_.silence = "resumed";
+  }
 }
 
 void relay_request::OnClientDisconnected() {
   if (ended_) {
     return;
   }
-  if (attempt_ != nullptr) {
-    CloseAttempt(upstream_outcome::kInconclusive);
-  }
+  CancelAttempts();
   RecordEnd(0, "client_left");
 }
 
@@ -973,10 +1094,7 @@
     DeliverWholeResponse();
     return;
   }
-  if (attempt_ != nullptr) {
-    may_have_executed_ = may_have_executed_ || attempt_->exchange->sent();
-    CloseAttempt(upstream_outcome::kInconclusive);
-  }
+  CancelAttempts();
   EndWithError(
       ChooseFinalResponse(may_have_executed_, response_started_, false), reason,
       environment_.parameters.other_node_retry);
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -78,6 +78,7 @@
     /// When the upstream refused a connection after that.
     std::optional<time_point> refused_at;
   };
+  using attempt_ptr = std::unique_ptr<attempt>;
 
   bool CheckGate();
   void ChooseRoutedService();
@@ -91,16 +92,20 @@
   void StartNextAttempt();
   /// Ends the request where no upstream of its service takes it.
   void EndWithoutUpstream(time_point now);
-  void SendTo(const placement& placed);
-  void RecordSending(time_point now);
+  [[nodiscard]] attempt_ptr SendTo(const placement& placed);
+  /// Makes `begun` the attempt whose response goes to the client.
+  void Adopt(attempt_ptr begun);
   [[nodiscard]] std::string FormatRequest(const placement& placed) const;
-  void OnHead(const message_head& head);
-  void OnBody(std::string_view bytes);
-  void OnEnd(exchange_result result);
+  void OnHead(attempt& from, const message_head& head);
+  void OnBody(attempt& from, std::string_view bytes);
+  void OnEnd(attempt& from, exchange_result result);
   /// Records what the upstream tells of itself in the head of a response.
-  void RecordAnnouncements(const message_head& head, time_point now);
-  void RecordExecutionStarted();
+  void RecordAnnouncements(const attempt& from, time_point now);
+  void RecordExecutionStarted(attempt& started);
   void OnCompleteResponse();
+  /// Keeps what the attempt's upstream has sent, and forwards what the client
+  /// may have.
+  void AcceptBody(std::string_view bytes, time_point now);
   /// Whether the end of the response is told by more than the end of its
   /// connection: by a length, by chunks or because it has no body.
   [[nodiscard]] bool IsDelimited() const;
@@ -128,11 +133,11 @@
   [[nodiscard]] bool IsForeignResponse(const message_head& head) const;
   /// True for a response without the request's id on a connection that was used
   /// before: a faulty upstream may have written an earlier one once more.
-  [[nodiscard]] bool MayBeRepeated(const message_head& head) const;
+  [[nodiscard]] bool MayBeRepeated(const attempt& from) const;
   /// The failure that the response head indicates; empty if the response is to
   /// be forwarded.
   [[nodiscard]] std::optional<attempt_failure> ClassifyFailure(
-      const message_head& head) const;
+      const attempt& from) const;
   void ForwardWholeResponse();
   /// Ends the attempt; then retries, forwards the upstream's error response or
   /// ends the request with an error. An error response is forwarded unchanged,
@@ -140,37 +145,57 @@
   /// executed.
   void Fail(attempt_failure failure);
   /// Counts the failed attempt and tells what is known of it.
-  void RecordFailure(attempt_failure failure, time_point now);
+  void RecordFailure(attempt& failed, attempt_failure failure, time_point now);
   /// `upstreams_used` includes the attempt that failed, if it was sent.
   [[nodiscard]] bool MayRetryAfter(attempt_failure failure, int upstreams_used,
                                    time_point now) const;
   void CloseAttempt(upstream_outcome outcome);
-  void CloseFailedAttempt(attempt_failure failure);
+  void Close(attempt_ptr closed, upstream_outcome outcome);
+  void CloseFailed(attempt_ptr failed, attempt_failure failure);
+  /// Cancels the attempt and its successor without a verdict on their
+  /// upstreams.
+  void CancelAttempts();
   /// Records a byte, a success or a failure of the attempt for the quarantines.
-  void RecordSignOfLife(time_point now);
+  void RecordSignOfLife(const attempt& from, time_point now);
   /// The attempt ended with a whole answer of this status.
   void RecordWholeAnswer(int status);
-  void RecordIfCrash(attempt_failure failure, time_point now);
+  void RecordIfCrash(const attempt& failed, attempt_failure failure,
+                     time_point now);
   /// Records a crash as evidence against the parts of the prompt.
-  void RecordCrashOfParts(time_point now);
-  [[nodiscard]] attempt_record DescribeFailure(attempt_failure failure,
+  void RecordCrashOfParts(const attempt& failed, time_point now);
+  [[nodiscard]] attempt_record DescribeFailure(const attempt& failed,
+                                               attempt_failure failure,
                                                time_point now) const;
   /// Cancels an attempt without output if the request or its prompt has been
   /// quarantined since it was sent; returns whether it has.
   bool RecallIfQuarantined(time_point now);
   /// Whether the request of the attempt may still be sent.
-  [[nodiscard]] quarantine_decision DecideForAttempt(time_point now) const;
-  /// A sound upstream may pause, so a silent attempt goes on until another
-  /// upstream is allowed to take over and has accepted a connection.
+  [[nodiscard]] quarantine_decision DecideForAttempt(const attempt& sent,
+                                                     time_point now) const;
+  /// A sound upstream may pause, so a silent attempt goes on beside its
+  /// successor until that one has output, which ends the silent attempt.
   void CheckUpstreamSilence(time_point now);
-  [[nodiscard]] bool IsUpstreamSilent(time_point now) const;
+  [[nodiscard]] bool IsUpstreamSilent(const attempt& sent,
+                                      time_point now) const;
   /// Whether a successor of the silent attempt may be sent now.
-  bool MayReplaceSilentAttempt(time_point now);
+  bool MayAddSuccessor(time_point now);
   /// Finds another upstream and opens a connection to it.
   void OpenSuccessor(time_point now);
   void OnSuccessorOpened(const placement& successor, connect_outcome outcome);
+  /// The successor has output or the attempt has failed: gives the attempt up
+  /// and goes on with the successor.
+  void PromoteSuccessor();
+  void OnSuccessorEnd(exchange_result result);
+  /// The attempt goes on without its successor.
+  void DropSuccessor(attempt_failure failure, time_point now);
+  /// Ends a successor without output; it counts as an attempt if it was sent.
+  void CancelSuccessor();
+  /// The attempt has output before its successor.
+  void EndRace();
+  /// Number of upstreams that have the request at present.
+  [[nodiscard]] int attempts_in_flight() const;
   /// `silence` is the time without a byte while the relay read.
-  [[nodiscard]] bool IsEngineTimedOut(milliseconds silence,
+  [[nodiscard]] bool IsEngineTimedOut(const attempt& sent, milliseconds silence,
                                       time_point now) const;
   void ApplyBackpressure();
   /// Ends the request without a response of an upstream to forward.
@@ -200,7 +225,10 @@
   double acquired_tokens_ = 0;
   time_point deadline_{};
   std::vector<std::string> tried_upstreams_;
-  std::unique_ptr<attempt> attempt_;
+  /// The attempt whose response goes to the client.
+  attempt_ptr attempt_;
+  /// Was sent because attempt_ is silent, and has had no output so far.
+  attempt_ptr successor_;
   sse_splitter splitter_;
   /// Id of the last event sent to the client.
   std::optional<int64_t> last_event_id_;
--- a/tests/relay/attempt_end_test.cc
+++ b/tests/relay/attempt_end_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -202,22 +203,29 @@
   }
 }
 
-// The silent attempt is given up once its successor is connected, so an
-// upstream that declines after that leaves nothing to wait for.
-TEST_CASE("A successor that declines ends a request without attempts left",
-          "[relay][attempt_end][silence]") {
+// Guards against requests that end because the successor of a silent attempt
+// declines: the silent attempt has not failed.
+TEST_CASE("A successor that declines ends no request",
+          "[relay][attempt_end][silence][regression]") {
   fixture relay;
   relay.environment.parameters.service_silence_share = 0.1;
+  event_loop::handle_ptr timer;
+  std::optional<received_request> silent;
   relay.SetHandler([&](const received_request& request) {
-    if (relay.RequestCount() == 2) {
-      request.write(Bare("503 Full", "X-Not-Run: 1\r\n"));
+    if (!silent.has_value()) {
+      silent = request;
+      return;
     }
+    request.write(Bare("503 Full", "X-Not-Run: 1\r\n"));
+    timer = relay.loop.After(milliseconds(100), [&] {
+      silent->write(fixture::Response(*silent, "late"));
+    });
   });
   raw_client client(relay.loop, relay.server.address());
   client.Send(fixture::Request("/safe/", "r1"));
   REQUIRE(relay.Await([&] { return !relay.records.empty(); }));
   relay.loop.RunFor(milliseconds(50));
-  CHECK(client.received.starts_with("HTTP/1.1 502"));
+  CHECK(client.received.starts_with("HTTP/1.1 200"));
   CHECK(relay.records.back().last_failure == "declined");
 }
 
--- a/tests/relay/silence_test.cc
+++ b/tests/relay/silence_test.cc
@@ -21,6 +21,8 @@
 constexpr milliseconds kPause{600};
 constexpr milliseconds kAfterAll{60000};
 constexpr const char* kFinalChunk = "0\r\n\r\n";
+constexpr const char* kDeclined =
+    "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
 
 /// The end of a whole stream as a client gets it.
 std::string LastEvent() { return fixture::Event(3) + "\r\n" + kFinalChunk; }
@@ -109,6 +111,15 @@
   return all;
 }
 
+/// Those that may be sent to a further upstream after their first part.
+std::vector<paused_request> RepeatablePausedRequests() {
+  return {{"/safe/", false, pause_at::kHead},
+          {"/safe/", false, pause_at::kWithin},
+          {"/safe/", true, pause_at::kHead},
+          {"/resume/", true, pause_at::kHead},
+          {"/resume/", true, pause_at::kWithin}};
+}
+
 /// A relay with short limits of silence whose first request goes to the first
 /// upstream.
 class silent_upstreams {
@@ -351,30 +362,148 @@
   CHECK(relay.records.back().silence == "request_crashed");
 }
 
-// Guards against a successor that begins while the silent attempt still runs.
-TEST_CASE("A successor of a silent attempt takes over once it is connected",
+// Guards against two upstreams that both go on with one request.
+TEST_CASE("The output of a successor ends the silent attempt at once",
           "[relay][silence]") {
+  constexpr milliseconds kTimeToEnd{100};
   silent_upstreams on(true);
   fixture& relay = on.relay;
   const std::vector<paused_request> kinds = {
       {"/resume/", true, pause_at::kWithin}};
   relay.environment.parameters.silence_recheck = milliseconds(20);
-  std::optional<bool> first_closed;
-  event_loop::handle_ptr timer;
+  std::optional<bool> closed_before_output;
+  std::optional<bool> closed_after_output;
+  std::list<event_loop::handle_ptr> timers;
   relay.second_upstream.SetHandler([&](const received_request& request) {
     CHECK(request.head.headers.Get("Last-Event-Id") == "1");
-    timer = relay.loop.After(milliseconds(50), [&, request] {
-      first_closed = *relay.first_upstream.requests.front().closed;
-      request.write(fixture::StreamHead(request) + fixture::EventChunk(2) +
-                    fixture::EventChunk(3) + kFinalChunk);
-    });
+    const std::shared_ptr<bool> closed =
+        relay.first_upstream.requests.front().closed;
+    timers.push_back(relay.loop.After(milliseconds(50), [&, closed, request] {
+      closed_before_output = *closed;
+      request.write(fixture::StreamHead(request) + fixture::EventChunk(2));
+    }));
+    timers.push_back(
+        relay.loop.After(milliseconds(50) + kTimeToEnd, [&, closed, request] {
+          closed_after_output = *closed;
+          request.write(fixture::EventChunk(3) + kFinalChunk);
+        }));
   });
   const std::list<raw_client> clients = on.Send(kinds);
   on.ListBoth();
   on.CheckAllWhole(kinds, clients);
-  CHECK(first_closed == true);
+  CHECK(closed_before_output == false);
+  CHECK(closed_after_output == true);
   CHECK(relay.second_upstream.requests.size() == 1);
   CHECK(relay.failed_attempts.size() == 1);
+  CHECK(relay.records.back().silence == "replaced");
+}
+
+// Guards against requests that end because the successor of a silent attempt
+// accepts its connection and then fails.
+TEST_CASE("A successor that fails leaves the silent attempt at work",
+          "[relay][silence][regression]") {
+  silent_upstreams on(GENERATE(true, false));
+  fixture& relay = on.relay;
+  const bool declines = GENERATE(true, false);
+  const std::vector<paused_request> kinds = RepeatablePausedRequests();
+  relay.second_upstream.SetHandler([&](const received_request& request) {
+    if (declines) {
+      request.write(kDeclined);
+    } else {
+      request.close();
+    }
+  });
+  const std::list<raw_client> clients = on.Send(kinds);
+  on.ListBoth();
+  on.CheckAllWhole(kinds, clients);
+  CHECK(relay.second_upstream.requests.size() == kinds.size());
+  for (const request_record& record : relay.records) {
+    CHECK(record.silence == "may_not_repeat");
+    CHECK(record.upstreams_used == 1);
+  }
+}
+
+// Guards against requests that end because the successor of a silent attempt
+// pauses for longer than the attempt itself.
+TEST_CASE("An attempt that goes on before its successor keeps its request",
+          "[relay][silence][regression]") {
+  silent_upstreams on(GENERATE(true, false));
+  fixture& relay = on.relay;
+  const std::vector<paused_request> kinds = RepeatablePausedRequests();
+  const std::list<raw_client> clients = on.Send(kinds);
+  on.ListBoth();
+  on.CheckAllWhole(kinds, clients);
+  REQUIRE(relay.second_upstream.requests.size() == kinds.size());
+  for (const received_request& request : relay.second_upstream.requests) {
+    CHECK(*request.closed);
+  }
+  for (const request_record& record : relay.records) {
+    CHECK(record.silence == "resumed");
+  }
+}
+
+// Guards against requests whose attempt breaks while its successor is at work.
+TEST_CASE("A successor goes on when the silent attempt breaks",
+          "[relay][silence]") {
+  silent_upstreams on(GENERATE(true, false));
+  fixture& relay = on.relay;
+  const std::vector<paused_request> kinds = {
+      {"/safe/", false, pause_at::kHead}, {"/resume/", true, pause_at::kHead}};
+  std::list<event_loop::handle_ptr> timers;
+  relay.second_upstream.SetHandler([&](const received_request& request) {
+    for (const received_request& silent : relay.first_upstream.requests) {
+      silent.reset();
+    }
+    const size_t kind = std::stoul(request.head.headers.Get("X-Id"));
+    timers.push_back(relay.loop.After(milliseconds(50), [request, kind] {
+      request.write(kind == 0
+                        ? fixture::Response(request, "from one.")
+                        : fixture::StreamHead(request) +
+                              fixture::EventChunk(1) + fixture::EventChunk(2) +
+                              fixture::EventChunk(3) + kFinalChunk);
+    }));
+  });
+  const std::list<raw_client> clients = on.Send(kinds);
+  on.ListBoth();
+  on.CheckAllWhole(kinds, clients);
+  CHECK(relay.second_upstream.requests.size() == kinds.size());
+}
+
+// Guards against work for a client that has left while two upstreams have its
+// request.
+TEST_CASE("A client that leaves ends the silent attempt and its successor",
+          "[relay][silence][gone]") {
+  silent_upstreams on(true);
+  fixture& relay = on.relay;
+  relay.first_upstream.SetHandler([](const received_request&) {});
+  raw_client client(relay.loop, relay.server.address());
+  client.Send(fixture::Request("/resume/", "r1"));
+  REQUIRE(relay.Await([&] { return !relay.first_upstream.requests.empty(); }));
+  on.ListBoth();
+  REQUIRE(relay.Await([&] { return !relay.second_upstream.requests.empty(); }));
+  client.Disconnect();
+  CHECK(relay.Await([&] {
+    return *relay.first_upstream.requests.front().closed &&
+           *relay.second_upstream.requests.front().closed;
+  }));
+  CHECK(relay.records.back().reason == "client_left");
+}
+
+// Guards against attempts beyond those of the route while two are at work.
+TEST_CASE("A silent attempt and its successor count as two attempts",
+          "[relay][silence]") {
+  silent_upstreams on(GENERATE(true, false));
+  fixture& relay = on.relay;
+  scripted_upstream third(relay.loop);
+  const std::vector<paused_request> kinds = RepeatablePausedRequests();
+  const std::list<raw_client> clients = on.Send(kinds);
+  relay.balancer.Reset({fixture::Entry("one", relay.first_upstream),
+                        fixture::Entry("two", relay.second_upstream),
+                        fixture::Entry("three", third)},
+                       SteadyNow());
+  on.CheckAllWhole(kinds, clients);
+  CHECK(relay.second_upstream.requests.size() + third.requests.size() ==
+        kinds.size());
 }
 
 // Guards against attempts that are given up at the limits in use.
