Soak: sound upstreams pause, and the others decline more meanwhile

A short run is a test of its own.

The check for answers that were cut off counts from the arrival of a request at an upstream, as before; a run of a request that may be repeated begins with its first event, since an upstream that has not begun can be left without harm, and ends when its connection is closed.

--- a/tests/relay_soak/relay_soak_test.cc
+++ b/tests/relay_soak/relay_soak_test.cc
@@ -20,8 +20,10 @@
   return path;
 }
 
-soak_verdict Soak(uint32_t seed, milliseconds span, bool planned_only) {
+soak_verdict Soak(uint32_t seed, milliseconds span, bool planned_only,
+                  bool pauses = false) {
   soak_terms terms;
+  terms.pauses = pauses;
   terms.program = SKYLARKCROFT_PROGRAMS "/src/skylarkcroft";
   terms.folder = TemporaryFolder();
   terms.seed = seed;
@@ -56,6 +58,7 @@
   request.whole = true;
   request.matches = true;
   seen.requests["r"] = request;
+  seen.passed_on = {"r"};
   seen.runs = {{"r", "u", "", kStart + milliseconds(2), std::nullopt}};
   seen.calm_from = kStart + milliseconds(100000);
   return seen;
@@ -129,6 +132,12 @@
   CheckVerdict(kFirstSeed, Soak(kFirstSeed, kShortSpan, true));
 }
 
+// Guards against requests that are cut because a sound upstream pauses.
+TEST_CASE("Pauses of sound upstreams cut nothing off",
+          "[soak][planned][silence][regression]") {
+  CheckVerdict(kFirstSeed, Soak(kFirstSeed, kShortSpan, true, true));
+}
+
 TEST_CASE("The promises hold under faults", "[soak][faults]") {
   CheckVerdict(kFirstSeed, Soak(kFirstSeed, kShortSpan, false));
 }
--- a/tests/relay_soak/soak/main.cc
+++ b/tests/relay_soak/soak/main.cc
@@ -25,6 +25,7 @@
   std::string nodes = "4";
   std::string clients = "24";
   bool planned = false;
+  bool pauses = false;
 };
 
 soak_options Parse(const std::vector<std::string>& arguments) {
@@ -39,6 +40,7 @@
   parser.AddString("clients", "N", "clients at a time", &options.clients);
   parser.AddFlag("planned", "only signals, drains and changes",
                  &options.planned);
+  parser.AddFlag("pauses", "sound upstreams pause", &options.pauses);
   if (!parser.Parse(arguments).empty()) {
     std::cerr << parser.Help();
     throw config_error("arguments", "unexpected", "see the usage");
@@ -60,10 +62,12 @@
     terms.nodes = std::stoul(options.nodes);
     terms.clients = std::stoul(options.clients);
     terms.planned_only = options.planned;
+    terms.pauses = options.pauses;
     const soak_verdict seen = RunSoak(terms);
-    std::cout << "seed " << seed << (options.planned ? " planned" : "") << ": "
-              << seen.requests << " requests, " << seen.served << " served, "
-              << seen.runs << " runs, " << seen.faults.size() << " faults, "
+    std::cout << "seed " << seed << (options.planned ? " planned" : "")
+              << (options.pauses ? " pauses" : "") << ": " << seen.requests
+              << " requests, " << seen.served << " served, " << seen.runs
+              << " runs, " << seen.faults.size() << " faults, "
               << seen.violations.size() << " violations" << std::endl;
     for (const std::string& line : seen.violations) {
       std::cout << "  broken: " << line << "\n";
--- a/tests/relay_soak/soak_history.cc
+++ b/tests/relay_soak/soak_history.cc
@@ -75,7 +75,7 @@
       found.push_back("MIXED " + id + " got other bytes than were made");
     }
     const bool planned_cut = seen.planned_only && !request.gave_up &&
-                             ran.contains(id) && !request.whole;
+                             seen.passed_on.contains(id) && !request.whole;
     if (planned_cut) {
       found.push_back("LOST " + id + " at " + request.node +
                       " was cut off beside planned work");
--- a/tests/relay_soak/soak_run.cc
+++ b/tests/relay_soak/soak_run.cc
@@ -23,6 +23,9 @@
   soak_world world(terms);
   world.Run(kStartTime);
   world.StartClients();
+  if (terms.pauses) {
+    world.PauseUpstreams(SteadyNow() + terms.span);
+  }
   std::mt19937 random(terms.seed + 1);
   std::uniform_int_distribution<int> pause(kLeastPauseMs, kMostPauseMs);
   for (milliseconds passed{0}; passed < terms.span;) {
--- a/tests/relay_soak/soak_run.h
+++ b/tests/relay_soak/soak_run.h
@@ -20,6 +20,8 @@
   size_t clients = 24;
   /// Only signals, drains and changes of the tables, no faults.
   bool planned_only = false;
+  /// Sound upstreams pause for a second or two, one after the other.
+  bool pauses = false;
 
   bool operator==(const soak_terms&) const = default;
 };
--- a/tests/relay_soak/soak_upstream.cc
+++ b/tests/relay_soak/soak_upstream.cc
@@ -9,7 +9,6 @@
 
 constexpr milliseconds kEventGap{15};
 constexpr int kPercent = 100;
-constexpr int kDeclinedPercent = 3;
 constexpr int kUnavailable = 503;
 constexpr int kOtherProcess = 421;
 // Long enough to come in several reads.
@@ -68,7 +67,8 @@
       id_(id),
       upstream_(loop),
       proxy_(loop, upstream_.address()),
-      random_(seed) {
+      random_(seed),
+      declined_percent_(kDeclinedPercent) {
   upstream_.SetHandler(
       [this](const scripted_upstream::received_request& to) { Handle(to); });
 }
@@ -86,6 +86,18 @@
   timers_.push_back(loop_.After(delay, std::move(call)));
 }
 
+void soak_upstream::WriteLater(milliseconds delay, std::function<void()> call) {
+  Later(delay, [this, call = std::move(call)] {
+    const auto left =
+        std::chrono::ceil<milliseconds>(paused_until_ - SteadyNow());
+    if (left.count() > 0) {
+      WriteLater(left, call);
+      return;
+    }
+    call();
+  });
+}
+
 void soak_upstream::Decline(const scripted_upstream::received_request& to,
                             int status) {
   const std::string id = to.head.headers.Get("X-Attempt-Id");
@@ -100,33 +112,68 @@
     Decline(to, kOtherProcess);
     return;
   }
-  if (static_cast<int>(random_() % kPercent) < kDeclinedPercent) {
+  if (static_cast<int>(random_() % kPercent) < declined_percent_) {
     Decline(to, kUnavailable);
     return;
   }
   const request_kind kind = KindOf(to.head.target);
-  const size_t run = seen_.runs.size();
-  seen_.runs.push_back({headers.Get("X-Attempt-Id"), id_, headers.Get("X-Key"),
-                        SteadyNow(), std::nullopt});
+  seen_.passed_on.insert(headers.Get("X-Attempt-Id"));
   if (loses_answers_ && random_() % 2 == 0) {
+    NoteRun(to);
     to.close();
     return;
   }
+  if (kind == request_kind::kResumable) {
+    // A request that may run elsewhere begins with its first event.
+    WriteLater(milliseconds(0), [this, to] {
+      if (!*to.closed) {
+        StartStream(to, NoteRun(to));
+      }
+    });
+    return;
+  }
+  const size_t run = NoteRun(to);
   if (kind == request_kind::kSafe || kind == request_kind::kOnce) {
     AnswerPlain(to, kind);
     return;
   }
+  WriteLater(milliseconds(0), [this, to, run] { StartStream(to, run); });
+}
+
+size_t soak_upstream::NoteRun(const scripted_upstream::received_request& to) {
+  const http_headers& headers = to.head.headers;
+  seen_.runs.push_back({headers.Get("X-Attempt-Id"), id_, headers.Get("X-Key"),
+                        SteadyNow(), std::nullopt});
+  return seen_.runs.size() - 1;
+}
+
+void soak_upstream::WatchEnd(const scripted_upstream::received_request& to,
+                             size_t run) {
+  if (seen_.runs[run].ended_at.has_value()) {
+    return;
+  }
+  if (*to.closed) {
+    seen_.runs[run].ended_at = SteadyNow();
+    return;
+  }
+  Later(kEventGap, [this, to, run] { WatchEnd(to, run); });
+}
+
+void soak_upstream::StartStream(const scripted_upstream::received_request& to,
+                                size_t run) {
+  const http_headers& headers = to.head.headers;
   const std::string last = headers.Get("Last-Event-Id");
   to.write(Head(headers.Get("X-Attempt-Id"), "200 OK") +
            "Content-Type: text/event-stream\r\n"
            "Transfer-Encoding: chunked\r\n\r\n");
+  WatchEnd(to, run);
   Stream(to, run, last.empty() ? 1 : std::stoi(last) + 1);
 }
 
 void soak_upstream::AnswerPlain(const scripted_upstream::received_request& to,
                                 request_kind kind) {
   constexpr int kLongestWorkMs = 25;
-  Later(milliseconds(random_() % kLongestWorkMs), [to, kind] {
+  WriteLater(milliseconds(random_() % kLongestWorkMs), [to, kind] {
     const std::string id = to.head.headers.Get("X-Attempt-Id");
     const std::string body = ExpectedBody(kind, id);
     to.write(Head(id, "200 OK") + "Content-Length: " +
@@ -136,13 +183,16 @@
 
 void soak_upstream::Stream(const scripted_upstream::received_request& to,
                            size_t run, int next) {
-  if (*to.closed || next > kStreamEvents) {
+  if (*to.closed) {
+    return;
+  }
+  if (next > kStreamEvents) {
     seen_.runs[run].ended_at = SteadyNow();
     to.write("0\r\n\r\n");
     return;
   }
   to.write(Chunk(Event(to.head.headers.Get("X-Attempt-Id"), next)));
-  Later(kEventGap, [this, to, run, next] { Stream(to, run, next + 1); });
+  WriteLater(kEventGap, [this, to, run, next] { Stream(to, run, next + 1); });
 }
 
 }  // namespace skylarkcroft::soak
--- a/tests/relay_soak/soak_upstream.h
+++ b/tests/relay_soak/soak_upstream.h
@@ -16,12 +16,14 @@
 
 /// Events of every stream that an upstream makes.
 inline constexpr int kStreamEvents = 12;
+/// Share of the requests that an upstream declines by itself, in percent.
+inline constexpr int kDeclinedPercent = 3;
 
 /// The whole body of the answer to a request, as clients must get it.
 std::string ExpectedBody(request_kind kind, const std::string& request);
 
 /// An upstream behind a proxy that notes every run. It declines a few requests
-/// and, when told to, loses answers.
+/// and, when told to, loses answers, pauses or declines more.
 class soak_upstream {
  public:
   soak_upstream(event_loop& loop, history& seen, const std::string& id,
@@ -33,15 +35,27 @@
                                   const std::string& state) const;
   loopback_proxy& proxy() { return proxy_; }
   void SetLosesAnswers(bool loses) { loses_answers_ = loses; }
+  /// Writes nothing until `end` and then goes on; requests are accepted.
+  void PauseUntil(time_point end) { paused_until_ = end; }
+  /// Declines this share of the requests, in percent.
+  void SetDeclined(int percent) { declined_percent_ = percent; }
 
  private:
   void Handle(const scripted_upstream::received_request& to);
   void Decline(const scripted_upstream::received_request& to, int status);
   void AnswerPlain(const scripted_upstream::received_request& to,
                    request_kind kind);
+  /// Notes that the upstream begins to work on a request; returns the number of
+  /// the run.
+  size_t NoteRun(const scripted_upstream::received_request& to);
+  /// Notes the end of a run when its connection is closed.
+  void WatchEnd(const scripted_upstream::received_request& to, size_t run);
+  void StartStream(const scripted_upstream::received_request& to, size_t run);
   void Stream(const scripted_upstream::received_request& to, size_t run,
               int next);
   void Later(milliseconds delay, std::function<void()> call);
+  /// Calls `call` after `delay`, or at the end of the pause that runs then.
+  void WriteLater(milliseconds delay, std::function<void()> call);
 
   event_loop& loop_;
   history& seen_;
@@ -50,6 +64,8 @@
   loopback_proxy proxy_;
   std::mt19937 random_;
   bool loses_answers_ = false;
+  int declined_percent_;
+  time_point paused_until_{};
   std::vector<event_loop::handle_ptr> timers_;
 };
 
--- a/tests/relay_soak/soak_world.cc
+++ b/tests/relay_soak/soak_world.cc
@@ -15,6 +15,12 @@
 // The bound within which a leaving upstream serves, and a little longer.
 constexpr milliseconds kServesLeaving{2600};
 constexpr milliseconds kEndCheck{50};
+// A pause is longer than the silence after which the relay seeks another
+// upstream, and ends before the timeout of the routes.
+constexpr int kShortestPauseMs = 1300;
+constexpr int kLongestPauseMs = 1900;
+constexpr milliseconds kBetweenPauses{400};
+constexpr int kDeclinedWhilePausedPercent = 40;
 
 nlohmann::json Route(const std::string& path, const std::string& kind,
                      const std::string& service, bool resumable) {
@@ -29,6 +35,7 @@
 soak_world::soak_world(const soak_terms& terms)
     : terms_(terms),
       random_(terms.seed),
+      pause_random_(terms.seed),
       platform_(loop_),
       started_at_(SteadyNow()) {
   seen_.planned_only = terms.planned_only;
@@ -250,6 +257,30 @@
   Later(span, [&upstream] { upstream.proxy().SetMode(proxy_mode::kPass); });
 }
 
+void soak_world::PauseUpstreams(time_point end) {
+  const time_point now = SteadyNow();
+  if (now >= end) {
+    return;
+  }
+  soak_upstream& pausing =
+      *upstreams_[pause_random_() % upstreams_.size()]->upstream;
+  std::uniform_int_distribution<int> span_ms(kShortestPauseMs, kLongestPauseMs);
+  const milliseconds span(span_ms(pause_random_));
+  faults_.push_back(std::to_string(ElapsedMs(started_at_, now)) + " ms " +
+                    pausing.id() + " pauses for " +
+                    std::to_string(span.count()) + " ms");
+  pausing.PauseUntil(now + span);
+  for (const std::unique_ptr<service_upstream>& one : upstreams_) {
+    one->upstream->SetDeclined(kDeclinedWhilePausedPercent);
+  }
+  Later(span, [this] {
+    for (const std::unique_ptr<service_upstream>& one : upstreams_) {
+      one->upstream->SetDeclined(kDeclinedPercent);
+    }
+  });
+  Later(span + kBetweenPauses, [this, end] { PauseUpstreams(end); });
+}
+
 void soak_world::Harm() {
   node& one = nodes_[random_() % nodes_.size()];
   service_upstream& upstream = *upstreams_[random_() % upstreams_.size()];
--- a/tests/relay_soak/soak_world.h
+++ b/tests/relay_soak/soak_world.h
@@ -27,6 +27,9 @@
   void Run(milliseconds span) { loop_.RunFor(span); }
   /// Does something drawn from the seed; undone by itself after a while.
   void Harm();
+  /// Lets upstreams pause one after the other until `end`; while one does, the
+  /// others decline more. Sound upstreams may do so, so this is no harm.
+  void PauseUpstreams(time_point end);
   void StartClients();
   void StopClients();
   /// From now on nothing is harmed.
@@ -68,6 +71,9 @@
 
   soak_terms terms_;
   std::mt19937 random_;
+  /// Draws the pauses alone, so that they leave the faults of a seed as they
+  /// are.
+  std::mt19937 pause_random_;
   event_loop loop_;
   history seen_;
   platform_standin platform_;
