Relay: a silent upstream is avoided once a successor is sent

Since a silent attempt goes on beside its successor, its upstream counted as silent only when the successor had output. Meanwhile further requests went there, among them those that may run only once.

Evidence: the new test failed on the code before (further requests at the silent upstream), and passes now.

The silence is told to the balancer when the successor is sent, and not once more when the attempt is given up.

--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer.cc
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer.cc
@@ -539,6 +539,13 @@
   upstream.health.Record(outcome, now);
 }
 
+void load_balancer::RecordSilence(const std::string& id, time_point now) {
+  const auto found = upstreams_.find(id);
+  if (found != upstreams_.end()) {
+    found->second.health.Record(upstream_outcome::kSilent, now);
+  }
+}
+
 void load_balancer::RecordByte(const std::string& id, time_point now) {
   const auto found = upstreams_.find(id);
   if (found != upstreams_.end()) {
--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
@@ -192,6 +192,9 @@
   /// started.
   void RecordRequestEnded(const std::string& id, const request_work& work,
                           bool begun, upstream_outcome outcome, time_point now);
+  /// A request at the upstream has been without a byte for longer than a
+  /// working upstream needs, and goes on.
+  void RecordSilence(const std::string& id, time_point now);
   /// Records that this node received a byte from the upstream.
   void RecordByte(const std::string& id, time_point now);
   /// Whether this node has received a byte from the upstream after `since`.
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -812,7 +812,6 @@
 }
 
 void relay_request::CloseFailed(attempt_ptr failed, attempt_failure failure) {
-  const std::string upstream = failed->placed.upstream.id;
   switch (failure) {
     case attempt_failure::kNoConnection:
       Close(std::move(failed), upstream_outcome::kUnreachable);
@@ -821,8 +820,8 @@
       Close(std::move(failed), upstream_outcome::kFull);
       break;
     case attempt_failure::kSilent:
-      Close(std::move(failed), upstream_outcome::kSilent);
-      environment_.connections.CloseIdleTo(upstream);
+      // Recorded when its successor was sent.
+      Close(std::move(failed), upstream_outcome::kInconclusive);
       break;
     case attempt_failure::kMisdirected:
     case attempt_failure::kBroken:
@@ -1029,6 +1028,9 @@
     // No more than two upstreams have the request at a time.
     PromoteSuccessor();
   }
+  const std::string& silent = attempt_->placed.upstream.id;
+  environment_.balancer.RecordSilence(silent, now);
+  environment_.connections.CloseIdleTo(silent);
   record_.silence = "successor_sent";
   successor_ = SendTo(successor);
 }
--- a/tests/relay/silence_test.cc
+++ b/tests/relay/silence_test.cc
@@ -469,6 +469,28 @@
   CHECK(relay.second_upstream.requests.size() == kinds.size());
 }
 
+// Guards against requests that are sent to a silent upstream while a successor
+// of its attempt is at work.
+TEST_CASE("A silent upstream is avoided once a successor is sent",
+          "[relay][silence][regression]") {
+  silent_upstreams on(false);
+  fixture& relay = on.relay;
+  relay.first_upstream.SetHandler([](const received_request&) {});
+  std::list<raw_client> clients;
+  clients.emplace_back(relay.loop, relay.server.address());
+  clients.back().Send(fixture::Request("/safe/", "r1"));
+  REQUIRE(relay.Await([&] { return !relay.first_upstream.requests.empty(); }));
+  on.ListBoth();
+  REQUIRE(relay.Await([&] { return !relay.second_upstream.requests.empty(); }));
+  constexpr size_t kFurther = 6;
+  for (size_t i = 0; i < kFurther; ++i) {
+    clients.emplace_back(relay.loop, relay.server.address());
+    clients.back().Send(fixture::Request("/once/", "f" + std::to_string(i)));
+  }
+  REQUIRE(relay.Await([&] { return relay.RequestCount() == 2 + kFurther; }));
+  CHECK(relay.first_upstream.requests.size() == 1);
+}
+
 // Guards against work for a client that has left while two upstreams have its
 // request.
 TEST_CASE("A client that leaves ends the silent attempt and its successor",
