Store: a replica keeps one record of the table's newest change

Callers saw requests run on upstreams more than the drain time after the store had confirmed that these leave. The nodes that sent them called themselves current and had skipped the rows of these upstreams until the next whole read.

Cause: a node that watches the store and also takes changes from a peer had two records of how far it was. OnPeerChanges advanced the cursor's place with each datagram, position_ only with one that has a later store clock. The next watch read from the place, and PassOn told the peers `after` = position_, with the rows after the place alone. A peer between the two took them for all rows.

Change: replica_cursor keeps the table's newest change up to the place and advances both in one step, by responses, peers' changes and whole reads. What is passed on begins there, reports state it, and the follower keeps the store's clock alone beside it. There is no change of the table between the newest change and the place, and the response has every row after the place it was asked from, so the range that is told and the rows agree.

--- a/src/skylarkcroft/store/skylarkcroft_replica_cursor.cc
+++ b/src/skylarkcroft/store/skylarkcroft_replica_cursor.cc
@@ -32,13 +32,15 @@
   }
   store_era_ = at.era;
   place_ = at;
+  newest_change_ = at.version;
   history_gone_ = false;
   SettlePeerPosition(at);
   return true;
 }
 
 replica_step replica_cursor::OnChanges(const store_position& from,
-                                       const store_position& at) {
+                                       const store_position& at,
+                                       int64_t newest_row) {
   if (at.era < store_era_ || !place_.has_value()) {
     return replica_step::kIgnore;
   }
@@ -52,6 +54,7 @@
   }
   SettlePeerPosition(at);
   place_->version = std::max(place_->version, at.version);
+  newest_change_ = std::max(newest_change_, newest_row);
   return replica_step::kApply;
 }
 
@@ -61,7 +64,7 @@
 }
 
 replica_step replica_cursor::OnPeerChanges(const store_position& after,
-                                           int64_t up_to) {
+                                           int64_t up_to, int64_t newest_row) {
   if (NeedsWholeRead()) {
     return replica_step::kIgnore;
   }
@@ -72,6 +75,7 @@
     return replica_step::kIgnore;
   }
   place_->version = up_to;
+  newest_change_ = std::max(newest_change_, newest_row);
   return replica_step::kApply;
 }
 
--- a/src/skylarkcroft/store/skylarkcroft_replica_cursor.h
+++ b/src/skylarkcroft/store/skylarkcroft_replica_cursor.h
@@ -24,6 +24,11 @@
   [[nodiscard]] const std::optional<store_position>& place() const {
     return place_;
   }
+  /// The table's newest change up to the place: it has none between the two.
+  /// After a whole read the place itself, as a removal leaves no row to read.
+  [[nodiscard]] store_position newest_change() const {
+    return {place_.has_value() ? place_->era : 0, newest_change_};
+  }
   /// True before the first whole read, when the store no longer keeps the
   /// changes since the place, and when a later era is known of.
   [[nodiscard]] bool NeedsWholeRead() const;
@@ -39,14 +44,17 @@
   /// the replica.
   [[nodiscard]] bool OnRead(const store_position& at);
   /// A request for the changes after `from` was answered with those up to `at`.
+  /// `newest_row` is the version of the last of them, 0 when there are none.
   [[nodiscard]] replica_step OnChanges(const store_position& from,
-                                       const store_position& at);
+                                       const store_position& at,
+                                       int64_t newest_row = 0);
   /// The store, in `era`, does not have the changes since the place.
   void OnHistoryGone(int64_t era);
   /// A peer passed on the changes after `after`, up to version `up_to` of the
-  /// same era.
+  /// same era. `newest_row` is as with OnChanges().
   [[nodiscard]] replica_step OnPeerChanges(const store_position& after,
-                                           int64_t up_to);
+                                           int64_t up_to,
+                                           int64_t newest_row = 0);
   /// A peer knows of a change at `newest_change`. Returns whether this is
   /// later than what any peer has told before.
   bool OnPeerPosition(const store_position& newest_change);
@@ -57,6 +65,7 @@
   void SettlePeerPosition(const store_position& at);
 
   std::optional<store_position> place_;
+  int64_t newest_change_ = 0;
   bool history_gone_ = false;
   /// Newest era in which the store has answered.
   int64_t store_era_ = 0;
--- a/src/skylarkcroft/store/skylarkcroft_table_follower.cc
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.cc
@@ -22,6 +22,15 @@
   return Between(backoff / 2, backoff);
 }
 
+// Returns 0 when there are no rows.
+int64_t NewestVersion(const std::vector<stored_row>& rows) {
+  int64_t newest = 0;
+  for (const stored_row& row : rows) {
+    newest = std::max(newest, row.version);
+  }
+  return newest;
+}
+
 milliseconds UpTo(milliseconds most) { return Between(milliseconds(0), most); }
 
 }  // namespace
@@ -104,7 +113,7 @@
                      *as_of > *current_as_of_;
   if (later) {
     current_as_of_ = as_of;
-    position_ = peer;
+    store_time_ = peer.store_clock;
   }
 }
 
@@ -144,8 +153,8 @@
     OnPeerAhead({changes.era, changes.up_to});
     return;
   }
-  const replica_step step =
-      cursor_.OnPeerChanges({changes.era, changes.after}, changes.up_to);
+  const replica_step step = cursor_.OnPeerChanges(
+      {changes.era, changes.after}, changes.up_to, NewestVersion(changes.rows));
   if (step != replica_step::kApply) {
     return;
   }
@@ -156,10 +165,9 @@
           ? store_clock_.ToLocalTime(*changes.store_clock, now)
           : std::nullopt;
   if (as_of.has_value() && current_as_of_.has_value() &&
-      *as_of > *current_as_of_ && !changes.rows.empty()) {
+      *as_of > *current_as_of_) {
     current_as_of_ = as_of;
-    position_ = table_position{{changes.era, changes.rows.back().version},
-                               *changes.store_clock};
+    store_time_ = changes.store_clock;
   }
   Report(changes.rows, known, now);
 }
@@ -215,10 +223,9 @@
   const bool restored = before.has_value() && before->era != response.era;
   if (restored) {
     store_clock_ = {};
+    store_time_.reset();
   }
-  // Uses the version of the store: the newest change of the table may be a
-  // removal, which leaves no row to read.
-  OnResponse(sent_at, response, response.at());
+  OnResponse(sent_at, response);
   events_.on_reset(response.rows, clock_());
   if (restored && watching_ && events_.on_watched_changes != nullptr) {
     // Peers cannot go on from here, but learn that they have to read the table.
@@ -244,7 +251,11 @@
     return;
   }
   const store_position before = *cursor_.place();
-  switch (cursor_.OnChanges(from, response.at())) {
+  // Peers that do not watch know the version of the table's last change, but
+  // not how far the store has got since.
+  const int64_t known = cursor_.newest_change().version;
+  switch (
+      cursor_.OnChanges(from, response.at(), NewestVersion(response.rows))) {
     case replica_step::kIgnore:
       RetryAfter(parameters_.initial_backoff);
       return;
@@ -254,23 +265,14 @@
     case replica_step::kApply:
       break;
   }
-  // Peers that do not watch know the version of the table's last change, but
-  // not how far the store has got since.
-  const store_position known = position_.has_value()
-                                   ? position_->newest_change
-                                   : store_position{before.era, 0};
-  store_position newest = known;
-  for (const stored_row& row : response.rows) {
-    newest.version = std::max(newest.version, row.version);
-  }
-  OnResponse(sent_at, response, newest);
+  OnResponse(sent_at, response);
   Report(response.rows, before, clock_());
   if (response.rows.empty()) {
     CallWhenDue();
     return;
   }
   if (watching_) {
-    PassOn(response, known.version);
+    PassOn(response, known);
   }
   timer_ = loop_.After(parameters_.change_delay, [this] { CallWhenDue(); });
 }
@@ -298,14 +300,13 @@
 }
 
 void table_follower::OnResponse(time_point sent_at,
-                                const store_response& response,
-                                const store_position& newest_change) {
+                                const store_response& response) {
   const time_point as_of = store_clock_.EarliestResponseTime(
       sent_at, response.responded_at, clock_());
   previously_current_as_of_ = current_as_of_;
   current_as_of_ = std::max(current_as_of_.value_or(as_of), as_of);
   if (response.responded_at.has_value()) {
-    position_ = table_position{newest_change, *response.responded_at};
+    store_time_ = response.responded_at;
   }
   failures_ = 0;
   if (!reachable_) {
--- a/src/skylarkcroft/store/skylarkcroft_table_follower.h
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.h
@@ -96,7 +96,10 @@
   /// How current the replica is, for peers; empty before the first read or when
   /// the store does not state its clock.
   [[nodiscard]] std::optional<table_position> position() const {
-    return position_;
+    return store_time_.has_value()
+               ? std::optional<table_position>(
+                     {cursor_.newest_change(), *store_time_})
+               : std::nullopt;
   }
   /// Takes in how current a peer's replica of the same table is.
   void OnPeerReport(const table_position& peer);
@@ -128,8 +131,7 @@
   /// Reports the rows that are newer than `known`, what the replica had.
   void Report(const std::vector<stored_row>& rows, const store_position& known,
               time_point now);
-  void OnResponse(time_point sent_at, const store_response& response,
-                  const store_position& newest_change);
+  void OnResponse(time_point sent_at, const store_response& response);
 
   event_loop& loop_;
   row_store& store_;
@@ -141,7 +143,9 @@
   store_clock_mapping store_clock_;
   std::optional<time_point> current_as_of_;
   std::optional<time_point> previously_current_as_of_;
-  std::optional<table_position> position_;
+  /// The store's clock by which the replica was last known to have every
+  /// change.
+  std::optional<milliseconds> store_time_;
   /// When a peer first reported a change that the replica does not have.
   time_point peer_change_at_{};
   /// From then on, until the whole table is read in a new era.
--- a/tests/store/replica_cursor_test.cc
+++ b/tests/store/replica_cursor_test.cc
@@ -30,6 +30,21 @@
   CHECK(cursor.place() == store_position{1, 20});
 }
 
+// Guards against a newest change that is kept apart from the place.
+TEST_CASE("The newest change is that of the rows up to the place",
+          "[store][cursor][peers][regression]") {
+  replica_cursor cursor = CursorAt({1, 20});
+  CHECK(cursor.newest_change() == store_position{1, 20});
+  CHECK(cursor.OnPeerChanges({1, 20}, 23, 22) == replica_step::kApply);
+  CHECK(cursor.newest_change() == store_position{1, 22});
+  CHECK(cursor.OnChanges({1, 20}, {1, 30}, 21) == replica_step::kApply);
+  CHECK(cursor.newest_change() == store_position{1, 22});
+  CHECK(cursor.OnPeerChanges({1, 31}, 32, 32) == replica_step::kIgnore);
+  CHECK(cursor.newest_change() == store_position{1, 22});
+  CHECK(cursor.OnRead({2, 15}));
+  CHECK(cursor.newest_change() == store_position{2, 15});
+}
+
 // Guards against a replica that goes on from a version of before a restore and
 // never gets the changes below it.
 TEST_CASE("Changes of a later era lead to a whole read and are not applied",
