Node: a hand-over names the requests that were adopted

Callers were sent by `continue_at` to a node that did not have their request, where a request was handed over together with others and the other node did not adopt it, as when its tables no longer had the route.

Cause: the reply to POST /peer/handover counted the adopted records and did not name them. node_handover::OnTaken ended every request that had been offered, also where the count was 0.

Ruled out: offering the rest to a third node (other nodes look for all requests of a leaving node at one successor).

Change: the reply names the ids, handover_sender passes on those that were adopted, and everything else goes on here. A reply with a count alone, as of an earlier version, tells all when the count is that of the offer, and none otherwise. A node that adopts none is no successor; the next one is asked.

--- a/src/skylarkcroft/handover/skylarkcroft_handover_record.cc
+++ b/src/skylarkcroft/handover/skylarkcroft_handover_record.cc
@@ -1,5 +1,6 @@
 #include "skylarkcroft/handover/skylarkcroft_handover_record.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "skylarkcroft/internal/skylarkcroft_bounded_json.h"
@@ -61,6 +62,31 @@
   }
 }
 
+std::string EncodeAdopted(const std::vector<std::string>& ids) {
+  return nlohmann::json({{"taken", ids.size()}, {"ids", ids}}).dump();
+}
+
+std::vector<std::string> DecodeAdopted(
+    const std::string& body, const std::vector<std::string>& offered) {
+  const nlohmann::json document = ParseBoundedJson(body);
+  if (!document.is_object()) {
+    return {};
+  }
+  const auto ids = document.find("ids");
+  if (ids == document.end()) {
+    // Nodes of earlier versions count without names.
+    const bool all =
+        document.contains("taken") && document.at("taken") == offered.size();
+    return all ? offered : std::vector<std::string>();
+  }
+  std::vector<std::string> adopted;
+  std::copy_if(offered.begin(), offered.end(), std::back_inserter(adopted),
+               [&](const std::string& id) {
+                 return std::find(ids->begin(), ids->end(), id) != ids->end();
+               });
+  return adopted;
+}
+
 std::string OwnerOf(const std::string& request_id) {
   const size_t last = request_id.rfind('.');
   if (last == std::string::npos) {
--- a/src/skylarkcroft/handover/skylarkcroft_handover_record.h
+++ b/src/skylarkcroft/handover/skylarkcroft_handover_record.h
@@ -36,6 +36,15 @@
 std::optional<std::vector<handover_record>> DecodeHandover(
     const std::string& body);
 
+/// Encodes the reply to `POST /peer/handover`, which names the adopted
+/// requests.
+std::string EncodeAdopted(const std::vector<std::string>& ids);
+
+/// Returns those of the `offered` ids that the reply `body` tells as adopted. A
+/// reply that only counts them tells all or none; a malformed one tells none.
+std::vector<std::string> DecodeAdopted(const std::string& body,
+                                       const std::vector<std::string>& offered);
+
 /// Returns the `NODE.INCARNATION` prefix of `request_id`, which has the form
 /// `NODE.INCARNATION.NUMBER`; empty when it is malformed.
 std::string OwnerOf(const std::string& request_id);
--- a/src/skylarkcroft/handover/skylarkcroft_handover_sender.cc
+++ b/src/skylarkcroft/handover/skylarkcroft_handover_sender.cc
@@ -20,6 +20,10 @@
 void handover_sender::Send(const std::vector<handover_record>& records,
                            std::vector<handover_target> targets, done_fn done) {
   body_ = EncodeHandover(records);
+  offered_.clear();
+  for (const handover_record& record : records) {
+    offered_.push_back(record.id);
+  }
   targets_ = std::move(targets);
   next_target_ = 0;
   done_ = std::move(done);
@@ -29,7 +33,7 @@
 void handover_sender::AttemptNext() {
   if (next_target_ >= targets_.size()) {
     const done_fn done = std::move(done_);
-    done("");
+    done({});
     return;
   }
   const handover_target target = targets_[next_target_++];
@@ -44,13 +48,22 @@
   options.reuse_connection = false;
   call_ = client_.Send(target.address, request, options,
                        {{}, {}, [this, target](const http_result& result) {
-                          if (!result.Ok()) {
-                            AttemptNext();
-                            return;
-                          }
-                          const done_fn done = std::move(done_);
-                          done(target.name);
+                          OnReply(target.name, result);
                         }});
 }
 
+void handover_sender::OnReply(const std::string& target,
+                              const http_result& result) {
+  std::vector<std::string> adopted;
+  if (result.Ok()) {
+    adopted = DecodeAdopted(result.response.body, offered_);
+  }
+  if (adopted.empty()) {
+    AttemptNext();
+    return;
+  }
+  const done_fn done = std::move(done_);
+  done({target, std::move(adopted)});
+}
+
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/handover/skylarkcroft_handover_sender.h
+++ b/src/skylarkcroft/handover/skylarkcroft_handover_sender.h
@@ -21,12 +21,21 @@
   bool operator==(const handover_target&) const = default;
 };
 
+/// What became of the requests that were offered.
+struct handover_outcome {
+  /// Node that adopted requests; empty when none did.
+  std::string successor;
+  /// Ids of the requests that it adopted.
+  std::vector<std::string> adopted;
+
+  bool operator==(const handover_outcome&) const = default;
+};
+
 /// Hands the requests of a draining node over to the first of several nodes
-/// that accepts them.
+/// that adopts any of them.
 class handover_sender {
  public:
-  /// `successor` is empty when no node accepted the requests.
-  using done_fn = std::function<void(const std::string& successor)>;
+  using done_fn = std::function<void(const handover_outcome&)>;
 
   handover_sender(http_client& client, std::string peer_key,
                   wall_clock_fn wall_clock);
@@ -38,11 +47,13 @@
 
  private:
   void AttemptNext();
+  void OnReply(const std::string& target, const http_result& result);
 
   http_client& client_;
   std::string peer_key_;
   wall_clock_fn wall_clock_;
   std::string body_;
+  std::vector<std::string> offered_;
   std::vector<handover_target> targets_;
   size_t next_target_ = 0;
   done_fn done_;
--- a/src/skylarkcroft/node/skylarkcroft_node_handover.cc
+++ b/src/skylarkcroft/node/skylarkcroft_node_handover.cc
@@ -1,7 +1,6 @@
 #include "skylarkcroft/node/skylarkcroft_node_handover.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "skylarkcroft/handover/skylarkcroft_peer_signature.h"
@@ -101,33 +100,32 @@
     // The successor starts from these tokens, so none may follow here.
     environment_.registry.Find(record.id)->run->Pause(now);
   }
-  sender_.Send(records, Targets(),
-               [this, ids, done = std::move(done)](const std::string& taker) {
-                 if (taker.empty()) {
-                   GoOn(ids);
-                 } else {
-                   OnTaken(ids, taker);
-                 }
-                 done(!taker.empty());
-               });
+  sender_.Send(
+      records, Targets(),
+      [this, ids, done = std::move(done)](const handover_outcome& outcome) {
+        if (!outcome.adopted.empty()) {
+          OnAdopted(outcome);
+        }
+        GoOn(ids);
+        done(!outcome.adopted.empty());
+      });
 }
 
 void node_handover::GoOn(const std::vector<std::string>& ids) {
   for (const std::string& id : ids) {
     request_entry* entry = environment_.registry.Find(id);
-    if (entry != nullptr && entry->run != nullptr) {
+    if (entry != nullptr && entry->run != nullptr && !entry->moved) {
       entry->run->Begin(environment_.clock());
     }
   }
 }
 
-void node_handover::OnTaken(const std::vector<std::string>& ids,
-                            const std::string& successor) {
+void node_handover::OnAdopted(const handover_outcome& outcome) {
   const drain_notice notice{{held_owners_.begin(), held_owners_.end()},
-                            successor};
+                            outcome.successor};
   successors_.Record(notice);
   environment_.members.part().Publish(kDrainTopic, EncodeDrain(notice));
-  for (const std::string& id : ids) {
+  for (const std::string& id : outcome.adopted) {
     request_entry* entry = environment_.registry.Find(id);
     if (entry == nullptr || entry->run == nullptr) {
       continue;
@@ -150,16 +148,15 @@
         run_state::kNotRun, "the requests were not taken", "")));
     return;
   }
-  size_t taken = 0;
+  std::vector<std::string> adopted;
   for (const handover_record& record : *records) {
     if (environment_.runner.Adopt(record)) {
       held_owners_.insert(OwnerOf(record.id));
-      ++taken;
+      adopted.push_back(record.id);
     }
   }
-  exchange->Reply({kOk,
-                   {{"Content-Type", "application/json"}},
-                   nlohmann::json({{"taken", taken}}).dump()});
+  exchange->Reply(
+      {kOk, {{"Content-Type", "application/json"}}, EncodeAdopted(adopted)});
 }
 
 bool node_handover::ReadElsewhere(const http_exchange_ptr& exchange,
--- a/src/skylarkcroft/node/skylarkcroft_node_handover.h
+++ b/src/skylarkcroft/node/skylarkcroft_node_handover.h
@@ -44,8 +44,8 @@
  public:
   explicit node_handover(node_handover_environment environment);
 
-  /// Gives every request that can be moved to another node. `done` runs when
-  /// one has taken them, or none has; they go on here then.
+  /// Offers every request that can be moved to other nodes. `done` runs when
+  /// one has adopted some, or none has; what was not adopted goes on here.
   void HandOver(std::function<void(bool taken)> done);
   /// Answers `POST /peer/handover`.
   void OnHandover(const http_exchange_ptr& exchange);
@@ -58,8 +58,7 @@
  private:
   [[nodiscard]] std::vector<handover_record> Collect(time_point now) const;
   [[nodiscard]] std::vector<handover_target> Targets() const;
-  void OnTaken(const std::vector<std::string>& ids,
-               const std::string& successor);
+  void OnAdopted(const handover_outcome& outcome);
   void GoOn(const std::vector<std::string>& ids);
 
   node_handover_environment environment_;
--- a/tests/handover/handover_record_test.cc
+++ b/tests/handover/handover_record_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <string>
+#include <vector>
 
 #include "skylarkcroft/handover/skylarkcroft_handover_record.h"
 #include "skylarkcroft/handover/skylarkcroft_peer_signature.h"
@@ -28,6 +29,22 @@
   CHECK_FALSE(DecodeHandover("[{}]").has_value());
 }
 
+// Guards against a request that was not adopted and is taken for adopted.
+TEST_CASE("a reply tells which of the offered requests were adopted",
+          "[handover]") {
+  const std::vector<std::string> offered{"n1.a.1", "n1.a.2"};
+  const std::vector<std::string> none;
+  CHECK(DecodeAdopted(EncodeAdopted({"n1.a.2", "n1.a.9"}), offered) ==
+        std::vector<std::string>{"n1.a.2"});
+  CHECK(DecodeAdopted(EncodeAdopted({}), offered) == none);
+  // Replies of earlier versions have a count and no ids.
+  CHECK(DecodeAdopted(R"({"taken":2})", offered) == offered);
+  CHECK(DecodeAdopted(R"({"taken":1})", offered) == none);
+  CHECK(DecodeAdopted(R"({"taken":2,"ids":7})", offered) == none);
+  CHECK(DecodeAdopted(R"({"taken":2,"ids":[7,{}]})", offered) == none);
+  CHECK(DecodeAdopted("not JSON", offered) == none);
+}
+
 TEST_CASE("only a recent signature with the shared key is accepted",
           "[handover][hostile]") {
   const std::string signature = SignForPeer("key", "body", kNow);
--- a/tests/node/handover_test.cc
+++ b/tests/node/handover_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -60,10 +61,23 @@
     for (size_t index = 0; index < node_count; ++index) {
       AddNode();
     }
+    if (node_count == 0) {
+      return;
+    }
     PutTables();
     REQUIRE(Until([&] { return AllKnown(); }));
   }
 
+  // Replaces the routes and waits until every node uses them.
+  void PutRoutes(const nlohmann::json& routes, int64_t revision) {
+    REQUIRE(Put("routes", routes).status == 200);
+    REQUIRE(Until([&] {
+      return std::all_of(nodes.begin(), nodes.end(), [&](const auto& one) {
+        return RevisionOf(*one) == revision;
+      });
+    }));
+  }
+
   bool AllKnown() {
     for (const auto& one : nodes) {
       const nlohmann::json status = nlohmann::json::parse(
@@ -126,6 +140,52 @@
   CHECK(first.text + rest.text == WholeText());
 }
 
+// Guards against a caller that is sent to a node which did not adopt its
+// request.
+TEST_CASE("a request that the other node does not adopt goes on here",
+          "[node][handover]") {
+  leaving_fixture fixture(0);
+  // The hand-over comes at half of it, within both streams.
+  fixture.shutdown.limit = milliseconds(1000);
+  fixture.AddNode();
+  fixture.AddNode();
+  fixture.PutTables();
+  REQUIRE(fixture.Until([&] { return fixture.AllKnown(); }));
+  nlohmann::json routes = fixture.RoutesDocument();
+  nlohmann::json removed = routes["routes"][0];
+  removed["name"] = "removed";
+  removed["models"] = {"removed"};
+  nlohmann::json both = routes;
+  both["routes"].insert(both["routes"].begin(), removed);
+  fixture.PutRoutes(both, 3);
+  std::string unknown_text;
+  std::optional<http_result> unknown_ended;
+  http_request unknown = node_fixture::Completion(kPrompt, kTokens, true);
+  nlohmann::json body = nlohmann::json::parse(unknown.body);
+  body["model"] = "removed";
+  unknown.body = body.dump();
+  const http_call_ptr unknown_call = fixture.client.Send(
+      fixture.nodes[0]->callers_address(), unknown, {},
+      {{},
+       [&](std::string_view data) { unknown_text += data; },
+       [&](const http_result& result) { unknown_ended = result; }});
+  REQUIRE(fixture.Until([&] { return !unknown_text.empty(); }));
+  fixture.PutRoutes(routes, 4);
+  fixture.StartStream(*fixture.nodes[0]);
+  fixture.nodes[0]->Shutdown();
+  REQUIRE(fixture.Until([&] { return fixture.ended.has_value(); }));
+  REQUIRE(fixture.Until([&] { return unknown_ended.has_value(); }));
+  CHECK_THAT(unknown_text, !Catch::Matchers::Contains("continue_at"));
+  CHECK_THAT(unknown_text, Catch::Matchers::Contains("[DONE]"));
+  const stream_part first = ReadPart(fixture.ended->response);
+  REQUIRE_FALSE(first.continue_at.empty());
+  const stream_part rest =
+      ReadPart(fixture.Call(fixture.nodes[1]->callers_address(),
+                            ReadRest(first.continue_at, first.last_offset)));
+  CHECK(rest.done);
+  CHECK(first.text + rest.text == WholeText());
+}
+
 TEST_CASE("an answer is found after two nodes have left in turn",
           "[node][handover]") {
   leaving_fixture fixture(3);
