Node: a hand-over leaves the try running until a node has adopted the request

Callers of a leaving node saw streams end with an error, although their upstream was sound: a hand-over that no node took had ended the try before, and the rest did not come from another one in time.

Cause: node_handover::HandOver paused each run, which ends its try, before any node was asked. Without a taker the run began again at an upstream that had to be free, and a run that was preempted began again out of its turn.

Ruled out: handing tokens on meanwhile (the other node starts from those that were offered, so that callers could get more than it has).

Change: the run keeps back what its try brings, and starts no other, until the offer has ended. Where a node has adopted the request all of that is dropped; otherwise it goes on from there, with the same try.

--- a/src/skylarkcroft/node/skylarkcroft_node_handover.cc
+++ b/src/skylarkcroft/node/skylarkcroft_node_handover.cc
@@ -97,8 +97,9 @@
   std::vector<std::string> ids;
   for (const handover_record& record : records) {
     ids.push_back(record.id);
-    // The successor starts from these tokens, so none may follow here.
-    environment_.registry.Find(record.id)->run->Pause(now);
+    // The successor starts from these tokens, so none may follow here. The try
+    // goes on, since nobody may take the request.
+    environment_.registry.Find(record.id)->run->SuspendOutput();
   }
   sender_.Send(
       records, Targets(),
@@ -115,7 +116,7 @@
   for (const std::string& id : ids) {
     request_entry* entry = environment_.registry.Find(id);
     if (entry != nullptr && entry->run != nullptr && !entry->moved) {
-      entry->run->Begin(environment_.clock());
+      entry->run->ResumeOutput();
     }
   }
 }
--- a/src/skylarkcroft/node/skylarkcroft_request_run.cc
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.cc
@@ -123,7 +123,39 @@
                        request_.id));
 }
 
+void request_run::SuspendOutput() {
+  output_suspended_ = true;
+  // A try that ended while it was held for a move has no successor yet.
+  if (std::exchange(held_for_move_, false) && try_ == nullptr) {
+    StartTry(environment_.clock());
+  }
+}
+
+void request_run::ResumeOutput() {
+  output_suspended_ = false;
+  const std::vector<std::function<void()>> steps =
+      std::exchange(kept_steps_, {});
+  for (const std::function<void()>& step : steps) {
+    if (ended_) {
+      return;
+    }
+    step();
+  }
+}
+
+void request_run::RunOrKeep(std::function<void()> step) {
+  if (output_suspended_) {
+    kept_steps_.push_back(std::move(step));
+  } else {
+    step();
+  }
+}
+
 void request_run::Begin(time_point now) {
+  if (output_suspended_) {
+    kept_steps_.emplace_back([this] { Begin(environment_.clock()); });
+    return;
+  }
   started_ = true;
   answer_->BeginStreaming();
   if (tries_ == 0) {
@@ -133,6 +165,10 @@
 }
 
 void request_run::Pause(time_point now) {
+  if (output_suspended_) {
+    kept_steps_.emplace_back([this] { Pause(environment_.clock()); });
+    return;
+  }
   started_ = false;
   held_for_move_ = false;
   timer_.reset();
@@ -150,8 +186,8 @@
 }
 
 bool request_run::HoldForMove() {
-  if (ended_ || !started_ || !request_.completion || !request_.idempotent ||
-      try_ == nullptr) {
+  if (ended_ || output_suspended_ || !started_ || !request_.completion ||
+      !request_.idempotent || try_ == nullptr) {
     return false;
   }
   held_for_move_ = true;
@@ -292,6 +328,10 @@
 }
 
 void request_run::StartTry(time_point now) {
+  if (output_suspended_) {
+    kept_steps_.emplace_back([this] { StartTry(environment_.clock()); });
+    return;
+  }
   if (FailIfQuarantined(now)) {
     return;
   }
@@ -362,12 +402,14 @@
   try_first_token_at_.reset();
   engine_attempt_callbacks events;
   events.on_token = [this](int64_t /*offset*/, const std::string& data) {
-    OnToken(data);
+    RunOrKeep([this, data] { OnToken(data); });
   };
   events.on_usage = [this](const std::string& data) {
-    answer_->SetUsage(data);
+    RunOrKeep([this, data] { answer_->SetUsage(data); });
+  };
+  events.on_end = [this](const attempt_result& result) {
+    RunOrKeep([this, result] { OnTryEnded(result); });
   };
-  events.on_end = [this](const attempt_result& result) { OnTryEnded(result); };
   events.may_end_silent = [this] { return MayEndSilent(); };
   const std::optional<duration> delay = HedgeDelay();
   if (!delay) {
@@ -514,7 +556,7 @@
 bool request_run::MayEndSilent() {
   const time_point now = environment_.clock();
   try_is_silent_ = true;
-  if (held_for_move_ || !MayRetry(true, now)) {
+  if (held_for_move_ || output_suspended_ || !MayRetry(true, now)) {
     return false;
   }
   choice_query query = MakeQuery();
--- a/src/skylarkcroft/node/skylarkcroft_request_run.h
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.h
@@ -88,6 +88,11 @@
   /// Stops the current try so that another request can have its place. The
   /// answer stays as it is. Only for idempotent requests.
   void Pause(time_point now);
+  /// Keeps back what the current try brings, and starts no other, until
+  /// ResumeOutput(). Another node may then start from the tokens so far.
+  void SuspendOutput();
+  /// Goes on with what was kept back.
+  void ResumeOutput();
   /// Ends the answer here, since another node goes on with it; tells readers
   /// where.
   void MoveAway();
@@ -130,6 +135,8 @@
   void OnAnnounced(const endpoint& address, const announcement& told);
   void OnHedgeLeft(hedge_side side, const attempt_result& result);
   void SendToService(const upstream& target, time_point now);
+  /// Runs `step` now, or in ResumeOutput().
+  void RunOrKeep(std::function<void()> step);
   void OnToken(const std::string& data);
   /// Whether the current try, whose upstream is silent, ends: only once a
   /// further try is granted. It goes to `successor_`.
@@ -187,6 +194,8 @@
   bool may_have_run_ = false;
   bool try_is_silent_ = false;
   bool held_for_move_ = false;
+  bool output_suspended_ = false;
+  std::vector<std::function<void()>> kept_steps_;
   bool ended_ = false;
 };
 
--- a/tests/node/handover_test.cc
+++ b/tests/node/handover_test.cc
@@ -1,12 +1,20 @@
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "skylarkcroft/attempt/skylarkcroft_sse_parser.h"
 #include "standins/engine/completion_text.h"
 #include "tests/node/node_fixture.h"
+#include "tests/node/scripted_node.h"
 
 namespace skylarkcroft {
 namespace {
@@ -186,6 +194,84 @@
   CHECK(first.text + rest.text == WholeText());
 }
 
+// Listens at an address and neither reads nor answers.
+class silent_listener {
+ public:
+  explicit silent_listener(const endpoint& at)
+      : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    const int on = 1;
+    setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in raw{};
+    raw.sin_family = AF_INET;
+    raw.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    raw.sin_port = htons(at.port);
+    REQUIRE(bind(fd_, reinterpret_cast<sockaddr*>(&raw), sizeof raw) == 0);
+    REQUIRE(listen(fd_, SOMAXCONN) == 0);
+  }
+  ~silent_listener() { close(fd_); }
+  silent_listener(const silent_listener&) = delete;
+  silent_listener& operator=(const silent_listener&) = delete;
+
+ private:
+  int fd_;
+};
+
+// Guards against a try that ends for a hand-over which nobody takes.
+TEST_CASE("a hand-over that no node takes leaves the try as it is",
+          "[node][handover]") {
+  // Parts of an answer come every 0.6 s for 3 s, the hand-over at 2.05 s.
+  constexpr milliseconds kPartPeriod{600};
+  constexpr int kParts = 5;
+  std::vector<event_loop::handle_ptr> timers;
+  event_loop* loop = nullptr;
+  scripted_node node(
+      [&](const scripted_upstream::received_request& request) {
+        request.write(scripted_node::Head() + scripted_node::Token(request, 1));
+        for (int part = 1; part < kParts; ++part) {
+          timers.push_back(loop->After(kPartPeriod * part, [=] {
+            request.write(scripted_node::Token(request, part + 1));
+          }));
+        }
+        timers.push_back(loop->After(kPartPeriod * kParts, [request] {
+          request.write("data: [DONE]\n\n");
+          request.close();
+        }));
+      },
+      {milliseconds(50), milliseconds(4000)});
+  loop = &node.fixture.loop;
+  const bool asked_in_vain = GENERATE(false, true);
+  std::unique_ptr<silent_listener> silent;
+  if (asked_in_vain) {
+    const endpoint operators = node.fixture.AddNode().operators_address();
+    REQUIRE(node.fixture.Until([&] {
+      const nlohmann::json status = nlohmann::json::parse(
+          node.fixture
+              .Get(node.fixture.nodes[0]->operators_address(),
+                   "/operators/status")
+              .body);
+      return status.at("members").size() == 1;
+    }));
+    node.fixture.nodes.pop_back();
+    silent = std::make_unique<silent_listener>(operators);
+  }
+  std::string text;
+  std::optional<http_result> ended;
+  const http_call_ptr call = node.fixture.client.Send(
+      node.fixture.nodes[0]->callers_address(),
+      node_fixture::Completion("p", kParts, true), {},
+      {{},
+       [&](std::string_view data) { text += data; },
+       [&](const http_result& result) { ended = result; }});
+  REQUIRE(node.fixture.Until([&] { return !text.empty(); }));
+  node.fixture.nodes[0]->Shutdown();
+  REQUIRE(node.fixture.Until([&] { return ended.has_value(); }));
+  CHECK(node.tries == 1);
+  CHECK_THAT(text, Catch::Matchers::Contains("[DONE]"));
+  http_response whole;
+  whole.body = text;
+  CHECK(ReadPart(whole).last_offset == kParts);
+}
+
 TEST_CASE("an answer is found after two nodes have left in turn",
           "[node][handover]") {
   leaving_fixture fixture(3);
