Node: a stream stays at a reclaimed host while no other upstream takes it

Callers saw streams end with `no_upstream` within seconds of a reclaim notice, although the host went on to the end of the notice and would have finished them.

Cause: request_run::ResumeElsewhere ended the try and looked for an upstream after that. ChooseForMove could also name the upstream that was to be left.

Ruled out: waiting longer for an upstream (the answer ends all the same where none comes, and the try that was sound is gone).

Change: another upstream is chosen first. The choice leaves out the current upstream; MayEndSilent uses the same one.

--- a/src/skylarkcroft/node/skylarkcroft_request_run.cc
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.cc
@@ -197,9 +197,13 @@
 const upstream* request_run::ChooseForMove(time_point now) const {
   const std::vector<upstream_state>& members =
       environment_.directory.UpstreamsInPool(request_.target.name);
+  choice_query query = MakeQuery();
+  query.attempted.push_back(current_upstream_.name);
   const std::optional<std::string> chosen =
-      environment_.choose(MakeQuery(), members, now);
-  return chosen ? FindUpstream(members, *chosen) : nullptr;
+      environment_.choose(query, members, now);
+  const upstream* found = chosen ? FindUpstream(members, *chosen) : nullptr;
+  return found == nullptr || found->name == current_upstream_.name ? nullptr
+                                                                   : found;
 }
 
 bool request_run::LeaveTry(time_point now) {
@@ -222,11 +226,21 @@
 }
 
 bool request_run::ResumeElsewhere(time_point now) {
-  if (!LeaveTry(now)) {
+  if (ended_ || !held_for_move_) {
     return false;
   }
-  StartTry(now);
-  return true;
+  if (try_ == nullptr) {
+    LeaveTry(now);
+    StartTry(now);
+    return true;
+  }
+  const upstream* found = IsQuarantined(now) ? nullptr : ChooseForMove(now);
+  if (found == nullptr) {
+    held_for_move_ = false;
+    return false;
+  }
+  const upstream target = *found;
+  return MoveTo(target, now);
 }
 
 choice_query request_run::MakeQuery() const {
@@ -559,15 +573,8 @@
   if (held_for_move_ || output_suspended_ || !MayRetry(true, now)) {
     return false;
   }
-  choice_query query = MakeQuery();
-  query.attempted.push_back(current_upstream_.name);
-  const std::vector<upstream_state>& members =
-      environment_.directory.UpstreamsInPool(request_.target.name);
-  const std::optional<std::string> chosen =
-      environment_.choose(query, members, now);
-  const upstream* found = chosen ? FindUpstream(members, *chosen) : nullptr;
-  if (found == nullptr || found->name == current_upstream_.name ||
-      IsQuarantined(now)) {
+  const upstream* found = IsQuarantined(now) ? nullptr : ChooseForMove(now);
+  if (found == nullptr) {
     return false;
   }
   const upstream target = *found;
--- a/src/skylarkcroft/node/skylarkcroft_request_run.h
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.h
@@ -99,12 +99,14 @@
   /// Keeps the end of the current try from being retried, until MoveTo() or
   /// ResumeElsewhere(). False when there is no try that could be moved.
   bool HoldForMove();
-  /// Upstream that a move would go to; null when none takes requests.
+  /// Upstream other than the current one that a move would go to; null when
+  /// none takes requests.
   [[nodiscard]] const upstream* ChooseForMove(time_point now) const;
   /// Leaves the current try and goes on at `target`, from the offset that was
   /// delivered. False when the request is not held for a move.
   bool MoveTo(const upstream& target, time_point now);
-  /// Like MoveTo, at any upstream, once one takes requests.
+  /// Like MoveTo, at any other upstream. Where none takes the request, the
+  /// current try goes on; a request whose try has ended waits for one.
   bool ResumeElsewhere(time_point now);
   /// Ends the answer as failed and stops the current try.
   void Fail(refusal_reason reason, const std::string& detail,
--- a/tests/control/reclaim_node_test.cc
+++ b/tests/control/reclaim_node_test.cc
@@ -9,6 +9,7 @@
 #include "skylarkcroft/attempt/skylarkcroft_sse_parser.h"
 #include "standins/engine/completion_text.h"
 #include "tests/node/node_fixture.h"
+#include "tests/node/scripted_node.h"
 
 namespace skylarkcroft {
 namespace {
@@ -168,6 +169,64 @@
         reclaims.at("restart_tokens").get<int64_t>());
 }
 
+// Guards against a stream that leaves its upstream at the notice, although no
+// other upstream takes it.
+TEST_CASE("A stream with no other upstream stays until the end of the notice",
+          "[control][reclaim]") {
+  constexpr milliseconds kPartPeriod{400};
+  constexpr int kParts = 5;
+  std::vector<event_loop::handle_ptr> timers;
+  event_loop* loop = nullptr;
+  int sent = 0;
+  scripted_node node([&](const scripted_upstream::received_request& request) {
+    if (request.head.target.starts_with("/kv/")) {
+      request.write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+      return;
+    }
+    ++sent;
+    request.write(scripted_node::Head() + scripted_node::Token(request, 1));
+    for (int part = 1; part < kParts; ++part) {
+      timers.push_back(loop->After(kPartPeriod * part, [=] {
+        request.write(scripted_node::Token(request, part + 1));
+      }));
+    }
+    timers.push_back(loop->After(kPartPeriod * kParts, [request] {
+      request.write("data: [DONE]\n\n");
+      request.close();
+    }));
+  });
+  loop = &node.fixture.loop;
+  node.fixture.PostPlatform("/admin/hosts",
+                            {{"hosts",
+                              {{{"id", "h1"},
+                                {"kind", "upstream"},
+                                {"pool", "assistant"},
+                                {"address", ToString(node.engine.address())},
+                                {"availability_zone", "cairo-a"},
+                                {"incarnation", 1},
+                                {"state", "live"}}}}});
+  std::string text;
+  std::optional<http_result> ended;
+  const http_call_ptr call = node.fixture.client.Send(
+      node.fixture.nodes[0]->callers_address(),
+      node_fixture::Completion("p", kTokens, true), {},
+      {{},
+       [&](std::string_view data) { text += data; },
+       [&](const http_result& result) { ended = result; }});
+  REQUIRE(node.fixture.Until([&] { return !text.empty(); }));
+  node.fixture.PostPlatform("/admin/reclaim", {{"availability_zone", "cairo-a"},
+                                               {"notice_ms", kNoticeMs}});
+  REQUIRE(node.fixture.Until([&] { return ended.has_value(); }));
+  const nlohmann::json status = nlohmann::json::parse(
+      node.fixture
+          .Get(node.fixture.nodes[0]->operators_address(), "/operators/status")
+          .body);
+  CHECK(status.at("reclaims").at("notices") == 1);
+  CHECK(status.at("reclaims").at("resumed") == 0);
+  CHECK(sent == 1);
+  CHECK_THAT(text, Catch::Matchers::Contains("[DONE]"));
+}
+
 TEST_CASE("Streams survive an engine that dies during its notice",
           "[control][reclaim]") {
   stream_load load;
