--- a/src/skylarkcroft/node/skylarkcroft_request_run.h
+++ b/src/skylarkcroft/node/skylarkcroft_request_run.h
@@ -88,18 +88,25 @@
   /// Stops the current try so that another request can have its place. The
   /// answer stays as it is. Only for idempotent requests.
   void Pause(time_point now);
+  /// Keeps back what the current try brings, and starts no other, until
+  /// ResumeOutput(). Another node may then start from the tokens so far.
+  void SuspendOutput();
+  /// Goes on with what was kept back.
+  void ResumeOutput();
   /// Ends the answer here, since another node goes on with it; tells readers
   /// where.
   void MoveAway();
   /// Keeps the end of the current try from being retried, until MoveTo() or
   /// ResumeElsewhere(). False when there is no try that could be moved.
   bool HoldForMove();
-  /// Upstream that a move would go to; null when none takes requests.
+  /// Upstream other than the current one that a move would go to; null when
+  /// none takes requests.
   [[nodiscard]] const upstream* ChooseForMove(time_point now) const;
   /// Leaves the current try and goes on at `target`, from the offset that was
   /// delivered. False when the request is not held for a move.
   bool MoveTo(const upstream& target, time_point now);
-  /// Like MoveTo, at any upstream, once one takes requests.
+  /// Like MoveTo, at any other upstream. Where none takes the request, the
+  /// current try goes on; a request whose try has ended waits for one.
   bool ResumeElsewhere(time_point now);
   /// Ends the answer as failed and stops the current try.
   void Fail(refusal_reason reason, const std::string& detail,
@@ -130,6 +137,8 @@
   void OnAnnounced(const endpoint& address, const announcement& told);
   void OnHedgeLeft(hedge_side side, const attempt_result& result);
   void SendToService(const upstream& target, time_point now);
+  /// Runs `step` now, or in ResumeOutput().
+  void RunOrKeep(std::function<void()> step);
   void OnToken(const std::string& data);
   /// Whether the current try, whose upstream is silent, ends: only once a
   /// further try is granted. It goes to `successor_`.
@@ -187,6 +196,8 @@
   bool may_have_run_ = false;
   bool try_is_silent_ = false;
   bool held_for_move_ = false;
+  bool output_suspended_ = false;
+  std::vector<std::function<void()>> kept_steps_;
   bool ended_ = false;
 };
 
