Relay: a raised limit of clients binds at once

Cause: client_connection took the limits in force at the first byte of a request and kept them over the answer and the idle time after it. A connection accepted before the first tables kept the default limits.

Why it works: of each limit the largest value in force since the period began (accepted, first byte read, answer ended) binds. A lowering binds from the next period on.

--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
@@ -46,8 +46,7 @@
 client_connection::~client_connection() = default;
 
 client_limits client_connection::CurrentLimits() const {
-  const tables_snapshot view = environment_.active_tables();
-  return view.tables == nullptr ? client_limits{} : view.tables->map().limits;
+  return LimitsInForce(environment_);
 }
 
 size_t client_connection::OnBytes(std::string_view bytes) {
@@ -62,7 +61,7 @@
     incoming_ = client_request{};
     incoming_.arrived_at = environment_.clock();
     sweeps_past_limit_ = 0;
-    limits_ = CurrentLimits();
+    limits_.Restart(CurrentLimits());
     head_received_ = false;
   }
   const read_progress progress = reader_.Feed(bytes);
@@ -94,11 +93,11 @@
   for (const http_header& field : head.headers.fields()) {
     head_bytes += field.name.size() + field.value.size();
   }
-  if (head_bytes > limits_.max_head_bytes) {
+  if (head_bytes > limits_.limits().max_head_bytes) {
     Reject(kHeaderFieldsTooLarge, "head_too_large");
     return;
   }
-  if (head.content_length.value_or(0) > limits_.max_body_bytes) {
+  if (head.content_length.value_or(0) > limits_.limits().max_body_bytes) {
     Reject(kContentTooLarge, "body_too_large");
     return;
   }
@@ -111,7 +110,7 @@
   if (closing_) {
     return;
   }
-  if (incoming_.body.size() + bytes.size() > limits_.max_body_bytes) {
+  if (incoming_.body.size() + bytes.size() > limits_.limits().max_body_bytes) {
     Reject(kContentTooLarge, "body_too_large");
     return;
   }
@@ -271,6 +270,7 @@
     return;
   }
   reader_.Reset();
+  limits_.Restart(CurrentLimits());
   idle_since_ = environment_.clock();
   delivery_.Restart(idle_since_);
   socket_.DeliverUnread();
@@ -286,13 +286,13 @@
 
 void client_connection::CheckReadTimeouts(time_point now) {
   if (!reader_.started()) {
-    if (now - idle_since_ > limits_.idle_timeout) {
+    if (now - idle_since_ > limits_.limits().idle_timeout) {
       CloseIfIdle(client_end_reason::kIdle);
     }
     return;
   }
-  const milliseconds limit =
-      head_received_ ? limits_.idle_timeout : limits_.head_timeout;
+  const milliseconds limit = head_received_ ? limits_.limits().idle_timeout
+                                            : limits_.limits().head_timeout;
   if (now - incoming_.arrived_at <= limit) {
     return;
   }
--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.h
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "skylarkcroft/internal/skylarkcroft_time.h"
+#include "skylarkcroft/relay/skylarkcroft_binding_limits.h"
 #include "skylarkcroft/relay/skylarkcroft_delivery_progress.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_environment.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_request.h"
@@ -31,6 +32,10 @@
 
   /// Enforces time limits; called every sweep_interval.
   void Tick(time_point now);
+  /// Takes in that other limits for clients are in force.
+  void OnLimitsChanged(const client_limits& in_force) {
+    limits_.OnChange(in_force);
+  }
   /// Closes the connection unless it is reading or serving a request, or one
   /// lies unread.
   void CloseIfIdle(client_end_reason reason);
@@ -85,7 +90,7 @@
   relay_environment& environment_;
   std::function<void()> on_closed_;
   message_reader reader_;
-  client_limits limits_;
+  binding_limits limits_;
   client_request incoming_;
   bool head_received_ = false;
   /// Sweeps that found unread bytes of a request past its time limit.
--- a/src/skylarkcroft/relay/skylarkcroft_relay_environment.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_environment.h
@@ -65,6 +65,13 @@
       [](const client_end&) {};
 };
 
+/// The limits for clients of the active tables, or the default ones before the
+/// first tables are known.
+inline client_limits LimitsInForce(const relay_environment& environment) {
+  const tables_snapshot view = environment.active_tables();
+  return view.tables == nullptr ? client_limits{} : view.tables->map().limits;
+}
+
 }  // namespace skylarkcroft
 
 #endif  // SKYLARKCROFT_RELAY_SKYLARKCROFT_RELAY_ENVIRONMENT_H_
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -158,7 +158,8 @@
                   [this](time_point now) {
                     metrics_.RecordStoreRestored();
                     archive_.OnStoreRestored(now);
-                  }},
+                  },
+                  [this] { server_.OnTablesChanged(); }},
                  settings.name,
                  {settings.bounds.apply_deadline, settings.bounds.drain}),
         server_(environment_, settings.listen.clients),
--- a/src/skylarkcroft/relay/skylarkcroft_relay_server.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_server.cc
@@ -21,7 +21,9 @@
 
 relay_server::relay_server(relay_environment& environment,
                            const endpoint& listen)
-    : environment_(environment), address_(listen) {
+    : environment_(environment),
+      address_(listen),
+      limits_in_force_(LimitsInForce(environment)) {
   sockaddr_in raw = ToSocketAddress(listen);
   listener_ = evconnlistener_new_bind(
       environment.loop.base(),
@@ -61,6 +63,7 @@
 
 void relay_server::Sweep() {
   const time_point now = environment_.clock();
+  OnTablesChanged();
   for (const auto& [number, client] : clients_) {
     client->Tick(now);
   }
@@ -91,6 +94,17 @@
   }
 }
 
+void relay_server::OnTablesChanged() {
+  const client_limits limits = LimitsInForce(environment_);
+  if (limits == limits_in_force_) {
+    return;
+  }
+  limits_in_force_ = limits;
+  for (const auto& [number, client] : clients_) {
+    client->OnLimitsChanged(limits);
+  }
+}
+
 void relay_server::StopAccepting() {
   stopped_ = true;
   evconnlistener_disable(listener_);
--- a/src/skylarkcroft/relay/skylarkcroft_relay_server.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_server.h
@@ -24,6 +24,9 @@
   relay_server(const relay_server&) = delete;
   relay_server& operator=(const relay_server&) = delete;
 
+  /// Takes in that other tables may be in force. Changes that are not told are
+  /// seen at the next sweep, if they are still in force.
+  void OnTablesChanged();
   void StopAccepting();
   /// Closes the connections that are not reading or serving a request.
   void CloseIdle();
@@ -54,6 +57,7 @@
   evconnlistener* listener_;
   uint64_t last_client_number_ = 0;
   std::unordered_map<uint64_t, std::unique_ptr<client_connection>> clients_;
+  client_limits limits_in_force_;
   bool accepting_ = true;
   bool stopped_ = false;
   event_loop::handle_ptr sweep_;
--- a/src/skylarkcroft/relay/skylarkcroft_store_replica.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_store_replica.cc
@@ -244,6 +244,9 @@
                     {"era", std::to_string(tables_follower_.place().era)},
                     {"row_version", std::to_string(row.version)}});
   tables_ = std::make_shared<const service_lookup>(*std::move(parsed));
+  if (environment_.on_tables != nullptr) {
+    environment_.on_tables();
+  }
 }
 
 std::optional<upstream_entry> store_replica::ParseUpstreamRow(
--- a/src/skylarkcroft/relay/skylarkcroft_store_replica.h
+++ b/src/skylarkcroft/relay/skylarkcroft_store_replica.h
@@ -38,6 +38,8 @@
   /// Called when the upstreams have been read in a new era of the store; may be
   /// empty.
   std::function<void(time_point now)> on_restored{};
+  /// Called when other operators' tables are in force; may be empty.
+  std::function<void()> on_tables{};
 };
 
 /// Times within which nodes have to act on changes in the store.
