Relay: a planned stop closes no connection whose request is on its way

Cause: from close_idle_after on, every idle connection was closed every 50 ms, also one accepted a millisecond before. At the exit, connections that the system held and the relay had not accepted were reset.

Ruled out: bytes that lie unread when the connection is closed; they were checked before and right at the close. Here nothing had arrived yet.

Why it works: ChooseIdleToLeave closes what has been without a request for kMaxRequestDelay (1.5 s). At the limit the relay accepts what the system holds and closes the listening socket, so that later connections are refused, then waits up to plan.exit for requests that may be on their way or are partly read. It takes at least one more turn after the limit, also after a pause. A connection that drained the node is looked for in the system's queue before the exit.

Changes to tests: CloseIdle takes the present time. The two tests of connection_end_test.cc and the one of relay_test.cc pass a time at which all their connections are old enough to be closed, as before.

Open: a kept connection that is used again after more than 1.5 s may still be closed while its request is on its way.

--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
@@ -150,8 +150,7 @@
   client_end end;
   end.reason = reason;
   end.request_in_flight = request_ != nullptr && !response_finished_;
-  end.request_partly_read =
-      request_ == nullptr && !closing_ && reader_.started();
+  end.request_partly_read = IsPartlyRead();
   end.has_unread = socket_.HasUnread();
   end.unsent = socket_.unsent();
   environment_.on_client_ended(end);
--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.h
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.h
@@ -44,9 +44,11 @@
   /// Records once that this node ends the connection.
   void RecordEnd(client_end_reason reason);
   [[nodiscard]] bool busy() const { return request_ != nullptr; }
-  /// Whether no request is in flight and nothing is left to send or to read.
+  /// Whether no request is in flight or partly read and nothing is left to send
+  /// or to read.
   [[nodiscard]] bool IsSettled() const {
-    return !busy() && socket_.unsent() == 0 && !socket_.HasUnread();
+    return !busy() && !IsPartlyRead() && socket_.unsent() == 0 &&
+           !socket_.HasUnread();
   }
   /// Since when the connection neither reads nor serves a request; empty while
   /// it does.
@@ -83,6 +85,9 @@
   /// Whether the connection neither reads nor serves a request and none lies
   /// unread.
   [[nodiscard]] bool IsIdle() const;
+  [[nodiscard]] bool IsPartlyRead() const {
+    return request_ == nullptr && !closing_ && reader_.started();
+  }
   [[nodiscard]] client_limits CurrentLimits() const;
   void End(client_end_reason reason);
   void RequestDestruction();
--- a/src/skylarkcroft/relay/skylarkcroft_idle_clients.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_idle_clients.cc
@@ -40,4 +40,19 @@
   return closed;
 }
 
+bool MayAwaitRequest(const idle_client& client, time_point now) {
+  return now - client.idle_since < kMaxRequestDelay;
+}
+
+std::vector<uint64_t> ChooseIdleToLeave(const std::vector<idle_client>& idle,
+                                        time_point now) {
+  std::vector<uint64_t> closed;
+  for (const idle_client& client : idle) {
+    if (!MayAwaitRequest(client, now)) {
+      closed.push_back(client.number);
+    }
+  }
+  return closed;
+}
+
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/relay/skylarkcroft_idle_clients.h
+++ b/src/skylarkcroft/relay/skylarkcroft_idle_clients.h
@@ -17,6 +17,12 @@
   bool operator==(const idle_client&) const = default;
 };
 
+/// The first request on a connection arrives within this time of its
+/// acceptance, and the next one of a client that sends many a second within
+/// this time of the answer: the second that clients allow a connection to be
+/// established, and the delay of links and of a packet that is sent again.
+constexpr milliseconds kMaxRequestDelay{1500};
+
 /// Bounds of a node's client connections.
 struct client_capacity {
   size_t max_clients = 3500;
@@ -40,6 +46,14 @@
                                         const client_capacity& capacity,
                                         time_point now);
 
+/// Whether a request may be on its way to `client`.
+bool MayAwaitRequest(const idle_client& client, time_point now);
+
+/// Returns the numbers of the connections to close while the process shuts
+/// down: those to which no request can be on its way.
+std::vector<uint64_t> ChooseIdleToLeave(const std::vector<idle_client>& idle,
+                                        time_point now);
+
 }  // namespace skylarkcroft
 
 #endif  // SKYLARKCROFT_RELAY_SKYLARKCROFT_IDLE_CLIENTS_H_
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -596,24 +596,16 @@
                      metrics_.Render()});
   }
 
-  /// Stops the loop once all clients are gone, or the shutdown limit is reached
-  /// and the last answers are sent.
+  /// Stops the loop once all clients are gone, or the shutdown limit is
+  /// reached, the last answers are sent and no request is on its way.
   void ExitIfDrained() {
     const shutdown_plan plan = MakeShutdownPlan(settings_.bounds.grace_period);
     const milliseconds since_shutdown = environment_.time_since_shutdown();
     if (since_shutdown >= plan.close_idle_after) {
-      server_.CloseIdle();
+      server_.CloseIdle(clock_());
     }
-    const bool limit_reached = since_shutdown >= plan.limit;
-    if (limit_reached) {
-      server_.AbortAll();
-    }
-    const bool drained =
-        server_.clients() == 0 && since_shutdown > plan.reject_new_after;
-    // What AbortAll() wrote is sent in the next turns of the loop.
-    const bool answers_sent =
-        limit_reached && (server_.IsSettled() || since_shutdown >= plan.exit);
-    if (!drained && !answers_sent) {
+    if (since_shutdown >= plan.limit ? !AreLastAnswersSent(plan)
+                                     : !IsDrained(plan)) {
       return;
     }
     server_.RecordExit();
@@ -623,6 +615,30 @@
     loop_.Stop();
   }
 
+  /// Whether no client is left, neither here nor in the system's queue.
+  bool IsDrained(const shutdown_plan& plan) {
+    if (server_.clients() > 0 ||
+        environment_.time_since_shutdown() <= plan.reject_new_after) {
+      return false;
+    }
+    server_.AcceptPending();
+    return server_.clients() == 0;
+  }
+
+  /// Ends what is left at the limit; returns whether all answers are sent or
+  /// the time is up.
+  bool AreLastAnswersSent(const shutdown_plan& plan) {
+    server_.StopListening();
+    server_.AbortAll();
+    // What AbortAll() wrote is sent in the next turns of the loop, which also
+    // read what came in a pause of the loop.
+    if (!std::exchange(limit_reached_, true)) {
+      return server_.clients() == 0;
+    }
+    return (server_.IsSettled() && !server_.MayAwaitRequest(clock_())) ||
+           environment_.time_since_shutdown() >= plan.exit;
+  }
+
   void OnClientEnded(const client_end& end) {
     metrics_.RecordClientEnd(end);
     if (end.DropsBytes()) {
@@ -660,6 +676,7 @@
   log_bound log_bound_;
   relay_metrics metrics_;
   std::optional<time_point> shutdown_at_;
+  bool limit_reached_ = false;
   load_balancer balancer_;
   upstream_connections connections_;
   token_quotas quotas_;
--- a/src/skylarkcroft/relay/skylarkcroft_relay_server.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_server.cc
@@ -2,9 +2,11 @@
 
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -46,7 +48,9 @@
 
 relay_server::~relay_server() {
   clients_.clear();
-  evconnlistener_free(listener_);
+  if (listener_ != nullptr) {
+    evconnlistener_free(listener_);
+  }
 }
 
 void relay_server::Accept(int fd) {
@@ -55,7 +59,7 @@
                                environment_, fd,
                                [this, number] { clients_.erase(number); }));
   if (clients_.size() >= environment_.parameters.clients.max_clients &&
-      accepting_) {
+      accepting_ && listener_ != nullptr) {
     accepting_ = false;
     evconnlistener_disable(listener_);
   }
@@ -69,7 +73,7 @@
   }
   environment_.connections.CloseExpired(now);
   CloseExcessIdle(now);
-  if (!accepting_ && !stopped_ &&
+  if (!accepting_ && listener_ != nullptr &&
       clients_.size() < environment_.parameters.clients.max_clients) {
     accepting_ = true;
     evconnlistener_enable(listener_);
@@ -81,15 +85,8 @@
   if (!HasExcess(clients_.size(), capacity)) {
     return;
   }
-  std::vector<idle_client> idle;
-  for (const auto& [number, client] : clients_) {
-    const std::optional<time_point> since = client->idle_since();
-    if (since.has_value()) {
-      idle.push_back({number, *since});
-    }
-  }
   for (const uint64_t number :
-       ChooseIdleToClose(std::move(idle), clients_.size(), capacity, now)) {
+       ChooseIdleToClose(IdleClients(), clients_.size(), capacity, now)) {
     clients_.at(number)->CloseIfIdle(client_end_reason::kExcess);
   }
 }
@@ -105,17 +102,54 @@
   }
 }
 
-void relay_server::StopAccepting() {
-  stopped_ = true;
-  evconnlistener_disable(listener_);
+std::vector<idle_client> relay_server::IdleClients() const {
+  std::vector<idle_client> idle;
+  for (const auto& [number, client] : clients_) {
+    const std::optional<time_point> since = client->idle_since();
+    if (since.has_value()) {
+      idle.push_back({number, *since});
+    }
+  }
+  return idle;
 }
 
-void relay_server::CloseIdle() {
-  for (const auto& [number, client] : clients_) {
-    client->CloseIfIdle(client_end_reason::kLeaving);
+void relay_server::AcceptPending() {
+  if (listener_ == nullptr) {
+    return;
+  }
+  const int listening = evconnlistener_get_fd(listener_);
+  while (true) {
+    const int fd =
+        accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0) {
+      Accept(fd);
+    } else if (errno != ECONNABORTED && errno != EINTR) {
+      return;
+    }
   }
 }
 
+void relay_server::StopListening() {
+  if (listener_ == nullptr) {
+    return;
+  }
+  AcceptPending();
+  evconnlistener_free(std::exchange(listener_, nullptr));
+}
+
+void relay_server::CloseIdle(time_point now) {
+  for (const uint64_t number : ChooseIdleToLeave(IdleClients(), now)) {
+    clients_.at(number)->CloseIfIdle(client_end_reason::kLeaving);
+  }
+}
+
+bool relay_server::MayAwaitRequest(time_point now) const {
+  const std::vector<idle_client> idle = IdleClients();
+  return std::any_of(idle.begin(), idle.end(), [now](const idle_client& one) {
+    return skylarkcroft::MayAwaitRequest(one, now);
+  });
+}
+
 void relay_server::AbortAll() {
   for (const auto& [number, client] : clients_) {
     client->AbortRequest();
--- a/src/skylarkcroft/relay/skylarkcroft_relay_server.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_server.h
@@ -5,10 +5,12 @@
 #include <cstdint>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 #include "skylarkcroft/internal/skylarkcroft_endpoint.h"
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
 #include "skylarkcroft/relay/skylarkcroft_client_connection.h"
+#include "skylarkcroft/relay/skylarkcroft_idle_clients.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_environment.h"
 
 struct evconnlistener;
@@ -27,15 +29,23 @@
   /// Takes in that other tables may be in force. Changes that are not told are
   /// seen at the next sweep, if they are still in force.
   void OnTablesChanged();
-  void StopAccepting();
-  /// Closes the connections that are not reading or serving a request.
-  void CloseIdle();
+  /// Accepts the connections that the system holds for this server, however
+  /// many it has.
+  void AcceptPending();
+  /// Accepts as AcceptPending() and closes the listening socket: the system
+  /// refuses further connections.
+  void StopListening();
+  /// Closes the connections that neither read nor serve a request and to which
+  /// none can be on its way.
+  void CloseIdle(time_point now);
+  /// Whether a request may be on its way to a connection.
+  [[nodiscard]] bool MayAwaitRequest(time_point now) const;
   /// Ends every request in flight.
   void AbortAll();
   /// Records the end of the connections that are left when the process exits.
   void RecordExit();
-  /// Whether no connection has a request in flight, bytes of an answer to send
-  /// or bytes of a client to read.
+  /// Whether no connection has a request in flight or partly read, bytes of an
+  /// answer to send or bytes of a client to read.
   [[nodiscard]] bool IsSettled() const;
   /// Number of connections with a request in flight.
   [[nodiscard]] size_t busy() const;
@@ -48,18 +58,19 @@
 
  private:
   void Accept(int fd);
+  [[nodiscard]] std::vector<idle_client> IdleClients() const;
   /// Closes idle connections where they leave little room for new ones.
   void CloseExcessIdle(time_point now);
   void Sweep();
 
   relay_environment& environment_;
   endpoint address_;
+  /// Null once the server has stopped listening.
   evconnlistener* listener_;
   uint64_t last_client_number_ = 0;
   std::unordered_map<uint64_t, std::unique_ptr<client_connection>> clients_;
   client_limits limits_in_force_;
   bool accepting_ = true;
-  bool stopped_ = false;
   event_loop::handle_ptr sweep_;
 };
 
--- a/tests/adapter/relay_node_test.cc
+++ b/tests/adapter/relay_node_test.cc
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "platform/platform_documents.h"
 #include "platform/platform_duty_calls.h"
@@ -55,13 +56,13 @@
  public:
   relay_process(event_loop& loop, const endpoint& platform,
                 const std::string& name, milliseconds revocation,
-                bool strict = true)
+                bool strict = true, milliseconds grace = kTestGrace)
       : log_(loop, {-1, log_level::kError, 1024}),
         client_(loop),
         store_(client_, platform),
         calls_(client_, platform),
-        node_(loop, Settings(platform, name, revocation, strict), MakeAdapter(),
-              store_, calls_, log_, SteadyNow, WallNowMs) {}
+        node_(loop, Settings(platform, name, revocation, strict, grace),
+              MakeAdapter(), store_, calls_, log_, SteadyNow, WallNowMs) {}
 
   [[nodiscard]] endpoint address() const { return node_.clients_address(); }
   void Shutdown() { node_.Shutdown(); }
@@ -69,7 +70,8 @@
  private:
   static relay_settings Settings(const endpoint& platform,
                                  const std::string& name,
-                                 milliseconds revocation, bool strict) {
+                                 milliseconds revocation, bool strict,
+                                 milliseconds grace) {
     const endpoint any{"127.0.0.1", 0};
     relay_settings settings;
     settings.name = name;
@@ -82,7 +84,7 @@
     settings.bounds.strict_revocation = strict;
     settings.bounds.usage_window = milliseconds(1000);
     settings.bounds.lease = milliseconds(1500);
-    settings.bounds.grace_period = kTestGrace;
+    settings.bounds.grace_period = grace;
     return settings;
   }
 
@@ -108,9 +110,9 @@
 class fixture {
  public:
   explicit fixture(milliseconds revocation = milliseconds(5000),
-                   bool strict = true)
+                   bool strict = true, milliseconds grace = kTestGrace)
       : relay(std::make_unique<relay_process>(loop, standin.address(), "n1",
-                                              revocation, strict)) {
+                                              revocation, strict, grace)) {
     upstream.SetHandler([](const scripted_upstream::received_request& to) {
       to.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " +
                to.head.headers.Get("X-Attempt-Id") +
@@ -234,6 +236,52 @@
   CHECK(mesh.upstream.requests.size() == before + 1);
 }
 
+// Guards against connections that are closed in a planned stop before their
+// first request has had time to arrive.
+TEST_CASE("A request that follows its connection in a planned stop is answered",
+          "[adapter][node][planned_stop][load][regression]") {
+  const milliseconds grace = GENERATE(milliseconds(8000), kTestGrace);
+  // The listening socket is open for 0.8 of the grace period.
+  const milliseconds last_connection = grace * 3 / 4;
+  // Some 115 connections, at any time between two checks of the node.
+  const milliseconds between_connections = grace / 155;
+  constexpr milliseconds kMaxRequestDelay{60};
+  struct late_client {
+    std::unique_ptr<raw_client> connection;
+    event_loop::handle_ptr sending;
+  };
+  fixture mesh(milliseconds(5000), true, grace);
+  std::vector<late_client> clients;
+  milliseconds delay{1};
+  const time_point stop_at = SteadyNow();
+  mesh.relay->Shutdown();
+  const auto connecting = mesh.loop.Every(between_connections, [&] {
+    if (SteadyNow() - stop_at > last_connection) {
+      return;
+    }
+    late_client& one = clients.emplace_back();
+    one.connection =
+        std::make_unique<raw_client>(mesh.loop, mesh.relay->address());
+    raw_client* connection = one.connection.get();
+    const std::string id = "late" + std::to_string(clients.size());
+    one.sending = mesh.loop.After(
+        delay, [connection, id] { connection->Send(Request(id, "k1")); });
+    delay = delay % kMaxRequestDelay + milliseconds(7);
+  });
+  // The node stops the loop at its exit.
+  mesh.loop.Run();
+  CHECK(SteadyNow() - stop_at < grace);
+  mesh.relay.reset();
+  mesh.loop.RunFor(milliseconds(100));
+  size_t unanswered = 0;
+  for (const late_client& one : clients) {
+    const std::string& answer = one.connection->received;
+    unanswered += Begins(answer, "200") || Begins(answer, "503") ? 0 : 1;
+  }
+  CHECK(clients.size() > 50);
+  CHECK(unanswered == 0);
+}
+
 TEST_CASE("A leaving upstream takes no requests", "[adapter][node][drain]") {
   fixture on;
   on.standin.Put("servers", "i-1", Entry(on.upstream.address(), "draining"));
--- a/tests/relay/connection_end_test.cc
+++ b/tests/relay/connection_end_test.cc
@@ -155,7 +155,7 @@
   relay.AwaitClients(1);
   relay.since_shutdown = milliseconds(2500);
   client.Send(fixture::Request("/once/", "r1"));
-  relay.server.CloseIdle();
+  relay.server.CloseIdle(SteadyNow() + kMaxRequestDelay);
   relay.AwaitAnswer(client);
   CHECK(Contains(client.received, "HTTP/1.1 200"));
 }
@@ -221,7 +221,7 @@
   }
   const auto close_idle = relay.loop.Every(milliseconds(50), [&] {
     if (by == ended_by::kShutdown) {
-      relay.server.CloseIdle();
+      relay.server.CloseIdle(SteadyNow() + kMaxRequestDelay);
     }
   });
   REQUIRE(relay.Await([&] { return client.socket.ended; }));
--- a/tests/relay/idle_clients_test.cc
+++ b/tests/relay/idle_clients_test.cc
@@ -1,10 +1,12 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
 #include "skylarkcroft/relay/skylarkcroft_idle_clients.h"
+#include "tests/relay/blocking_client.h"
 #include "tests/relay/relay_fixture.h"
 
 namespace skylarkcroft {
@@ -114,4 +116,80 @@
   CHECK(relay.Await([&] { return !relay.server.is_full(); }));
 }
 
+// Pattern: clients at links of 0.1 to 60 ms, a new connection every 2 ms whose
+// first request follows when the client knows of the connection, and kept
+// connections that are used several times a second, in a planned stop. Guards
+// against connections that are closed while a request is on its way.
+TEST_CASE("No request is on its way to a connection closed in a planned stop",
+          "[relay][clients][planned_stop][load][regression]") {
+  constexpr milliseconds kSweep{50};
+  constexpr milliseconds kStop{7600};
+  constexpr milliseconds kBetweenClients{2};
+  constexpr std::chrono::microseconds kMaxLink{60000};
+  constexpr milliseconds kMaxThink{1000};
+  std::mt19937 random(1);
+  std::uniform_int_distribution<int> link(100, kMaxLink.count());
+  std::uniform_int_distribution<int> think(0, kMaxThink.count());
+  struct simulated_client {
+    idle_client idle;
+    time_point request_arrives;
+  };
+  std::vector<simulated_client> clients;
+  uint64_t number = 0;
+  for (time_point at = kNow; at < kNow + kStop; at += kBetweenClients) {
+    const std::chrono::microseconds one_way{link(random)};
+    // The packet that completes the connection and the request are sent
+    // together; on a kept connection the client waits first.
+    const bool kept = number % 2 == 0;
+    const std::chrono::microseconds delay =
+        kept ? 2 * one_way + milliseconds(think(random)) : one_way;
+    clients.push_back({{++number, at}, at + delay});
+  }
+  size_t closed_early = 0;
+  size_t closed = 0;
+  for (time_point now = kNow; now < kNow + 2 * kStop; now += kSweep) {
+    std::vector<idle_client> idle;
+    for (const simulated_client& one : clients) {
+      if (one.idle.idle_since <= now && one.request_arrives > now) {
+        idle.push_back(one.idle);
+      }
+    }
+    closed_early += ChooseIdleToLeave(idle, now).size();
+    closed += ChooseIdleToLeave({{0, now - kMaxRequestDelay}}, now).size();
+  }
+  CHECK(closed_early == 0);
+  CHECK(closed > 0);
+}
+
+TEST_CASE("In a planned stop, connections are closed that no request can reach",
+          "[relay][clients][planned_stop]") {
+  const std::vector<idle_client> idle = {
+      {1, kNow},
+      {2, kNow - kMaxRequestDelay + milliseconds(1)},
+      {3, kNow - kMaxRequestDelay}};
+  CHECK(ChooseIdleToLeave(idle, kNow) == std::vector<uint64_t>{3});
+}
+
+// Guards against connections that the system holds when the process ends.
+TEST_CASE("A connection in the system's queue is accepted before the exit",
+          "[relay][clients][planned_stop][regression]") {
+  fixture relay;
+  // No further connection is taken from the queue.
+  relay.environment.parameters.clients = {1, 1, milliseconds(100)};
+  raw_client first(relay.loop, relay.server.address());
+  REQUIRE(relay.Await([&] { return relay.server.is_full(); }));
+  relay.since_shutdown = milliseconds(7600);
+  blocking_client queued(relay.server.address());
+  queued.Send(fixture::Request("/once/", "r1"));
+  relay.server.StopListening();
+  CHECK(relay.server.clients() == 2);
+  CHECK_FALSE(relay.server.IsSettled());
+  CHECK(relay.Await([&] {
+    queued.Read();
+    return queued.received.find("HTTP/1.1 503") != std::string::npos;
+  }));
+  raw_client late(relay.loop, relay.server.address());
+  CHECK(relay.Await([&] { return late.closed; }));
+}
+
 }  // namespace skylarkcroft
--- a/tests/relay/relay_test.cc
+++ b/tests/relay/relay_test.cc
@@ -478,7 +478,7 @@
       // Half of them are at work, the rest still come.
       REQUIRE(relay.Await([&] { return relay.RequestCount() > kClients / 4; }));
       relay.since_shutdown = milliseconds(0);
-      relay.server.CloseIdle();
+      relay.server.CloseIdle(SteadyNow() + kMaxRequestDelay);
     }
   }
   REQUIRE(relay.Await([&] { return relay.records.size() == kClients; }));
