--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.h
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "skylarkcroft/internal/skylarkcroft_time.h"
+#include "skylarkcroft/relay/skylarkcroft_binding_limits.h"
 #include "skylarkcroft/relay/skylarkcroft_delivery_progress.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_environment.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_request.h"
@@ -31,6 +32,10 @@
 
   /// Enforces time limits; called every sweep_interval.
   void Tick(time_point now);
+  /// Takes in that other limits for clients are in force.
+  void OnLimitsChanged(const client_limits& in_force) {
+    limits_.OnChange(in_force);
+  }
   /// Closes the connection unless it is reading or serving a request, or one
   /// lies unread.
   void CloseIfIdle(client_end_reason reason);
@@ -39,9 +44,11 @@
   /// Records once that this node ends the connection.
   void RecordEnd(client_end_reason reason);
   [[nodiscard]] bool busy() const { return request_ != nullptr; }
-  /// Whether no request is in flight and nothing is left to send or to read.
+  /// Whether no request is in flight or partly read and nothing is left to send
+  /// or to read.
   [[nodiscard]] bool IsSettled() const {
-    return !busy() && socket_.unsent() == 0 && !socket_.HasUnread();
+    return !busy() && !IsPartlyRead() && socket_.unsent() == 0 &&
+           !socket_.HasUnread();
   }
   /// Since when the connection neither reads nor serves a request; empty while
   /// it does.
@@ -78,6 +85,9 @@
   /// Whether the connection neither reads nor serves a request and none lies
   /// unread.
   [[nodiscard]] bool IsIdle() const;
+  [[nodiscard]] bool IsPartlyRead() const {
+    return request_ == nullptr && !closing_ && reader_.started();
+  }
   [[nodiscard]] client_limits CurrentLimits() const;
   void End(client_end_reason reason);
   void RequestDestruction();
@@ -85,7 +95,7 @@
   relay_environment& environment_;
   std::function<void()> on_closed_;
   message_reader reader_;
-  client_limits limits_;
+  binding_limits limits_;
   client_request incoming_;
   bool head_received_ = false;
   /// Sweeps that found unread bytes of a request past its time limit.
