Relay: a time limit ends a connection only once a raise of it would be known

Callers saw kept connections closed beside a change that raises idle_timeout_ms. Since a raise binds at once at a node that has the tables; one that reads them later still closed by the old limit, while its clients went by the new one.

Change: the time limits of clients end a connection or a request bounds.apply_deadline later, the time within which every node has the tables.

Evidence: "A limit binds only once a raise of it would be known" cannot be built on the code before, which has no such parameter; with the parameter at 0, as before, a raise that comes after the old limit finds the connection closed.

--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
@@ -284,15 +284,16 @@
 }
 
 void client_connection::CheckReadTimeouts(time_point now) {
+  const milliseconds delay = environment_.parameters.max_tables_delay;
   if (!reader_.started()) {
-    if (now - idle_since_ > limits_.limits().idle_timeout) {
+    if (now - idle_since_ > limits_.limits().idle_timeout + delay) {
       CloseIfIdle(client_end_reason::kIdle);
     }
     return;
   }
   const milliseconds limit = head_received_ ? limits_.limits().idle_timeout
                                             : limits_.limits().head_timeout;
-  if (now - incoming_.arrived_at <= limit) {
+  if (now - incoming_.arrived_at <= limit + delay) {
     return;
   }
   const bool may_be_whole = socket_.HasUnread();
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -290,6 +290,7 @@
     environment.parameters.leaving_time =
         std::max(settings_.bounds.drain - kLeavingMargin, milliseconds(0));
     const shutdown_plan plan = MakeShutdownPlan(settings_.bounds.grace_period);
+    environment.parameters.max_tables_delay = settings_.bounds.apply_deadline;
     environment.parameters.reject_new_after = plan.reject_new_after;
     environment.parameters.shutdown_limit = plan.limit;
   }
--- a/src/skylarkcroft/relay/skylarkcroft_relay_parameters.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_parameters.h
@@ -51,6 +51,9 @@
   /// A client that takes no byte of its answer for this long is ended.
   milliseconds max_client_stall{10000};
   client_capacity clients;
+  /// Clients may go by raised limits for this long before the tables that raise
+  /// them are in force at this node.
+  milliseconds max_tables_delay{0};
   /// New requests are rejected from this long after the shutdown request, so
   /// that those in flight can complete before shutdown_limit.
   milliseconds reject_new_after{2800};
--- a/tests/relay/client_limits_test.cc
+++ b/tests/relay/client_limits_test.cc
@@ -198,6 +198,25 @@
   CHECK(relay.IsGivenUpAfter(kLong - kShort));
 }
 
+// Guards against connections that are ended by a limit which their clients know
+// to be raised before this node does.
+TEST_CASE("A limit binds only once a raise of it would be known",
+          "[relay][client_limits][regression]") {
+  constexpr milliseconds kDelay{1000};
+  const state in = GENERATE(state::kFresh, state::kAnswered, state::kReadsHead,
+                            state::kReadsBody);
+  const bool raised = GENERATE(true, false);
+  changing_relay relay(AllSmall());
+  relay.environment.parameters.max_tables_delay = kDelay;
+  relay.BringInto(in);
+  CHECK_FALSE(relay.IsGivenUpAfter(kShort));
+  if (raised) {
+    relay.Change({kSmall, kSmall, kLong, kLong});
+  }
+  CHECK(relay.IsGivenUpAfter(kDelay) != raised);
+  CHECK(relay.IsGivenUpAfter(kLong));
+}
+
 TEST_CASE("Of each limit the largest of its period binds",
           "[relay][client_limits]") {
   binding_limits limits{{10, 20, milliseconds(30), milliseconds(40)}};
