Relay: the end of a client connection tells its idle time

What callers saw: nothing by itself.

client_end has whether the connection ever had a request, its idle time and the limit that bound it. skylarkcroft_client_ends_total gains the labels had_request and idle (none, short, within_limit, past_limit). An end that may have cut off a request by these times alone has a line as well; ends to make room for others are only counted, as a flood makes many.

Changes to tests: in client_end_test.cc the line has its three new fields, and the end of an idle connection is compared with its limit and an idle time of at least that limit, in place of an empty record.

--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
@@ -118,6 +118,7 @@
 }
 
 void client_connection::OnRequest() {
+  had_request_ = true;
   if (HasClientLeft()) {
     // After a pause of the loop, clients that gave up meanwhile have left their
     // requests in the sockets' buffers.
@@ -153,6 +154,13 @@
   end.request_partly_read = IsPartlyRead();
   end.has_unread = socket_.HasUnread();
   end.unsent = socket_.unsent();
+  end.had_request = had_request_;
+  const std::optional<time_point> since = idle_since();
+  if (since.has_value()) {
+    end.idle =
+        std::chrono::duration_cast<milliseconds>(environment_.clock() - *since);
+  }
+  end.idle_limit = limits_.limits().idle_timeout;
   environment_.on_client_ended(end);
 }
 
--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.h
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.h
@@ -110,6 +110,7 @@
   bool closing_ = false;
   bool destruction_requested_ = false;
   bool end_recorded_ = false;
+  bool had_request_ = false;
   time_point idle_since_{};
   /// Since when a closing connection has had nothing left to deliver.
   time_point lingering_since_{};
--- a/src/skylarkcroft/relay/skylarkcroft_client_end.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_client_end.cc
@@ -2,6 +2,8 @@
 
 #include <string>
 
+#include "skylarkcroft/relay/skylarkcroft_idle_clients.h"
+
 namespace skylarkcroft {
 namespace {
 
@@ -31,6 +33,30 @@
   return "unknown";
 }
 
+std::string_view ToString(idle_time time) {
+  switch (time) {
+    case idle_time::kNone:
+      return "none";
+    case idle_time::kShort:
+      return "short";
+    case idle_time::kWithinLimit:
+      return "within_limit";
+    case idle_time::kPastLimit:
+      return "past_limit";
+  }
+  return "unknown";
+}
+
+idle_time client_end::IdleTime() const {
+  if (!idle.has_value()) {
+    return idle_time::kNone;
+  }
+  if (*idle >= idle_limit) {
+    return idle_time::kPastLimit;
+  }
+  return *idle < kMaxRequestDelay ? idle_time::kShort : idle_time::kWithinLimit;
+}
+
 log_entry ToLogEntry(const client_end& end) {
   log_entry entry;
   entry.level = log_level::kInfo;
@@ -41,6 +67,10 @@
       {"request_partly_read", TrueOrFalse(end.request_partly_read)},
       {"unread", TrueOrFalse(end.has_unread)},
       {"unsent_bytes", std::to_string(end.unsent)},
+      {"had_request", TrueOrFalse(end.had_request)},
+      {"idle_ms",
+       end.idle.has_value() ? std::to_string(end.idle->count()) : ""},
+      {"idle_limit_ms", std::to_string(end.idle_limit.count())},
   };
   return entry;
 }
--- a/src/skylarkcroft/relay/skylarkcroft_client_end.h
+++ b/src/skylarkcroft/relay/skylarkcroft_client_end.h
@@ -2,8 +2,10 @@
 #define SKYLARKCROFT_RELAY_SKYLARKCROFT_CLIENT_END_H_
 
 #include <cstddef>
+#include <optional>
 #include <string_view>
 
+#include "skylarkcroft/internal/skylarkcroft_time.h"
 #include "skylarkcroft/log/skylarkcroft_log_entry.h"
 
 namespace skylarkcroft {
@@ -23,6 +25,17 @@
 /// The reason's name in logs and metrics.
 std::string_view ToString(client_end_reason reason);
 
+/// How long a connection was idle when it was ended.
+enum class idle_time {
+  kNone,         ///< It was not idle.
+  kShort,        ///< Less than kMaxRequestDelay: a request may be on its way.
+  kWithinLimit,  ///< Its client was still entitled to use it.
+  kPastLimit,
+};
+
+/// The name of `time` in logs and metrics.
+std::string_view ToString(idle_time time);
+
 /// What is known of a client connection when the relay ends it.
 struct client_end {
   client_end_reason reason = client_end_reason::kIdle;
@@ -33,6 +46,12 @@
   bool has_unread = false;
   /// Bytes for the client that have not been passed to the system.
   size_t unsent = 0;
+  /// A whole request has been read on the connection.
+  bool had_request = false;
+  /// How long the connection has been idle; empty if it is not.
+  std::optional<milliseconds> idle;
+  /// The idle limit that binds it.
+  milliseconds idle_limit{0};
 
   /// Whether the end may cost a client that is still there a request or an
   /// answer.
@@ -41,6 +60,16 @@
            (request_in_flight || request_partly_read || has_unread ||
             unsent > 0);
   }
+  [[nodiscard]] idle_time IdleTime() const;
+  /// Whether a request may be on its way that the end cuts off, by the times
+  /// alone. Ends to make room for others are meant to be early.
+  [[nodiscard]] bool IsEarly() const {
+    const idle_time time = IdleTime();
+    return (time == idle_time::kShort &&
+            reason != client_end_reason::kExcess) ||
+           (time == idle_time::kWithinLimit &&
+            reason == client_end_reason::kIdle);
+  }
   bool operator==(const client_end&) const = default;
 };
 
--- a/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
@@ -67,10 +67,14 @@
 void relay_metrics::RecordClientEnd(const client_end& end) {
   registry_
       .Counter({"skylarkcroft_client_ends_total",
-                "Connections of clients ended by this node, by reason and by "
-                "whether that dropped a request or a part of an answer.",
+                "Connections of clients ended by this node, by reason, by "
+                "whether that dropped a request or a part of an answer, by "
+                "whether they had had a request, and by how long they were "
+                "idle.",
                 {{"reason", std::string(ToString(end.reason))},
-                 {"drops", end.DropsBytes() ? "true" : "false"}}})
+                 {"drops", end.DropsBytes() ? "true" : "false"},
+                 {"had_request", end.had_request ? "true" : "false"},
+                 {"idle", std::string(ToString(end.IdleTime()))}}})
       .Increment();
 }
 
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -641,7 +641,7 @@
 
   void OnClientEnded(const client_end& end) {
     metrics_.RecordClientEnd(end);
-    if (end.DropsBytes()) {
+    if (end.DropsBytes() || end.IsEarly()) {
       WriteLog(ToLogEntry(end));
     }
   }
--- a/tests/relay/client_end_test.cc
+++ b/tests/relay/client_end_test.cc
@@ -25,13 +25,17 @@
 TEST_CASE("The line of an ended connection tells what was lost with it",
           "[relay][connection_end]") {
   const log_entry entry =
-      ToLogEntry(client_end{client_end_reason::kStalled, true, false, true, 7});
+      ToLogEntry(client_end{client_end_reason::kStalled, true, false, true, 7,
+                            true, milliseconds(8), milliseconds(9)});
   CHECK(entry.message == "client connection ended");
   const std::vector<log_field> expected = {{"reason", "stalled"},
                                            {"request_in_flight", "true"},
                                            {"request_partly_read", "false"},
                                            {"unread", "true"},
-                                           {"unsent_bytes", "7"}};
+                                           {"unsent_bytes", "7"},
+                                           {"had_request", "true"},
+                                           {"idle_ms", "8"},
+                                           {"idle_limit_ms", "9"}};
   CHECK(entry.fields == expected);
 }
 
@@ -46,7 +50,11 @@
   raw_client idle(relay.loop, relay.server.address());
   REQUIRE(relay.Await([&] { return idle.closed; }));
   REQUIRE(ends.size() == 1);
-  CHECK(ends.front() == client_end{});
+  client_end expected;
+  expected.idle = ends.front().idle;
+  expected.idle_limit = milliseconds(100);
+  CHECK(ends.front() == expected);
+  CHECK(expected.idle >= milliseconds(100));
 }
 
 TEST_CASE("A client that leaves is not counted as ended by the node",
--- a/tests/relay/client_limits_test.cc
+++ b/tests/relay/client_limits_test.cc
@@ -210,4 +210,39 @@
         client_limits{1, 2, milliseconds(3), milliseconds(4)});
 }
 
+TEST_CASE("The end of an idle connection tells its idle time and its limit",
+          "[relay][client_limits]") {
+  const bool had_request = GENERATE(false, true);
+  changing_relay relay(AllSmall());
+  std::vector<client_end> ends;
+  relay.environment.on_client_ended = [&](const client_end& end) {
+    ends.push_back(end);
+  };
+  relay.BringInto(had_request ? state::kAnswered : state::kFresh);
+  REQUIRE(relay.IsGivenUpAfter(kShort));
+  REQUIRE(ends.size() == 1);
+  CHECK(ends.front().had_request == had_request);
+  CHECK(ends.front().idle_limit == kShort);
+  CHECK(ends.front().IdleTime() == idle_time::kPastLimit);
+  CHECK_FALSE(ends.front().IsEarly());
+}
+
+TEST_CASE("An end within the idle limit or soon after a request is early",
+          "[relay][client_limits]") {
+  client_end end;
+  end.idle_limit = kLong;
+  end.idle = kLong - milliseconds(1);
+  CHECK(end.IdleTime() == idle_time::kWithinLimit);
+  CHECK(end.IsEarly());
+  end.reason = client_end_reason::kLeaving;
+  CHECK_FALSE(end.IsEarly());
+  end.idle = kMaxRequestDelay - milliseconds(1);
+  CHECK(end.IdleTime() == idle_time::kShort);
+  CHECK(end.IsEarly());
+  end.reason = client_end_reason::kExcess;
+  CHECK_FALSE(end.IsEarly());
+  end.idle.reset();
+  CHECK(end.IdleTime() == idle_time::kNone);
+}
+
 }  // namespace skylarkcroft
