HTTP server: a stop accepts the connections that the kernel holds

Callers that had connected in the moment of a planned stop, and had sent a whole request, saw a reset.

Cause: http_server::StopAccepting closed the listening socket at once, and the kernel resets what it holds in the queue of that socket.

Ruled out: shutdown() of the listening socket (it resets the queue as well); keeping the socket open for a fixed time (new callers would connect all along).

Change: the socket is closed once no connection waits in it, at most 16 passes of the loop later; until then has_bytes_waiting() holds, so that a node does not end. A node answers such requests as any new one while it leaves. A connection that comes between the last look and the close is still reset.

Evidence: "a connection that waits to be accepted is served before the stop" on the code before: 3 of 7 assertions fail (no answer to either); now tests/http passes, 435 assertions in 37 test cases, and tests/node [planned_stop], 52 in 4. No test of a whole node tries the queue.

--- a/src/skylarkcroft/http/skylarkcroft_http_server.cc
+++ b/src/skylarkcroft/http/skylarkcroft_http_server.cc
@@ -8,6 +8,7 @@
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -91,6 +92,15 @@
 };
 using server_state_ptr = std::shared_ptr<server_state>;
 
+// Passes of the loop for which a server that stops still accepts, so that a
+// flood of connections does not keep it open.
+constexpr int kAcceptPasses = 16;
+
+bool HasWaitingConnection(int listening_fd) {
+  pollfd waiting{listening_fd, POLLIN, 0};
+  return poll(&waiting, 1, 0) > 0;
+}
+
 class exchange final : public http_exchange {
  public:
   exchange(evhttp_request* raw, server_state_ptr server)
@@ -286,7 +296,8 @@
  public:
   impl(event_loop& loop, const endpoint& listen,
        const http_server_limits& limits, http_handler_fn handler)
-      : handler_(std::move(handler)),
+      : loop_(loop),
+        handler_(std::move(handler)),
         state_(std::make_shared<server_state>(ToConnectionLimits(limits),
                                               ToTimeval(limits.io_timeout))),
         http_(evhttp_new(loop.base())),
@@ -321,17 +332,17 @@
   impl& operator=(const impl&) = delete;
 
   void StopAccepting() {
-    if (bound_ == nullptr) {
-      return;
+    if (!is_stopping_) {
+      is_stopping_ = true;
+      CloseWhenAccepted(kAcceptPasses);
     }
-    evhttp_del_accept_socket(http_, bound_);
-    bound_ = nullptr;
   }
 
   const endpoint& address() const { return address_; }
   size_t open_exchanges() const { return state_->open_count; }
   bool has_bytes_waiting() const {
-    return state_->connections.HasBytesWaiting();
+    return (is_stopping_ && bound_ != nullptr) ||
+           state_->connections.HasBytesWaiting();
   }
   uint64_t connections_accepted() const {
     return state_->connections.accepted();
@@ -339,6 +350,19 @@
   size_t open_connections() const { return state_->connections.size(); }
 
  private:
+  // The kernel resets the connections that it holds when the socket is closed,
+  // and evhttp accepts them in the next pass of the loop.
+  void CloseWhenAccepted(int passes_left) {
+    if (passes_left > 0 &&
+        HasWaitingConnection(evhttp_bound_socket_get_fd(bound_))) {
+      accepting_ = loop_.After(
+          {}, [this, passes_left] { CloseWhenAccepted(passes_left - 1); });
+      return;
+    }
+    evhttp_del_accept_socket(http_, bound_);
+    bound_ = nullptr;
+  }
+
   static bufferevent* OnAccept(event_base* base, void* self) {
     return static_cast<impl*>(self)->state_->connections.Accept(base);
   }
@@ -356,12 +380,15 @@
     server->handler_(started);
   }
 
+  event_loop& loop_;
   http_handler_fn handler_;
   server_state_ptr state_;
   evhttp* http_;
   evhttp_bound_socket* bound_ = nullptr;
   endpoint address_;
   event_loop::handle_ptr sweep_;
+  event_loop::handle_ptr accepting_;
+  bool is_stopping_ = false;
 };
 
 http_server::http_server(event_loop& loop, const endpoint& listen,
--- a/src/skylarkcroft/http/skylarkcroft_http_server.h
+++ b/src/skylarkcroft/http/skylarkcroft_http_server.h
@@ -67,12 +67,13 @@
 
   /// The bound address, with the actual port.
   [[nodiscard]] const endpoint& address() const;
-  /// Stops accepting connections; open ones go on.
+  /// Stops accepting connections, after those that wait to be accepted; open
+  /// ones go on.
   void StopAccepting();
   /// Requests whose answers have not ended.
   [[nodiscard]] size_t open_exchanges() const;
-  /// Whether bytes of answers wait to be taken, or bytes of requests to be
-  /// read.
+  /// Whether bytes of answers wait to be taken, bytes of requests to be read,
+  /// or connections to be accepted before a stop.
   [[nodiscard]] bool has_bytes_waiting() const;
   /// Connections accepted so far.
   [[nodiscard]] uint64_t connections_accepted() const;
--- a/tests/http/hostile_peer_test.cc
+++ b/tests/http/hostile_peer_test.cc
@@ -110,6 +110,19 @@
   };
 }
 
+// Whether nothing listens at the address.
+bool ConnectFails(const endpoint& server) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(server.port);
+  inet_pton(AF_INET, server.host.c_str(), &address.sin_addr);
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  const int connected =
+      connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  close(fd);
+  return connected != 0;
+}
+
 TEST_CASE("a request trickled a byte at a time is ended with 408",
           "[http][hostile]") {
   size_t seen = 0;
@@ -330,6 +343,27 @@
   }
 }
 
+// Guards against connections that are reset because the kernel holds them when
+// the server stops accepting.
+TEST_CASE("a connection that waits to be accepted is served before the stop",
+          "[http][connection_end]") {
+  size_t seen = 0;
+  hostile_bench bench(SmallLimits(), CountAndAnswer(seen));
+  raw_peer first(bench);
+  raw_peer second(bench);
+  first.Send("GET /1 HTTP/1.1\r\n\r\n");
+  second.Send("GET /2 HTTP/1.1\r\n\r\n");
+  bench.server.StopAccepting();
+  bench.Until([&] {
+    return (first.closed() || !first.received().empty()) &&
+           (second.closed() || !second.received().empty());
+  });
+  CHECK_THAT(first.received(), Contains("answer to /1"));
+  CHECK_THAT(second.received(), Contains("answer to /2"));
+  CHECK(seen == 2);
+  CHECK(ConnectFails(bench.server.address()));
+}
+
 TEST_CASE("bytes sent behind a request under way are bounded",
           "[http][hostile]") {
   http_exchange_ptr kept;
