HTTP client: a call that was given up sends nothing later

Cause: a call without an answer was ended by an ordinary close. The system keeps what was not acknowledged and sends it again for a minute or more. While a process stands still, nothing ends its calls at all.

Ruled out: the limit of the call itself, which ended in time.

The connection of a call is now reset when it ends without a whole answer: at each limit, when its caller or its client drops it, and at the end of the process, since the option is set when the call starts. A whole answer sets it back, so that idle connections still close in order. While a call with a total limit waits, the system gives up unacknowledged bytes at about that limit.

--- a/src/skylarkcroft/http/skylarkcroft_http_client.cc
+++ b/src/skylarkcroft/http/skylarkcroft_http_client.cc
@@ -9,7 +9,9 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <unordered_map>
@@ -33,6 +35,9 @@
 constexpr milliseconds kUnreadBytesDelay{1};
 // Time between two questions whether a silent call may end.
 constexpr milliseconds kSilentCallDelay{50};
+// The system counts the time of unacknowledged bytes from its first repeat
+// after a probe of the loss, at least this long after it sent them.
+constexpr milliseconds kFirstRepeatDelay{400};
 
 struct method_command {
   const char* name;
@@ -120,6 +125,7 @@
         auto* link = static_cast<connection*>(self);
         link->sent = true;
         link->last_progress = SteadyNow();
+        link->LimitUnacknowledged(link->last_progress);
       }
     }
 
@@ -130,10 +136,30 @@
       }
     }
 
+    // A call without a total limit leaves the time to the system.
+    void LimitUnacknowledged(time_point now) const {
+      if (ends_at == time_point::max()) {
+        SetUserTimeout(fd(), milliseconds(0));
+        return;
+      }
+      const auto left = std::chrono::duration_cast<milliseconds>(
+          ends_at - now - kFirstRepeatDelay);
+      SetUserTimeout(fd(), std::max(left, milliseconds(1)));
+    }
+
+    // The system would go on sending bytes that the peer has not acknowledged
+    // after an ordinary close, also when the process has ended.
+    void SetResetOnClose(bool resets) const {
+      skylarkcroft::SetResetOnClose(fd(), resets);
+    }
+
     [[nodiscard]] bool HasUnread() const {
-      const evutil_socket_t fd =
-          bufferevent_getfd(evhttp_connection_get_bufferevent(raw));
-      return fd >= 0 && HasUnreadBytes(fd);
+      return fd() >= 0 && HasUnreadBytes(fd());
+    }
+
+    // Negative before the socket was opened.
+    [[nodiscard]] evutil_socket_t fd() const {
+      return bufferevent_getfd(evhttp_connection_get_bufferevent(raw));
     }
 
     evhttp_connection* raw;
@@ -141,6 +167,8 @@
     bool sent = false;
     time_point last_progress{};
     time_point idle_since{};
+    // When the call on it reaches its total limit.
+    time_point ends_at = time_point::max();
   };
   using connection_ptr = std::unique_ptr<connection>;
 
@@ -188,8 +216,12 @@
       state->total_timer = loop_.After(
           options.total_timeout, [this, id = state->id] { OnTotalLimit(id); });
     }
+    const time_point now = SteadyNow();
     state->link->sent = false;
-    state->link->last_progress = SteadyNow();
+    state->link->last_progress = now;
+    state->link->ends_at = options.total_timeout > milliseconds(0)
+                               ? now + options.total_timeout
+                               : time_point::max();
     state->progress_timeout = options.progress_timeout;
     CheckProgressAfter(*state, options.progress_timeout);
     live_.emplace(state->id, std::move(owned));
@@ -200,6 +232,11 @@
                             request.target.c_str()) != 0) {
       FailLater(id);
     }
+    // An address that cannot be resolved ends the call at once.
+    const auto started = live_.find(id);
+    if (started != live_.end()) {
+      started->second->link->SetResetOnClose(true);
+    }
     return id;
   }
 
@@ -415,6 +452,9 @@
     const auto found = live_.find(id);
     const std::unique_ptr<call_state> owned = std::move(found->second);
     live_.erase(found);
+    if (result.outcome == http_outcome::kComplete) {
+      owned->link->SetResetOnClose(false);
+    }
     const bool keep =
         result.outcome == http_outcome::kComplete && owned->reuse &&
         (owned->may_keep == nullptr || owned->may_keep(result.response));
--- a/src/skylarkcroft/http/skylarkcroft_http_client.h
+++ b/src/skylarkcroft/http/skylarkcroft_http_client.h
@@ -72,7 +72,7 @@
   milliseconds total_timeout{0};
 };
 
-/// A call under way; destroying it cancels the call and closes its connection.
+/// A call under way; destroying it cancels the call and resets its connection.
 class http_call {
  public:
   virtual ~http_call() = default;
@@ -82,6 +82,11 @@
 /// HTTP/1.1 client with idle connections kept per endpoint for a bounded time,
 /// on evhttp. A call that breaks or times out closes the idle connections to
 /// its peer, since they may be as dead. Never repeats a request by itself.
+///
+/// A connection is reset when its call ends without a whole response, also by
+/// the end of the process, so that nothing of the call is sent later. While a
+/// call with a total timeout waits, unacknowledged bytes are sent again until
+/// about that timeout or for 0.4 s, also while the process stands still.
 class http_client {
  public:
   explicit http_client(event_loop& loop);
--- a/src/skylarkcroft/internal/skylarkcroft_socket_state.cc
+++ b/src/skylarkcroft/internal/skylarkcroft_socket_state.cc
@@ -1,6 +1,8 @@
 #include "skylarkcroft/internal/skylarkcroft_socket_state.h"
 
 #include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/types.h>
@@ -31,4 +33,14 @@
   return static_cast<size_t>(bytes);
 }
 
+void SetResetOnClose(int fd, bool resets) {
+  const linger option{resets ? 1 : 0, 0};
+  setsockopt(fd, SOL_SOCKET, SO_LINGER, &option, sizeof option);
+}
+
+void SetUserTimeout(int fd, milliseconds ack_timeout) {
+  const auto limit = static_cast<unsigned int>(ack_timeout.count());
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
+}
+
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/internal/skylarkcroft_socket_state.h
+++ b/src/skylarkcroft/internal/skylarkcroft_socket_state.h
@@ -3,6 +3,8 @@
 
 #include <cstddef>
 
+#include "skylarkcroft/internal/skylarkcroft_time.h"
+
 namespace skylarkcroft {
 
 /// True if the peer of a non-blocking TCP socket has closed or reset the
@@ -17,6 +19,15 @@
 /// 0 if the connection has failed.
 size_t UnacknowledgedBytes(int fd);
 
+/// Sets whether closing a TCP socket resets its connection and so discards the
+/// bytes that its peer has not acknowledged. Holds also when the process ends.
+void SetResetOnClose(int fd, bool resets);
+
+/// Makes a TCP connection fail when sent data stays unacknowledged for
+/// `ack_timeout`, counted from when it is first sent again; 0 leaves the time
+/// to the system.
+void SetUserTimeout(int fd, milliseconds ack_timeout);
+
 }  // namespace skylarkcroft
 
 #endif  // SKYLARKCROFT_INTERNAL_SKYLARKCROFT_SOCKET_STATE_H_
--- a/src/skylarkcroft/wire/skylarkcroft_stream_socket.cc
+++ b/src/skylarkcroft/wire/skylarkcroft_stream_socket.cc
@@ -29,11 +29,6 @@
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
-void SetUserTimeout(int fd, milliseconds ack_timeout) {
-  const auto limit = static_cast<unsigned int>(ack_timeout.count());
-  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
-}
-
 int OpenSocket(milliseconds ack_timeout) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0) {
@@ -164,9 +159,7 @@
 }
 
 void stream_socket::ResetOnClose() {
-  const linger reset{1, 0};
-  setsockopt(bufferevent_getfd(impl_->handle()), SOL_SOCKET, SO_LINGER, &reset,
-             sizeof reset);
+  SetResetOnClose(bufferevent_getfd(impl_->handle()), true);
 }
 
 void stream_socket::ShutdownWrite() {
