Orders to upstreams: the limit holds while the process stands still

Callers saw nothing yet; found by going through all calls: an order whose process stood still after sending it was sent again by the system without end, beyond the time that a lease leaves it.

Cause: timed_http_client measured its limit with a timer of its own, so that http_client set no limit on unacknowledged bytes. It now passes its limit on as the call's total limit.

--- a/src/skylarkcroft/control/skylarkcroft_timed_http_client.cc
+++ b/src/skylarkcroft/control/skylarkcroft_timed_http_client.cc
@@ -14,7 +14,7 @@
   if (found == calls_.end()) {
     return;
   }
-  const auto closed = std::make_shared<call>(std::move(found->second));
+  const auto closed = std::make_shared<http_call_ptr>(std::move(found->second));
   calls_.erase(found);
   loop_.Defer([closed] {});
 }
@@ -24,6 +24,7 @@
   const uint64_t id = next_id_++;
   http_call_options options;
   options.progress_timeout = timeout_;
+  options.total_timeout = timeout_;
   // An aborted request must not remain on a connection that is reused.
   options.reuse_connection = false;
   http_call_events events;
@@ -32,12 +33,7 @@
     const bool complete = result.outcome == http_outcome::kComplete;
     done(complete ? std::optional(result.response) : std::nullopt);
   };
-  call& started = calls_[id];
-  started.timeout = loop_.After(timeout_, [this, id, done] {
-    Close(id);
-    done(std::nullopt);
-  });
-  started.sent = client_.Send(address, request, options, std::move(events));
+  calls_[id] = client_.Send(address, request, options, std::move(events));
 }
 
 bool Succeeded(const std::optional<http_response>& response) {
--- a/src/skylarkcroft/control/skylarkcroft_timed_http_client.h
+++ b/src/skylarkcroft/control/skylarkcroft_timed_http_client.h
@@ -14,7 +14,7 @@
 namespace skylarkcroft {
 
 /// Sends HTTP requests with a limit on their total time. A request without a
-/// complete response within `timeout` is aborted by closing its connection.
+/// complete response within `timeout` is aborted by resetting its connection.
 /// Connections are not reused after a request.
 class timed_http_client {
  public:
@@ -31,11 +31,6 @@
             const done_fn& done);
 
  private:
-  struct call {
-    http_call_ptr sent;
-    event_loop::handle_ptr timeout;
-  };
-
   /// Destroys call `id` after the current callback has returned.
   void Close(uint64_t id);
 
@@ -43,7 +38,7 @@
   http_client& client_;
   milliseconds timeout_;
   uint64_t next_id_ = 0;
-  std::map<uint64_t, call> calls_;
+  std::map<uint64_t, http_call_ptr> calls_;
 };
 
 /// True for a response with a status from 200 to 299.
