Relay: a connection that is reset right after is no sign of life

Callers saw streams without a length or chunks end as complete where a crash had cut them, about one in ten of those that a crash ended.

Cause: when a process is killed, its system closes its connections before its listening socket. The relay's further connection was accepted in between and reset right after, and nobody looked at it any more.

Mend: upstream_connections::OpenWatched() reports a connection as accepted only once it has stayed open for min_open_time (50 ms). One that ends before counts as refused, so a byte from the upstream within life_sign_wait still shows that it goes on: an upstream beyond its connection limit resets connections too. The decision is in response_end, which has no network. The end of an answer without a length or chunks is 50 ms later; other answers are not delayed.

--- a/src/skylarkcroft/relay/skylarkcroft_relay_parameters.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_parameters.h
@@ -27,6 +27,10 @@
   /// Time within which requests to an upstream that has told that it leaves
   /// have to end.
   milliseconds leaving_time{1800};
+  /// After a response that ended with its connection, a connection that the
+  /// upstream accepts has to stay open for this long to show that its process
+  /// goes on. The end of such a response is delayed by it.
+  milliseconds min_open_time{50};
   /// An upstream that refuses a connection after a response that ended with its
   /// connection has this long to show by a byte that it goes on. A working one
   /// sends a token every ten milliseconds or so.
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -586,17 +586,16 @@
 void relay_request::ConfirmEnd() {
   attempt_->ended_at = environment_.clock();
   const upstream_entry& upstream = attempt_->placed.upstream;
-  environment_.connections.OpenIdle(
-      upstream.id, upstream.address,
+  environment_.connections.OpenWatched(
+      upstream.id, upstream.address, environment_.parameters.min_open_time,
       [this, alive = std::weak_ptr<bool>(alive_)](connect_outcome outcome) {
         if (alive.expired() || !IsEndUnconfirmed()) {
           return;
         }
-        if (outcome == connect_outcome::kRefused) {
-          attempt_->refused_at = environment_.clock();
-          return;
-        }
-        DeliverWholeResponse();
+        const time_point now = environment_.clock();
+        attempt_->end.outcome = outcome;
+        attempt_->end.outcome_at = now;
+        CheckUnconfirmedEnd(now);
       });
 }
 
@@ -605,16 +604,19 @@
 }
 
 void relay_request::CheckUnconfirmedEnd(time_point now) {
-  const std::optional<time_point>& refused_at = attempt_->refused_at;
-  if (!refused_at.has_value()) {
-    return;
-  }
-  const bool lives = environment_.balancer.HasByteSince(
-      attempt_->placed.upstream.id, *refused_at);
-  if (lives) {
-    DeliverWholeResponse();
-  } else if (now - *refused_at >= environment_.parameters.life_sign_wait) {
-    Fail(attempt_failure::kBroken);
+  end_evidence& end = attempt_->end;
+  end.has_byte_since = end.outcome.has_value() &&
+                       environment_.balancer.HasByteSince(
+                           attempt_->placed.upstream.id, end.outcome_at);
+  switch (DecideEnd(end, {environment_.parameters.life_sign_wait}, now)) {
+    case end_verdict::kWait:
+      return;
+    case end_verdict::kWhole:
+      DeliverWholeResponse();
+      return;
+    case end_verdict::kBroken:
+      Fail(attempt_failure::kBroken);
+      return;
   }
 }
 
@@ -729,7 +731,7 @@
   if (&failed == attempt_.get()) {
     record.partial_event_bytes = splitter_.remainder().size();
   }
-  record.upstream_ended = failed.refused_at.has_value();
+  record.upstream_ended = failed.end.outcome == connect_outcome::kRefused;
   record.elapsed =
       std::chrono::duration_cast<milliseconds>(now - failed.started_at);
   if (failed.first_output_at.has_value()) {
@@ -1090,7 +1092,7 @@
   if (ended_) {
     return;
   }
-  if (IsEndUnconfirmed() && !attempt_->refused_at.has_value()) {
+  if (IsEndUnconfirmed() && !attempt_->end.outcome.has_value()) {
     DeliverWholeResponse();
     return;
   }
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -11,6 +11,7 @@
 #include "skylarkcroft/internal/skylarkcroft_time.h"
 #include "skylarkcroft/relay/skylarkcroft_attempt_rules.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_environment.h"
+#include "skylarkcroft/relay/skylarkcroft_response_end.h"
 #include "skylarkcroft/relay/skylarkcroft_response_writer.h"
 #include "skylarkcroft/relay/skylarkcroft_sse_splitter.h"
 #include "skylarkcroft/wire/skylarkcroft_message_reader.h"
@@ -75,8 +76,8 @@
     /// When the response ended with its connection. From then on it is not
     /// known whether the upstream's process has ended too.
     std::optional<time_point> ended_at;
-    /// When the upstream refused a connection after that.
-    std::optional<time_point> refused_at;
+    /// What the upstream has shown after that.
+    end_evidence end;
   };
   using attempt_ptr = std::unique_ptr<attempt>;
 
--- a/src/skylarkcroft/relay/skylarkcroft_upstream_connections.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_upstream_connections.cc
@@ -7,7 +7,6 @@
 #include <vector>
 
 #include "skylarkcroft/internal/skylarkcroft_error.h"
-#include "skylarkcroft/internal/skylarkcroft_event_loop.h"
 
 namespace skylarkcroft {
 namespace {
@@ -327,6 +326,13 @@
 void upstream_connections::OpenIdle(
     const std::string& upstream_id, const endpoint& address,
     std::function<void(connect_outcome)> on_result) {
+  OpenWatched(upstream_id, address, milliseconds(0), std::move(on_result));
+}
+
+void upstream_connections::OpenWatched(
+    const std::string& upstream_id, const endpoint& address,
+    milliseconds min_open_time,
+    std::function<void(connect_outcome)> on_result) {
   on_opened_();
   connection_ptr opened;
   try {
@@ -340,17 +346,34 @@
   const connection* key = opened.get();
   opened->SetHandlers(
       {[](std::string_view bytes) { return bytes.size(); },
-       [this, key] { EndOpening(key, connect_outcome::kAccepted); },
+       [this, key] { OnOpened(key); },
        [this, key](bool) { EndOpening(key, connect_outcome::kRefused); }});
-  opening_.push_back({std::move(opened), std::move(on_result)});
+  opening_.push_back(
+      {std::move(opened), min_open_time, std::move(on_result), nullptr});
+}
+
+void upstream_connections::OnOpened(const connection* opened) {
+  opening_connection& one = *FindOpening(opened);
+  if (one.min_open_time.count() == 0) {
+    EndOpening(opened, connect_outcome::kAccepted);
+    return;
+  }
+  one.open_timer = loop_.After(one.min_open_time, [this, opened] {
+    EndOpening(opened, connect_outcome::kAccepted);
+  });
+}
+
+std::list<upstream_connections::opening_connection>::iterator
+upstream_connections::FindOpening(const connection* opened) {
+  return std::find_if(opening_.begin(), opening_.end(),
+                      [&](const opening_connection& one) {
+                        return one.opened.get() == opened;
+                      });
 }
 
 void upstream_connections::EndOpening(const connection* opened,
                                       connect_outcome outcome) {
-  const auto found = std::find_if(opening_.begin(), opening_.end(),
-                                  [&](const opening_connection& one) {
-                                    return one.opened.get() == opened;
-                                  });
+  const auto found = FindOpening(opened);
   const opening_connection ended = std::move(*found);
   opening_.erase(found);
   ended.opened->ClearHandlers();
@@ -389,7 +412,9 @@
   }
   std::vector<const connection*> unanswered;
   for (const opening_connection& one : opening_) {
-    if (now - one.opened->opened_at > parameters_.connect_timeout) {
+    const bool overdue =
+        now - one.opened->opened_at > parameters_.connect_timeout;
+    if (overdue && !one.opened->connected) {
       unanswered.push_back(one.opened.get());
     }
   }
--- a/src/skylarkcroft/relay/skylarkcroft_upstream_connections.h
+++ b/src/skylarkcroft/relay/skylarkcroft_upstream_connections.h
@@ -11,6 +11,7 @@
 #include <string_view>
 
 #include "skylarkcroft/internal/skylarkcroft_endpoint.h"
+#include "skylarkcroft/internal/skylarkcroft_event_loop.h"
 #include "skylarkcroft/internal/skylarkcroft_time.h"
 #include "skylarkcroft/wire/skylarkcroft_connect_check.h"
 #include "skylarkcroft/wire/skylarkcroft_message_reader.h"
@@ -18,8 +19,6 @@
 
 namespace skylarkcroft {
 
-class event_loop;
-
 /// Time limits and size limits of connections to upstreams.
 struct connection_parameters {
   /// An upstream is one hop away, so connecting is quick. A lost SYN would be
@@ -111,6 +110,12 @@
   /// function, and connect_timeout later at most.
   void OpenIdle(const std::string& upstream_id, const endpoint& address,
                 std::function<void(connect_outcome)> on_result);
+  /// As OpenIdle(), but a connection counts as accepted only if it stays open
+  /// for `min_open_time`; one that ends before counts as refused. A process
+  /// that ends may accept connections after it has closed its others.
+  void OpenWatched(const std::string& upstream_id, const endpoint& address,
+                   milliseconds min_open_time,
+                   std::function<void(connect_outcome)> on_result);
   /// Closes connections that have been idle for too long and fails those that
   /// did not connect within connect_timeout; to be called regularly.
   void CloseExpired(time_point now);
@@ -121,13 +126,18 @@
   class connection;
   class exchange;
   using connection_ptr = std::shared_ptr<connection>;
-  /// A connection that OpenIdle() has begun to open.
+  /// A connection that OpenIdle() or OpenWatched() has begun to open.
   struct opening_connection {
     connection_ptr opened;
+    milliseconds min_open_time{0};
     std::function<void(connect_outcome)> on_result;
+    event_loop::handle_ptr open_timer;  ///< Runs for min_open_time.
   };
 
   void KeepIdle(const connection_ptr& kept);
+  void OnOpened(const connection* opened);
+  [[nodiscard]] std::list<opening_connection>::iterator FindOpening(
+      const connection* opened);
   void EndOpening(const connection* opened, connect_outcome outcome);
 
   event_loop& loop_;
--- a/tests/relay/answer_end_test.cc
+++ b/tests/relay/answer_end_test.cc
@@ -57,6 +57,16 @@
       request.close();
     });
   }
+  /// As WriteAndEnd(), and a connection is still accepted before the process's
+  /// system resets it.
+  void WriteAndCrash(scripted_upstream& upstream,
+                     const received_request& request, const std::string& text) {
+    request.write(text);
+    later_ = relay.loop.After(milliseconds(30), [&upstream, request] {
+      upstream.ResetFurtherConnections();
+      request.close();
+    });
+  }
 
   fixture relay;
   std::unique_ptr<raw_client> client;
@@ -130,6 +140,58 @@
   CHECK(run.relay.failed_attempts.back().upstream_ended);
 }
 
+// Guards against a broken stream that reaches the client as a complete one
+// where its upstream's process still accepts a connection while it ends.
+TEST_CASE("A stream whose upstream accepts and resets is broken off",
+          "[relay][answer_end][ended_process][regression]") {
+  broken_answer run;
+  const client_kind kind = AnyClient();
+  run.SetHandlerOfEach(
+      [&](scripted_upstream& upstream, const received_request& request) {
+        run.WriteAndCrash(
+            upstream, request,
+            AnswerUntil(request, framing::kConnection, stop::kBetweenEvents));
+      });
+  CHECK(run.Ask(kind, "/stream/") == client_view::kBroken);
+  CHECK_THAT(run.client->received, Contains("id: 2"));
+}
+
+// Guards against a short body that reaches the client as a complete one where
+// its upstream's process still accepts a connection while it ends.
+TEST_CASE("A body whose upstream accepts and resets is an error",
+          "[relay][answer_end][ended_process][regression]") {
+  broken_answer run;
+  const client_kind kind = AnyClient();
+  run.SetHandlerOfEach(
+      [&](scripted_upstream& upstream, const received_request& request) {
+        run.WriteAndCrash(upstream, request,
+                          "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Sig: s\r\n\r\nwho");
+      });
+  CHECK(run.Ask(kind, "/once/") == client_view::kError);
+}
+
+// Guards against whole answers that are called broken because their upstream
+// resets connections beyond its limit.
+TEST_CASE("A reset connection alone does not break an answer off",
+          "[relay][answer_end][ended_process]") {
+  broken_answer run;
+  const client_kind kind = AnyClient();
+  event_loop::handle_ptr other_bytes;
+  run.SetHandlerOfEach([&](scripted_upstream& upstream,
+                           const received_request& request) {
+    const std::string id =
+        &upstream == &run.relay.first_upstream ? "one" : "two";
+    // The other answers of the upstream go on.
+    other_bytes = run.relay.loop.Every(milliseconds(10), [&run, id] {
+      run.relay.balancer.RecordByte(id, SteadyNow());
+    });
+    run.WriteAndCrash(upstream, request,
+                      AnswerUntil(request, framing::kConnection, stop::kAtEnd));
+  });
+  CHECK(run.Ask(kind, "/stream/") == client_view::kWhole);
+  CHECK(run.relay.RequestCount() == 1);
+}
+
 TEST_CASE("A stream that ended with its upstream's process is resumed",
           "[relay][answer_end][ended_process][resume]") {
   broken_answer run;
--- a/tests/relay/scripted_upstream.h
+++ b/tests/relay/scripted_upstream.h
@@ -72,6 +72,9 @@
       evconnlistener_free(std::exchange(listener_, nullptr));
     }
   }
+  /// Accepts each further connection and resets it shortly after, like a
+  /// process that is ending: its listening socket is closed last.
+  void ResetFurtherConnections() { resets_connections_ = true; }
 
   std::vector<received_request> requests;
   int connections = 0;  ///< Number of connections accepted so far.
@@ -87,6 +90,16 @@
 
   void Accept(int fd) {
     ++connections;
+    if (resets_connections_) {
+      auto doomed = std::make_shared<stream_socket>(
+          loop_, fd,
+          socket_events{[](std::string_view bytes) { return bytes.size(); },
+                        [] {}, [](bool) {}});
+      doomed->ResetOnClose();
+      resets_.push_back(
+          loop_.After(milliseconds(5), [doomed]() mutable { doomed.reset(); }));
+      return;
+    }
     accepted_.push_back(std::make_unique<connection>());
     connection* client = accepted_.back().get();
     client->reader = std::make_unique<message_reader>(
@@ -135,6 +148,8 @@
   evconnlistener* listener_;
   uint16_t port_ = 0;
   handler on_request_;
+  bool resets_connections_ = false;
+  std::vector<event_loop::handle_ptr> resets_;
   std::list<std::unique_ptr<connection>> accepted_;
 };
 
