Relay: a stream that ends at its upstream's stated exit is broken off

Callers saw a stream without a length or chunks end as complete, 24 of 40 events, where its upstream was reclaimed in the middle.

Cause: the end of an answer of an upstream that leaves was taken for whole without a further connection, since such an upstream may exit after its last answer. One that has stated the time of its exit is taken away at that time, whatever it runs.

Mend: the replica records the earliest stated exit for each process, also beyond the removal of its entry. NeedsConfirmation() asks for a connection from that time on; then the connection decides as for any other upstream. Asking all that leave was ruled out: whole answers of drained upstreams would be told as broken off.

--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer.cc
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer.cc
@@ -199,6 +199,16 @@
   return announcements_.RecordLeaving(upstream, serves_until, now);
 }
 
+void load_balancer::RecordExit(const upstream_entry& upstream,
+                               time_point exits_at, time_point now) {
+  announcements_.RecordExit(upstream, exits_at, now);
+}
+
+std::optional<time_point> load_balancer::ExitsAt(
+    const upstream_entry& upstream) const {
+  return announcements_.ExitsAt(upstream);
+}
+
 void load_balancer::RecordPause(const upstream_entry& upstream,
                                 time_point until, time_point now) {
   announcements_.RecordPause(upstream, until, now);
--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
@@ -157,6 +157,14 @@
   /// it was when the request was sent. Returns whether this is new.
   bool RecordLeaving(const upstream_entry& upstream, time_point serves_until,
                      time_point now);
+  /// The upstream has stated that it exits, whatever it runs then: at
+  /// `exits_at` at the earliest.
+  void RecordExit(const upstream_entry& upstream, time_point exits_at,
+                  time_point now);
+  /// From when on the process of `upstream` may exit; empty if it has not
+  /// stated it. Known after its entry was removed as well.
+  [[nodiscard]] std::optional<time_point> ExitsAt(
+      const upstream_entry& upstream) const;
   /// The upstream has told in a response that it wants no requests before
   /// `until`.
   void RecordPause(const upstream_entry& upstream, time_point until,
--- a/src/skylarkcroft/placement/skylarkcroft_upstream_announcements.cc
+++ b/src/skylarkcroft/placement/skylarkcroft_upstream_announcements.cc
@@ -15,7 +15,7 @@
   DropOld(now);
   announcement& told = announcements_[entry.id];
   if (told.incarnation != entry.incarnation) {
-    told = {entry.incarnation, {}, {}, now};
+    told = {entry.incarnation, {}, {}, {}, now};
   }
   told.told_at = now;
   return told;
@@ -38,6 +38,18 @@
   told.paused_until = std::max(told.paused_until.value_or(until), until);
 }
 
+void upstream_announcements::RecordExit(const upstream_entry& entry,
+                                        time_point exits_at, time_point now) {
+  announcement& told = For(entry, now);
+  told.exits_at = std::min(told.exits_at.value_or(exits_at), exits_at);
+}
+
+std::optional<time_point> upstream_announcements::ExitsAt(
+    const upstream_entry& entry) const {
+  const announcement* told = Find(entry);
+  return told == nullptr ? std::nullopt : told->exits_at;
+}
+
 const upstream_announcements::announcement* upstream_announcements::Find(
     const upstream_entry& entry) const {
   if (announcements_.empty()) {
--- a/src/skylarkcroft/placement/skylarkcroft_upstream_announcements.h
+++ b/src/skylarkcroft/placement/skylarkcroft_upstream_announcements.h
@@ -24,6 +24,14 @@
   void RecordPause(const upstream_entry& entry, time_point until,
                    time_point now);
 
+  /// The upstream has stated when it exits, whatever it runs then: at
+  /// `exits_at` at the earliest. The earliest time told counts.
+  void RecordExit(const upstream_entry& entry, time_point exits_at,
+                  time_point now);
+  /// From when on the upstream may exit; empty if it has not stated it.
+  [[nodiscard]] std::optional<time_point> ExitsAt(
+      const upstream_entry& entry) const;
+
   /// Until when a leaving upstream may take requests; empty if it has not told
   /// that it leaves.
   [[nodiscard]] std::optional<time_point> ServesUntil(
@@ -37,6 +45,7 @@
     int64_t incarnation = 0;
     std::optional<time_point> serves_until;
     std::optional<time_point> paused_until;
+    std::optional<time_point> exits_at;
     time_point told_at{};
   };
 
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -574,9 +574,11 @@
     Fail(attempt_failure::kBroken);
     return;
   }
-  // An upstream that leaves may exit after its last response.
-  if (!IsDelimited() &&
-      !environment_.balancer.IsLeaving(attempt_->placed.upstream.id)) {
+  const upstream_entry& upstream = attempt_->placed.upstream;
+  const upstream_departure departure{
+      environment_.balancer.IsLeaving(upstream.id),
+      environment_.balancer.ExitsAt(upstream)};
+  if (!IsDelimited() && NeedsConfirmation(departure, environment_.clock())) {
     ConfirmEnd();
     return;
   }
--- a/src/skylarkcroft/relay/skylarkcroft_response_end.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_response_end.cc
@@ -2,6 +2,12 @@
 
 namespace skylarkcroft {
 
+bool NeedsConfirmation(const upstream_departure& departure,
+                       time_point ended_at) {
+  return !departure.is_leaving ||
+         (departure.exits_at.has_value() && ended_at >= *departure.exits_at);
+}
+
 end_verdict DecideEnd(const end_evidence& evidence, const end_limits& limits,
                       time_point now) {
   if (!evidence.outcome.has_value()) {
--- a/src/skylarkcroft/relay/skylarkcroft_response_end.h
+++ b/src/skylarkcroft/relay/skylarkcroft_response_end.h
@@ -37,6 +37,21 @@
   bool operator==(const end_evidence&) const = default;
 };
 
+/// What is known of whether and when an upstream leaves.
+struct upstream_departure {
+  bool is_leaving = false;
+  /// From when on it may exit, whatever it runs; empty if it has not stated it.
+  std::optional<time_point> exits_at;
+
+  bool operator==(const upstream_departure&) const = default;
+};
+
+/// Whether the upstream has to show that it goes on after a response that ended
+/// with its connection at `ended_at`. One that leaves may exit after its last
+/// response, but what it runs at its stated exit is cut off.
+bool NeedsConfirmation(const upstream_departure& departure,
+                       time_point ended_at);
+
 /// Whether the response is whole. A process that ends closes its connections in
 /// an orderly way too, so it is only if the process goes on.
 end_verdict DecideEnd(const end_evidence& evidence, const end_limits& limits,
--- a/src/skylarkcroft/relay/skylarkcroft_store_replica.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_store_replica.cc
@@ -289,6 +289,9 @@
     departed_.Forget(entry->id);
   }
   balancer.Put(*entry, now);
+  if (entry->is_draining && entry->exits_after.count() > 0) {
+    balancer.RecordExit(*entry, EarliestExit(entry->exits_after, now), now);
+  }
   const std::optional<time_point> serves_until =
       ServesUntil(entry->exits_after);
   if (was_serving && entry->is_draining && serves_until.has_value()) {
@@ -309,6 +312,14 @@
   return *served_at + time_left - kDrainMargin;
 }
 
+time_point store_replica::EarliestExit(milliseconds exits_after,
+                                       time_point now) const {
+  const std::optional<time_point> told_after =
+      upstreams_follower_.previously_current_as_of();
+  return told_after.has_value() ? *told_after + exits_after - kDrainMargin
+                                : now;
+}
+
 void store_replica::LogUpstreamChange(const stored_row& row,
                                       const std::string& state) {
   environment_.log(log_level::kInfo, "upstream changed",
--- a/src/skylarkcroft/relay/skylarkcroft_store_replica.h
+++ b/src/skylarkcroft/relay/skylarkcroft_store_replica.h
@@ -102,6 +102,10 @@
   /// when it is not known since when it has been leaving.
   [[nodiscard]] std::optional<time_point> ServesUntil(
       milliseconds exits_after) const;
+  /// When an upstream that has stated to exit after `exits_after` may do so at
+  /// the earliest: the statement may be older than this node's copy of it.
+  [[nodiscard]] time_point EarliestExit(milliseconds exits_after,
+                                        time_point now) const;
   void LogUpstreamChange(const stored_row& row, const std::string& state);
   void LogStoreContact(const std::string& table, bool reachable,
                        store_outcome outcome);
--- a/tests/relay/answer_end_test.cc
+++ b/tests/relay/answer_end_test.cc
@@ -276,6 +276,50 @@
   CHECK(run.relay.RequestCount() == 1);
 }
 
+// Guards against a broken stream that reaches the client as a complete one
+// where its upstream was reclaimed at the time that it had stated.
+TEST_CASE("A stream that ends at its upstream's stated exit is broken off",
+          "[relay][answer_end][ended_process][leaving][regression]") {
+  broken_answer run;
+  const client_kind kind = AnyClient();
+  const bool removed = GENERATE(false, true);
+  run.SetHandlerOfEach(
+      [&](scripted_upstream& upstream, const received_request& request) {
+        const std::string id =
+            &upstream == &run.relay.first_upstream ? "one" : "two";
+        const upstream_entry entry = fixture::Entry(id, upstream);
+        run.relay.balancer.RecordLeaving(entry, SteadyNow(), SteadyNow());
+        run.relay.balancer.RecordExit(entry, SteadyNow() + milliseconds(20),
+                                      SteadyNow());
+        if (removed) {
+          run.relay.balancer.Remove(id, SteadyNow());
+        }
+        run.WriteAndEnd(
+            upstream, request,
+            AnswerUntil(request, framing::kConnection, stop::kBetweenEvents));
+      });
+  CHECK(run.Ask(kind, "/stream/") == client_view::kBroken);
+}
+
+TEST_CASE("A whole stream before its upstream's stated exit is whole",
+          "[relay][answer_end][ended_process][leaving]") {
+  broken_answer run;
+  const client_kind kind = AnyClient();
+  run.SetHandlerOfEach([&](scripted_upstream& upstream,
+                           const received_request& request) {
+    const std::string id =
+        &upstream == &run.relay.first_upstream ? "one" : "two";
+    const upstream_entry entry = fixture::Entry(id, upstream);
+    run.relay.balancer.RecordLeaving(entry, SteadyNow(), SteadyNow());
+    run.relay.balancer.RecordExit(entry, SteadyNow() + milliseconds(5000),
+                                  SteadyNow());
+    run.WriteAndEnd(upstream, request,
+                    AnswerUntil(request, framing::kConnection, stop::kAtEnd));
+  });
+  CHECK(run.Ask(kind, "/stream/") == client_view::kWhole);
+  CHECK(run.relay.RequestCount() == 1);
+}
+
 // Guards against a 200 with an empty body where an upstream closed within its
 // answer's head, or before the first event.
 TEST_CASE("A stream without an event is an error for each kind of client",
--- a/tests/relay/response_end_test.cc
+++ b/tests/relay/response_end_test.cc
@@ -37,4 +37,13 @@
         end_verdict::kWhole);
 }
 
+TEST_CASE("A response of an upstream that leaves is confirmed from its exit on",
+          "[relay][answer_end][response_end]") {
+  CHECK(NeedsConfirmation({false, std::nullopt}, kAsked));
+  CHECK_FALSE(NeedsConfirmation({true, std::nullopt}, kAsked));
+  const upstream_departure stated{true, kAsked};
+  CHECK_FALSE(NeedsConfirmation(stated, kAsked - milliseconds(1)));
+  CHECK(NeedsConfirmation(stated, kAsked));
+}
+
 }  // namespace skylarkcroft
