--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -590,8 +590,12 @@
   const upstream_entry& upstream = attempt_->placed.upstream;
   environment_.connections.OpenWatched(
       upstream.id, upstream.address, environment_.parameters.min_open_time,
-      [this, alive = std::weak_ptr<bool>(alive_)](connect_outcome outcome) {
-        if (alive.expired() || !IsEndUnconfirmed()) {
+      [this, alive = std::weak_ptr<bool>(alive_),
+       ended = std::weak_ptr<upstream_exchange>(attempt_->exchange)](
+          connect_outcome outcome) {
+        const bool still_waits = !alive.expired() && IsEndUnconfirmed() &&
+                                 attempt_->exchange == ended.lock();
+        if (!still_waits) {
           return;
         }
         const time_point now = environment_.clock();
