Relay: the last look at the listen queue closes it

By reading: IsDrained() accepted what the kernel held and left the socket open until the exit, so that a connection made in between was reset. It is closed in the same step; no test, since the time between the two is within one call.

--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -622,7 +622,7 @@
         environment_.time_since_shutdown() <= plan.reject_new_after) {
       return false;
     }
-    server_.AcceptPending();
+    server_.StopListening();
     return server_.clients() == 0;
   }
 
