Relay: the head of a successor's answer decides, and the one that answers is kept

- The silent attempt went on until its successor had a byte of a body.
Between its head and that byte both upstreams could be at work on one stream.
The head of a response that may be forwarded shows that the successor's upstream has taken the request, and ends the silent attempt now.
- With three attempts or more and both upstreams silent, the first was given up once a third accepted a connection, which is the fault that mends.
Now the one that has begun to answer is kept, and the successor goes.
- The start of the body of a successor's error was dropped, so that the rest could be forwarded as the whole if the first attempt broke in between.

--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -389,7 +389,10 @@
   RecordAnnouncements(from, now);
   const bool failed = ClassifyFailure(from).has_value();
   from.is_stream = IsEventStream(head) && !failed;
-  if (&from != attempt_.get()) {
+  if (&from == successor_.get()) {
+    if (!failed) {
+      PromoteSuccessor();
+    }
     return;
   }
   record_.upstream_framing = FramingOf(head);
@@ -440,19 +443,21 @@
   environment_.balancer.RecordByte(from.placed.upstream.id, now);
   RecordSignOfLife(from, now);
   if (&from == successor_.get()) {
-    if (ClassifyFailure(from).has_value()) {
-      // The body of a refusal or an error is no output.
-      return;
-    }
-    PromoteSuccessor();
+    KeepErrorBody(from, bytes);
+    return;
   }
-  const bool may_end_race = successor_ != nullptr;
-  if (may_end_race && !ClassifyFailure(*attempt_).has_value()) {
+  if (successor_ != nullptr && !ClassifyFailure(from).has_value()) {
     EndRace();
   }
   AcceptBody(bytes, now);
 }
 
+void relay_request::KeepErrorBody(attempt& from, std::string_view bytes) const {
+  const size_t room =
+      environment_.parameters.max_buffered_response - from.body.size();
+  from.body.append(bytes.substr(0, room));
+}
+
 void relay_request::AcceptBody(std::string_view bytes, time_point now) {
   if (attempt_->execution_started) {
     record_.longest_pause = std::max(
@@ -1034,7 +1039,7 @@
   environment_.retries.TryRetry(service_name_, environment_.node_count(), now);
   if (successor_ != nullptr) {
     // No more than two upstreams have the request at a time.
-    PromoteSuccessor();
+    DropOneOfTwoSilent(now);
   }
   const std::string& silent = attempt_->placed.upstream.id;
   environment_.balancer.RecordSilence(silent, now);
@@ -1043,6 +1048,15 @@
   successor_ = SendTo(successor);
 }
 
+void relay_request::DropOneOfTwoSilent(time_point now) {
+  if (!attempt_->head.has_value()) {
+    PromoteSuccessor();
+    return;
+  }
+  environment_.balancer.RecordSilence(successor_->placed.upstream.id, now);
+  DropSuccessor(attempt_failure::kSilent, now);
+}
+
 void relay_request::PromoteSuccessor() {
   RecordFailure(*attempt_, attempt_failure::kSilent, environment_.clock());
   CloseFailed(std::move(attempt_), attempt_failure::kSilent);
@@ -1055,13 +1069,9 @@
   if (!failure.has_value()) {
     failure = ClassifyFailure(*successor_);
   }
-  if (failure.has_value()) {
-    DropSuccessor(*failure, environment_.clock());
-    return;
-  }
-  // A whole response without a body.
-  PromoteSuccessor();
-  OnCompleteResponse();
+  // A response that may be forwarded has made it the attempt with its head.
+  DropSuccessor(failure.value_or(attempt_failure::kMalformed),
+                environment_.clock());
 }
 
 void relay_request::DropSuccessor(attempt_failure failure, time_point now) {
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -104,6 +104,9 @@
   void RecordAnnouncements(const attempt& from, time_point now);
   void RecordExecutionStarted(attempt& started);
   void OnCompleteResponse();
+  /// Keeps the body of a successor's refusal or error, in case the attempt
+  /// before it fails first.
+  void KeepErrorBody(attempt& from, std::string_view bytes) const;
   /// Keeps what the attempt's upstream has sent, and forwards what the client
   /// may have.
   void AcceptBody(std::string_view bytes, time_point now);
@@ -173,8 +176,8 @@
   /// Whether the request of the attempt may still be sent.
   [[nodiscard]] quarantine_decision DecideForAttempt(const attempt& sent,
                                                      time_point now) const;
-  /// A sound upstream may pause, so a silent attempt goes on beside its
-  /// successor until that one has output, which ends the silent attempt.
+  /// A working upstream may pause, so a silent attempt goes on beside its
+  /// successor until the upstream of that one answers.
   void CheckUpstreamSilence(time_point now);
   [[nodiscard]] bool IsUpstreamSilent(const attempt& sent,
                                       time_point now) const;
@@ -183,15 +186,18 @@
   /// Finds another upstream and opens a connection to it.
   void OpenSuccessor(time_point now);
   void OnSuccessorOpened(const placement& successor, connect_outcome outcome);
-  /// The successor has output or the attempt has failed: gives the attempt up
-  /// and goes on with the successor.
+  /// The successor's upstream answers: gives the attempt up and goes on with
+  /// the successor.
   void PromoteSuccessor();
+  /// Gives up one of two silent attempts: the successor if the other has begun
+  /// to answer.
+  void DropOneOfTwoSilent(time_point now);
   void OnSuccessorEnd(exchange_result result);
   /// The attempt goes on without its successor.
   void DropSuccessor(attempt_failure failure, time_point now);
-  /// Ends a successor without output; it counts as an attempt if it was sent.
+  /// Ends a successor; it counts as an attempt if it was sent.
   void CancelSuccessor();
-  /// The attempt has output before its successor.
+  /// The attempt's upstream answers before that of its successor.
   void EndRace();
   /// Number of upstreams that have the request at present.
   [[nodiscard]] int attempts_in_flight() const;
@@ -228,7 +234,7 @@
   std::vector<std::string> tried_upstreams_;
   /// The attempt whose response goes to the client.
   attempt_ptr attempt_;
-  /// Was sent because attempt_ is silent, and has had no output so far.
+  /// Was sent because attempt_ is silent; its upstream has not begun to answer.
   attempt_ptr successor_;
   sse_splitter splitter_;
   /// Id of the last event sent to the client.
