--- a/tests/relay_soak/relay_soak_test.cc
+++ b/tests/relay_soak/relay_soak_test.cc
@@ -58,8 +58,8 @@
   request.whole = true;
   request.matches = true;
   seen.requests["r"] = request;
-  seen.passed_on = {"r"};
   seen.runs = {{"r", "u", "", kStart + milliseconds(2), std::nullopt}};
+  seen.arrivals = seen.runs;
   seen.calm_from = kStart + milliseconds(100000);
   return seen;
 }
@@ -76,11 +76,11 @@
   history seen = Sound();
   CHECK(FirstViolation(seen).empty());
   SECTION("a request that nobody sent") {
-    seen.runs.push_back({"other", "u", "", kStart, std::nullopt});
+    seen.arrivals.push_back({"other", "u", "", kStart, std::nullopt});
     CHECK(FirstViolation(seen) == "UNASKED");
   }
   SECTION("a key that was passed on") {
-    seen.runs.front().key_shown = "k";
+    seen.arrivals.front().key_shown = "k";
     CHECK(FirstViolation(seen) == "KEY");
   }
   SECTION("a second run") {
--- a/tests/relay_soak/soak_history.cc
+++ b/tests/relay_soak/soak_history.cc
@@ -29,16 +29,20 @@
 
 void CheckRuns(const history& seen, const promise_bounds& bounds,
                violations& found) {
+  for (const run_seen& arrival : seen.arrivals) {
+    if (!seen.requests.contains(arrival.request)) {
+      found.push_back("UNASKED " + arrival.request + " at " + arrival.upstream);
+    }
+    if (!arrival.key_shown.empty()) {
+      found.push_back("KEY " + arrival.request + " was passed on with its key");
+    }
+  }
   std::map<std::string, const run_seen*> last;
   for (const run_seen& run : seen.runs) {
     const auto request = seen.requests.find(run.request);
     if (request == seen.requests.end()) {
-      found.push_back("UNASKED " + run.request + " at " + run.upstream);
       continue;
     }
-    if (!run.key_shown.empty()) {
-      found.push_back("KEY " + run.request + " was passed on with its key");
-    }
     const run_seen* before = std::exchange(last[run.request], &run);
     if (before == nullptr) {
       continue;
@@ -61,8 +65,8 @@
 
 void CheckAnswers(const history& seen, violations& found) {
   std::set<std::string> ran;
-  for (const run_seen& run : seen.runs) {
-    ran.insert(run.request);
+  for (const run_seen& arrival : seen.arrivals) {
+    ran.insert(arrival.request);
   }
   for (const auto& [id, request] : seen.requests) {
     const bool once = request.kind == request_kind::kOnce ||
@@ -75,7 +79,7 @@
       found.push_back("MIXED " + id + " got other bytes than were made");
     }
     const bool planned_cut = seen.planned_only && !request.gave_up &&
-                             seen.passed_on.contains(id) && !request.whole;
+                             ran.contains(id) && !request.whole;
     if (planned_cut) {
       found.push_back("LOST " + id + " at " + request.node +
                       " was cut off beside planned work");
@@ -85,7 +89,7 @@
 
 void CheckChanges(const history& seen, const promise_bounds& bounds,
                   violations& found) {
-  for (const run_seen& run : seen.runs) {
+  for (const run_seen& run : seen.arrivals) {
     const auto request = seen.requests.find(run.request);
     if (request == seen.requests.end()) {
       continue;
--- a/tests/relay_soak/soak_history.h
+++ b/tests/relay_soak/soak_history.h
@@ -3,7 +3,6 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -47,9 +46,9 @@
 /// All that was seen during a run of the soak.
 struct history {
   std::map<std::string, request_seen> requests;
-  /// Ids of the requests that reached an upstream and were not declined.
-  std::set<std::string> passed_on;
-  /// In the order in which they began.
+  /// Requests that reached an upstream and were not declined.
+  std::vector<run_seen> arrivals;
+  /// Those that an upstream has begun, in that order.
   std::vector<run_seen> runs;
   std::vector<disturbance> disturbances;
   /// When the store confirmed that a key was taken away.
--- a/tests/relay_soak/soak_upstream.cc
+++ b/tests/relay_soak/soak_upstream.cc
@@ -117,7 +117,7 @@
     return;
   }
   const request_kind kind = KindOf(to.head.target);
-  seen_.passed_on.insert(headers.Get("X-Attempt-Id"));
+  seen_.arrivals.push_back(DescribeRun(to));
   if (loses_answers_ && random_() % 2 == 0) {
     NoteRun(to);
     to.close();
@@ -141,12 +141,17 @@
 }
 
 size_t soak_upstream::NoteRun(const scripted_upstream::received_request& to) {
-  const http_headers& headers = to.head.headers;
-  seen_.runs.push_back({headers.Get("X-Attempt-Id"), id_, headers.Get("X-Key"),
-                        SteadyNow(), std::nullopt});
+  seen_.runs.push_back(DescribeRun(to));
   return seen_.runs.size() - 1;
 }
 
+run_seen soak_upstream::DescribeRun(
+    const scripted_upstream::received_request& to) const {
+  const http_headers& headers = to.head.headers;
+  return {headers.Get("X-Attempt-Id"), id_, headers.Get("X-Key"), SteadyNow(),
+          std::nullopt};
+}
+
 void soak_upstream::WatchEnd(const scripted_upstream::received_request& to,
                              size_t run) {
   if (seen_.runs[run].ended_at.has_value()) {
--- a/tests/relay_soak/soak_upstream.h
+++ b/tests/relay_soak/soak_upstream.h
@@ -45,6 +45,8 @@
   void Decline(const scripted_upstream::received_request& to, int status);
   void AnswerPlain(const scripted_upstream::received_request& to,
                    request_kind kind);
+  [[nodiscard]] run_seen DescribeRun(
+      const scripted_upstream::received_request& to) const;
   /// Notes that the upstream begins to work on a request; returns the number of
   /// the run.
   size_t NoteRun(const scripted_upstream::received_request& to);
