Relay: crash bookkeeping, response checks and event order leave relay_request

The bookkeeping of crashes for the quarantines (crash_monitor), the classification of an upstream's response head (upstream_response), the order of events over attempts (event_sequence) and the data of one attempt (relay_attempt) are now modules of their own.

--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr int kBadRequest = 400;
-constexpr int kRequestTimeout = 408;
 constexpr int kContentTooLarge = 413;
 constexpr int kHeaderFieldsTooLarge = 431;
 constexpr size_t kMaxHeadBytes = 65536;
--- /dev/null
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_attempt.h
@@ -0,0 +1,51 @@
+#ifndef SKYLARKCROFT_RELAY_SKYLARKCROFT_RELAY_ATTEMPT_H_
+#define SKYLARKCROFT_RELAY_SKYLARKCROFT_RELAY_ATTEMPT_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "skylarkcroft/internal/skylarkcroft_time.h"
+#include "skylarkcroft/placement/skylarkcroft_load_balancer.h"
+#include "skylarkcroft/relay/skylarkcroft_response_end.h"
+#include "skylarkcroft/relay/skylarkcroft_upstream_connections.h"
+#include "skylarkcroft/wire/skylarkcroft_message_reader.h"
+
+namespace skylarkcroft {
+
+/// One sending of a request to one upstream.
+struct relay_attempt {
+  placement placed;
+  exchange_ptr exchange;
+  time_point started_at{};
+  std::optional<message_head> head;
+  std::string body;
+  bool is_stream = false;
+  /// The upstream has started to execute the request or may have executed it.
+  bool execution_started = false;
+  /// When the first event of a stream, or the first byte of another body,
+  /// arrived.
+  std::optional<time_point> first_output_at;
+  time_point last_byte_at{};
+  /// The one attempt that is allowed after a quarantine of the request.
+  bool is_trial = false;
+  /// Reading is paused because the client is too slow.
+  bool paused = false;
+  /// When reading was last resumed.
+  time_point reading_since{};
+  /// From when on a successor may be sought if the upstream is silent.
+  time_point next_successor_search{};
+  /// A connection to a possible successor is being opened.
+  bool opens_successor = false;
+  /// When the response ended with its connection. From then on it is not known
+  /// whether the upstream's process has ended too.
+  std::optional<time_point> ended_at;
+  /// What the upstream has shown after that.
+  end_evidence end;
+};
+
+using relay_attempt_ptr = std::unique_ptr<relay_attempt>;
+
+}  // namespace skylarkcroft
+
+#endif  // SKYLARKCROFT_RELAY_SKYLARKCROFT_RELAY_ATTEMPT_H_
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -14,41 +14,8 @@
 namespace skylarkcroft {
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kNoContent = 204;
-constexpr int kFirstRedirect = 300;
-constexpr int kUnauthorized = 401;
-constexpr int kNotFound = 404;
-constexpr int kRequestTimeout = 408;
-constexpr int kMisdirected = 421;
-constexpr int kTooManyRequests = 429;
-constexpr int kFirstServerError = 500;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
 constexpr int kRouteRanksPerWorkspaceRank = 3;
 
-bool IsSuccess(int status) { return status >= kOk && status < kFirstRedirect; }
-
-bool IsEventStream(const message_head& head) {
-  return IsSuccess(head.status) &&
-         head.headers.Get("Content-Type").starts_with("text/event-stream");
-}
-
-// How the body of a response is delimited.
-std::string_view FramingOf(const message_head& head) {
-  if (head.chunked) {
-    return "chunked";
-  }
-  return head.content_length.has_value() ? "length" : "connection";
-}
-
-// Statuses that tell clients that the request was not executed.
-bool ImpliesNotExecuted(int status) {
-  return status == kUnavailable || status == kTooManyRequests ||
-         status == kRequestTimeout || status == kMisdirected;
-}
-
 std::optional<int64_t> ParseNumber(const std::string& text) {
   int64_t value = 0;
   const auto parsed =
@@ -59,21 +26,6 @@
   return value;
 }
 
-// The failure of an exchange that ended without a complete response.
-std::optional<attempt_failure> FailureOf(exchange_result result) {
-  switch (result) {
-    case exchange_result::kNoConnection:
-      return attempt_failure::kNoConnection;
-    case exchange_result::kBroken:
-      return attempt_failure::kBroken;
-    case exchange_result::kMalformed:
-      return attempt_failure::kMalformed;
-    case exchange_result::kComplete:
-      return std::nullopt;
-  }
-  return std::nullopt;
-}
-
 std::string FormatSeconds(milliseconds duration) {
   constexpr double kMillisPerSecond = 1000;
   constexpr size_t kMaxTextBytes = 32;
@@ -89,7 +41,9 @@
                              client_request request, response_writer& response)
     : environment_(environment),
       request_(std::move(request)),
-      response_(response) {}
+      response_(response),
+      crashes_(environment.quarantine, environment.crashing_requests,
+               [&environment] { environment.on_quarantine_changed(); }) {}
 
 relay_request::~relay_request() { CancelAttempts(); }
 
@@ -169,26 +123,20 @@
   service_name_ = ChooseService(*gate_.route, environment_.uniform_random());
   record_.service = service_name_;
   const service_pool* pool = tables_.tables->FindPool(service_name_);
+  prompt_key prompt;
   if (pool != nullptr && pool->engine.has_value()) {
     cache_tokens_ = pool->engine->cache_tokens;
-    prompt_ = MakePromptKey(service_name_, generation_);
+    prompt = MakePromptKey(service_name_, generation_);
   }
-  key_ =
+  const request_key key =
       MakeRequestKey({service_name_, request_.head.method, request_.head.target,
                       record_.workspace, request_.body});
-  record_.request_key = ToString(std::vector<part_key>{key_});
-}
-
-quarantine_verdict relay_request::DecideQuarantine(time_point now) const {
-  const quarantine_verdict of_parts =
-      environment_.quarantine.Decide(prompt_, now);
-  return of_parts.decision == quarantine_decision::kAllowed
-             ? environment_.crashing_requests.Decide(key_, now)
-             : of_parts;
+  record_.request_key = ToString(std::vector<part_key>{key});
+  crashes_.SetRequest(std::move(prompt), key);
 }
 
 bool relay_request::CheckQuarantine() {
-  const quarantine_verdict verdict = DecideQuarantine(environment_.clock());
+  const quarantine_verdict verdict = crashes_.Decide(environment_.clock());
   if (verdict.decision == quarantine_decision::kAllowed) {
     return true;
   }
@@ -294,7 +242,7 @@
   if (cache_tokens_ > 0) {
     fields.urgency = urgency_;
   }
-  fields.last_event_id = last_event_id_;
+  fields.last_event_id = events_.last_id();
   return FormatUpstreamRequest(request_.head, request_.body, fields,
                                environment_.names);
 }
@@ -306,10 +254,7 @@
   sent->started_at = now;
   sent->last_byte_at = now;
   tried_upstreams_.push_back(placed.upstream.id);
-  sent->is_trial = environment_.crashing_requests.RecordSending(key_, now);
-  if (sent->is_trial) {
-    environment_.on_quarantine_changed();
-  }
+  sent->is_trial = crashes_.RecordSending(now);
   environment_.balancer.RecordRequestSent(placed.upstream.id, placed.work,
                                           generation_, now);
   const exchange_request request{
@@ -327,7 +272,7 @@
 
 void relay_request::Adopt(attempt_ptr begun) {
   attempt_ = std::move(begun);
-  splitter_.Clear();
+  events_.StartAttempt();
   const placement& placed = attempt_->placed;
   record_.upstream = placed.upstream.id;
   record_.upstream_framing =
@@ -339,55 +284,23 @@
   record_.peer_age = placed.peer_age;
 }
 
-bool relay_request::IsForeignResponse(const message_head& head) const {
-  if (!IsSuccess(head.status)) {
-    return false;
-  }
-  return !head.headers.Has(environment_.names.signature) ||
-         head.headers.Has("Content-Encoding") ||
-         (!request_id_.empty() &&
-          head.headers.Get(environment_.names.request_id) != request_id_);
-}
-
-bool relay_request::MayBeRepeated(const attempt& from) const {
-  return from.exchange->on_kept_connection() && !request_id_.empty() &&
-         from.head->headers.Get(environment_.names.request_id) != request_id_;
+response_context relay_request::ContextOf(const attempt& from) const {
+  return {request_id_, from.exchange->on_kept_connection(), response_started_};
 }
 
-std::optional<attempt_failure> relay_request::ClassifyFailure(
+std::optional<attempt_failure> relay_request::FailureOfHead(
     const attempt& from) const {
-  const message_head& head = *from.head;
-  if (MayBeRepeated(from)) {
-    return attempt_failure::kMalformed;
-  }
-  if (head.status == kMisdirected) {
-    return attempt_failure::kMisdirected;
-  }
-  if (head.headers.Has(environment_.names.not_executed)) {
-    return attempt_failure::kDeclined;
-  }
-  if (IsForeignResponse(head)) {
-    return attempt_failure::kMalformed;
-  }
-  if (head.status >= kFirstServerError || ImpliesNotExecuted(head.status)) {
-    return attempt_failure::kErrorResponse;
-  }
-  if (response_started_ && !IsEventStream(head)) {
-    // Only a stream can continue what the client has got so far.
-    return IsSuccess(head.status) ? attempt_failure::kMalformed
-                                  : attempt_failure::kErrorResponse;
-  }
-  return std::nullopt;
+  return ClassifyFailure(*from.head, ContextOf(from), environment_.names);
 }
 
 void relay_request::OnHead(attempt& from, const message_head& head) {
   const time_point now = environment_.clock();
   environment_.balancer.RecordByte(from.placed.upstream.id, now);
-  RecordSignOfLife(from, now);
+  crashes_.RecordSignOfLife(from.placed.upstream.id, now);
   from.last_byte_at = now;
   from.head = head;
   RecordAnnouncements(from, now);
-  const bool failed = ClassifyFailure(from).has_value();
+  const bool failed = FailureOfHead(from).has_value();
   from.is_stream = IsEventStream(head) && !failed;
   if (&from == successor_.get()) {
     if (!failed) {
@@ -403,7 +316,8 @@
 
 void relay_request::RecordAnnouncements(const attempt& from, time_point now) {
   // Such a response is another upstream's, or a copy of an earlier one.
-  if (from.head->status == kMisdirected || MayBeRepeated(from)) {
+  if (from.head->status == kMisdirected ||
+      MayBeRepeated(*from.head, ContextOf(from), environment_.names)) {
     return;
   }
   const upstream_entry& upstream = from.placed.upstream;
@@ -441,12 +355,12 @@
 void relay_request::OnBody(attempt& from, std::string_view bytes) {
   const time_point now = environment_.clock();
   environment_.balancer.RecordByte(from.placed.upstream.id, now);
-  RecordSignOfLife(from, now);
+  crashes_.RecordSignOfLife(from.placed.upstream.id, now);
   if (&from == successor_.get()) {
     KeepErrorBody(from, bytes);
     return;
   }
-  if (successor_ != nullptr && !ClassifyFailure(from).has_value()) {
+  if (successor_ != nullptr && !FailureOfHead(from).has_value()) {
     EndRace();
   }
   AcceptBody(bytes, now);
@@ -480,35 +394,17 @@
   attempt_->body.append(bytes);
 }
 
-bool relay_request::LeavesGap(const raw_sse_event& event) {
-  if (!event.id.has_value()) {
-    return false;
-  }
-  const bool follows =
-      last_event_id_.has_value() && *event.id == *last_event_id_ + 1;
-  const bool first_of_attempt = !std::exchange(attempt_->event_seen, true);
-  if (first_of_attempt) {
-    // Upstreams need not number events one by one, so a gap shows only where
-    // all events before were numbered so.
-    return record_.events > 1 && ids_consecutive_ && !follows;
-  }
-  ids_consecutive_ = ids_consecutive_ && follows;
-  return false;
-}
-
 void relay_request::ForwardEvents(std::string_view bytes) {
-  for (const raw_sse_event& event : splitter_.Feed(bytes)) {
+  for (const raw_sse_event& event : events_.Split(bytes)) {
     if (!attempt_->execution_started) {
       RecordExecutionStarted(*attempt_);
       attempt_->first_output_at = attempt_->last_byte_at;
     }
-    const bool already_sent = event.id.has_value() &&
-                              last_event_id_.has_value() &&
-                              *event.id <= *last_event_id_;
-    if (already_sent) {
+    const event_verdict verdict = events_.Accept(event);
+    if (verdict == event_verdict::kAlreadySent) {
       continue;
     }
-    if (LeavesGap(event)) {
+    if (verdict == event_verdict::kGap) {
       Fail(attempt_failure::kMalformed);
       return;
     }
@@ -517,13 +413,10 @@
       response_.StartChunked(attempt_->head->status,
                              ClientResponseHeaders(*attempt_->head));
     }
-    if (event.id.has_value()) {
-      last_event_id_ = event.id;
-    }
     response_.WriteChunk(event.bytes);
-    ++record_.events;
+    record_.events = events_.sent();
   }
-  if (splitter_.remainder().size() >
+  if (events_.remainder().size() >
       environment_.parameters.max_buffered_response) {
     Fail(attempt_failure::kMalformed);
     return;
@@ -565,12 +458,12 @@
 }
 
 bool relay_request::IsWholeBody() const {
-  return splitter_.remainder().empty() &&
+  return events_.remainder().empty() &&
          (IsDelimited() || attempt_->first_output_at.has_value());
 }
 
 void relay_request::OnCompleteResponse() {
-  const std::optional<attempt_failure> failure = ClassifyFailure(*attempt_);
+  const std::optional<attempt_failure> failure = FailureOfHead(*attempt_);
   if (failure.has_value()) {
     Fail(*failure);
     return;
@@ -645,7 +538,7 @@
   } else {
     response_.Finish();
   }
-  RecordWholeAnswer(status);
+  crashes_.RecordWholeResponse(*attempt_, status, environment_.clock());
   CloseAttempt(upstream_outcome::kSuccess);
   RecordEnd(status, "answered");
 }
@@ -659,73 +552,12 @@
   const bool head_only = request_.head.method == "HEAD";
   response_.Send(status, ClientResponseHeaders(head), attempt_->body,
                  head_only ? head.content_length : std::nullopt);
-  RecordWholeAnswer(status);
+  crashes_.RecordWholeResponse(*attempt_, status, environment_.clock());
   CloseAttempt(status < kFirstServerError ? upstream_outcome::kSuccess
                                           : upstream_outcome::kFailure);
   RecordEnd(status, "answered");
 }
 
-void relay_request::RecordSignOfLife(const attempt& from, time_point now) {
-  const std::string& upstream = from.placed.upstream.id;
-  if (environment_.quarantine.HasUnconfirmedCrashes(now)) {
-    environment_.quarantine.RecordByte(UpstreamKey(upstream), now);
-  }
-  if (environment_.crashing_requests.HasUnconfirmedCrashes(now)) {
-    environment_.crashing_requests.RecordByte(UpstreamKey(upstream), now);
-  }
-}
-
-void relay_request::RecordWholeAnswer(int status) {
-  const time_point now = environment_.clock();
-  const bool has_output =
-      !attempt_->is_stream || attempt_->first_output_at.has_value();
-  if (IsSuccess(status) && has_output) {
-    environment_.quarantine.RecordSuccess(prompt_, now);
-  }
-  // An error neither shows that the upstream outlives the request nor that it
-  // does not.
-  if (status < kFirstServerError && !ImpliesNotExecuted(status)) {
-    environment_.crashing_requests.RecordSuccess(key_, now);
-  }
-  environment_.on_quarantine_changed();
-}
-
-void relay_request::RecordIfCrash(const attempt& failed,
-                                  attempt_failure failure, time_point now) {
-  const bool leaves =
-      environment_.balancer.IsLeaving(failed.placed.upstream.id);
-  if (failure != attempt_failure::kBroken || leaves) {
-    return;
-  }
-  request_quarantine& requests = environment_.crashing_requests;
-  const uint32_t upstream = UpstreamKey(failed.placed.upstream.id);
-  const bool part_is_known =
-      environment_.quarantine.Decide(prompt_, now).decision ==
-      quarantine_decision::kPartQuarantined;
-  if (part_is_known) {
-    requests.ExplainCrash(upstream, now);
-  } else {
-    requests.RecordCrash(upstream, key_, failed.started_at, now);
-  }
-  if (!requests.IsExplained(upstream, now)) {
-    RecordCrashOfParts(failed, now);
-  }
-  environment_.on_quarantine_changed();
-}
-
-void relay_request::RecordCrashOfParts(const attempt& failed, time_point now) {
-  const time_point broken_at = failed.ended_at.value_or(now);
-  const bool is_late = failed.first_output_at.has_value() &&
-                       broken_at - *failed.first_output_at > kFirstOutputWindow;
-  if (is_late || prompt_.shared.empty()) {
-    return;
-  }
-  environment_.quarantine.RecordCrash(
-      {UpstreamKey(failed.placed.upstream.id), prompt_.request,
-       failed.head.has_value(), prompt_.shared},
-      now);
-}
-
 attempt_record relay_request::DescribeFailure(const attempt& failed,
                                               attempt_failure failure,
                                               time_point now) const {
@@ -740,7 +572,7 @@
     record.framing = FramingOf(*failed.head);
   }
   if (&failed == attempt_.get()) {
-    record.partial_event_bytes = splitter_.remainder().size();
+    record.partial_event_bytes = events_.remainder().size();
   }
   record.upstream_ended = failed.end.outcome == connect_outcome::kRefused;
   record.elapsed =
@@ -749,7 +581,7 @@
     record.output_age = std::chrono::duration_cast<milliseconds>(
         failed.ended_at.value_or(now) - *failed.first_output_at);
   }
-  record.part_keys = ToString(prompt_.shared);
+  record.part_keys = ToString(crashes_.prompt().shared);
   for (const prompt_part& part : generation_.parts) {
     record.prompt_parts.append(record.prompt_parts.empty() ? "" : ",")
         .append(part.id);
@@ -761,7 +593,10 @@
                                   time_point now) {
   record_.last_failure = std::string(ToString(failure));
   environment_.on_attempt_failed(DescribeFailure(failed, failure, now));
-  RecordIfCrash(failed, failure, now);
+  if (failure == attempt_failure::kBroken &&
+      !environment_.balancer.IsLeaving(failed.placed.upstream.id)) {
+    crashes_.RecordBrokenConnection(failed, now);
+  }
   const bool sent = failure != attempt_failure::kNoConnection;
   if (sent) {
     ++record_.upstreams_used;
@@ -812,7 +647,7 @@
     RecordEnd(0, "client_gone");
     return;
   }
-  const quarantine_decision quarantine = DecideQuarantine(now).decision;
+  const quarantine_decision quarantine = crashes_.Decide(now).decision;
   if (may_retry && quarantine == quarantine_decision::kAllowed) {
     StartNextAttempt();
     return;
@@ -892,27 +727,21 @@
   }
 }
 
-quarantine_decision relay_request::DecideForAttempt(const attempt& sent,
-                                                    time_point now) const {
-  // The quarantine of the request is what its trial is to end or to prolong.
-  return (sent.is_trial ? environment_.quarantine.Decide(prompt_, now)
-                        : DecideQuarantine(now))
-      .decision;
-}
-
 bool relay_request::RecallIfQuarantined(time_point now) {
   if (attempt_ == nullptr) {
     return false;
   }
   if (!attempt_->first_output_at.has_value()) {
-    const quarantine_decision decision = DecideForAttempt(*attempt_, now);
+    const quarantine_decision decision =
+        crashes_.DecideForAttempt(*attempt_, now);
     if (decision != quarantine_decision::kAllowed) {
       AbortRequest(std::string(ToString(decision)));
       return true;
     }
   }
   if (successor_ != nullptr) {
-    const quarantine_decision decision = DecideForAttempt(*successor_, now);
+    const quarantine_decision decision =
+        crashes_.DecideForAttempt(*successor_, now);
     if (decision != quarantine_decision::kAllowed) {
       CancelSuccessor();
       record_.silence = ToString(decision);
@@ -976,7 +805,8 @@
     record_.silence = "may_not_repeat";
     return false;
   }
-  const quarantine_decision quarantine = DecideForAttempt(*attempt_, now);
+  const quarantine_decision quarantine =
+      crashes_.DecideForAttempt(*attempt_, now);
   if (quarantine != quarantine_decision::kAllowed) {
     record_.silence = ToString(quarantine);
     return false;
@@ -1067,7 +897,7 @@
 void relay_request::OnSuccessorEnd(exchange_result result) {
   std::optional<attempt_failure> failure = FailureOf(result);
   if (!failure.has_value()) {
-    failure = ClassifyFailure(*successor_);
+    failure = FailureOfHead(*successor_);
   }
   // A response that may be forwarded has made it the attempt with its head.
   DropSuccessor(failure.value_or(attempt_failure::kMalformed),
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -10,10 +10,12 @@
 
 #include "skylarkcroft/internal/skylarkcroft_time.h"
 #include "skylarkcroft/relay/skylarkcroft_attempt_rules.h"
+#include "skylarkcroft/relay/skylarkcroft_crash_monitor.h"
+#include "skylarkcroft/relay/skylarkcroft_event_sequence.h"
+#include "skylarkcroft/relay/skylarkcroft_relay_attempt.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_environment.h"
-#include "skylarkcroft/relay/skylarkcroft_response_end.h"
 #include "skylarkcroft/relay/skylarkcroft_response_writer.h"
-#include "skylarkcroft/relay/skylarkcroft_sse_splitter.h"
+#include "skylarkcroft/relay/skylarkcroft_upstream_response.h"
 #include "skylarkcroft/wire/skylarkcroft_message_reader.h"
 
 namespace skylarkcroft {
@@ -47,45 +49,13 @@
   [[nodiscard]] bool ended() const { return ended_; }
 
  private:
-  /// One sending of the request to one upstream.
-  struct attempt {
-    placement placed;
-    exchange_ptr exchange;
-    time_point started_at{};
-    std::optional<message_head> head;
-    std::string body;
-    bool is_stream = false;
-    /// The upstream has started to execute the request or may have executed it.
-    bool execution_started = false;
-    /// When the first event of a stream, or the first byte of another body,
-    /// arrived.
-    std::optional<time_point> first_output_at;
-    time_point last_byte_at{};
-    /// An event with an id has been forwarded.
-    bool event_seen = false;
-    /// The one attempt that is allowed after a quarantine of the request.
-    bool is_trial = false;
-    /// Reading is paused because the client is too slow.
-    bool paused = false;
-    /// When reading was last resumed.
-    time_point reading_since{};
-    /// From when on a successor may be sought if the upstream is silent.
-    time_point next_successor_search{};
-    /// A connection to a possible successor is being opened.
-    bool opens_successor = false;
-    /// When the response ended with its connection. From then on it is not
-    /// known whether the upstream's process has ended too.
-    std::optional<time_point> ended_at;
-    /// What the upstream has shown after that.
-    end_evidence end;
-  };
-  using attempt_ptr = std::unique_ptr<attempt>;
+  using attempt = relay_attempt;
+  using attempt_ptr = relay_attempt_ptr;
 
   bool CheckGate();
   void ChooseRoutedService();
   /// Rejects the request if it or its prompt crashes upstreams.
   bool CheckQuarantine();
-  [[nodiscard]] quarantine_verdict DecideQuarantine(time_point now) const;
   bool AcquireQuota();
   void SetDeadline();
   [[nodiscard]] milliseconds RemainingTime(time_point now) const;
@@ -129,19 +99,11 @@
   void DeliverWholeResponse();
   /// Forwards complete events that the client does not have yet.
   void ForwardEvents(std::string_view bytes);
-  /// Whether `event`, the next to forward, does not follow the last one of the
-  /// attempt before.
-  [[nodiscard]] bool LeavesGap(const raw_sse_event& event);
-  /// True for a success response that is not proven to be this upstream's
-  /// response to this request: unsigned, content-encoded or with another id.
-  [[nodiscard]] bool IsForeignResponse(const message_head& head) const;
-  /// True for a response without the request's id on a connection that was used
-  /// before: a faulty upstream may have written an earlier one once more.
-  [[nodiscard]] bool MayBeRepeated(const attempt& from) const;
-  /// The failure that the response head indicates; empty if the response is to
-  /// be forwarded.
-  [[nodiscard]] std::optional<attempt_failure> ClassifyFailure(
+  /// The failure that the head of the attempt's response indicates; empty if
+  /// the response is to be forwarded.
+  [[nodiscard]] std::optional<attempt_failure> FailureOfHead(
       const attempt& from) const;
+  [[nodiscard]] response_context ContextOf(const attempt& from) const;
   void ForwardWholeResponse();
   /// Ends the attempt; then retries, forwards the upstream's error response or
   /// ends the request with an error. An error response is forwarded unchanged,
@@ -159,23 +121,12 @@
   /// Cancels the attempt and its successor without a verdict on their
   /// upstreams.
   void CancelAttempts();
-  /// Records a byte, a success or a failure of the attempt for the quarantines.
-  void RecordSignOfLife(const attempt& from, time_point now);
-  /// The attempt ended with a whole answer of this status.
-  void RecordWholeAnswer(int status);
-  void RecordIfCrash(const attempt& failed, attempt_failure failure,
-                     time_point now);
-  /// Records a crash as evidence against the parts of the prompt.
-  void RecordCrashOfParts(const attempt& failed, time_point now);
   [[nodiscard]] attempt_record DescribeFailure(const attempt& failed,
                                                attempt_failure failure,
                                                time_point now) const;
   /// Cancels an attempt without output if the request or its prompt has been
   /// quarantined since it was sent; returns whether it has.
   bool RecallIfQuarantined(time_point now);
-  /// Whether the request of the attempt may still be sent.
-  [[nodiscard]] quarantine_decision DecideForAttempt(const attempt& sent,
-                                                     time_point now) const;
   /// A working upstream may pause, so a silent attempt goes on beside its
   /// successor until the upstream of that one answers.
   void CheckUpstreamSilence(time_point now);
@@ -220,9 +171,7 @@
   std::string request_id_;
   std::string service_name_;
   generation_shape generation_;
-  prompt_key prompt_;
-  /// The same for the request and its repeats.
-  request_key key_ = 0;
+  crash_monitor crashes_;
   int urgency_ = 0;
   /// Cache of one engine of the pool, in tokens; 0 for a service without a
   /// model.
@@ -236,11 +185,7 @@
   attempt_ptr attempt_;
   /// Was sent because attempt_ is silent; its upstream has not begun to answer.
   attempt_ptr successor_;
-  sse_splitter splitter_;
-  /// Id of the last event sent to the client.
-  std::optional<int64_t> last_event_id_;
-  /// The ids of the events within each attempt so far rose by one.
-  bool ids_consecutive_ = true;
+  event_sequence events_;
   bool response_started_ = false;
   /// Any attempt so far may have executed the request.
   bool may_have_executed_ = false;
