Relay: calls to the store are counted by table and reason

Store and cloud calls are priced, and no counter told what caused them. skylarkcroft_store_reads_total counts each call of a table's replica by its reason (whole read, watch, a peer is ahead, outdated, retry), and a debug line names it. test_store passes.

--- a/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
@@ -78,6 +78,16 @@
       .Increment();
 }
 
+void relay_metrics::RecordStoreCall(const std::string& table,
+                                    std::string_view reason) {
+  registry_
+      .Counter({"skylarkcroft_store_reads_total",
+                "Calls to the store that keep a replica current, by table and "
+                "by reason.",
+                {{"table", table}, {"reason", std::string(reason)}}})
+      .Increment();
+}
+
 void relay_metrics::RecordStoreContact(const std::string& table,
                                        bool reachable) {
   registry_
--- a/src/skylarkcroft/relay/skylarkcroft_relay_metrics.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.h
@@ -21,6 +21,8 @@
   void RecordConnectionOpened();
   void RecordClientEnd(const client_end& end);
   void RecordStoreContact(const std::string& table, bool reachable);
+  /// Counts a call to the store that keeps the replica of `table` current.
+  void RecordStoreCall(const std::string& table, std::string_view reason);
   /// Counts a return of the store from an older copy.
   void RecordStoreRestored();
   /// Counts an upstream's announcement: "leaving" or "pause".
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -159,7 +159,13 @@
                     metrics_.RecordStoreRestored();
                     archive_.OnStoreRestored(now);
                   },
-                  [this] { server_.OnTablesChanged(); }},
+                  [this] { server_.OnTablesChanged(); },
+                  [this](const std::string& table, store_call_reason reason) {
+                    metrics_.RecordStoreCall(table, ToString(reason));
+                    LogEvent(log_level::kDebug, "store call",
+                             {{"table", table},
+                              {"reason", std::string(ToString(reason))}});
+                  }},
                  settings.name,
                  {settings.bounds.apply_deadline, settings.bounds.drain}),
         server_(environment_, settings.listen.clients),
--- a/src/skylarkcroft/relay/skylarkcroft_store_replica.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_store_replica.cc
@@ -134,6 +134,15 @@
       is_watcher(environment_.adapter.upstreams_table));
 }
 
+std::function<void(store_call_reason)> store_replica::CallEvents(
+    const std::string& table) const {
+  return [on_call = environment_.on_call, table](store_call_reason reason) {
+    if (on_call != nullptr) {
+      on_call(table, reason);
+    }
+  };
+}
+
 table_follower_callbacks store_replica::TablesEvents() {
   return {[this](const std::vector<stored_row>& rows, time_point /*now*/) {
             for (const stored_row& row : rows) {
@@ -150,7 +159,8 @@
             LogStoreContact(environment_.adapter.operator_tables_table,
                             reachable, outcome);
           },
-          environment_.pass_on};
+          environment_.pass_on,
+          CallEvents(environment_.adapter.operator_tables_table)};
 }
 
 table_follower_callbacks store_replica::UpstreamsEvents() {
@@ -166,7 +176,8 @@
             LogStoreContact(environment_.adapter.upstreams_table, reachable,
                             outcome);
           },
-          environment_.pass_on};
+          environment_.pass_on,
+          CallEvents(environment_.adapter.upstreams_table)};
 }
 
 void store_replica::ResetUpstreams(const std::vector<stored_row>& rows,
@@ -216,7 +227,8 @@
       },
       [this](const stored_row& row, time_point now) { ApplyNodeRow(row, now); },
       [](bool /*reachable*/, store_outcome /*outcome*/, time_point) {},
-      {}};
+      {},
+      CallEvents(kNodesTable)};
 }
 
 void store_replica::ApplyTablesRow(const stored_row& row) {
--- a/src/skylarkcroft/relay/skylarkcroft_store_replica.h
+++ b/src/skylarkcroft/relay/skylarkcroft_store_replica.h
@@ -40,6 +40,10 @@
   std::function<void(time_point now)> on_restored{};
   /// Called when other operators' tables are in force; may be empty.
   std::function<void()> on_tables{};
+  /// Called for each call to the store that keeps a replica current; may be
+  /// empty.
+  std::function<void(const std::string& table, store_call_reason reason)>
+      on_call{};
 };
 
 /// Times within which nodes have to act on changes in the store.
@@ -94,6 +98,9 @@
   table_follower_callbacks TablesEvents();
   table_follower_callbacks UpstreamsEvents();
   table_follower_callbacks NodesEvents();
+  /// Reports the calls of the follower of `table`.
+  [[nodiscard]] std::function<void(store_call_reason)> CallEvents(
+      const std::string& table) const;
   void RecordStoreResponse(std::optional<time_point> at);
   void ApplyTablesRow(const stored_row& row);
   std::optional<upstream_entry> ParseUpstreamRow(const stored_row& row);
--- a/src/skylarkcroft/store/skylarkcroft_table_follower.cc
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.cc
@@ -35,6 +35,22 @@
 
 }  // namespace
 
+std::string_view ToString(store_call_reason reason) {
+  switch (reason) {
+    case store_call_reason::kWholeRead:
+      return "whole_read";
+    case store_call_reason::kWatch:
+      return "watch";
+    case store_call_reason::kPeerIsAhead:
+      return "peer_is_ahead";
+    case store_call_reason::kOutdated:
+      return "outdated";
+    case store_call_reason::kRetry:
+      return "retry";
+  }
+  return "";
+}
+
 table_follower::table_follower(event_loop& loop, row_store& store,
                                std::string table,
                                const table_follower_parameters& parameters,
@@ -181,7 +197,24 @@
   }
 }
 
+store_call_reason table_follower::NextCallReason() const {
+  if (failures_ > 0) {
+    return store_call_reason::kRetry;
+  }
+  if (cursor_.NeedsWholeRead()) {
+    return store_call_reason::kWholeRead;
+  }
+  if (watching_) {
+    return store_call_reason::kWatch;
+  }
+  return cursor_.IsBehindPeers() ? store_call_reason::kPeerIsAhead
+                                 : store_call_reason::kOutdated;
+}
+
 void table_follower::Call() {
+  if (events_.on_call != nullptr) {
+    events_.on_call(NextCallReason());
+  }
   waiting_to_retry_ = false;
   const time_point sent_at = clock_();
   last_call_at_ = sent_at;
--- a/src/skylarkcroft/store/skylarkcroft_table_follower.h
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
@@ -45,6 +46,18 @@
   bool operator==(const table_follower_parameters&) const = default;
 };
 
+/// Why a follower calls the store.
+enum class store_call_reason {
+  kWholeRead,    ///< It needs all rows of the table.
+  kWatch,        ///< It waits for changes on behalf of its peers.
+  kPeerIsAhead,  ///< A peer knows of a change that did not arrive here.
+  kOutdated,     ///< No peer has reported that the replica is current.
+  kRetry,        ///< The call before failed.
+};
+
+/// The reason's name in metrics.
+std::string_view ToString(store_call_reason reason);
+
 /// Callbacks of a table_follower.
 struct table_follower_callbacks {
   /// All rows of the table: at the start, and again when the store no longer
@@ -59,6 +72,8 @@
   /// Changes that a watch call returned, for the peers that do not watch;
   /// without rows, after the first read in a new era. May be empty.
   std::function<void(const table_changes&)> on_watched_changes{};
+  /// Each call to the store; may be empty.
+  std::function<void(store_call_reason)> on_call{};
 };
 
 /// Keeps a replica of one table of the store current. It reads the whole table
@@ -116,6 +131,7 @@
   /// Calls the store now or when a call is next due.
   void CallWhenDue();
   void Call();
+  [[nodiscard]] store_call_reason NextCallReason() const;
   void ScheduleNextCall(duration delay);
   /// Time until the next call is due; 0 or less when it is due now.
   [[nodiscard]] duration TimeUntilNextCall(time_point now) const;
