Planner: on-demand upstreams beyond the load are terminated

The surplus over the need, its reserve and the zones at risk is now terminated after 3 s, the most expensive first.

--- a/src/skylarkcroft/duties/skylarkcroft_fleet_planner.cc
+++ b/src/skylarkcroft/duties/skylarkcroft_fleet_planner.cc
@@ -87,21 +87,25 @@
   return counts;
 }
 
+int fleet_planner::NeededAtRisk(const fleet_view& view,
+                                const reclaimable_counts& reclaimable) const {
+  const auto zones = static_cast<int>(view.scaling.zone_prices.size());
+  if (zones <= 1) {
+    return 0;
+  }
+  const double share_at_risk =
+      std::min(1.0, static_cast<double>(zones - reclaimable.zones) /
+                        static_cast<double>(zones - 1));
+  return static_cast<int>(
+      std::ceil(parameters_.emergency_fraction * share_at_risk *
+                demand_.at(view.service).recent_peak_need));
+}
+
 int fleet_planner::Shortage(const fleet_view& view,
                             const reclaimable_counts& reclaimable,
                             time_point now) {
   demand_history& history = demand_.at(view.service);
-  // The zones that are left may be reclaimed before an on-demand upstream that
-  // is ordered only then has started.
-  const auto zones = static_cast<int>(view.scaling.zone_prices.size());
-  const double share_at_risk =
-      zones <= 1
-          ? 0.0
-          : std::min(1.0, static_cast<double>(zones - reclaimable.zones) /
-                              static_cast<double>(zones - 1));
-  const auto uncovered =
-      static_cast<int>(std::ceil(parameters_.emergency_fraction *
-                                 share_at_risk * history.recent_peak_need));
+  const int uncovered = NeededAtRisk(view, reclaimable);
   const int shortage = std::max(0, history.need - reclaimable.expected);
   if (shortage == 0) {
     history.shortage_since.reset();
@@ -199,7 +203,10 @@
                upstream.entry.reclaimable == order.reclaimable &&
                upstream.in_flight > 0;
       });
-  if (!idle && now - since < parameters_.max_drain_wait) {
+  const milliseconds max_wait = order.reclaimable
+                                    ? parameters_.max_drain_wait
+                                    : parameters_.max_on_demand_drain_wait;
+  if (!idle && now - since < max_wait) {
     return false;
   }
   scale_down_since_.erase(key);
@@ -237,8 +244,13 @@
   const reclaimable_counts reclaimable = CountReclaimable(view, now);
   const bool enough =
       ReclaimableSuffice(view, reclaimable, per_zone * zone_count, now);
-  const std::vector<int> targets = OnDemandTargets(
-      view, zones, per_zone, Shortage(view, reclaimable, now), now);
+  const int shortage = Shortage(view, reclaimable, now);
+  const int surplus = OnDemandSurplus(view, reclaimable, now);
+  if (!enough && surplus > 0) {
+    return SurplusOrders(view, zones, surplus);
+  }
+  const std::vector<int> targets =
+      OnDemandTargets(view, zones, per_zone, shortage, now);
   std::vector<fleet_order> orders;
   for (size_t i = 0; i < zones.size(); ++i) {
     const std::string& name = zones[i].availability_zone;
@@ -258,6 +270,52 @@
   return orders;
 }
 
+int fleet_planner::ExpectedOnDemand(const fleet_view& view,
+                                    const std::string& zone) const {
+  const int present = CountPresentIn(view, zone, false);
+  const auto last = last_orders_.find({view.service, zone, false});
+  return last == last_orders_.end()
+             ? present
+             : std::min(present, last->second.count.value_or(present));
+}
+
+int fleet_planner::OnDemandSurplus(const fleet_view& view,
+                                   const reclaimable_counts& reclaimable,
+                                   time_point now) {
+  demand_history& history = demand_.at(view.service);
+  int on_demand = 0;
+  for (const zone_price& zone : view.scaling.zone_prices) {
+    on_demand += ExpectedOnDemand(view, zone.availability_zone);
+  }
+  const bool load_is_known =
+      view.in_flight > 0 &&
+      now - history.first_planned_at >= parameters_.initial_hold_time;
+  const auto with_reserve = static_cast<int>(
+      std::ceil((1 + parameters_.reserve_fraction) * history.need));
+  const int surplus = std::min(reclaimable.ready + on_demand - with_reserve,
+                               on_demand - NeededAtRisk(view, reclaimable));
+  return history.on_demand_surplus.Record(
+      load_is_known ? surplus : 0, parameters_.on_demand_surplus_delay, now);
+}
+
+std::vector<fleet_order> fleet_planner::SurplusOrders(
+    const fleet_view& view, const std::vector<zone_price>& zones,
+    int surplus) const {
+  std::vector<fleet_order> orders;
+  for (auto zone = zones.rbegin(); zone != zones.rend(); ++zone) {
+    const std::string& name = zone->availability_zone;
+    const int expected = ExpectedOnDemand(view, name);
+    const int removed = std::clamp(expected - MissingForMinimum(view, name), 0,
+                                   std::max(surplus, 0));
+    if (removed == 0) {
+      continue;
+    }
+    surplus -= removed;
+    orders.push_back({view.service, name, false, expected - removed});
+  }
+  return orders;
+}
+
 int fleet_planner::MissingForMinimum(const fleet_view& view,
                                      const std::string& zone) {
   return std::max(0,
--- a/src/skylarkcroft/duties/skylarkcroft_fleet_planner.h
+++ b/src/skylarkcroft/duties/skylarkcroft_fleet_planner.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "skylarkcroft/duties/skylarkcroft_duty_calls.h"
+#include "skylarkcroft/duties/skylarkcroft_surplus_window.h"
 #include "skylarkcroft/internal/skylarkcroft_time.h"
 #include "skylarkcroft/placement/skylarkcroft_upstream_entry.h"
 #include "skylarkcroft/service/skylarkcroft_service_map.h"
@@ -70,6 +71,13 @@
   double headroom_fraction = 0.15;
   /// The recent peak need is the greatest need in about this time.
   milliseconds recent_need_window{8000};
+  /// On-demand upstreams that the load has not needed for this long are
+  /// terminated although reclaimable ones are not available: they cost several
+  /// times as much, and they take places that returning reclaimable ones need.
+  milliseconds on_demand_surplus_delay{3000};
+  /// On-demand upstreams with requests in flight are terminated after this
+  /// time; they drain as they leave.
+  milliseconds max_on_demand_drain_wait{2000};
   /// Time constant of the mean need while the upstreams present carry it.
   milliseconds need_time_constant{2000};
   /// The same while they do not. Requests then take longer, so that more are in
@@ -148,6 +156,7 @@
     /// Mean need; empty before the first request.
     std::optional<double> mean_need;
     time_point mean_need_at{};
+    surplus_window on_demand_surplus;
   };
   /// Reclaimable upstreams of a service over its zones.
   struct reclaimable_counts {
@@ -165,6 +174,12 @@
                                         int planned, time_point now) const;
   [[nodiscard]] reclaimable_counts CountReclaimable(const fleet_view& view,
                                                     time_point now) const;
+  /// On-demand upstreams that carry a part of the load which grows with the
+  /// share of the zones that have been reclaimed: those that are left may be
+  /// reclaimed before an on-demand upstream that is ordered only then has
+  /// started.
+  [[nodiscard]] int NeededAtRisk(const fleet_view& view,
+                                 const reclaimable_counts& reclaimable) const;
   /// How many on-demand upstreams are needed beside the reclaimable ones: for
   /// the load that exceeds these, once that has lasted for the shortage delay,
   /// and at once for a part of the load that grows with the share of the zones
@@ -187,6 +202,19 @@
   [[nodiscard]] std::vector<fleet_order> OnDemandOrders(const fleet_view& view,
                                                         int per_zone,
                                                         time_point now);
+  /// On-demand upstreams of a zone, less those that the last accepted order
+  /// terminates.
+  [[nodiscard]] int ExpectedOnDemand(const fleet_view& view,
+                                     const std::string& zone) const;
+  /// On-demand upstreams that the load and its reserve have not needed for the
+  /// surplus delay.
+  int OnDemandSurplus(const fleet_view& view,
+                      const reclaimable_counts& reclaimable, time_point now);
+  /// Orders that terminate `surplus` on-demand upstreams, the most expensive
+  /// first. `zones` are sorted by price.
+  [[nodiscard]] std::vector<fleet_order> SurplusOrders(
+      const fleet_view& view, const std::vector<zone_price>& zones,
+      int surplus) const;
   /// On-demand upstreams that a zone lacks for the minimum per zone.
   [[nodiscard]] static int MissingForMinimum(const fleet_view& view,
                                              const std::string& zone);
--- a/tests/duties/fleet_planner_test.cc
+++ b/tests/duties/fleet_planner_test.cc
@@ -424,4 +424,60 @@
   CHECK(cloud.Run(planner, 30).empty());
 }
 
+TEST_CASE(
+    "On-demand upstreams beyond the load are terminated while no reclaimable "
+    "ones are available",
+    "[duties][fleet][reclaim][burst]") {
+  // All zones are reclaimed in a burst of requests that wait for upstreams.
+  // Once these have been served, the on-demand ones ordered for them cost the
+  // full price for the rest of the time without reclaimable ones.
+  cloud cloud;
+  cloud.EnforceMaxPerZone(30);
+  fleet_planner planner{fleet_planner_parameters{}};
+  cloud.SetInFlight(240);
+  cloud.Run(planner, 12);
+  cloud.SetReclaimableUnavailable(true);
+  for (const std::string zone : {"a", "b", "c"}) {
+    cloud.SetCount(zone, true, 0);
+  }
+  cloud.SetInFlight(1000);
+  cloud.Run(planner, 6);
+  const int in_burst = cloud.Count(false);
+  CHECK(in_burst >= 50);
+  cloud.SetInFlight(240);
+  cloud.SetBusy();
+  cloud.Run(planner, 16);
+  // The load needs 20, and 8 more are its reserve.
+  CHECK(cloud.Count(false) >= 28);
+  CHECK(cloud.Count(false) <= 30);
+  SECTION("the most expensive ones first, down to the minimum of the zone") {
+    CHECK(cloud.CountIn("c", false) == 1);
+  }
+  SECTION("so that reclaimable ones find places when they return") {
+    cloud.SetReclaimableUnavailable(false);
+    cloud.Run(planner, 12);
+    CHECK(cloud.Count(true) >= 28);
+    CHECK(cloud.Count(false) == 0);
+  }
+}
+
+TEST_CASE("On-demand upstreams are kept through a lull of two seconds",
+          "[duties][fleet][reclaim]") {
+  cloud cloud;
+  fleet_planner planner{fleet_planner_parameters{}};
+  cloud.SetInFlight(240);
+  cloud.Run(planner, 12);
+  cloud.SetReclaimableUnavailable(true);
+  for (const std::string zone : {"a", "b", "c"}) {
+    cloud.SetCount(zone, true, 0);
+  }
+  cloud.Run(planner, 6);
+  const int before = cloud.Count(false);
+  cloud.SetInFlight(60);
+  cloud.Run(planner, 2);
+  cloud.SetInFlight(240);
+  cloud.Run(planner, 2);
+  CHECK(cloud.Count(false) == before);
+}
+
 }  // namespace skylarkcroft
