Duties: a lease is taken over without waiting for the place of its holder

The new holder then repeated the reports of three windows, a tick each, before the one whose deadline was near, and missed it by 32 ms. Reports in time now go before late ones, and each follows the one before at once.

--- a/src/skylarkcroft/duties/skylarkcroft_duty_runner.cc
+++ b/src/skylarkcroft/duties/skylarkcroft_duty_runner.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "skylarkcroft/control/skylarkcroft_rendezvous.h"
+#include "skylarkcroft/duties/skylarkcroft_watch_position.h"
 
 namespace skylarkcroft {
 namespace {
@@ -59,10 +59,12 @@
   }
   const bool gives_up =
       releasing_ || (rows_.lease().MayAct(now) && IsOutdated());
-  const size_t position = gives_up
-                              ? parameters_.lease.watcher_count
-                              : RendezvousPosition(kDutiesTable, self_.name,
-                                                   environment_.members());
+  const size_t position =
+      gives_up ? parameters_.lease.watcher_count
+               : WatchPosition(kDutiesTable, self_.name,
+                               rows_.lease().view().record.holder.name,
+                               environment_.members(),
+                               parameters_.lease.watcher_count);
   const lease_step step = rows_.lease().NextStep(position, now);
   const std::optional<usage_journal> journal =
       acting ? NextJournal(now) : std::nullopt;
@@ -120,6 +122,10 @@
   if (must_read) {
     Read();
   }
+  if (write.journal.has_value() && was_acting_ && !releasing_ &&
+      rows_.lease().MayAct(now)) {
+    SendUsage(now);
+  }
 }
 
 int64_t duty_runner::NewestSettledWindow(time_point now) const {
@@ -128,16 +134,19 @@
          1;
 }
 
+int64_t duty_runner::OldestTimelyWindow(time_point now) const {
+  return (environment_.true_time_ms(now) -
+          parameters_.max_report_delay.count()) /
+         parameters_.window.count();
+}
+
 std::optional<usage_journal> duty_runner::NextJournal(time_point now) const {
   if (!parameters_.reports_usage) {
     return std::nullopt;
   }
-  const int64_t oldest_due =
-      (environment_.true_time_ms(now) - parameters_.max_report_delay.count()) /
-      parameters_.window.count();
   const int64_t window = std::max(
       {rows_.journal().NewestWindow().value_or(FirstWindow(now) - 1) + 1,
-       oldest_due, FirstWindow(now), rows_.first_open_window()});
+       OldestTimelyWindow(now), FirstWindow(now), rows_.first_open_window()});
   if (window > NewestSettledWindow(now)) {
     return std::nullopt;
   }
@@ -149,15 +158,12 @@
   if (usage_in_flight_ || now < next_usage_at_) {
     return;
   }
-  const std::vector<usage_report>& reports = rows_.journal().reports;
-  const auto due =
-      std::find_if(reports.begin(), reports.end(), [&](const usage_report& r) {
-        return !accepted_windows_.contains(r.window);
-      });
-  if (due == reports.end()) {
+  const std::optional<usage_report> next = rows_.journal().NextUnaccepted(
+      accepted_windows_, OldestTimelyWindow(now));
+  if (!next.has_value()) {
     return;
   }
-  const usage_report& report = *due;
+  const usage_report& report = *next;
   usage_in_flight_ = true;
   const std::weak_ptr<bool> alive = alive_;
   environment_.calls.ReportUsage(
@@ -174,6 +180,10 @@
                                   " " + std::string(ToString(outcome)));
         if (outcome == duty_outcome::kAccepted) {
           accepted_windows_.insert(report.window);
+          const time_point accepted_at = environment_.clock();
+          if (rows_.lease().MayAct(accepted_at) && !releasing_) {
+            SendUsage(accepted_at);
+          }
           return;
         }
         if (outcome == duty_outcome::kOutdated) {
--- a/src/skylarkcroft/duties/skylarkcroft_duty_runner.h
+++ b/src/skylarkcroft/duties/skylarkcroft_duty_runner.h
@@ -84,6 +84,8 @@
   void OnWritten(const duty_write& write, const store_response& response);
   /// Newest window whose usage is final by the present estimate of the time.
   [[nodiscard]] int64_t NewestSettledWindow(time_point now) const;
+  /// Oldest window whose report is not late yet.
+  [[nodiscard]] int64_t OldestTimelyWindow(time_point now) const;
   /// The journal with the next final window appended; empty when no window is
   /// due.
   [[nodiscard]] std::optional<usage_journal> NextJournal(time_point now) const;
--- a/src/skylarkcroft/duties/skylarkcroft_usage_journal.cc
+++ b/src/skylarkcroft/duties/skylarkcroft_usage_journal.cc
@@ -41,6 +41,21 @@
   return merged;
 }
 
+std::optional<usage_report> usage_journal::NextUnaccepted(
+    const std::set<int64_t>& accepted, int64_t oldest_timely) const {
+  std::optional<usage_report> oldest_late;
+  for (const usage_report& report : reports) {
+    if (accepted.contains(report.window)) {
+      continue;
+    }
+    if (report.window >= oldest_timely) {
+      return report;
+    }
+    oldest_late = oldest_late.value_or(report);
+  }
+  return oldest_late;
+}
+
 std::string EncodeJournal(const usage_journal& journal) {
   nlohmann::json reports = nlohmann::json::array();
   for (const usage_report& report : journal.reports) {
--- a/src/skylarkcroft/duties/skylarkcroft_usage_journal.h
+++ b/src/skylarkcroft/duties/skylarkcroft_usage_journal.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,13 @@
   [[nodiscard]] usage_journal MergedWith(const usage_journal& other,
                                          size_t max_reports) const;
 
+  /// The report to send next: the oldest one that is not in `accepted` and not
+  /// late yet, else the oldest late one; empty when all are accepted. Windows
+  /// before `oldest_timely` are late. A new holder repeats reports of the one
+  /// before, and must not miss a deadline meanwhile.
+  [[nodiscard]] std::optional<usage_report> NextUnaccepted(
+      const std::set<int64_t>& accepted, int64_t oldest_timely) const;
+
   bool operator==(const usage_journal&) const = default;
 };
 
--- a/tests/duties/usage_test.cc
+++ b/tests/duties/usage_test.cc
@@ -60,4 +60,18 @@
   CHECK(DecodeJournal("[]") == usage_journal{});
 }
 
+// Guards against a window that misses its deadline while a new holder repeats
+// the reports of the one before, which come too late anyway.
+TEST_CASE("A usage report that is still in time is sent before late ones",
+          "[duties][usage][takeover][regression]") {
+  usage_journal journal;
+  for (const int64_t window : {7, 8, 9, 10}) {
+    journal = journal.WithReport({window, {}}, 4);
+  }
+  CHECK(journal.NextUnaccepted({}, 10)->window == 10);
+  CHECK(journal.NextUnaccepted({10}, 10)->window == 7);
+  CHECK(journal.NextUnaccepted({}, 8)->window == 8);
+  CHECK_FALSE(journal.NextUnaccepted({7, 8, 9, 10}, 9).has_value());
+}
+
 }  // namespace skylarkcroft
