--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -15,6 +15,8 @@
 #include "skylarkcroft/limits/skylarkcroft_token_quotas.h"
 #include "skylarkcroft/log/skylarkcroft_log_bound.h"
 #include "skylarkcroft/peers/skylarkcroft_broadcast_queue.h"
+#include "skylarkcroft/peers/skylarkcroft_datagram_fragments.h"
+#include "skylarkcroft/peers/skylarkcroft_forwarded_datagram.h"
 #include "skylarkcroft/peers/skylarkcroft_median_clock.h"
 #include "skylarkcroft/peers/skylarkcroft_peer_channel.h"
 #include "skylarkcroft/peers/skylarkcroft_peer_group.h"
@@ -509,8 +511,40 @@
             replica_.upstreams_position()};
   }
 
+  /// Sends changes to all peers. Where these are many, some of them pass the
+  /// changes on; those that a failing one leaves out read them from the store.
   void PassOn(const table_changes& changes) {
-    Broadcast(EncodeChanges(changes));
+    std::vector<endpoint> targets = group_.ReportTargets(clock_());
+    std::shuffle(targets.begin(), targets.end(), random_);
+    const std::vector<forward_group> groups = MakeForwardGroups(targets);
+    for (const std::string& payload :
+         EncodeChanges(changes, kMaxFragmentedBytes)) {
+      for (const std::string& datagram : SplitIntoFragments(payload)) {
+        SendToGroups(datagram, groups);
+      }
+    }
+    SendBroadcasts();
+  }
+
+  void SendToGroups(const std::string& datagram,
+                    const std::vector<forward_group>& groups) {
+    for (const forward_group& group : groups) {
+      broadcasts_.Add(
+          {group.others.empty() ? datagram
+                                : EncodeForwarded({group.others, datagram})},
+          {group.first});
+    }
+  }
+
+  /// Passes a payload on to the peers that its sender names.
+  void Forward(const forwarded_datagram& datagram) {
+    const std::vector<endpoint> peers = group_.ReportTargets(clock_());
+    std::vector<endpoint> targets = datagram.targets;
+    std::erase_if(targets, [&](const endpoint& target) {
+      return std::find(peers.begin(), peers.end(), target) == peers.end();
+    });
+    broadcasts_.Add({datagram.payload}, targets);
+    SendBroadcasts();
   }
 
   void Broadcast(const std::vector<std::string>& datagrams) {
@@ -554,10 +588,14 @@
   }
 
   void OnOtherDatagram(std::string_view bytes) {
-    const std::optional<table_changes> changes = DecodeChanges(bytes);
-    if (changes.has_value()) {
+    const std::optional<forwarded_datagram> forwarded = DecodeForwarded(bytes);
+    if (forwarded.has_value()) {
       metrics_.RecordDatagram(true);
-      replica_.OnPeerChanges(*changes);
+      Forward(*forwarded);
+      OnChangesDatagram(forwarded->payload);
+      return;
+    }
+    if (OnChangesDatagram(bytes)) {
       return;
     }
     const std::optional<quarantine_notice> notice = DecodeNotice(bytes);
@@ -574,6 +612,26 @@
     }
   }
 
+  /// Applies changes of a table; returns whether `bytes` are such or a fragment
+  /// of such.
+  bool OnChangesDatagram(std::string_view bytes) {
+    if (IsFragment(bytes)) {
+      metrics_.RecordDatagram(true);
+      const std::optional<std::string> whole = fragments_.Add(bytes, clock_());
+      if (whole.has_value()) {
+        OnChangesDatagram(*whole);
+      }
+      return true;
+    }
+    const std::optional<table_changes> changes = DecodeChanges(bytes);
+    if (!changes.has_value()) {
+      return false;
+    }
+    metrics_.RecordDatagram(true);
+    replica_.OnPeerChanges(*changes);
+    return true;
+  }
+
   [[nodiscard]] bool IsReady(time_point now) const {
     const tables_snapshot active = replica_.tables();
     return !shutdown_at_.has_value() && !server_.is_full() &&
@@ -706,6 +764,7 @@
   report_schedule report_schedule_;
   report_schedule quarantine_schedule_;
   broadcast_queue broadcasts_{kBroadcastBytesPerSecond};
+  fragment_assembler fragments_;
   event_loop::handle_ptr broadcast_timer_;
   event_loop::handle_ptr request_news_timer_;
   event_loop::handle_ptr housekeeping_timer_;
--- a/src/skylarkcroft/store/skylarkcroft_table_changes.cc
+++ b/src/skylarkcroft/store/skylarkcroft_table_changes.cc
@@ -12,8 +12,6 @@
 
 // Tells changes from other datagrams between nodes.
 constexpr const char* kFormatName = "changes1";
-// Below the payload of a packet on any common network.
-constexpr size_t kMaxDatagramBytes = 1200;
 // Upper bounds of the encoded sizes, without texts.
 constexpr size_t kMaxHeaderBytes = 74;
 constexpr size_t kMaxRowBytes = 24;
@@ -79,7 +77,8 @@
 
 }  // namespace
 
-std::vector<std::string> EncodeChanges(const table_changes& changes) {
+std::vector<std::string> EncodeChanges(const table_changes& changes,
+                                       size_t max_bytes) {
   if (changes.rows.empty()) {
     return {EncodeRange(changes)};
   }
@@ -101,7 +100,8 @@
            ++version_end) {
         version_bytes += EncodedSize(changes.rows[version_end]);
       }
-      if (bytes + version_bytes > kMaxDatagramBytes) {
+      const size_t limit = end == next ? max_bytes : kMaxChangesPacketBytes;
+      if (bytes + version_bytes > limit) {
         break;
       }
       bytes += version_bytes;
--- a/src/skylarkcroft/store/skylarkcroft_table_changes.h
+++ b/src/skylarkcroft/store/skylarkcroft_table_changes.h
@@ -1,6 +1,7 @@
 #ifndef SKYLARKCROFT_STORE_SKYLARKCROFT_TABLE_CHANGES_H_
 #define SKYLARKCROFT_STORE_SKYLARKCROFT_TABLE_CHANGES_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -28,11 +29,16 @@
   bool operator==(const table_changes&) const = default;
 };
 
+/// Below the payload of a packet on any common network.
+inline constexpr size_t kMaxChangesPacketBytes = 1200;
+
 /// Encodes changes as datagrams that fit into one packet each and cover
 /// consecutive ranges of versions. The format is CBOR with positional items.
-/// The last ranges are left out if their rows are too large for a packet; peers
-/// then read them from the store.
-std::vector<std::string> EncodeChanges(const table_changes& changes);
+/// A version whose rows are too large for a packet gets a datagram of its own
+/// of up to `max_bytes`. The ranges from the first one that is larger than that
+/// on are left out; peers then read them from the store.
+std::vector<std::string> EncodeChanges(
+    const table_changes& changes, size_t max_bytes = kMaxChangesPacketBytes);
 
 /// Decodes one datagram; returns nothing if `bytes` holds no table changes.
 std::optional<table_changes> DecodeChanges(std::string_view bytes);
--- a/tests/store/table_changes_test.cc
+++ b/tests/store/table_changes_test.cc
@@ -73,6 +73,30 @@
   CHECK(DecodeChanges(datagrams.front())->up_to == changes.rows[1].version);
 }
 
+// Guards against operators' tables, which are one large row, that every node
+// reads from the store after each change.
+TEST_CASE("A large row has a datagram of its own where that is allowed",
+          "[store][scale]") {
+  table_changes changes{"op", 4, 9, milliseconds(77), {}, 1};
+  changes.rows = {{"op", "small", "v", 5, false},
+                  {"op", "large", std::string(8000, 'x'), 7, false},
+                  {"op", "last", "w", 9, false}};
+  const std::vector<std::string> datagrams = EncodeChanges(changes, 32768);
+  REQUIRE(datagrams.size() == 3);
+  int64_t reached = changes.after;
+  std::vector<stored_row> rows;
+  for (const std::string& bytes : datagrams) {
+    const std::optional<table_changes> range = DecodeChanges(bytes);
+    REQUIRE(range.has_value());
+    CHECK(range->after == reached);
+    reached = range->up_to;
+    rows.insert(rows.end(), range->rows.begin(), range->rows.end());
+  }
+  CHECK(reached == changes.up_to);
+  CHECK(rows == changes.rows);
+  CHECK(EncodeChanges(changes).size() == 1);
+}
+
 TEST_CASE("A datagram that is not consistent is not decoded",
           "[store][malformed]") {
   CHECK_FALSE(DecodeChanges("").has_value());
