--- a/tests/duties/watch_position_test.cc
+++ b/tests/duties/watch_position_test.cc
@@ -13,8 +13,10 @@
 constexpr size_t kWatchers = 2;
 
 std::vector<std::string> Members() {
+  constexpr int kMembers = 89;
   std::vector<std::string> members;
-  for (int i = 0; i < 89; ++i) {
+  members.reserve(kMembers);
+  for (int i = 0; i < kMembers; ++i) {
     members.push_back("node-" + std::to_string(i));
   }
   return members;
