Placement: estimate the speed of each engine

All engines were treated as equal: of 44 engines 11 made an event in 92 to 141 ms, the others in 25 to 69 ms, and the slow ones had 20.2 requests running on average, the others 12.4.

A node measures the time to the first event and between events, takes out the load with a slope common to the service, and keeps medians over windows and over updates, so that transient slowdowns do not count. Peers exchange what they have measured as an optional last item of each upstream's report. Expected first token, costs, what counts as full, the spread of unreported requests and the silence limits use the estimates.

The cost model and the bookkeeping of store outages leave load_balancer.cc.

--- a/src/skylarkcroft/peers/skylarkcroft_peer_report.cc
+++ b/src/skylarkcroft/peers/skylarkcroft_peer_report.cc
@@ -1,6 +1,7 @@
 #include "skylarkcroft/peers/skylarkcroft_peer_report.h"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
@@ -17,6 +18,8 @@
 // times since the last byte in these steps.
 constexpr double kOutcomeStepsPerUnit = 16;
 constexpr int64_t kKvCacheTokensStep = 64;
+// Steps per doubling of an engine's slowness: 4.4 percent each.
+constexpr double kSpeedStepsPerUnit = 16;
 constexpr milliseconds kTimeSinceByteStep{50};
 
 // Below the payload of a packet on any common network.
@@ -25,9 +28,35 @@
 // Upper bounds of the encoded sizes, without names.
 constexpr size_t kMaxHeaderBytes = 100;
 constexpr size_t kMaxUpstreamBytes = 26;
+constexpr size_t kMaxSpeedBytes = 9;
 constexpr size_t kMaxQuotaBytes = 16;
 constexpr size_t kMaxUsageBytes = 7;
 
+bool HasSpeed(const upstream_report& upstream) {
+  return upstream.speed != speed_evidence{};
+}
+
+json EncodeSpeed(const speed_evidence& speed) {
+  json item = json::array();
+  for (const slowness_evidence& one : {speed.prefill, speed.tokens}) {
+    item.push_back(
+        static_cast<int64_t>(std::lround(kSpeedStepsPerUnit * one.Log())));
+    item.push_back(static_cast<int64_t>(one.weight));
+  }
+  return item;
+}
+
+slowness_evidence DecodeSlowness(const json& item, size_t first) {
+  // Of one node. Bounds what a damaged report does to the sum over all nodes.
+  constexpr double kMaxLog = 3;
+  constexpr double kMaxWeight = 40;
+  const double log = std::clamp(
+      item.at(first).get<double>() / kSpeedStepsPerUnit, -kMaxLog, kMaxLog);
+  const double weight =
+      std::clamp(item.at(first + 1).get<double>(), 0.0, kMaxWeight);
+  return {log * weight, weight};
+}
+
 // A flat array; tokens not yet processed are listed only for urgencies that
 // have some. Compact, since a report covers dozens of upstreams and goes to
 // every node.
@@ -45,6 +74,9 @@
       item.push_back(upstream.load.prefill_tokens[i]);
     }
   }
+  if (HasSpeed(upstream)) {
+    item.push_back(EncodeSpeed(upstream.speed));
+  }
   return item;
 }
 
@@ -63,6 +95,10 @@
     upstream.load.prefill_tokens.at(item.at(i).get<size_t>()) =
         item.at(i + 1).get<int64_t>();
   }
+  if ((item.size() - kFixedItems) % 2 == 1) {
+    upstream.speed = {DecodeSlowness(item.back(), 0),
+                      DecodeSlowness(item.back(), 2)};
+  }
   return upstream;
 }
 
@@ -189,7 +225,7 @@
       parts_.back().usage.push_back(count);
     }
     for (const upstream_report& upstream : whole.upstreams) {
-      Reserve(kMaxUpstreamBytes);
+      Reserve(kMaxUpstreamBytes + (HasSpeed(upstream) ? kMaxSpeedBytes : 0));
       parts_.back().upstreams.push_back(upstream);
     }
   }
--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer.cc
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer.cc
@@ -30,7 +30,9 @@
 }  // namespace
 
 load_balancer::load_balancer(const load_balancer_parameters& parameters)
-    : parameters_(parameters), peers_(parameters.peer_report_max_age) {}
+    : parameters_(parameters),
+      peers_(parameters.peer_report_max_age),
+      store_returns_(parameters.removal_grace) {}
 
 void load_balancer::Reset(const std::vector<upstream_entry>& entries,
                           time_point now) {
@@ -58,6 +60,7 @@
       found->second.entry.incarnation == entry.incarnation &&
       found->second.entry.address == entry.address;
   if (!same_process) {
+    speeds_.Forget(entry.service, UpstreamKey(entry.id));
     upstream_state fresh;
     fresh.silent_since = now;
     if (found != upstreams_.end()) {
@@ -85,11 +88,7 @@
 
 bool load_balancer::MayRegisterAgain(const upstream_state& upstream,
                                      time_point now) const {
-  const std::optional<time_point> returned_at = StoreReturnedAt();
-  const bool after_outage =
-      !store_reachable_ || (returned_at.has_value() &&
-                            now - *returned_at < parameters_.removal_grace);
-  return after_outage && !upstream.entry.is_draining;
+  return store_returns_.MayHaveLapsed(now) && !upstream.entry.is_draining;
 }
 
 void load_balancer::Remove(const std::string& id, time_point now) {
@@ -121,41 +120,12 @@
   found->second.removed_at = now;
 }
 
-void load_balancer::OnStoreContact(bool reachable, time_point now) {
-  if (reachable && !store_reachable_ && !upstreams_.empty()) {
-    store_reachable_since_ = now;
-  }
-  store_reachable_ = reachable;
-}
-
-void load_balancer::OnStoreRestored(time_point now) {
-  store_reachable_since_ = now;
-  store_uptime_.OnRestored(now);
-}
-
-std::optional<time_point> load_balancer::StoreReturnedAt() const {
-  const std::optional<time_point>& up_since = store_uptime_.up_since();
-  const bool returned_before = store_reachable_since_.has_value() &&
-                               up_since.has_value() &&
-                               *up_since < *store_reachable_since_;
-  return returned_before ? up_since : store_reachable_since_;
-}
-
-time_point load_balancer::GraceEnd(const upstream_state& upstream) const {
-  // Upstreams register again within a time after the return of the store, not
-  // after their removal.
-  const std::optional<time_point> returned_at = StoreReturnedAt();
-  const bool after_return = !upstream.entry.is_draining && store_reachable_ &&
-                            returned_at.has_value() &&
-                            *returned_at <= *upstream.removed_at;
-  return (after_return ? *returned_at : *upstream.removed_at) +
-         parameters_.removal_grace;
-}
-
 std::vector<std::string> load_balancer::DropRemoved(time_point now) {
   std::vector<std::string> dropped;
   for (const auto& [id, upstream] : upstreams_) {
-    if (upstream.removed_at.has_value() && now >= GraceEnd(upstream)) {
+    if (upstream.removed_at.has_value() &&
+        now >= store_returns_.GraceEnd(*upstream.removed_at,
+                                       upstream.entry.is_draining)) {
       dropped.push_back(id);
     }
   }
@@ -333,40 +303,26 @@
       (estimate.parts_cached ? request.shape.SharedTokens() : 0);
   estimate.work.prefill_tokens =
       std::max<int64_t>(estimate.work.prefill_tokens, 0);
-  const double prefill_ms = static_cast<double>(estimate.prefill_tokens +
-                                                estimate.work.prefill_tokens) /
-                            parameters_.prefill_tokens_per_ms;
-  estimate.expected_first =
-      request.cache_tokens == 0
-          ? milliseconds(0)
-          : parameters_.first_token_latency +
-                milliseconds(static_cast<milliseconds::rep>(prefill_ms));
-  const int slots = std::max(upstream.entry.slots, 1);
+  const int64_t unprocessed =
+      estimate.prefill_tokens + estimate.work.prefill_tokens;
+  const engine_costs costs(parameters_, SlownessOf(upstream));
+  if (request.cache_tokens > 0) {
+    estimate.expected_first = costs.FirstToken(unprocessed);
+    estimate.expected_first_at_median =
+        engine_costs(parameters_, {}).FirstToken(unprocessed);
+  }
   const double planned_tokens = static_cast<double>(
       total.load.kv_cache_tokens + estimate.work.kv_cache_tokens);
   const bool memory_full =
       request.cache_tokens > 0 &&
       planned_tokens > parameters_.max_kv_cache_share *
                            static_cast<double>(request.cache_tokens);
-  estimate.full = total.load.running >= slots || memory_full;
+  estimate.full =
+      total.load.running >= costs.UsableSlots(upstream.entry.slots) ||
+      memory_full;
   return estimate;
 }
 
-double load_balancer::PrefillMs(int64_t tokens) const {
-  return static_cast<double>(tokens) / parameters_.prefill_tokens_per_ms;
-}
-
-double load_balancer::StallCost(int64_t tokens, int running) const {
-  const double prefill_ms = PrefillMs(tokens);
-  return running * prefill_ms * prefill_ms /
-         static_cast<double>(parameters_.max_prefill_stall.count());
-}
-
-double load_balancer::RunningCost(int slots) const {
-  return std::max(parameters_.running_request_cost_ms,
-                  parameters_.full_batch_cost_ms / std::max(slots, 1));
-}
-
 placement_option load_balancer::CostOf(const upstream_state& upstream,
                                        const total_load& total,
                                        const placement& estimate,
@@ -400,20 +356,24 @@
                    (requests_per_slot + (other_zone ? kOtherZonePenalty : 0));
     return option;
   }
+  const engine_slowness slowness = SlownessOf(upstream);
+  const engine_costs costs(parameters_, slowness);
+  option.slowness = slowness.tokens;
   const int64_t less_urgent =
       PrefillTokensAhead(total.load, kUrgencyLevels - 1) -
       estimate.prefill_tokens;
-  const double stall = StallCost(request.shape.prompt_tokens, estimate.running);
+  const double stall =
+      costs.Stall(request.shape.prompt_tokens, estimate.running);
   option.cost +=
-      PrefillMs(estimate.prefill_tokens) +
-      parameters_.less_urgent_prefill_weight * PrefillMs(less_urgent) +
-      RunningCost(upstream.entry.slots) * estimate.running + stall +
+      costs.PrefillMs(estimate.prefill_tokens) +
+      parameters_.less_urgent_prefill_weight * costs.PrefillMs(less_urgent) +
+      costs.Running(upstream.entry.slots) * estimate.running + stall +
       (estimate.full ? kFullPenalty : 0);
   if (estimate.parts_cached) {
     option.saving = parameters_.repeated_prefill_weight *
-                        PrefillMs(request.shape.SharedTokens()) +
+                        costs.PrefillMs(request.shape.SharedTokens()) +
                     stall -
-                    StallCost(estimate.work.prefill_tokens, estimate.running);
+                    costs.Stall(estimate.work.prefill_tokens, estimate.running);
   }
   return option;
 }
@@ -447,7 +407,8 @@
       times.MeanPrefillTokens(static_cast<double>(request.shape.prompt_tokens),
                               now) /
       parameters_.prefill_tokens_per_ms;
-  return unreported_share * running * (RunningCost(slots) + prefill_ms);
+  return unreported_share * running *
+         (engine_costs(parameters_, {}).Running(slots) + prefill_ms);
 }
 
 std::optional<placement> load_balancer::Choose(const placement_request& request,
@@ -528,6 +489,62 @@
   found->second.silent_since = now;
 }
 
+const load_balancer::upstream_state* load_balancer::FindProcess(
+    const upstream_entry& entry) const {
+  const auto found = upstreams_.find(entry.id);
+  const bool same = found != upstreams_.end() &&
+                    found->second.entry.incarnation == entry.incarnation;
+  return same ? &found->second : nullptr;
+}
+
+void load_balancer::RecordFirstEvent(const placement& placed,
+                                     milliseconds waited, time_point now) {
+  const upstream_state* upstream = FindProcess(placed.upstream);
+  // Plain services have no expected time.
+  if (upstream == nullptr || placed.expected_first_at_median.count() == 0) {
+    return;
+  }
+  speeds_.RecordFirstEvent({placed.upstream.id, placed.upstream.service,
+                            upstream->key, placed.upstream.slots},
+                           waited, placed.expected_first_at_median,
+                           placed.running, now);
+}
+
+void load_balancer::RecordEvents(const upstream_entry& upstream,
+                                 duration elapsed, size_t count,
+                                 time_point now) {
+  const upstream_state* found = FindProcess(upstream);
+  if (found == nullptr) {
+    return;
+  }
+  const int running =
+      found->own.running + peers_.SumFor(found->key).load.running;
+  speeds_.RecordEvents(
+      {upstream.id, upstream.service, found->key, upstream.slots}, elapsed,
+      count, running, now);
+}
+
+std::vector<speed_change> load_balancer::UpdateSpeeds(time_point now) {
+  if (!speeds_.IsUpdateDue(now)) {
+    return {};
+  }
+  peers_.DropExpired(now);
+  std::vector<upstream_speeds::engine> engines;
+  engines.reserve(upstreams_.size());
+  for (const auto& [id, upstream] : upstreams_) {
+    engines.push_back(
+        {id, upstream.entry.service, upstream.key, upstream.entry.slots});
+  }
+  return speeds_.Update(
+      engines, [this](uint32_t key) { return peers_.SumFor(key).speed; }, now);
+}
+
+engine_slowness load_balancer::SlownessOf(const std::string& id) const {
+  const auto found = upstreams_.find(id);
+  return found == upstreams_.end() ? engine_slowness{}
+                                   : SlownessOf(found->second);
+}
+
 void load_balancer::RecordRequestEnded(const std::string& id,
                                        const request_work& work, bool begun,
                                        upstream_outcome outcome,
@@ -622,8 +639,9 @@
                                  outcomes.failures >= kMinFailures ||
                                  outcomes.successes >= kMinSuccesses;
     if (worth_reporting) {
-      reports.push_back(
-          {upstream.key, upstream.own, outcomes, TimeSinceByte(upstream, now)});
+      reports.push_back({upstream.key, upstream.own, outcomes,
+                         TimeSinceByte(upstream, now),
+                         speeds_.Own(upstream.entry.service, upstream.key)});
     }
   }
   return reports;
--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
@@ -10,15 +10,18 @@
 #include <vector>
 
 #include "skylarkcroft/internal/skylarkcroft_time.h"
+#include "skylarkcroft/placement/skylarkcroft_engine_costs.h"
+#include "skylarkcroft/placement/skylarkcroft_load_balancer_parameters.h"
 #include "skylarkcroft/placement/skylarkcroft_peer_loads.h"
 #include "skylarkcroft/placement/skylarkcroft_prompt_parts.h"
 #include "skylarkcroft/placement/skylarkcroft_service_time_stats.h"
+#include "skylarkcroft/placement/skylarkcroft_store_returns.h"
 #include "skylarkcroft/placement/skylarkcroft_upstream_announcements.h"
 #include "skylarkcroft/placement/skylarkcroft_upstream_entry.h"
 #include "skylarkcroft/placement/skylarkcroft_upstream_health.h"
 #include "skylarkcroft/placement/skylarkcroft_upstream_load.h"
+#include "skylarkcroft/placement/skylarkcroft_upstream_speeds.h"
 #include "skylarkcroft/placement/skylarkcroft_water_filling.h"
-#include "skylarkcroft/store/skylarkcroft_store_uptime.h"
 
 namespace skylarkcroft {
 
@@ -31,68 +34,6 @@
   bool operator==(const request_work&) const = default;
 };
 
-/// Parameters of the cost model by which upstreams are compared. Costs and
-/// penalties are in the scale of milliseconds.
-struct load_balancer_parameters {
-  /// Prompt tokens that an engine prefills per millisecond, according to the
-  /// data sheets of the deployments.
-  double prefill_tokens_per_ms = 92;
-  /// Time from the start of the prefill to the first token, according to the
-  /// same data sheets.
-  milliseconds first_token_latency{60};
-  /// Delay that each running request is assumed to add to a further one.
-  double running_request_cost_ms = 4;
-  /// The same delay when all batch slots are taken. Divided by the number of
-  /// slots it is the cost per running request at engines with few slots, since
-  /// a request to a full engine preempts a running stream.
-  double full_batch_cost_ms = 256;
-  /// A prefill of this duration stalls the running streams of an engine for
-  /// longer than clients accept. The cost of a shorter prefill to each running
-  /// stream grows with the square of its duration.
-  milliseconds max_prefill_stall{500};
-  /// Weight of the prefill of less urgent prompts: it does not delay the first
-  /// token of a more urgent request, but the tokens after it.
-  double less_urgent_prefill_weight = 0.5;
-  /// Factor on the time to prefill a shared part again, since each prefill
-  /// delays all streams of the engine.
-  double repeated_prefill_weight = 2;
-  /// Penalty for an upstream that fails every request; scaled by the share of
-  /// failures.
-  double failure_penalty_ms = 3000;
-  /// An upstream's share of failures may exceed the median of its service by
-  /// this much without penalty: with few outcomes a healthy upstream may reach
-  /// it by chance.
-  double failure_tolerance = 0.1;
-  /// Penalty for an on-demand upstream (one at the full price, not reclaimable)
-  /// while at least half of the service's upstreams are reclaimable, so that it
-  /// is idle when it is terminated.
-  double on_demand_penalty_ms = 150;
-  /// Lower bound of the age that peer reports are taken to have: they spend
-  /// time in transit, and do not contain requests that other nodes are placing
-  /// at the same moment.
-  milliseconds min_peer_report_age{50};
-  /// An entry that was removed while the store was unreachable, or within this
-  /// time after it became reachable again, is kept for this time, since its
-  /// upstream may register again. The platform documents about two seconds.
-  milliseconds removal_grace{1500};
-  /// A peer's report is counted until it reaches this age.
-  milliseconds peer_report_max_age{1500};
-  /// Penalty for an upstream that drains, so that it is used only while the
-  /// others are busy.
-  double draining_penalty_ms = 100;
-  /// An upstream that was removed unannounced is used further only if a byte
-  /// arrived from it within this time.
-  milliseconds max_silence_after_removal{500};
-  /// Longest time that an engine is assumed to need for an output token.
-  double max_token_latency_ms = 5;
-  /// Longest time that a plain service is assumed to need for a request.
-  milliseconds max_plain_request_time{300};
-  /// Share of an engine's KV cache that requests are planned to fill.
-  double max_kv_cache_share = 0.92;
-
-  bool operator==(const load_balancer_parameters&) const = default;
-};
-
 /// The properties of a request that decide its placement.
 struct placement_request {
   std::string service;
@@ -113,11 +54,15 @@
   upstream_entry upstream;
   /// Expected time to the first token; 0 for plain services.
   milliseconds expected_first{0};
+  /// The same if the upstream were as fast as the median of its service.
+  milliseconds expected_first_at_median{0};
   int running = 0;             ///< Requests in flight at the upstream.
   int64_t prefill_tokens = 0;  ///< Prefill backlog ahead of the request.
   /// The shared prompt parts are expected in the upstream's cache.
   bool parts_cached = false;
-  bool full = false;  ///< All batch slots or the planned KV cache are used up.
+  /// All batch slots that the engine's speed allows, or the planned KV cache,
+  /// are used up.
+  bool full = false;
   request_work work;
   size_t candidates = 0;     ///< Upstreams among which it was chosen.
   milliseconds peer_age{0};  ///< Age of the oldest report counted.
@@ -145,13 +90,15 @@
   /// was recently unreachable and the upstream is not draining.
   void Remove(const std::string& id, time_point now);
   /// Records whether the store is reachable.
-  void OnStoreContact(bool reachable, time_point now);
+  void OnStoreContact(bool reachable, time_point now) {
+    store_returns_.OnContact(reachable, !upstreams_.empty(), now);
+  }
   /// The store has come back from an older copy, which may lack upstreams that
   /// will register again.
-  void OnStoreRestored(time_point now);
+  void OnStoreRestored(time_point now) { store_returns_.OnRestored(now); }
   /// The store responded to this node or to a peer at `at`, so entries that are
   /// removed later have not lapsed because the store was away.
-  void OnStoreResponse(time_point at) { store_uptime_.RecordResponse(at); }
+  void OnStoreResponse(time_point at) { store_returns_.OnResponse(at); }
   /// The upstream has told in a response that it leaves. From `serves_until` on
   /// it gets no requests, whatever the store lists. `upstream` is the entry as
   /// it was when the request was sent. Returns whether this is new.
@@ -196,6 +143,19 @@
   /// Records that the response has started, so that the prefill is done.
   void RecordResponseStart(const std::string& id, const request_work& work,
                            time_point now);
+  /// Records that the first event of the placed request's stream has arrived
+  /// `waited` after it was sent.
+  void RecordFirstEvent(const placement& placed, milliseconds waited,
+                        time_point now);
+  /// Records that `count` further events of one stream have arrived, `elapsed`
+  /// after the event before.
+  void RecordEvents(const upstream_entry& upstream, duration elapsed,
+                    size_t count, time_point now);
+  /// Estimates the engines' speeds anew if that is due; returns the estimates
+  /// that have changed noticeably.
+  std::vector<speed_change> UpdateSpeeds(time_point now);
+  /// Estimated slowness of the upstream relative to the median of its service.
+  [[nodiscard]] engine_slowness SlownessOf(const std::string& id) const;
   /// Records that a request has ended; `begun` says whether its response had
   /// started.
   void RecordRequestEnded(const std::string& id, const request_work& work,
@@ -273,11 +233,6 @@
   /// Whether the entry may have lapsed only because the store was unreachable.
   [[nodiscard]] bool MayRegisterAgain(const upstream_state& upstream,
                                       time_point now) const;
-  /// When the store returned after this node last lost it: when this node had
-  /// it back, or when peers show that it had returned before.
-  [[nodiscard]] std::optional<time_point> StoreReturnedAt() const;
-  /// When a removed upstream that has not registered again is dropped.
-  [[nodiscard]] time_point GraceEnd(const upstream_state& upstream) const;
   /// Whether the upstream drains but the request is expected to end in time.
   [[nodiscard]] bool CanFinishBeforeExit(const upstream_state& upstream,
                                          const placement_request& request,
@@ -297,14 +252,16 @@
                                         const placement_request& request,
                                         const service_summary& summary,
                                         time_point now) const;
-  [[nodiscard]] double PrefillMs(int64_t tokens) const;
-  /// Cost to the running streams of the stall that a prefill causes.
-  [[nodiscard]] double StallCost(int64_t tokens, int running) const;
-  /// Cost of one running request to the others at an engine with `slots` batch
-  /// slots.
-  [[nodiscard]] double RunningCost(int slots) const;
   [[nodiscard]] service_summary SummarizeService(
       const placement_request& request, time_point now) const;
+  [[nodiscard]] engine_slowness SlownessOf(
+      const upstream_state& upstream) const {
+    return speeds_.Slowness(upstream.entry.service, upstream.key);
+  }
+  /// The state of this process of an upstream; null if it has been replaced or
+  /// removed.
+  [[nodiscard]] const upstream_state* FindProcess(
+      const upstream_entry& entry) const;
   /// Cost of the requests that peers have placed but not yet reported.
   [[nodiscard]] double UnreportedCost(const placement_request& request,
                                       const std::vector<placement>& options,
@@ -314,11 +271,10 @@
   std::map<std::string, upstream_state> upstreams_;
   upstream_announcements announcements_;
   std::map<std::string, service_time_stats> service_times_;
+  upstream_speeds speeds_;
   /// Mutable, since reading the sums drops expired reports.
   mutable peer_loads peers_;
-  bool store_reachable_ = false;
-  std::optional<time_point> store_reachable_since_;
-  store_uptime store_uptime_;
+  store_returns store_returns_;
 };
 
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/placement/skylarkcroft_peer_loads.cc
+++ b/src/skylarkcroft/placement/skylarkcroft_peer_loads.cc
@@ -11,6 +11,7 @@
     SubtractLoad(report.load, found->second.load);
     found->second.outcomes.successes -= report.outcomes.successes;
     found->second.outcomes.failures -= report.outcomes.failures;
+    found->second.speed -= report.speed;
   }
 }
 
@@ -32,6 +33,7 @@
     AddLoad(report.load, sum.load);
     sum.outcomes.successes += report.outcomes.successes;
     sum.outcomes.failures += report.outcomes.failures;
+    sum.speed += report.speed;
     if (report.time_since_byte < kMaxTimeSinceByte) {
       time_point& last = last_byte_times_[report.key];
       last = std::max(last, now - report.time_since_byte);
@@ -71,7 +73,7 @@
 upstream_report peer_loads::SumFor(uint32_t upstream) const {
   const auto found = sums_.find(upstream);
   if (found == sums_.end()) {
-    return {upstream, {}, {}, kMaxTimeSinceByte};
+    return {upstream, {}, {}, kMaxTimeSinceByte, {}};
   }
   upstream_report sum = found->second;
   sum.outcomes.successes = std::max(0.0, sum.outcomes.successes);
--- a/src/skylarkcroft/placement/skylarkcroft_upstream_load.h
+++ b/src/skylarkcroft/placement/skylarkcroft_upstream_load.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "skylarkcroft/internal/skylarkcroft_time.h"
+#include "skylarkcroft/placement/skylarkcroft_slowness_evidence.h"
 #include "skylarkcroft/placement/skylarkcroft_upstream_health.h"
 
 namespace skylarkcroft {
@@ -47,6 +48,8 @@
   /// Time since the node last received a byte from the upstream, at most
   /// kMaxTimeSinceByte.
   milliseconds time_since_byte = kMaxTimeSinceByte;
+  /// What the node itself has measured of the engine's speed.
+  speed_evidence speed = {};
 
   bool operator==(const upstream_report&) const = default;
 };
--- a/src/skylarkcroft/placement/skylarkcroft_water_filling.cc
+++ b/src/skylarkcroft/placement/skylarkcroft_water_filling.cc
@@ -4,26 +4,35 @@
 
 namespace skylarkcroft {
 
+namespace {
+
+// What fits at the upstream below `level`, at the median upstream's cost.
+double Headroom(const placement_option& option, double level) {
+  return std::max(0.0, level - option.cost) / option.slowness;
+}
+
+}  // namespace
+
 double WaterLevel(const std::vector<placement_option>& options,
                   double unreported_cost) {
-  std::vector<double> costs;
-  costs.reserve(options.size());
-  for (const placement_option& option : options) {
-    costs.push_back(option.cost);
-  }
-  std::sort(costs.begin(), costs.end());
+  std::vector<placement_option> sorted = options;
+  std::sort(sorted.begin(), sorted.end(),
+            [](const placement_option& one, const placement_option& other) {
+              return one.cost < other.cost;
+            });
   double remaining = unreported_cost;
-  double level = costs.front();
-  for (size_t filled = 1; filled < costs.size(); ++filled) {
-    const double headroom =
-        static_cast<double>(filled) * (costs[filled] - level);
+  double level = sorted.front().cost;
+  double width = 1 / sorted.front().slowness;
+  for (size_t filled = 1; filled < sorted.size(); ++filled) {
+    const double headroom = width * (sorted[filled].cost - level);
     if (headroom >= remaining) {
-      return level + remaining / static_cast<double>(filled);
+      return level + remaining / width;
     }
     remaining -= headroom;
-    level = costs[filled];
+    level = sorted[filled].cost;
+    width += 1 / sorted[filled].slowness;
   }
-  return level + remaining / static_cast<double>(costs.size());
+  return level + remaining / width;
 }
 
 size_t ChooseByWaterFilling(const std::vector<placement_option>& options,
@@ -38,14 +47,14 @@
       best = i;
       best_cost = cost;
     }
-    headroom += std::max(0.0, level - options[i].cost);
+    headroom += Headroom(options[i], level);
   }
   if (best_cost < level || headroom <= 0) {
     return best;
   }
   double remaining = draw * headroom;
   for (size_t i = 0; i < options.size(); ++i) {
-    remaining -= std::max(0.0, level - options[i].cost);
+    remaining -= Headroom(options[i], level);
     if (remaining < 0) {
       return i;
     }
--- a/src/skylarkcroft/placement/skylarkcroft_water_filling.h
+++ b/src/skylarkcroft/placement/skylarkcroft_water_filling.h
@@ -12,13 +12,17 @@
   double cost = 0;
   /// What only this request saves at this upstream, such as a cached prompt.
   double saving = 0;
+  /// Factor by which a request raises the cost of this upstream more than that
+  /// of the median one.
+  double slowness = 1;
 
   bool operator==(const placement_option&) const = default;
 };
 
 /// Water-filling: returns the common cost to which the cheapest options rise
 /// when `unreported_cost` is distributed over them. `unreported_cost` stands
-/// for requests that peers have placed by this same rule but not yet reported.
+/// for requests that peers have placed by this same rule but not yet reported,
+/// at the median upstream's cost.
 /// `options` must not be empty.
 double WaterLevel(const std::vector<placement_option>& options,
                   double unreported_cost);
@@ -26,8 +30,8 @@
 /// Returns the index of the option to use; `options` must not be empty. If
 /// every node chose the cheapest option by the same outdated reports, they
 /// would all overload it. Instead an option is drawn at random in proportion to
-/// its headroom below the water level, unless savings make some option cheaper
-/// than that level. `draw` is a random number, uniform in [0, 1).
+/// the requests that fit below the water level, unless savings make some option
+/// cheaper than that level. `draw` is a random number, uniform in [0, 1).
 size_t ChooseByWaterFilling(const std::vector<placement_option>& options,
                             double unreported_cost, double draw);
 
--- a/src/skylarkcroft/relay/skylarkcroft_relay_attempt.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_attempt.h
@@ -27,6 +27,8 @@
   /// arrived.
   std::optional<time_point> first_output_at;
   time_point last_byte_at{};
+  /// When the last event of the stream arrived.
+  std::optional<time_point> last_event_at;
   /// The one attempt that is allowed after a quarantine of the request.
   bool is_trial = false;
   /// Reading is paused because the client is too slow.
--- a/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
@@ -18,6 +18,10 @@
           registry_.Counter({"skylarkcroft_log_lines_left_out_total",
                              "Log lines beyond the bound a second.",
                              {}})),
+      speed_changes_(registry_.Counter(
+          {"skylarkcroft_upstream_speed_changes_total",
+           "Noticeable changes of the estimated speed of an engine.",
+           {}})),
       clients_(registry_.Gauge(
           {"skylarkcroft_clients", "Connections of clients.", {}})),
       quarantines_(
@@ -109,6 +113,8 @@
   (readable ? readable_datagrams_ : unreadable_datagrams_).Increment();
 }
 
+void relay_metrics::RecordSpeedChange() { speed_changes_.Increment(); }
+
 void relay_metrics::RecordLogLineDropped() { dropped_log_lines_.Increment(); }
 
 void relay_metrics::SetQuarantines(size_t count) {
--- a/src/skylarkcroft/relay/skylarkcroft_relay_metrics.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.h
@@ -25,6 +25,8 @@
   void RecordStoreRestored();
   /// Counts an upstream's announcement: "leaving" or "pause".
   void RecordAnnouncement(std::string_view what);
+  /// Counts a noticeable change of an engine's estimated speed.
+  void RecordSpeedChange();
   /// Counts a peer report; `readable` is false if it could not be decoded.
   void RecordDatagram(bool readable);
   /// Counts a call to the store that reads or writes quarantines.
@@ -48,6 +50,7 @@
   counter& readable_datagrams_;
   counter& unreadable_datagrams_;
   counter& dropped_log_lines_;
+  counter& speed_changes_;
   gauge& clients_;
   gauge& quarantines_;
   gauge& quarantined_requests_;
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -73,6 +73,12 @@
 constexpr size_t kArchiveWriters = 2;
 // Requests to a leaving upstream have to end this long before it may exit.
 constexpr milliseconds kLeavingMargin{200};
+
+std::string FormatFactor(double factor) {
+  std::array<char, 32> text{};
+  const int length = std::snprintf(text.data(), text.size(), "%.2f", factor);
+  return {text.data(), static_cast<size_t>(std::max(length, 0))};
+}
 constexpr int kOkStatus = 200;
 constexpr int kNotFoundStatus = 404;
 constexpr int kUnavailableStatus = 503;
@@ -369,6 +375,7 @@
       LogEvent(log_level::kInfo, "upstream changed",
                {{"upstream", id}, {"state", "lapsed"}});
     }
+    LogSpeedChanges(now);
     metrics_.SetClients(server_.clients());
     quarantine_.Tick(now);
     crashing_requests_.Tick(now);
@@ -377,6 +384,19 @@
     SendReportIfDue(now);
   }
 
+  void LogSpeedChanges(time_point now) {
+    for (const speed_change& change : balancer_.UpdateSpeeds(now)) {
+      metrics_.RecordSpeedChange();
+      LogEvent(
+          log_level::kInfo, "upstream speed estimated",
+          {{"upstream", change.upstream},
+           {"prefill_slowness", FormatFactor(change.slowness.prefill)},
+           {"tokens_slowness", FormatFactor(change.slowness.tokens)},
+           {"prefill_windows", FormatFactor(change.evidence.prefill.weight)},
+           {"tokens_windows", FormatFactor(change.evidence.tokens.weight)}});
+    }
+  }
+
   void SendReportIfDue(time_point now) {
     const milliseconds period = ReportPeriod(group_.NodeCount(now));
     replica_.UpdatePolling(now);
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -395,6 +395,7 @@
 }
 
 void relay_request::ForwardEvents(std::string_view bytes) {
+  size_t arrived = 0;
   for (const raw_sse_event& event : events_.Split(bytes)) {
     if (!attempt_->execution_started) {
       RecordExecutionStarted(*attempt_);
@@ -413,9 +414,11 @@
       response_.StartChunked(attempt_->head->status,
                              ClientResponseHeaders(*attempt_->head));
     }
+    ++arrived;
     response_.WriteChunk(event.bytes);
     record_.events = events_.sent();
   }
+  RecordSpeed(arrived);
   if (events_.remainder().size() >
       environment_.parameters.max_buffered_response) {
     Fail(attempt_failure::kMalformed);
@@ -424,6 +427,25 @@
   ApplyBackpressure();
 }
 
+void relay_request::RecordSpeed(size_t events) {
+  if (events == 0 || cache_tokens_ == 0) {
+    return;
+  }
+  const time_point now = attempt_->last_byte_at;
+  const std::optional<time_point> before =
+      std::exchange(attempt_->last_event_at, now);
+  if (!before.has_value()) {
+    environment_.balancer.RecordFirstEvent(
+        attempt_->placed,
+        std::chrono::duration_cast<milliseconds>(now - attempt_->started_at),
+        now);
+  } else if (*before >= attempt_->reading_since) {
+    // Otherwise the client was too slow meanwhile, not the engine.
+    environment_.balancer.RecordEvents(attempt_->placed.upstream, now - *before,
+                                       events, now);
+  }
+}
+
 void relay_request::ApplyBackpressure() {
   if (attempt_ == nullptr || attempt_->exchange == nullptr) {
     return;
@@ -754,13 +776,22 @@
                                      time_point now) const {
   const relay_parameters& parameters = environment_.parameters;
   const std::string& id = sent.placed.upstream.id;
-  const bool silent_to_this_node = silence > parameters.engine_silence &&
-                                   environment_.balancer.TimeSinceOwnByte(
-                                       id, now) > parameters.engine_silence;
-  const bool silent_to_all = environment_.balancer.TimeSinceAnyByte(id, now) >
-                             parameters.engine_silence;
-  return silent_to_this_node &&
-         (silent_to_all || silence > parameters.engine_silence_to_this_node);
+  const engine_slowness slowness = environment_.balancer.SlownessOf(id);
+  // A slow engine needs longer for the same step; a fast one is given as long
+  // as the others.
+  const double factor = std::max({1.0, slowness.prefill, slowness.tokens});
+  const auto limit =
+      std::chrono::duration<double, std::milli>(parameters.engine_silence) *
+      factor;
+  const auto limit_to_this_node = std::chrono::duration<double, std::milli>(
+                                      parameters.engine_silence_to_this_node) *
+                                  factor;
+  const bool silent_to_this_node =
+      silence > limit &&
+      environment_.balancer.TimeSinceOwnByte(id, now) > limit;
+  const bool silent_to_all =
+      environment_.balancer.TimeSinceAnyByte(id, now) > limit;
+  return silent_to_this_node && (silent_to_all || silence > limit_to_this_node);
 }
 
 int relay_request::attempts_in_flight() const {
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -99,6 +99,9 @@
   void DeliverWholeResponse();
   /// Forwards complete events that the client does not have yet.
   void ForwardEvents(std::string_view bytes);
+  /// Records how long the attempt's engine took for the `events` that have just
+  /// arrived together.
+  void RecordSpeed(size_t events);
   /// The failure that the head of the attempt's response indicates; empty if
   /// the response is to be forwarded.
   [[nodiscard]] std::optional<attempt_failure> FailureOfHead(
--- a/tests/peers/peer_report_test.cc
+++ b/tests/peers/peer_report_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include "skylarkcroft/peers/skylarkcroft_median_clock.h"
 #include "skylarkcroft/peers/skylarkcroft_peer_group.h"
@@ -37,6 +38,32 @@
   CHECK(DecodeReport(datagrams.front()) == report);
 }
 
+// Guards against reports that nodes of the version before cannot read, or whose
+// speeds are mistaken for prefill tokens.
+TEST_CASE("A report carries the measured speeds of engines, or none",
+          "[peers][speed]") {
+  peer_report report;
+  report.node = "n1";
+  upstream_report measured;
+  measured.key = UpstreamKey("u1");
+  measured.load.prefill_tokens[9] = 700;
+  measured.speed = {{12, 8}, {-1.25 * 40, 40}};
+  upstream_report unknown;
+  unknown.key = UpstreamKey("u2");
+  unknown.load.prefill_tokens[2] = 300;
+  report.upstreams = {measured, unknown};
+  const std::vector<std::string> datagrams = EncodeReport(report);
+  REQUIRE(datagrams.size() == 1);
+  CHECK(DecodeReport(datagrams.front()) == report);
+  // A decoder that knows no speeds reads items in pairs after the first six.
+  const nlohmann::json items =
+      nlohmann::json::from_cbor(datagrams.front()).at(6);
+  REQUIRE(items.at(0).size() == 9);
+  CHECK(items.at(0).at(6) == 9);
+  CHECK(items.at(0).at(7) == 700);
+  CHECK(items.at(1).size() == 8);
+}
+
 TEST_CASE(
     "With more nodes reports are rarer, so that a node sends no more bytes",
     "[peers][scale]") {
