Quotas: urgent and small requests first near a workspace's limit

Cause: the bucket granted whoever asked while it sufficed. In a flood of six times the limit, calls of 200 tokens and urgent requests were refused as often as prompts of 12,000, and Retry-After named the time at which the level sufficed for the one request, so that clients returned before there was room.

Change: quota_priority decides around the bucket: once it has run short, less urgent and larger requests need a higher level, with a random part and a floor for each rank; Retry-After counts the requests told to return before. The quota step leaves relay_request for quota_admission. The record tells allotment_required and retry_after_ms; reason allotment_reserved.

--- a/src/skylarkcroft/limits/skylarkcroft_token_quotas.cc
+++ b/src/skylarkcroft/limits/skylarkcroft_token_quotas.cc
@@ -160,6 +160,15 @@
   return decision;
 }
 
+double token_quotas::Level(const std::string& workspace,
+                           const quota_limit& limit, size_t nodes,
+                           time_point now) {
+  const peer_freshness freshness = PeerFreshness(now);
+  const workspace_bucket& bucket =
+      RefilledBucket(workspace, limit, freshness, nodes, now);
+  return bucket.level - EstimateUnreported(bucket, freshness, now);
+}
+
 void token_quotas::Refund(const std::string& workspace, double amount) {
   const auto found = buckets_.find(workspace);
   if (found == buckets_.end()) {
--- a/src/skylarkcroft/limits/skylarkcroft_token_quotas.h
+++ b/src/skylarkcroft/limits/skylarkcroft_token_quotas.h
@@ -70,6 +70,9 @@
   /// number of known nodes, including this one and silent peers.
   quota_decision Take(const std::string& workspace, const quota_limit& limit,
                       double amount, size_t nodes, time_point now);
+  /// Tokens in the bucket, as Take() would find it.
+  double Level(const std::string& workspace, const quota_limit& limit,
+               size_t nodes, time_point now);
   /// Returns the tokens taken by a request that did not run.
   void Refund(const std::string& workspace, double amount);
   /// Takes in the reports of a peer. `incarnation` identifies its process,
--- a/src/skylarkcroft/relay/skylarkcroft_relay_environment.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_environment.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "skylarkcroft/internal/skylarkcroft_time.h"
+#include "skylarkcroft/limits/skylarkcroft_quota_priority.h"
 #include "skylarkcroft/limits/skylarkcroft_service_retry_budget.h"
 #include "skylarkcroft/limits/skylarkcroft_token_quotas.h"
 #include "skylarkcroft/placement/skylarkcroft_load_balancer.h"
@@ -30,6 +31,7 @@
   load_balancer& balancer;
   upstream_connections& connections;
   token_quotas& quotas;
+  quota_priority& quota_order;
   service_retry_budget& retries;
   part_quarantine& quarantine;
   request_quarantine& crashing_requests;
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -216,6 +216,7 @@
                                   balancer_,
                                   connections_,
                                   quotas_,
+                                  quota_order_,
                                   retries_,
                                   quarantine_,
                                   crashing_requests_,
@@ -681,6 +682,7 @@
   load_balancer balancer_;
   upstream_connections connections_;
   token_quotas quotas_;
+  quota_priority quota_order_{quota_priority_parameters{}};
   service_retry_budget retries_;
   part_quarantine quarantine_;
   request_quarantine crashing_requests_;
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -8,7 +8,7 @@
 
 #include "skylarkcroft/http/skylarkcroft_announcement.h"
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
-#include "skylarkcroft/peers/skylarkcroft_peer_report.h"
+#include "skylarkcroft/relay/skylarkcroft_quota_admission.h"
 #include "skylarkcroft/relay/skylarkcroft_request_forwarding.h"
 
 namespace skylarkcroft {
@@ -146,30 +146,18 @@
 }
 
 bool relay_request::AcquireQuota() {
-  const workspace_entry* workspace = gate_.workspace;
-  if (workspace == nullptr || workspace->tokens_per_second <= 0) {
-    return true;
-  }
-  quota_limit limit{workspace->tokens_per_second, workspace->burst_tokens};
-  double amount = 1;
-  if (workspace->counts_tokens) {
-    limit = WithTolerance(limit, environment_.quota_overage,
-                          ReportPeriod(environment_.node_count()));
-    const bool has_token_counts =
-        request_.head.headers.Has(environment_.names.token_counts);
-    amount = has_token_counts ? static_cast<double>(generation_.TotalTokens())
-                              : workspace->default_request_tokens;
-  }
-  const quota_decision decision =
-      environment_.quotas.Take(workspace->name, limit, amount,
-                               environment_.node_count(), environment_.clock());
-  record_.allotment_amount = amount;
-  record_.allotment_level = decision.level;
-  if (!decision.granted) {
-    RespondWithError(kTooManyRequests, "over_allotment", decision.wait);
+  quota_need need{gate_.workspace, gate_.route->rank, std::nullopt,
+                  RemainingTime(environment_.clock())};
+  if (request_.head.headers.Has(environment_.names.token_counts)) {
+    need.stated_tokens = static_cast<double>(generation_.TotalTokens());
+  }
+  const quota_admission admission = AdmitByQuota(environment_, need, record_);
+  if (!admission.reason.empty()) {
+    RespondWithError(kTooManyRequests, std::string(admission.reason),
+                     admission.retry_after);
     return false;
   }
-  acquired_tokens_ = amount;
+  acquired_tokens_ = admission.acquired;
   return true;
 }
 
@@ -980,6 +968,7 @@
   }
   if (retry_after.count() > 0) {
     headers.Add("Retry-After", FormatSeconds(retry_after));
+    record_.retry_after = retry_after;
   }
   response_.Send(status, headers, "{\"reason\":\"" + reason + "\"}",
                  std::nullopt);
--- a/src/skylarkcroft/relay/skylarkcroft_request_record.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_request_record.cc
@@ -45,6 +45,8 @@
       {"time_given_ms", Ms(record.time_given)},
       {"allotment_amount", WholeTokens(record.allotment_amount)},
       {"allotment_level", WholeTokens(record.allotment_level)},
+      {"allotment_required", WholeTokens(record.allotment_required)},
+      {"retry_after_ms", Ms(record.retry_after)},
       {"first_byte_ms", Ms(record.first_byte)},
       {"longest_pause_ms", Ms(record.longest_pause)},
       {"total_ms", Ms(record.total)},
--- a/src/skylarkcroft/relay/skylarkcroft_request_record.h
+++ b/src/skylarkcroft/relay/skylarkcroft_request_record.h
@@ -43,6 +43,10 @@
   /// left in it before the request, as far as this node knew.
   double allotment_amount = 0;
   double allotment_level = 0;
+  /// Tokens that had to be left: more than the request needs where some are
+  /// kept for more urgent or smaller requests.
+  double allotment_required = 0;
+  milliseconds retry_after{0};  ///< As told to the client; 0 if not.
   /// Time from arrival to the start of execution, as seen by this node.
   milliseconds first_byte{0};
   /// Longest pause between two reads from the upstream's response.
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -258,6 +258,7 @@
   load_balancer balancer{load_balancer_parameters{}};
   upstream_connections connections;
   token_quotas quotas{true};
+  quota_priority quota_order{quota_priority_parameters{}};
   service_retry_budget retries{service_retry_budget_parameters{}};
   part_quarantine quarantine{PartQuarantineOfRelay(),
                              [](const quarantine_event&) {}};
@@ -305,6 +306,7 @@
         balancer,
         connections,
         quotas,
+        quota_order,
         retries,
         quarantine,
         crashing_requests,
