Quotas: returning requests are expected at the granted rate

Cause: with half of that rate a burst of 1.5 s left more requests unserved. Measured in the model of tests/limits at 89 nodes: 2,100 of 2,544 requests of the burst granted (2,028 of 2,521 before); at six times the limit 1.13 refusals per finally refused request (1.11).

--- a/src/skylarkcroft/limits/skylarkcroft_quota_priority.cc
+++ b/src/skylarkcroft/limits/skylarkcroft_quota_priority.cc
@@ -50,16 +50,10 @@
   return std::max(needed, limit.burst * parameters_.rank_step * position);
 }
 
-double quota_priority::ReturnRate(const workspace_demand& demand, int rank,
+double quota_priority::ReturnRate(const workspace_demand& demand,
                                   time_point now) const {
-  const double granted = demand.granted_tokens.Value(now);
-  double asked = 0;
-  for (int i = 0; i <= rank; ++i) {
-    asked += demand.ranks.at(static_cast<size_t>(i)).asked_tokens.Value(now);
-  }
-  const double left =
-      std::max(granted - asked, parameters_.min_return_fraction * granted);
-  return left * std::numbers::ln2 / ToSeconds(parameters_.half_life);
+  return demand.granted_tokens.Value(now) * std::numbers::ln2 /
+         ToSeconds(parameters_.half_life);
 }
 
 milliseconds quota_priority::WaitForRoom(workspace_demand& demand,
@@ -67,11 +61,11 @@
                                          const quota_limit& limit,
                                          const quota_request& request, int rank,
                                          time_point now) const {
-  const double rate = ReturnRate(demand, rank, now);
+  const double rate = ReturnRate(demand, now);
   const double elapsed = ToSeconds(now - demand.returns_updated);
   demand.returns_updated = now;
   double ahead = 0;
-  double served = elapsed * ReturnRate(demand, 0, now);
+  double served = elapsed * rate;
   for (int i = 0; i < kRanks; ++i) {
     double& returning =
         demand.ranks.at(static_cast<size_t>(i)).returning_tokens;
@@ -111,7 +105,6 @@
   const int rank = std::clamp(request.rank, 0, kRanks - 1);
   rank_demand& own = demand.ranks.at(static_cast<size_t>(rank));
   own.asked.Add(1, now);
-  own.asked_tokens.Add(request.amount, now);
   const double needed = std::min(request.amount, limit.burst);
   if (level < needed) {
     demand.ordered = true;
--- a/src/skylarkcroft/limits/skylarkcroft_quota_priority.h
+++ b/src/skylarkcroft/limits/skylarkcroft_quota_priority.h
@@ -36,9 +36,6 @@
   double useful_fraction = 1.0 / 3;
   /// Fraction of a wait that is added at random.
   double jitter_fraction = 0.25;
-  /// Part of the granted tokens that is expected to be left for returning
-  /// requests even if the present demand takes everything.
-  double min_return_fraction = 0.5;
   milliseconds min_wait{100};
   milliseconds max_wait{60000};
 
@@ -86,9 +83,8 @@
  private:
   struct rank_demand {
     explicit rank_demand(milliseconds half_life)
-        : asked(half_life), asked_tokens(half_life), granted(half_life) {}
+        : asked(half_life), granted(half_life) {}
     decaying_sum asked;
-    decaying_sum asked_tokens;
     decaying_sum granted;
     /// Tokens of refused requests that were told to return and are due later.
     double returning_tokens = 0;
@@ -112,8 +108,9 @@
   /// Share of this node's recent requests that was granted.
   [[nodiscard]] static double GrantedShare(const workspace_demand& demand,
                                            time_point now);
-  /// Tokens per second expected to be left for returning requests of `rank`.
-  [[nodiscard]] double ReturnRate(const workspace_demand& demand, int rank,
+  /// Tokens per second granted recently. Returning requests are expected to be
+  /// served at this rate, since most bursts end before they are due.
+  [[nodiscard]] double ReturnRate(const workspace_demand& demand,
                                   time_point now) const;
   /// When there is room for the refused request, which counts as returning then
   /// if that is soon enough for its client.
