--- a/src/skylarkcroft/limits/skylarkcroft_quota_priority.cc
+++ b/src/skylarkcroft/limits/skylarkcroft_quota_priority.cc
@@ -4,20 +4,6 @@
 #include <numbers>
 
 namespace skylarkcroft {
-namespace {
-
-constexpr double kMillisPerSecond = 1000;
-
-milliseconds ToMilliseconds(double seconds) {
-  return milliseconds(
-      static_cast<milliseconds::rep>(kMillisPerSecond * seconds));
-}
-
-double ToSeconds(duration span) {
-  return std::chrono::duration<double>(span).count();
-}
-
-}  // namespace
 
 double quota_priority::GrantedShare(const workspace_demand& demand,
                                     time_point now) {
@@ -53,41 +39,7 @@
 double quota_priority::ReturnRate(const workspace_demand& demand,
                                   time_point now) const {
   return demand.granted_tokens.Value(now) * std::numbers::ln2 /
-         ToSeconds(parameters_.half_life);
-}
-
-milliseconds quota_priority::WaitForRoom(workspace_demand& demand,
-                                         double missing,
-                                         const quota_limit& limit,
-                                         const quota_request& request, int rank,
-                                         time_point now) const {
-  const double rate = ReturnRate(demand, now);
-  const double elapsed = ToSeconds(now - demand.returns_updated);
-  demand.returns_updated = now;
-  double ahead = 0;
-  double served = elapsed * rate;
-  for (int i = 0; i < kRanks; ++i) {
-    double& returning =
-        demand.ranks.at(static_cast<size_t>(i)).returning_tokens;
-    const double returned = std::min(returning, served);
-    returning -= returned;
-    served -= returned;
-    ahead += i <= rank ? returning : 0;
-  }
-  const double max_wait = ToSeconds(parameters_.max_wait);
-  const double until_level = missing / limit.per_second;
-  const double until_return = rate > 0 ? ahead / rate : 0;
-  const double wait = std::min(
-      max_wait,
-      std::max(until_level + until_return, ToSeconds(parameters_.min_wait)));
-  const double jitter = 1 + parameters_.jitter_fraction * request.jitter_draw;
-  const double useful =
-      parameters_.useful_fraction * ToSeconds(request.remaining);
-  if (wait > useful) {
-    return ToMilliseconds(wait * jitter);
-  }
-  demand.ranks.at(static_cast<size_t>(rank)).returning_tokens += request.amount;
-  return ToMilliseconds(std::min(wait * jitter, useful));
+         std::chrono::duration<double>(parameters_.half_life).count();
 }
 
 quota_priority_decision quota_priority::Decide(const std::string& workspace,
@@ -101,7 +53,7 @@
     return decision;
   }
   workspace_demand& demand =
-      workspaces_.try_emplace(workspace, parameters_.half_life).first->second;
+      workspaces_.try_emplace(workspace, parameters_).first->second;
   const int rank = std::clamp(request.rank, 0, kRanks - 1);
   rank_demand& own = demand.ranks.at(static_cast<size_t>(rank));
   own.asked.Add(1, now);
@@ -119,8 +71,11 @@
     return decision;
   }
   decision.reserved = level >= needed;
-  decision.wait = WaitForRoom(demand, decision.required_level - level, limit,
-                              request, rank, now);
+  decision.wait = demand.returns.Add(
+      {static_cast<size_t>(rank), request.amount,
+       (decision.required_level - level) / limit.per_second,
+       ReturnRate(demand, now), request.remaining, request.jitter_draw},
+      now);
   return decision;
 }
 
--- a/src/skylarkcroft/limits/skylarkcroft_quota_priority.h
+++ b/src/skylarkcroft/limits/skylarkcroft_quota_priority.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "skylarkcroft/internal/skylarkcroft_time.h"
+#include "skylarkcroft/limits/skylarkcroft_return_schedule.h"
 #include "skylarkcroft/limits/skylarkcroft_token_quotas.h"
 #include "skylarkcroft/placement/skylarkcroft_decaying_sum.h"
 
@@ -32,12 +33,7 @@
   /// Half-life of the demand and grants that are remembered. Nodes see few
   /// requests of one workspace in a second.
   milliseconds half_life{4000};
-  /// Clients honour a `Retry-After` up to this fraction of the time left.
-  double useful_fraction = 1.0 / 3;
-  /// Fraction of a wait that is added at random.
-  double jitter_fraction = 0.25;
-  milliseconds min_wait{100};
-  milliseconds max_wait{60000};
+  return_schedule_parameters returns;
 
   bool operator==(const quota_priority_parameters&) const = default;
 };
@@ -86,18 +82,18 @@
         : asked(half_life), granted(half_life) {}
     decaying_sum asked;
     decaying_sum granted;
-    /// Tokens of refused requests that were told to return and are due later.
-    double returning_tokens = 0;
   };
   struct workspace_demand {
-    explicit workspace_demand(milliseconds half_life)
-        : granted_tokens(half_life),
-          ranks{rank_demand(half_life), rank_demand(half_life),
-                rank_demand(half_life)} {}
+    explicit workspace_demand(const quota_priority_parameters& parameters)
+        : granted_tokens(parameters.half_life),
+          ranks{rank_demand(parameters.half_life),
+                rank_demand(parameters.half_life),
+                rank_demand(parameters.half_life)},
+          returns(parameters.returns, kRanks) {}
     bool ordered = false;
     decaying_sum granted_tokens;
     std::array<rank_demand, kRanks> ranks;
-    time_point returns_updated{};
+    return_schedule returns;
   };
 
   /// Tokens that have to be in the bucket for the request to be granted.
@@ -112,13 +108,6 @@
   /// served at this rate, since most bursts end before they are due.
   [[nodiscard]] double ReturnRate(const workspace_demand& demand,
                                   time_point now) const;
-  /// When there is room for the refused request, which counts as returning then
-  /// if that is soon enough for its client.
-  milliseconds WaitForRoom(workspace_demand& demand, double missing,
-                           const quota_limit& limit,
-                           const quota_request& request, int rank,
-                           time_point now) const;
-
   quota_priority_parameters parameters_;
   std::map<std::string, workspace_demand> workspaces_;
 };
