Relay settings: memory_mb and file_descriptors are accepted

Cause: the bound on what a node holds for others needs the memory and the descriptors of its host, and tests of the bound have to set them. Change: both are read, 0 or absent means no bound. Nothing goes by them yet.

--- a/src/skylarkcroft/relay/skylarkcroft_relay_settings.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_settings.cc
@@ -11,6 +11,8 @@
 
 constexpr double kMaxRetryReserve = 1e6;
 constexpr double kMaxOverageTokens = 1e9;
+constexpr int64_t kMaxMemoryMb = 1 << 20;
+constexpr int64_t kMaxFileDescriptors = 1 << 20;
 
 listen_addresses ParseListenAddresses(const json_reader& root) {
   const json_reader reader(root.Member("listen"), root.PathOf("listen"),
@@ -59,9 +61,10 @@
 }  // namespace
 
 relay_settings ParseRelaySettings(const nlohmann::json& document) {
-  const json_reader root(document, "$",
-                         {"node", "availability_zone", "first_start", "listen",
-                          "store", "cloud", "duties", "bounds", "log_level"});
+  const json_reader root(
+      document, "$",
+      {"node", "availability_zone", "first_start", "listen", "store", "cloud",
+       "duties", "bounds", "memory_mb", "file_descriptors", "log_level"});
   relay_settings parsed;
   parsed.name = root.Name("node");
   parsed.availability_zone = root.Name("availability_zone");
@@ -77,6 +80,9 @@
   parsed.reports_usage = is_enabled("usage");
   parsed.orders_fleet = is_enabled("fleet");
   parsed.bounds = ParseBounds(root);
+  parsed.memory_mb = root.IntOr("memory_mb", {0, kMaxMemoryMb}, 0);
+  parsed.file_descriptors =
+      root.IntOr("file_descriptors", {0, kMaxFileDescriptors}, 0);
   parsed.log_level = root.ChoiceOr(
       "log_level", {"trace", "debug", "info", "warn", "error"}, "info");
   return parsed;
--- a/src/skylarkcroft/relay/skylarkcroft_relay_settings.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_settings.h
@@ -55,6 +55,10 @@
   bool reports_usage = true;
   bool orders_fleet = true;
   relay_bounds bounds;
+  /// Memory of the node's host in MB (1,048,576 bytes); 0 means no bound.
+  int64_t memory_mb = 0;
+  /// File descriptors that the process may have open; 0 means no bound.
+  int64_t file_descriptors = 0;
   std::string log_level = "info";
 
   bool operator==(const relay_settings&) const = default;
