--- a/tests/relay_soak/relay_program.cc
+++ b/tests/relay_soak/relay_program.cc
@@ -38,17 +38,22 @@
 }
 
 void relay_program::WriteSettings() const {
-  const nlohmann::json settings = {
-      {"node", terms_.name},
-      {"availability_zone", terms_.availability_zone},
-      {"first_start", true},
-      {"listen",
-       {{"clients", ToString(clients_)},
-        {"readiness", ToString(readiness_)},
-        {"peers", ToString(peers_)},
-        {"metrics", ToString(metrics_)}}},
-      {"store", ToString(terms_.platform)},
-      {"cloud", ToString(terms_.platform)}};
+  nlohmann::json settings = {{"node", terms_.name},
+                             {"availability_zone", terms_.availability_zone},
+                             {"first_start", true},
+                             {"listen",
+                              {{"clients", ToString(clients_)},
+                               {"readiness", ToString(readiness_)},
+                               {"peers", ToString(peers_)},
+                               {"metrics", ToString(metrics_)}}},
+                             {"store", ToString(terms_.platform)},
+                             {"cloud", ToString(terms_.platform)}};
+  if (terms_.memory_mb > 0) {
+    settings["memory_mb"] = terms_.memory_mb;
+  }
+  if (terms_.file_descriptors > 0) {
+    settings["file_descriptors"] = terms_.file_descriptors;
+  }
   std::ofstream(SettingsPath()) << settings.dump(2);
 }
 
--- a/tests/relay_soak/relay_program.h
+++ b/tests/relay_soak/relay_program.h
@@ -3,6 +3,7 @@
 
 #include <sys/types.h>
 
+#include <cstdint>
 #include <string>
 
 #include "skylarkcroft/internal/skylarkcroft_endpoint.h"
@@ -16,6 +17,9 @@
   std::string name;
   std::string availability_zone;
   endpoint platform;
+  /// The settings of these names; left out where 0.
+  int64_t memory_mb = 0;
+  int64_t file_descriptors = 0;
 
   bool operator==(const relay_program_terms&) const = default;
 };
@@ -35,6 +39,8 @@
   void Kill();
   /// Whether the process has ended; notes it.
   bool HasEnded();
+  /// Process id; 0 while it does not run.
+  [[nodiscard]] pid_t pid() const { return pid_; }
   [[nodiscard]] bool running() const { return pid_ > 0; }
   [[nodiscard]] const endpoint& clients() const { return clients_; }
   [[nodiscard]] const std::string& name() const { return terms_.name; }
