Heads and bodies cost about as much memory as they have bytes

Cause: each line of a head was kept as two strings, up to 230 KB for a head of 16 KB; heads were read up to 64 KB whatever the limit, and kept twice; a body was kept up to three times, and doubled while it grew. Change: http_headers keeps all fields in one buffer. A head is bounded while it is read, by the limit in force, in bytes, lines and empty lines before it. The body of a request and a long answer are shared with the sockets' buffers instead of copied.

--- a/src/skylarkcroft/attempt/skylarkcroft_service_request.cc
+++ b/src/skylarkcroft/attempt/skylarkcroft_service_request.cc
@@ -5,7 +5,7 @@
 namespace skylarkcroft {
 namespace {
 
-bool IsForwardedHeader(const std::string& name) {
+bool IsForwardedHeader(std::string_view name) {
   for (const char* field :
        {"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length",
         "Upgrade", "TE", "Host", "Authorization", "X-Request-Id", "X-Caller",
@@ -25,7 +25,7 @@
   forwarded.method = request.original.method;
   forwarded.target = request.original.target;
   forwarded.body = request.original.body;
-  for (const http_header& field : request.original.headers.fields()) {
+  for (const header_view field : request.original.headers.fields()) {
     if (IsForwardedHeader(field.name)) {
       forwarded.headers.Add(field.name, field.value);
     }
--- a/src/skylarkcroft/claims/skylarkcroft_claim_record.cc
+++ b/src/skylarkcroft/claims/skylarkcroft_claim_record.cc
@@ -27,7 +27,7 @@
 
 nlohmann::json EncodeResponse(const http_response& response) {
   nlohmann::json headers = nlohmann::json::array();
-  for (const http_header& field : response.headers.fields()) {
+  for (const header_view field : response.headers.fields()) {
     headers.push_back({field.name, field.value});
   }
   // A body need not be UTF-8, but a JSON string must be: each byte is encoded
--- a/src/skylarkcroft/deferred/skylarkcroft_deferred_record.cc
+++ b/src/skylarkcroft/deferred/skylarkcroft_deferred_record.cc
@@ -13,7 +13,7 @@
 
 nlohmann::json EncodeHeaders(const http_headers& headers) {
   nlohmann::json fields = nlohmann::json::array();
-  for (const http_header& field : headers.fields()) {
+  for (const header_view field : headers.fields()) {
     fields.push_back({field.name, field.value});
   }
   return fields;
--- a/src/skylarkcroft/http/skylarkcroft_connection_table.cc
+++ b/src/skylarkcroft/http/skylarkcroft_connection_table.cc
@@ -29,8 +29,8 @@
   failure.status = kRequestTimeout;
   const http_response response = ToResponse(failure);
   std::string text = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n";
-  for (const http_header& field : response.headers.fields()) {
-    text += field.name + ": " + field.value + "\r\n";
+  for (const header_view field : response.headers.fields()) {
+    text.append(field.name).append(": ").append(field.value).append("\r\n");
   }
   return text + "Content-Length: " + std::to_string(response.body.size()) +
          "\r\n\r\n" + response.body;
--- a/src/skylarkcroft/http/skylarkcroft_http_client.cc
+++ b/src/skylarkcroft/http/skylarkcroft_http_client.cc
@@ -301,8 +301,9 @@
                                      call_state* state) {
     evhttp_request* raw = evhttp_request_new(&impl::OnDone, state);
     evkeyvalq* output = evhttp_request_get_output_headers(raw);
-    for (const http_header& field : request.headers.fields()) {
-      evhttp_add_header(output, field.name.c_str(), field.value.c_str());
+    for (const header_view field : request.headers.fields()) {
+      evhttp_add_header(output, std::string(field.name).c_str(),
+                        std::string(field.value).c_str());
     }
     if (!request.headers.Has("Host")) {
       evhttp_add_header(output, "Host", ToString(peer).c_str());
--- a/src/skylarkcroft/http/skylarkcroft_http_message.h
+++ b/src/skylarkcroft/http/skylarkcroft_http_message.h
@@ -1,38 +1,93 @@
 #ifndef SKYLARKCROFT_HTTP_SKYLARKCROFT_HTTP_MESSAGE_H_
 #define SKYLARKCROFT_HTTP_SKYLARKCROFT_HTTP_MESSAGE_H_
 
+#include <cstddef>
+#include <initializer_list>
+#include <iterator>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace skylarkcroft {
 
+/// One header field of an http_headers; valid until that changes or ends.
+struct header_view {
+  std::string_view name;
+  std::string_view value;
+
+  bool operator==(const header_view&) const = default;
+};
+
 /// One header field; names compare without regard to case.
 struct http_header {
   std::string name;
   std::string value;
 
+  operator header_view() const { return {name, value}; }
   bool operator==(const http_header&) const = default;
 };
 
-/// Ordered header fields.
+/// The fields of an http_headers, in their order.
+class header_range {
+ public:
+  class iterator {
+   public:
+    using iterator_category = std::input_iterator_tag;
+    using value_type = header_view;
+    using difference_type = std::ptrdiff_t;
+    using pointer = const header_view*;
+    using reference = header_view;
+
+    explicit iterator(std::string_view rest) : rest_(rest) { Decode(); }
+    header_view operator*() const { return field_; }
+    const header_view* operator->() const { return &field_; }
+    iterator& operator++() {
+      Decode();
+      return *this;
+    }
+    bool operator==(const iterator& other) const {
+      return field_.name.data() == other.field_.name.data();
+    }
+
+   private:
+    /// Takes the next field off `rest_`; leaves an empty one at the end.
+    void Decode();
+
+    std::string_view rest_;
+    header_view field_;
+  };
+
+  explicit header_range(std::string_view encoded) : encoded_(encoded) {}
+  [[nodiscard]] iterator begin() const { return iterator(encoded_); }
+  [[nodiscard]] static iterator end() { return iterator({}); }
+  /// Must not be called where there are no fields.
+  [[nodiscard]] header_view front() const { return *begin(); }
+
+ private:
+  std::string_view encoded_;
+};
+
+/// Ordered header fields, kept in one buffer: a field costs its bytes and two
+/// to ten for their lengths, so that many short fields cost about as much
+/// memory as they have bytes.
 class http_headers {
  public:
   http_headers() = default;
-  http_headers(std::initializer_list<http_header> fields) : fields_(fields) {}
+  http_headers(std::initializer_list<http_header> fields);
 
-  void Add(std::string name, std::string value);
+  void Add(std::string_view name, std::string_view value);
   /// Value of the first field called `name`, or an empty string.
   [[nodiscard]] std::string Get(std::string_view name) const;
   [[nodiscard]] bool Has(std::string_view name) const;
-  [[nodiscard]] const std::vector<http_header>& fields() const {
-    return fields_;
-  }
+  [[nodiscard]] header_range fields() const { return header_range(encoded_); }
+  /// Memory that the fields take, in bytes.
+  [[nodiscard]] size_t storage_bytes() const { return encoded_.capacity(); }
 
   bool operator==(const http_headers&) const = default;
 
  private:
-  std::vector<http_header> fields_;
+  /// For each field the lengths of its name and value, seven bits a byte, then
+  /// the name and the value.
+  std::string encoded_;
 };
 
 /// A whole request, as received or to be sent. `target` is the path with its
--- a/src/skylarkcroft/http/skylarkcroft_http_server.cc
+++ b/src/skylarkcroft/http/skylarkcroft_http_server.cc
@@ -214,8 +214,9 @@
 
   void AddHeaders(const http_headers& headers) {
     evkeyvalq* output = evhttp_request_get_output_headers(raw_);
-    for (const http_header& field : headers.fields()) {
-      evhttp_add_header(output, field.name.c_str(), field.value.c_str());
+    for (const header_view field : headers.fields()) {
+      evhttp_add_header(output, std::string(field.name).c_str(),
+                        std::string(field.value).c_str());
     }
   }
 
--- a/src/skylarkcroft/node/skylarkcroft_answer_writer.cc
+++ b/src/skylarkcroft/node/skylarkcroft_answer_writer.cc
@@ -15,7 +15,7 @@
 constexpr const char* kRequestIdHeader = "X-Request-Id";
 
 // Fields that describe one connection and are not passed on (RFC 9110, 7.6.1).
-bool IsConnectionField(const std::string& name) {
+bool IsConnectionField(std::string_view name) {
   for (const char* field :
        {"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length",
         "Upgrade", "Trailer", "TE", "Date"}) {
@@ -136,7 +136,7 @@
   reply.status = source_->response()->status;
   reply.body = source_->response()->body;
   reply.headers.Add(kRequestIdHeader, form_.request_id);
-  for (const http_header& field : source_->response()->headers.fields()) {
+  for (const header_view field : source_->response()->headers.fields()) {
     if (IsConnectionField(field.name) ||
         EqualsIgnoringCase(field.name, kRequestIdHeader)) {
       continue;
--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
@@ -14,10 +14,15 @@
 constexpr int kBadRequest = 400;
 constexpr int kContentTooLarge = 413;
 constexpr int kHeaderFieldsTooLarge = 431;
-constexpr size_t kMaxHeadBytes = 65536;
 // A client whose request was rejected early may still be sending. Closing at
 // once would reset the connection, and the client could lose the response.
 constexpr milliseconds kLingerTimeout{1000};
+// A longer answer is written without a copy of it.
+constexpr size_t kMaxCopiedBytes = 4096;
+// A body of unknown length that is larger than this gets room for the largest
+// body at once: pages that are not written take no memory, and doubling would
+// keep up to three times the body while it is copied.
+constexpr size_t kGrownBodyBytes = 262144;
 // A time limit that has passed does not end a request while bytes of it lie
 // unread: they came while the loop did not read. So many sweeps later it does,
 // as the client then keeps sending.
@@ -33,8 +38,8 @@
                                      std::function<void()> on_closed)
     : environment_(environment),
       on_closed_(std::move(on_closed)),
-      reader_(message_kind::kRequest, kMaxHeadBytes,
-              {[this](const message_head& head) { OnHead(head); },
+      reader_(message_kind::kRequest, CurrentLimits().max_head_bytes,
+              {[this](message_head&& head) { OnHead(std::move(head)); },
                [this](std::string_view bytes) { OnBody(bytes); }}),
       limits_(CurrentLimits()),
       idle_since_(environment.clock()),
@@ -48,6 +53,11 @@
   return LimitsInForce(environment_);
 }
 
+void client_connection::RestartLimits() {
+  limits_.Restart(CurrentLimits());
+  reader_.SetMaxHeadBytes(limits_.limits().max_head_bytes);
+}
+
 size_t client_connection::OnBytes(std::string_view bytes) {
   if (closing_) {
     return bytes.size();
@@ -60,7 +70,7 @@
     incoming_ = client_request{};
     incoming_.arrived_at = environment_.clock();
     sweeps_past_limit_ = 0;
-    limits_.Restart(CurrentLimits());
+    RestartLimits();
     head_received_ = false;
   }
   const read_progress progress = reader_.Feed(bytes);
@@ -83,23 +93,18 @@
   return bytes.size();
 }
 
-void client_connection::OnHead(const message_head& head) {
+void client_connection::OnHead(message_head&& received) {
   head_received_ = true;
-  incoming_.head = head;
+  incoming_.head = std::move(received);
+  const message_head& head = incoming_.head;
   ends_with_connection_ = head.is_http_1_0;
   keep_alive_ = head.keep_alive && !ends_with_connection_;
-  size_t head_bytes = head.target.size();
-  for (const http_header& field : head.headers.fields()) {
-    head_bytes += field.name.size() + field.value.size();
-  }
-  if (head_bytes > limits_.limits().max_head_bytes) {
-    Reject(kHeaderFieldsTooLarge, "head_too_large");
-    return;
-  }
-  if (head.content_length.value_or(0) > limits_.limits().max_body_bytes) {
+  const size_t body_bytes = head.content_length.value_or(0);
+  if (body_bytes > limits_.limits().max_body_bytes) {
     Reject(kContentTooLarge, "body_too_large");
     return;
   }
+  incoming_.body.reserve(body_bytes);
   if (EqualsIgnoringCase(head.headers.Get("Expect"), "100-continue")) {
     socket_.Write("HTTP/1.1 100 Continue\r\n\r\n");
   }
@@ -109,10 +114,15 @@
   if (closing_) {
     return;
   }
-  if (incoming_.body.size() + bytes.size() > limits_.limits().max_body_bytes) {
+  const size_t limit = limits_.limits().max_body_bytes;
+  const size_t size = incoming_.body.size() + bytes.size();
+  if (size > limit) {
     Reject(kContentTooLarge, "body_too_large");
     return;
   }
+  if (size > incoming_.body.capacity() && size > kGrownBodyBytes) {
+    incoming_.body.reserve(limit);
+  }
   incoming_.body.append(bytes);
 }
 
@@ -200,7 +210,7 @@
   }
   std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
   head.append(ReasonPhrase(status)).append("\r\n");
-  for (const http_header& field : headers.fields()) {
+  for (const header_view field : headers.fields()) {
     head.append(field.name).append(": ").append(field.value).append("\r\n");
   }
   head.append(framing);
@@ -209,12 +219,16 @@
 }
 
 void client_connection::Send(int status, const http_headers& headers,
-                             std::string_view body,
+                             std::string body,
                              std::optional<uint64_t> stated_length) {
   const uint64_t length = stated_length.value_or(body.size());
   WriteHead(status, headers,
             "Content-Length: " + std::to_string(length) + "\r\n");
-  socket_.Write(body);
+  if (body.size() > kMaxCopiedBytes) {
+    socket_.WriteShared(std::make_shared<const std::string>(std::move(body)));
+  } else {
+    socket_.Write(body);
+  }
   OnResponseFinished();
 }
 
@@ -276,7 +290,7 @@
     return;
   }
   reader_.Reset();
-  limits_.Restart(CurrentLimits());
+  RestartLimits();
   idle_since_ = environment_.clock();
   delivery_.Restart(idle_since_);
   socket_.DeliverUnread();
--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.h
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.h
@@ -35,6 +35,7 @@
   /// Takes in that other limits for clients are in force.
   void OnLimitsChanged(const client_limits& in_force) {
     limits_.OnChange(in_force);
+    reader_.SetMaxHeadBytes(limits_.limits().max_head_bytes);
   }
   /// Closes the connection unless it is reading or serving a request, or one
   /// lies unread.
@@ -54,7 +55,7 @@
   /// it does.
   [[nodiscard]] std::optional<time_point> idle_since() const;
 
-  void Send(int status, const http_headers& headers, std::string_view body,
+  void Send(int status, const http_headers& headers, std::string body,
             std::optional<uint64_t> stated_length) override;
   void StartChunked(int status, const http_headers& headers) override;
   void WriteChunk(std::string_view bytes) override;
@@ -67,7 +68,7 @@
 
  private:
   size_t OnBytes(std::string_view bytes);
-  void OnHead(const message_head& head);
+  void OnHead(message_head&& head);
   void OnBody(std::string_view bytes);
   void OnRequest();
   void OnClosed();
@@ -88,6 +89,8 @@
   [[nodiscard]] bool IsPartlyRead() const {
     return request_ == nullptr && !closing_ && reader_.started();
   }
+  /// Begins a period of the limits for clients.
+  void RestartLimits();
   [[nodiscard]] client_limits CurrentLimits() const;
   void End(client_end_reason reason);
   void RequestDestruction();
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -41,6 +41,8 @@
                              client_request request, response_writer& response)
     : environment_(environment),
       request_(std::move(request)),
+      body_(std::make_shared<const std::string>(
+          std::exchange(request_.body, {}))),
       response_(response),
       crashes_(environment.quarantine, environment.crashing_requests,
                [&environment] { environment.on_quarantine_changed(); }) {}
@@ -130,7 +132,7 @@
   }
   const request_key key =
       MakeRequestKey({service_name_, request_.head.method, request_.head.target,
-                      record_.workspace, request_.body});
+                      record_.workspace, *body_});
   record_.request_key = ToString(std::vector<part_key>{key});
   crashes_.SetRequest(std::move(prompt), key);
 }
@@ -243,8 +245,8 @@
     fields.urgency = urgency_;
   }
   fields.last_event_id = events_.last_id();
-  return FormatUpstreamRequest(request_.head, request_.body, fields,
-                               environment_.names);
+  return FormatUpstreamHead(request_.head, body_->size(), fields,
+                            environment_.names);
 }
 
 relay_request::attempt_ptr relay_request::SendTo(const placement& placed) {
@@ -257,13 +259,16 @@
   sent->is_trial = crashes_.RecordSending(now);
   environment_.balancer.RecordRequestSent(placed.upstream.id, placed.work,
                                           generation_, now);
-  const exchange_request request{
-      placed.upstream.id,    placed.upstream.address,
-      FormatRequest(placed), environment_.names.request_id,
-      request_id_,           request_.head.method == "HEAD"};
+  exchange_request request{placed.upstream.id,
+                           placed.upstream.address,
+                           FormatRequest(placed),
+                           body_,
+                           environment_.names.request_id,
+                           request_id_,
+                           request_.head.method == "HEAD"};
   attempt& from = *sent;
   sent->exchange = environment_.connections.Start(
-      request,
+      std::move(request),
       {[this, &from](const message_head& head) { OnHead(from, head); },
        [this, &from](std::string_view bytes) { OnBody(from, bytes); },
        [this, &from](exchange_result result) { OnEnd(from, result); }});
@@ -550,9 +555,9 @@
   const message_head& head = *attempt_->head;
   const int status = head.status;
   const bool head_only = request_.head.method == "HEAD";
-  response_.Send(status, ClientResponseHeaders(head), attempt_->body,
-                 head_only ? head.content_length : std::nullopt);
   crashes_.RecordWholeResponse(*attempt_, status, environment_.clock());
+  response_.Send(status, ClientResponseHeaders(head), std::move(attempt_->body),
+                 head_only ? head.content_length : std::nullopt);
   CloseAttempt(status < kFirstServerError ? upstream_outcome::kSuccess
                                           : upstream_outcome::kFailure);
   RecordEnd(status, "answered");
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -164,7 +164,8 @@
   void RecordEnd(int status, const std::string& reason);
 
   relay_environment& environment_;
-  client_request request_;
+  client_request request_;  ///< Without the body.
+  std::shared_ptr<const std::string> body_;
   response_writer& response_;
   tables_snapshot tables_;
   gate_decision gate_;
--- a/src/skylarkcroft/relay/skylarkcroft_request_forwarding.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_request_forwarding.cc
@@ -41,7 +41,7 @@
 // Header names listed in the Connection headers; they are hop-by-hop, too.
 std::vector<std::string> ConnectionOptions(const http_headers& headers) {
   std::vector<std::string> options;
-  for (const http_header& field : headers.fields()) {
+  for (const header_view field : headers.fields()) {
     if (!EqualsIgnoringCase(field.name, "Connection")) {
       continue;
     }
@@ -83,17 +83,16 @@
 
 }  // namespace
 
-std::string FormatUpstreamRequest(const message_head& head,
-                                  const std::string& body,
-                                  const forwarding_fields& fields,
-                                  const header_names& names) {
+std::string FormatUpstreamHead(const message_head& head, size_t body_bytes,
+                               const forwarding_fields& fields,
+                               const header_names& names) {
   constexpr size_t kTypicalHeadBytes = 512;
   std::string out;
-  out.reserve(kTypicalHeadBytes + body.size());
+  out.reserve(kTypicalHeadBytes);
   out.append(head.method).append(" ").append(head.target);
   out.append(" HTTP/1.1\r\n");
   const std::vector<std::string> options = ConnectionOptions(head.headers);
-  for (const http_header& field : head.headers.fields()) {
+  for (const header_view field : head.headers.fields()) {
     if (IsHopByHop(field.name, options) ||
         IsReplacedByRelay(field.name, fields, names)) {
       continue;
@@ -112,17 +111,17 @@
     AddField(out, names.last_event_id, std::to_string(*fields.last_event_id));
   }
   const bool framed = head.chunked || head.content_length.has_value();
-  if (framed || !body.empty()) {
-    AddField(out, "Content-Length", std::to_string(body.size()));
+  if (framed || body_bytes > 0) {
+    AddField(out, "Content-Length", std::to_string(body_bytes));
   }
-  out.append("\r\n").append(body);
+  out.append("\r\n");
   return out;
 }
 
 http_headers ClientResponseHeaders(const message_head& head) {
   const std::vector<std::string> options = ConnectionOptions(head.headers);
   http_headers forwarded;
-  for (const http_header& field : head.headers.fields()) {
+  for (const header_view field : head.headers.fields()) {
     if (!IsHopByHop(field.name, options)) {
       forwarded.Add(field.name, field.value);
     }
--- a/src/skylarkcroft/relay/skylarkcroft_request_forwarding.h
+++ b/src/skylarkcroft/relay/skylarkcroft_request_forwarding.h
@@ -1,6 +1,7 @@
 #ifndef SKYLARKCROFT_RELAY_SKYLARKCROFT_REQUEST_FORWARDING_H_
 #define SKYLARKCROFT_RELAY_SKYLARKCROFT_REQUEST_FORWARDING_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -24,12 +25,12 @@
   bool operator==(const forwarding_fields&) const = default;
 };
 
-/// Serializes the request to an upstream. Client headers are copied except
+/// Serializes the head of the request to an upstream, to which a body of
+/// `body_bytes` follows. Client headers are copied except
 /// hop-by-hop headers and those that only the relay may set.
-std::string FormatUpstreamRequest(const message_head& head,
-                                  const std::string& body,
-                                  const forwarding_fields& fields,
-                                  const header_names& names);
+std::string FormatUpstreamHead(const message_head& head, size_t body_bytes,
+                               const forwarding_fields& fields,
+                               const header_names& names);
 
 /// The upstream's response headers for the client, without hop-by-hop and
 /// framing headers.
--- a/src/skylarkcroft/relay/skylarkcroft_response_writer.h
+++ b/src/skylarkcroft/relay/skylarkcroft_response_writer.h
@@ -17,8 +17,7 @@
 
   /// Sends a complete response. `stated_length` overrides Content-Length where
   /// the response has no body, as for HEAD.
-  virtual void Send(int status, const http_headers& headers,
-                    std::string_view body,
+  virtual void Send(int status, const http_headers& headers, std::string body,
                     std::optional<uint64_t> stated_length) = 0;
   /// Starts a response of unknown length.
   virtual void StartChunked(int status, const http_headers& headers) = 0;
--- a/src/skylarkcroft/relay/skylarkcroft_upstream_connections.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_upstream_connections.cc
@@ -175,11 +175,18 @@
     kept_ = std::exchange(connection_->used, true);
     connection_->last_request = request_.id;
     const connection_parameters& limits = owner_.parameters_;
+    const size_t body_bytes =
+        request_.body == nullptr ? 0 : request_.body->size();
     const bool may_wait_unread =
-        request_.bytes.size() > limits.max_buffered_request;
+        request_.head.size() + body_bytes > limits.max_buffered_request;
     connection_->socket().SetAckTimeout(
         may_wait_unread ? limits.unread_limit : limits.unacknowledged_limit);
-    connection_->socket().Write(request_.bytes);
+    connection_->socket().Write(request_.head);
+    if (body_bytes > 0) {
+      connection_->socket().WriteShared(request_.body);
+    }
+    request_.head = {};
+    request_.body = nullptr;
   }
 
   void OnHead(const message_head& head) {
@@ -294,17 +301,21 @@
 
 upstream_connections::~upstream_connections() = default;
 
-exchange_ptr upstream_connections::Start(const exchange_request& request,
+exchange_ptr upstream_connections::Start(exchange_request request,
                                          exchange_events events) {
-  auto started = std::make_shared<exchange>(*this, request, std::move(events));
-  std::list<connection_ptr>& idle = idle_[request.upstream_id];
+  const std::string upstream_id = request.upstream_id;
+  const std::string request_id = request.id;
+  const endpoint address = request.address;
+  auto started =
+      std::make_shared<exchange>(*this, std::move(request), std::move(events));
+  std::list<connection_ptr>& idle = idle_[upstream_id];
   while (!idle.empty()) {
     const connection_ptr newest = idle.back();
     idle.pop_back();
     const bool fresh = clock_() - newest->idle_since < newest->idle_limit;
     // A late copy of the response to the same request, sent there before,
     // could not be told from the response to this one.
-    const bool same_request = newest->last_request == request.id;
+    const bool same_request = newest->last_request == request_id;
     if (newest->usable() && fresh && !same_request &&
         !newest->socket().HasUnread()) {
       started->Attach(newest);
@@ -314,8 +325,8 @@
   on_opened_();
   connecting_[started.get()] = started;
   try {
-    started->Attach(std::make_shared<connection>(
-        loop_, request.upstream_id, request.address, parameters_, clock_()));
+    started->Attach(std::make_shared<connection>(loop_, upstream_id, address,
+                                                 parameters_, clock_()));
   } catch (const network_error&) {
     // No file descriptor is free: reported like any other failure to connect.
     loop_.Defer([started] { started->FailConnecting(); });
--- a/src/skylarkcroft/relay/skylarkcroft_upstream_connections.h
+++ b/src/skylarkcroft/relay/skylarkcroft_upstream_connections.h
@@ -62,7 +62,10 @@
 struct exchange_request {
   std::string upstream_id;
   endpoint address;
-  std::string bytes;      ///< The complete serialized request.
+  std::string head;  ///< The serialized request without its body.
+  /// Shared with the request, so that every attempt sends the same bytes; null
+  /// for none.
+  std::shared_ptr<const std::string> body;
   std::string id_header;  ///< Name of the request id header.
   std::string id;         ///< Request id; empty if the client sent none.
   /// The response has no body, as for HEAD.
@@ -103,7 +106,7 @@
 
   /// Sends `request` on an idle connection to the upstream, or else on a new
   /// one. A failure to connect is reported through `events`.
-  [[nodiscard]] exchange_ptr Start(const exchange_request& request,
+  [[nodiscard]] exchange_ptr Start(exchange_request request,
                                    exchange_events events);
   /// Connects to the upstream ahead of its next request, and keeps the
   /// connection if it is accepted. `on_result` is not called from within this
--- a/src/skylarkcroft/wire/skylarkcroft_message_reader.cc
+++ b/src/skylarkcroft/wire/skylarkcroft_message_reader.cc
@@ -9,6 +9,12 @@
 namespace {
 
 constexpr int kFirstFinalStatus = 200;
+// "a:" and its line break.
+constexpr size_t kShortestLineBytes = 4;
+// Lines and bytes that a head may have beside those that its limit allows, so
+// that a small limit leaves room for the request line and usual separators.
+constexpr size_t kSpareLines = 64;
+constexpr size_t kSpareBytes = 1024;
 
 bool IsTokenChar(char c) {
   constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
@@ -21,7 +27,7 @@
   return static_cast<unsigned char>(c) < kFirstPrintable && c != '\t';
 }
 
-bool IsValidField(const http_header& field) {
+bool IsValidField(const header_view& field) {
   return !field.name.empty() &&
          std::all_of(field.name.begin(), field.name.end(), IsTokenChar) &&
          std::none_of(field.value.begin(), field.value.end(), IsControl);
@@ -31,7 +37,7 @@
 // Transfer-Encoding with the value "chunked".
 bool IsValidFraming(const message_head& head) {
   int framing_fields = 0;
-  for (const http_header& field : head.headers.fields()) {
+  for (const header_view field : head.headers.fields()) {
     const bool length = EqualsIgnoringCase(field.name, "Content-Length");
     const bool coding = EqualsIgnoringCase(field.name, "Transfer-Encoding");
     if (!length && !coding) {
@@ -78,11 +84,13 @@
     started_ = started_ || !bytes.empty();
     const size_t consumed =
         http_parser_execute(&parser_, &Callbacks(), bytes.data(), bytes.size());
+    // Where the head ends in these bytes, its lines and fields bound it.
+    raw_head_bytes_ += in_head_ ? consumed : 0;
     if (ended_) {
       return {consumed, read_state::kEnded};
     }
     const bool failed = HTTP_PARSER_ERRNO(&parser_) != HPE_OK;
-    if (head_bytes_ > max_head_bytes_) {
+    if (IsHeadTooLarge()) {
       return {consumed, read_state::kTooLarge};
     }
     if (failed || malformed_ || parser_.upgrade != 0) {
@@ -96,7 +104,14 @@
     return ended_ ? read_state::kEnded : read_state::kMalformed;
   }
 
+  void SetMaxHeadBytes(size_t max_head_bytes) {
+    max_head_bytes_ = max_head_bytes;
+  }
   [[nodiscard]] bool started() const { return started_; }
+  [[nodiscard]] size_t held_bytes() const {
+    return head_.headers.storage_bytes() + head_.target.capacity() +
+           name_.capacity() + value_.capacity();
+  }
 
  private:
   static impl& Of(http_parser* parser) {
@@ -143,15 +158,23 @@
 
   void ClearHead() {
     head_ = message_head{};
-    name_.clear();
-    value_.clear();
+    name_ = {};
+    value_ = {};
     in_value_ = false;
     head_bytes_ = 0;
+    raw_head_bytes_ = 0;
+    lines_ = 0;
+  }
+
+  [[nodiscard]] bool IsHeadTooLarge() const {
+    return head_bytes_ > max_head_bytes_ ||
+           lines_ > max_head_bytes_ / kShortestLineBytes + kSpareLines ||
+           raw_head_bytes_ > 2 * max_head_bytes_ + kSpareBytes;
   }
 
   int CountHeadBytes(size_t size) {
     head_bytes_ += in_head_ ? size : 0;
-    return head_bytes_ > max_head_bytes_ ? -1 : 0;
+    return IsHeadTooLarge() ? -1 : 0;
   }
 
   // Adds the current field to the head. http_parser passes names and values in
@@ -162,10 +185,9 @@
       return;
     }
     if (in_head_) {
-      const http_header field{std::exchange(name_, {}),
-                              std::exchange(value_, {})};
-      malformed_ = malformed_ || !IsValidField(field);
-      head_.headers.Add(field.name, field.value);
+      ++lines_;
+      malformed_ = malformed_ || !IsValidField({name_, value_});
+      head_.headers.Add(name_, value_);
     }
     name_.clear();
     value_.clear();
@@ -175,6 +197,8 @@
   int OnHead() {
     CompleteField();
     in_head_ = false;
+    name_ = {};
+    value_ = {};
     head_.status = parser_.status_code;
     if (kind_ == message_kind::kRequest) {
       head_.method = http_method_str(static_cast<http_method>(parser_.method));
@@ -191,7 +215,7 @@
       malformed_ = true;
       return -1;
     }
-    events_.on_head(head_);
+    events_.on_head(std::move(head_));
     return head_only_ ? 1 : 0;
   }
 
@@ -214,7 +238,9 @@
   message_head head_;
   std::string name_;
   std::string value_;
-  size_t head_bytes_ = 0;
+  size_t head_bytes_ = 0;      ///< Of the target, names and values.
+  size_t raw_head_bytes_ = 0;  ///< All bytes read before the head's last.
+  size_t lines_ = 0;
   bool in_value_ = false;
   bool in_head_ = true;
   bool head_only_ = false;
@@ -237,6 +263,12 @@
 
 void message_reader::Reset(bool head_only) { impl_->Reset(head_only); }
 
+void message_reader::SetMaxHeadBytes(size_t max_head_bytes) {
+  impl_->SetMaxHeadBytes(max_head_bytes);
+}
+
+size_t message_reader::held_bytes() const { return impl_->held_bytes(); }
+
 bool message_reader::started() const { return impl_->started(); }
 
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/wire/skylarkcroft_message_reader.h
+++ b/src/skylarkcroft/wire/skylarkcroft_message_reader.h
@@ -35,7 +35,8 @@
   kEnded,      ///< The message is complete; later bytes were not consumed.
   kMalformed,  ///< The bytes are not a valid message, or its framing is
                ///< ambiguous.
-  kTooLarge,   ///< The head exceeds max_head_bytes.
+  kTooLarge,   ///< The head exceeds max_head_bytes, has more lines than fit
+               ///< into them, or is preceded by too many empty lines.
 };
 
 struct read_progress {
@@ -47,13 +48,20 @@
 
 /// Callbacks of a message_reader; all must be set.
 struct message_events {
-  std::function<void(const message_head&)> on_head;
+  /// May move from the head.
+  std::function<void(message_head&&)> on_head;
   std::function<void(std::string_view)> on_body;
 };
 
 /// Incremental parser of HTTP/1.1 messages, based on http_parser. Rejects
 /// framing that two parsers could interpret differently, to prevent request
 /// smuggling.
+///
+/// A head is bounded while it is read: the bytes of its target, names and
+/// values by max_head_bytes, its lines by as many of the shortest lines as fit
+/// into that, and all its bytes, with empty lines before it and white space, by
+/// twice that and a little more. A head that has max_head_bytes as sent meets
+/// none of the bounds.
 class message_reader {
  public:
   message_reader(message_kind kind, size_t max_head_bytes,
@@ -62,6 +70,8 @@
   message_reader(const message_reader&) = delete;
   message_reader& operator=(const message_reader&) = delete;
 
+  /// Changes the limit of the current message and those after it.
+  void SetMaxHeadBytes(size_t max_head_bytes);
   /// Parses `bytes` up to the end of the current message.
   read_progress Feed(std::string_view bytes);
   /// Handles the end of the peer's stream. Returns kEnded if the message is
@@ -72,6 +82,8 @@
   void Reset(bool head_only = false);
   /// True once a byte of the current message was read.
   [[nodiscard]] bool started() const;
+  /// Memory that the head takes, in bytes, until on_head is called.
+  [[nodiscard]] size_t held_bytes() const;
 
  private:
   class impl;
--- a/src/skylarkcroft/wire/skylarkcroft_stream_socket.cc
+++ b/src/skylarkcroft/wire/skylarkcroft_stream_socket.cc
@@ -140,6 +140,22 @@
   bufferevent_write(impl_->handle(), bytes.data(), bytes.size());
 }
 
+void stream_socket::WriteShared(std::shared_ptr<const std::string> bytes) {
+  using reference = std::shared_ptr<const std::string>;
+  auto kept = std::make_unique<reference>(std::move(bytes));
+  evbuffer* output = bufferevent_get_output(impl_->handle());
+  const int failure = evbuffer_add_reference(
+      output, (*kept)->data(), (*kept)->size(),
+      [](const void* /*data*/, size_t /*size*/, void* context) {
+        delete static_cast<reference*>(context);
+      },
+      kept.get());
+  if (failure == 0) {
+    // Owned by the buffer from here on.
+    static_cast<void>(kept.release());
+  }
+}
+
 void stream_socket::DeliverUnread() { impl_->DeliverUnread(); }
 
 void stream_socket::SetReading(bool reading) {
--- a/src/skylarkcroft/wire/skylarkcroft_stream_socket.h
+++ b/src/skylarkcroft/wire/skylarkcroft_stream_socket.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 
 #include "skylarkcroft/internal/skylarkcroft_endpoint.h"
@@ -40,6 +41,8 @@
   stream_socket& operator=(const stream_socket&) = delete;
 
   void Write(std::string_view bytes);
+  /// Writes bytes without copying them; keeps a reference until they are sent.
+  void WriteShared(std::shared_ptr<const std::string> bytes);
   /// Passes the bytes that on_bytes did not consume to it again.
   void DeliverUnread();
   /// Pauses or resumes reading from the connection.
--- a/tests/relay/relay_rules_test.cc
+++ b/tests/relay/relay_rules_test.cc
@@ -95,7 +95,7 @@
   forwarding_fields fields;
   fields.upstream_id = "u1";
   fields.remaining = milliseconds(700);
-  CHECK(FormatUpstreamRequest(head, "", fields, names) ==
+  CHECK(FormatUpstreamHead(head, 0, fields, names) ==
         "GET / HTTP/1.1\r\nHost: h\r\nX-Kept: value\r\nX-Left: 700\r\n"
         "X-Only: u1\r\n\r\n");
 }
