Relay: one account of the memory that is held for clients

Cause: bodies and answers were bounded for each client and not for all together, and the clients were not bounded by the descriptors. Change: memory_account counts heads, bodies, answers and buffers of sockets against memory_mb less 40 MB for the node itself. From 0.7 of it nothing more is read for those that hold much, from 0.8 new requests are refused with 503, from 0.9 or after a second connections are given up, those first that hold most and have not moved for longest. file_descriptors bounds the number of clients.

--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
@@ -2,11 +2,13 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <utility>
 
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
+#include "skylarkcroft/relay/skylarkcroft_request_forwarding.h"
 
 namespace skylarkcroft {
 namespace {
@@ -23,6 +25,11 @@
 // body at once: pages that are not written take no memory, and doubling would
 // keep up to three times the body while it is copied.
 constexpr size_t kGrownBodyBytes = 262144;
+// Bound of what the system keeps unread for a client where the memory is
+// bounded: enough for 200 Mbit/s at 2 ms there and back.
+constexpr int kReceiveBufferBytes = 65536;
+// What a connection takes beside its requests and buffers.
+constexpr size_t kConnectionBytes = 4096;
 // A time limit that has passed does not end a request while bytes of it lie
 // unread: they came while the loop did not read. So many sweeps later it does,
 // as the client then keeps sending.
@@ -43,9 +50,16 @@
                [this](std::string_view bytes) { OnBody(bytes); }}),
       limits_(CurrentLimits()),
       idle_since_(environment.clock()),
+      held_(*environment.memory),
+      moved_at_(environment.clock()),
       socket_(environment.loop, fd,
               {[this](std::string_view bytes) { return OnBytes(bytes); }, [] {},
-               [this](bool /*clean*/) { OnClosed(); }}) {}
+               [this](bool /*clean*/) { OnClosed(); }}) {
+  if (environment.memory->is_bounded()) {
+    socket_.SetReceiveBuffer(kReceiveBufferBytes);
+  }
+  UpdateHeld();
+}
 
 client_connection::~client_connection() = default;
 
@@ -73,7 +87,12 @@
     RestartLimits();
     head_received_ = false;
   }
+  if (HoldsBackReading()) {
+    return closing_ ? bytes.size() : 0;
+  }
+  moved_at_ = environment_.clock();
   const read_progress progress = reader_.Feed(bytes);
+  UpdateHeld();
   if (closing_) {
     return bytes.size();
   }
@@ -104,6 +123,14 @@
     Reject(kContentTooLarge, "body_too_large");
     return;
   }
+  const memory_account& memory = *environment_.memory;
+  const memory_pressure pressure = memory.pressure();
+  if (pressure >= memory_pressure::kRefuse ||
+      (pressure == memory_pressure::kPause &&
+       body_bytes > memory.bounds().small_bytes)) {
+    RefuseForMemory();
+    return;
+  }
   incoming_.body.reserve(body_bytes);
   if (EqualsIgnoringCase(head.headers.Get("Expect"), "100-continue")) {
     socket_.Write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -203,6 +230,96 @@
   BeginClosing();
 }
 
+void client_connection::RefuseForMemory() {
+  request_record record;
+  record.request_id = incoming_.head.headers.Get(environment_.names.request_id);
+  record.status = kUnavailable;
+  record.reason = "memory_short";
+  environment_.on_request_ended(record);
+  http_headers headers = {
+      {"Content-Type", "application/json"},
+      {"Retry-After", FormatSeconds(environment_.parameters.other_node_retry)}};
+  if (!record.request_id.empty()) {
+    headers.Add(environment_.names.request_id, record.request_id);
+  }
+  incoming_ = {};
+  keep_alive_ = false;
+  Send(kUnavailable, headers, R"({"reason":"memory_short"})", std::nullopt);
+  BeginClosing();
+  ResumeReading();
+}
+
+bool client_connection::HoldsBackReading() {
+  const memory_account& memory = *environment_.memory;
+  switch (memory.pressure()) {
+    case memory_pressure::kNone:
+      return false;
+    case memory_pressure::kPause:
+    case memory_pressure::kRefuse:
+      if (held_.bytes() < memory.bounds().small_bytes) {
+        return false;
+      }
+      reading_paused_ = true;
+      socket_.SetReading(false);
+      return true;
+    case memory_pressure::kClose:
+      reader_.Reset();
+      RefuseForMemory();
+      return true;
+  }
+  return false;
+}
+
+void client_connection::ResumeReading() {
+  if (std::exchange(reading_paused_, false)) {
+    socket_.SetReading(true);
+    socket_.DeliverUnread();
+  }
+}
+
+void client_connection::UpdateHeld() {
+  held_.Set(kConnectionBytes + reader_.held_bytes() +
+            incoming_.head.headers.storage_bytes() + incoming_.body.size() +
+            socket_.unconsumed() + socket_.unsent() +
+            (reading_paused_ ? kReceiveBufferBytes : 0));
+}
+
+void client_connection::ObserveDelivery(time_point now) {
+  const size_t unsent = socket_.unsent();
+  if (unsent < last_unsent_) {
+    moved_at_ = now;
+  }
+  last_unsent_ = unsent;
+}
+
+memory_holder client_connection::DescribeHolder(uint64_t number) const {
+  memory_holder holder;
+  holder.number = number;
+  holder.held =
+      held_.bytes() + (request_ == nullptr ? 0 : request_->held_bytes());
+  holder.moved_at = moved_at_;
+  holder.is_at_work =
+      request_ != nullptr && request_->is_at_work() && socket_.unsent() == 0;
+  return holder;
+}
+
+void client_connection::GiveUpForMemory() {
+  if (destruction_requested_) {
+    return;
+  }
+  if (IsPartlyRead()) {
+    reader_.Reset();
+    RefuseForMemory();
+  } else if (request_ != nullptr && !response_finished_) {
+    RecordEnd(client_end_reason::kMemory);
+    keep_alive_ = false;
+    request_->AbortRequest("memory_short");
+  } else {
+    End(client_end_reason::kMemory);
+  }
+  UpdateHeld();
+}
+
 void client_connection::WriteHead(int status, const http_headers& headers,
                                   const std::string& framing) {
   if (environment_.time_since_shutdown().count() >= 0) {
@@ -229,6 +346,7 @@
   } else {
     socket_.Write(body);
   }
+  UpdateHeld();
   OnResponseFinished();
 }
 
@@ -244,6 +362,7 @@
   }
   if (ends_with_connection_) {
     socket_.Write(bytes);
+    UpdateHeld();
     return;
   }
   constexpr size_t kMaxSizeLineBytes = 24;
@@ -252,6 +371,7 @@
   std::string chunk = size.data();
   chunk.append(bytes).append("\r\n");
   socket_.Write(chunk);
+  UpdateHeld();
 }
 
 void client_connection::Finish() {
@@ -293,6 +413,7 @@
   RestartLimits();
   idle_since_ = environment_.clock();
   delivery_.Restart(idle_since_);
+  UpdateHeld();
   socket_.DeliverUnread();
 }
 
@@ -327,6 +448,8 @@
   if (destruction_requested_) {
     return;
   }
+  ObserveDelivery(now);
+  UpdateHeld();
   if (closing_) {
     TickClosing(now);
     return;
@@ -335,6 +458,12 @@
     request_->Tick(now);
     return;
   }
+  if (environment_.memory->pressure() == memory_pressure::kNone) {
+    ResumeReading();
+  }
+  if (closing_ || request_ != nullptr) {
+    return;
+  }
   if (CheckDelivery(socket_.unsent(), now)) {
     idle_since_ = now;
     return;
--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.h
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.h
@@ -40,6 +40,10 @@
   /// Closes the connection unless it is reading or serving a request, or one
   /// lies unread.
   void CloseIfIdle(client_end_reason reason);
+  /// Frees what the connection holds because the node's memory is short: a
+  /// request that is read in part is refused, another is ended.
+  void GiveUpForMemory();
+  [[nodiscard]] memory_holder DescribeHolder(uint64_t number) const;
   /// Ends the request in flight because the process is about to exit.
   void AbortRequest();
   /// Records once that this node ends the connection.
@@ -73,6 +77,16 @@
   void OnRequest();
   void OnClosed();
   void Reject(int status, std::string_view reason);
+  /// Refuses a request that is not read to its end, so that it never runs.
+  void RefuseForMemory();
+  /// Whether no more of the request may be read for now. Refuses it where the
+  /// node's memory is used up.
+  bool HoldsBackReading();
+  /// Reads on once the node's memory allows it.
+  void ResumeReading();
+  void UpdateHeld();
+  /// Takes in that the client has taken bytes of its answer.
+  void ObserveDelivery(time_point now);
   void WriteHead(int status, const http_headers& headers,
                  const std::string& framing);
   void OnResponseFinished();
@@ -118,6 +132,12 @@
   /// Since when a closing connection has had nothing left to deliver.
   time_point lingering_since_{};
   delivery_progress delivery_;
+  memory_share held_;
+  /// Nothing is read because the node's memory is short.
+  bool reading_paused_ = false;
+  /// When the client last sent or took a byte.
+  time_point moved_at_{};
+  size_t last_unsent_ = 0;
   std::unique_ptr<relay_request> request_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   stream_socket socket_;
--- a/src/skylarkcroft/relay/skylarkcroft_client_end.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_client_end.cc
@@ -27,6 +27,8 @@
       return "broken_off";
     case client_end_reason::kStalled:
       return "stalled";
+    case client_end_reason::kMemory:
+      return "memory_short";
     case client_end_reason::kExit:
       return "exit";
   }
--- a/src/skylarkcroft/relay/skylarkcroft_client_end.h
+++ b/src/skylarkcroft/relay/skylarkcroft_client_end.h
@@ -19,6 +19,7 @@
   kClientGone,  ///< The client had left before its request was started.
   kBrokenOff,   ///< A response that had begun cannot be finished.
   kStalled,     ///< The client takes no byte of its answer.
+  kMemory,      ///< It holds much of the node's memory, which is short.
   kExit,        ///< The process exits.
 };
 
--- a/src/skylarkcroft/relay/skylarkcroft_idle_clients.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_idle_clients.cc
@@ -12,6 +12,21 @@
 
 }  // namespace
 
+size_t MaxClients(size_t max_clients, int64_t file_descriptors) {
+  // A quarter is left for connections to upstreams, which requests share over
+  // time, and kOwnDescriptors for listeners, the store and peers.
+  constexpr int64_t kClientParts = 3;
+  constexpr int64_t kParts = 4;
+  constexpr int64_t kOwnDescriptors = 32;
+  if (file_descriptors == 0) {
+    return max_clients;
+  }
+  const int64_t fitting =
+      file_descriptors * kClientParts / kParts - kOwnDescriptors;
+  return std::min(max_clients,
+                  static_cast<size_t>(std::max<int64_t>(fitting, 1)));
+}
+
 bool HasExcess(size_t clients, const client_capacity& capacity) {
   return clients > MaxBeforeClosing(capacity);
 }
--- a/src/skylarkcroft/relay/skylarkcroft_idle_clients.h
+++ b/src/skylarkcroft/relay/skylarkcroft_idle_clients.h
@@ -36,6 +36,11 @@
   bool operator==(const client_capacity&) const = default;
 };
 
+/// Returns how many of at most `max_clients` clients a process with
+/// `file_descriptors` may have, so that some are left for connections to
+/// upstreams; 0 descriptors mean no bound.
+size_t MaxClients(size_t max_clients, int64_t file_descriptors);
+
 /// Whether `clients` connections leave too little room for new ones.
 bool HasExcess(size_t clients, const client_capacity& capacity);
 
--- a/src/skylarkcroft/relay/skylarkcroft_relay_environment.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_environment.h
@@ -2,6 +2,7 @@
 #define SKYLARKCROFT_RELAY_SKYLARKCROFT_RELAY_ENVIRONMENT_H_
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -14,6 +15,7 @@
 #include "skylarkcroft/relay/skylarkcroft_attempt_record.h"
 #include "skylarkcroft/relay/skylarkcroft_client_end.h"
 #include "skylarkcroft/relay/skylarkcroft_header_names.h"
+#include "skylarkcroft/relay/skylarkcroft_memory_account.h"
 #include "skylarkcroft/relay/skylarkcroft_relay_parameters.h"
 #include "skylarkcroft/relay/skylarkcroft_request_record.h"
 #include "skylarkcroft/relay/skylarkcroft_upstream_connections.h"
@@ -63,6 +65,11 @@
   /// Called once per client connection that this node ends.
   std::function<void(const client_end&)> on_client_ended =
       [](const client_end&) {};
+  /// Called when the node gives connections up because its memory is short.
+  std::function<void(const memory_relief&)> on_memory_relief =
+      [](const memory_relief&) {};
+  /// The memory that the node holds for clients.
+  std::shared_ptr<memory_account> memory = std::make_shared<memory_account>();
 };
 
 /// The limits for clients of the active tables, or the default ones before the
--- a/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
@@ -20,6 +20,10 @@
                              {}})),
       clients_(registry_.Gauge(
           {"skylarkcroft_clients", "Connections of clients.", {}})),
+      held_bytes_(registry_.Gauge(
+          {"skylarkcroft_held_bytes",
+           "Memory held for clients: heads, bodies, answers and buffers.",
+           {}})),
       quarantines_(
           registry_.Gauge({"skylarkcroft_quarantines",
                            "Sets of prompt parts whose requests are rejected.",
@@ -50,6 +54,18 @@
       .Record(record.total);
 }
 
+void relay_metrics::SetHeldBytes(size_t bytes) {
+  held_bytes_.Set(static_cast<double>(bytes));
+}
+
+void relay_metrics::RecordMemoryRelief(const memory_relief& relief) {
+  registry_
+      .Counter({"skylarkcroft_memory_given_up_total",
+                "Connections given up because memory is short, by pressure.",
+                {{"pressure", std::string(ToString(relief.pressure))}}})
+      .Increment(relief.given_up);
+}
+
 void relay_metrics::RecordFailedAttempt(const attempt_record& record) {
   registry_
       .Counter({"skylarkcroft_failed_attempts_total",
--- a/src/skylarkcroft/relay/skylarkcroft_relay_metrics.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.h
@@ -7,6 +7,7 @@
 #include "skylarkcroft/metrics/skylarkcroft_metrics_registry.h"
 #include "skylarkcroft/relay/skylarkcroft_attempt_record.h"
 #include "skylarkcroft/relay/skylarkcroft_client_end.h"
+#include "skylarkcroft/relay/skylarkcroft_memory_account.h"
 #include "skylarkcroft/relay/skylarkcroft_request_record.h"
 
 namespace skylarkcroft {
@@ -32,6 +33,9 @@
   /// Counts a log line that the rate limit suppressed.
   void RecordLogLineDropped();
   void SetClients(size_t clients);
+  void SetHeldBytes(size_t bytes);
+  /// Counts connections that were given up because memory is short.
+  void RecordMemoryRelief(const memory_relief& relief);
   void SetQuarantines(size_t count);
   /// Counts a change of what is quarantined; `what` names it.
   void RecordQuarantineChange(const std::string& what);
@@ -49,6 +53,7 @@
   counter& unreadable_datagrams_;
   counter& dropped_log_lines_;
   gauge& clients_;
+  gauge& held_bytes_;
   gauge& quarantines_;
   gauge& quarantined_requests_;
 };
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -234,6 +234,8 @@
                                   {},
                                   {},
                                   {}};
+    environment.parameters.clients.max_clients =
+        MaxClients(client_capacity{}.max_clients, settings_.file_descriptors);
     ApplyBounds(environment);
     environment.active_tables = [this] { return replica_.tables(); };
     environment.node_count = [this] { return group_.NodeCount(clock_()); };
@@ -265,6 +267,16 @@
       metrics_.RecordFailedAttempt(record);
       WriteLog(ToLogEntry(record));
     };
+    environment.memory =
+        std::make_shared<memory_account>(BoundsOfHost(settings_.memory_mb));
+    environment.on_memory_relief = [this](const memory_relief& relief) {
+      metrics_.RecordMemoryRelief(relief);
+      LogEvent(log_level::kWarn, "memory is short",
+               {{"pressure", std::string(ToString(relief.pressure))},
+                {"held_bytes", std::to_string(relief.held)},
+                {"limit_bytes", std::to_string(relief.limit)},
+                {"given_up", std::to_string(relief.given_up)}});
+    };
     environment.on_request_ended = [this](const request_record& record) {
       metrics_.RecordRequest(record);
       WriteLog(ToLogEntry(record));
@@ -370,6 +382,7 @@
                {{"upstream", id}, {"state", "lapsed"}});
     }
     metrics_.SetClients(server_.clients());
+    metrics_.SetHeldBytes(environment_.memory->held());
     quarantine_.Tick(now);
     crashing_requests_.Tick(now);
     TellQuarantineNews();
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -26,15 +26,6 @@
   return value;
 }
 
-std::string FormatSeconds(milliseconds duration) {
-  constexpr double kMillisPerSecond = 1000;
-  constexpr size_t kMaxTextBytes = 32;
-  std::array<char, kMaxTextBytes> text{};
-  std::snprintf(text.data(), text.size(), "%.3f",
-                static_cast<double>(duration.count()) / kMillisPerSecond);
-  return text.data();
-}
-
 }  // namespace
 
 relay_request::relay_request(relay_environment& environment,
@@ -43,6 +34,7 @@
       request_(std::move(request)),
       body_(std::make_shared<const std::string>(
           std::exchange(request_.body, {}))),
+      held_(*environment.memory),
       response_(response),
       crashes_(environment.quarantine, environment.crashing_requests,
                [&environment] { environment.on_quarantine_changed(); }) {}
@@ -50,6 +42,7 @@
 relay_request::~relay_request() { CancelAttempts(); }
 
 void relay_request::Start() {
+  UpdateHeld();
   request_id_ = request_.head.headers.Get(environment_.names.request_id);
   record_.request_id = request_id_;
   tables_ = environment_.active_tables();
@@ -371,10 +364,11 @@
   AcceptBody(bytes, now);
 }
 
-void relay_request::KeepErrorBody(attempt& from, std::string_view bytes) const {
+void relay_request::KeepErrorBody(attempt& from, std::string_view bytes) {
   const size_t room =
       environment_.parameters.max_buffered_response - from.body.size();
   from.body.append(bytes.substr(0, room));
+  UpdateHeld();
 }
 
 void relay_request::AcceptBody(std::string_view bytes, time_point now) {
@@ -396,7 +390,14 @@
   if (!attempt_->first_output_at.has_value()) {
     attempt_->first_output_at = now;
   }
+  if (attempt_->body.empty()) {
+    // Doubling would keep up to three times the body while it is copied.
+    const uint64_t length = attempt_->head->content_length.value_or(0);
+    attempt_->body.reserve(std::min<uint64_t>(
+        length, environment_.parameters.max_buffered_response));
+  }
   attempt_->body.append(bytes);
+  ApplyBackpressure();
 }
 
 void relay_request::ForwardEvents(std::string_view bytes) {
@@ -430,11 +431,11 @@
 }
 
 void relay_request::ApplyBackpressure() {
+  UpdateHeld();
   if (attempt_ == nullptr || attempt_->exchange == nullptr) {
     return;
   }
-  const bool pause =
-      response_.unsent() > environment_.parameters.max_client_backlog;
+  const bool pause = MustPauseAnswer();
   if (pause != attempt_->paused) {
     attempt_->paused = pause;
     attempt_->reading_since = environment_.clock();
@@ -442,6 +443,27 @@
   }
 }
 
+bool relay_request::MustPauseAnswer() const {
+  const memory_account& memory = *environment_.memory;
+  const size_t unsent = response_.unsent();
+  if (memory.pressure() == memory_pressure::kNone) {
+    return unsent > environment_.parameters.max_client_backlog;
+  }
+  if (memory.pressure() == memory_pressure::kClose) {
+    return !attempt_->is_stream || unsent > 0;
+  }
+  return unsent > memory.bounds().small_bytes;
+}
+
+void relay_request::UpdateHeld() {
+  size_t held = request_.head.headers.storage_bytes() + body_->size() +
+                events_.remainder().size();
+  for (const attempt* sent : {attempt_.get(), successor_.get()}) {
+    held += sent == nullptr ? 0 : sent->body.size();
+  }
+  held_.Set(held);
+}
+
 void relay_request::OnEnd(attempt& from, exchange_result result) {
   if (&from == successor_.get()) {
     OnSuccessorEnd(result);
@@ -997,6 +1019,7 @@
   record_.reason = reason;
   record_.total = std::chrono::duration_cast<milliseconds>(
       environment_.clock() - request_.arrived_at);
+  UpdateHeld();
   environment_.on_request_ended(record_);
 }
 
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -47,6 +47,10 @@
   /// Ends the request with an error because the process is about to exit.
   void AbortRequest(const std::string& reason);
   [[nodiscard]] bool ended() const { return ended_; }
+  /// Memory that the request and its answer take, in bytes.
+  [[nodiscard]] size_t held_bytes() const { return held_.bytes(); }
+  /// Whether an upstream works on the request.
+  [[nodiscard]] bool is_at_work() const { return attempt_ != nullptr; }
 
  private:
   using attempt = relay_attempt;
@@ -76,7 +80,7 @@
   void OnCompleteResponse();
   /// Keeps the body of a successor's refusal or error, in case the attempt
   /// before it fails first.
-  void KeepErrorBody(attempt& from, std::string_view bytes) const;
+  void KeepErrorBody(attempt& from, std::string_view bytes);
   /// Keeps what the attempt's upstream has sent, and forwards what the client
   /// may have.
   void AcceptBody(std::string_view bytes, time_point now);
@@ -156,6 +160,11 @@
   [[nodiscard]] bool IsEngineTimedOut(const attempt& sent, milliseconds silence,
                                       time_point now) const;
   void ApplyBackpressure();
+  /// Whether the answer is to wait at its upstream: the client takes it too
+  /// slowly, or the node's memory is short.
+  [[nodiscard]] bool MustPauseAnswer() const;
+  /// Tells the account of memory what the request takes.
+  void UpdateHeld();
   /// Ends the request without a response of an upstream to forward.
   void EndWithError(final_response kind, const std::string& reason,
                     milliseconds retry_after);
@@ -166,6 +175,7 @@
   relay_environment& environment_;
   client_request request_;  ///< Without the body.
   std::shared_ptr<const std::string> body_;
+  memory_share held_;
   response_writer& response_;
   tables_snapshot tables_;
   gate_decision gate_;
--- a/src/skylarkcroft/relay/skylarkcroft_relay_server.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_server.cc
@@ -73,6 +73,7 @@
   }
   environment_.connections.CloseExpired(now);
   CloseExcessIdle(now);
+  RelieveMemory(now);
   if (!accepting_ && listener_ != nullptr &&
       clients_.size() < environment_.parameters.clients.max_clients) {
     accepting_ = true;
@@ -91,6 +92,37 @@
   }
 }
 
+void relay_server::RelieveMemory(time_point now) {
+  const memory_account& memory = *environment_.memory;
+  const memory_pressure pressure = memory.pressure();
+  if (pressure == memory_pressure::kNone) {
+    pressed_since_.reset();
+    return;
+  }
+  if (!pressed_since_.has_value()) {
+    pressed_since_ = now;
+  }
+  const bool urgent = pressure == memory_pressure::kClose;
+  if (!urgent && now - *pressed_since_ < memory.bounds().max_pressure) {
+    return;
+  }
+  std::vector<memory_holder> holders;
+  holders.reserve(clients_.size());
+  for (const auto& [number, client] : clients_) {
+    holders.push_back(client->DescribeHolder(number));
+  }
+  const std::vector<uint64_t> given_up = ChooseToGiveUp(
+      std::move(holders), memory.Excess(), urgent, memory.bounds(), now);
+  if (given_up.empty()) {
+    return;
+  }
+  environment_.on_memory_relief(
+      {pressure, memory.held(), memory.bounds().limit_bytes, given_up.size()});
+  for (const uint64_t number : given_up) {
+    clients_.at(number)->GiveUpForMemory();
+  }
+}
+
 void relay_server::OnTablesChanged() {
   const client_limits limits = LimitsInForce(environment_);
   if (limits == limits_in_force_) {
--- a/src/skylarkcroft/relay/skylarkcroft_relay_server.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_server.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -62,6 +63,8 @@
   /// Closes idle connections where they leave little room for new ones.
   void CloseExcessIdle(time_point now);
   void Sweep();
+  /// Gives connections up while the node's memory stays short.
+  void RelieveMemory(time_point now);
 
   relay_environment& environment_;
   endpoint address_;
@@ -71,6 +74,8 @@
   std::unordered_map<uint64_t, std::unique_ptr<client_connection>> clients_;
   client_limits limits_in_force_;
   bool accepting_ = true;
+  /// Since when the node's memory has been short without a break.
+  std::optional<time_point> pressed_since_;
   event_loop::handle_ptr sweep_;
 };
 
--- a/src/skylarkcroft/relay/skylarkcroft_request_forwarding.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_request_forwarding.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdio>
 #include <string_view>
 #include <vector>
 
@@ -118,6 +119,15 @@
   return out;
 }
 
+std::string FormatSeconds(milliseconds duration) {
+  constexpr double kMillisPerSecond = 1000;
+  constexpr size_t kMaxTextBytes = 32;
+  std::array<char, kMaxTextBytes> text{};
+  std::snprintf(text.data(), text.size(), "%.3f",
+                static_cast<double>(duration.count()) / kMillisPerSecond);
+  return text.data();
+}
+
 http_headers ClientResponseHeaders(const message_head& head) {
   const std::vector<std::string> options = ConnectionOptions(head.headers);
   http_headers forwarded;
--- a/src/skylarkcroft/relay/skylarkcroft_request_forwarding.h
+++ b/src/skylarkcroft/relay/skylarkcroft_request_forwarding.h
@@ -32,6 +32,9 @@
                                const forwarding_fields& fields,
                                const header_names& names);
 
+/// The value of Retry-After: seconds with three decimals.
+std::string FormatSeconds(milliseconds duration);
+
 /// The upstream's response headers for the client, without hop-by-hop and
 /// framing headers.
 http_headers ClientResponseHeaders(const message_head& head);
--- a/src/skylarkcroft/wire/skylarkcroft_stream_socket.cc
+++ b/src/skylarkcroft/wire/skylarkcroft_stream_socket.cc
@@ -158,6 +158,11 @@
 
 void stream_socket::DeliverUnread() { impl_->DeliverUnread(); }
 
+void stream_socket::SetReceiveBuffer(int bytes) {
+  setsockopt(bufferevent_getfd(impl_->handle()), SOL_SOCKET, SO_RCVBUF, &bytes,
+             sizeof bytes);
+}
+
 void stream_socket::SetReading(bool reading) {
   if (reading) {
     bufferevent_enable(impl_->handle(), EV_READ);
@@ -186,6 +191,10 @@
   return evbuffer_get_length(bufferevent_get_output(impl_->handle()));
 }
 
+size_t stream_socket::unconsumed() const {
+  return evbuffer_get_length(bufferevent_get_input(impl_->handle()));
+}
+
 size_t stream_socket::undelivered() const {
   return unsent() + UnacknowledgedBytes(bufferevent_getfd(impl_->handle()));
 }
--- a/src/skylarkcroft/wire/skylarkcroft_stream_socket.h
+++ b/src/skylarkcroft/wire/skylarkcroft_stream_socket.h
@@ -45,6 +45,9 @@
   void WriteShared(std::shared_ptr<const std::string> bytes);
   /// Passes the bytes that on_bytes did not consume to it again.
   void DeliverUnread();
+  /// Bounds the bytes that the system keeps for the connection until they are
+  /// read.
+  void SetReceiveBuffer(int bytes);
   /// Pauses or resumes reading from the connection.
   void SetReading(bool reading);
   /// Whether the peer's end of stream or its reset has arrived right behind the
@@ -61,6 +64,8 @@
   void ShutdownWrite();
   /// Written bytes that were not yet passed to the kernel.
   [[nodiscard]] size_t unsent() const;
+  /// Received bytes that on_bytes has not consumed.
+  [[nodiscard]] size_t unconsumed() const;
   /// Written bytes that the peer's system has not acknowledged.
   [[nodiscard]] size_t undelivered() const;
   /// Whether bytes have arrived that on_bytes has not consumed, even if the
