--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.cc
@@ -2,11 +2,13 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <utility>
 
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
+#include "skylarkcroft/relay/skylarkcroft_request_forwarding.h"
 
 namespace skylarkcroft {
 namespace {
@@ -14,10 +16,20 @@
 constexpr int kBadRequest = 400;
 constexpr int kContentTooLarge = 413;
 constexpr int kHeaderFieldsTooLarge = 431;
-constexpr size_t kMaxHeadBytes = 65536;
 // A client whose request was rejected early may still be sending. Closing at
 // once would reset the connection, and the client could lose the response.
 constexpr milliseconds kLingerTimeout{1000};
+// A longer answer is written without a copy of it.
+constexpr size_t kMaxCopiedBytes = 4096;
+// A body of unknown length that is larger than this gets room for the largest
+// body at once: pages that are not written take no memory, and doubling would
+// keep up to three times the body while it is copied.
+constexpr size_t kGrownBodyBytes = 262144;
+// Bound of what the system keeps unread for a client where the memory is
+// bounded: enough for 200 Mbit/s at 2 ms there and back.
+constexpr int kReceiveBufferBytes = 65536;
+// What a connection takes beside its requests and buffers.
+constexpr size_t kConnectionBytes = 4096;
 // A time limit that has passed does not end a request while bytes of it lie
 // unread: they came while the loop did not read. So many sweeps later it does,
 // as the client then keeps sending.
@@ -33,14 +45,21 @@
                                      std::function<void()> on_closed)
     : environment_(environment),
       on_closed_(std::move(on_closed)),
-      reader_(message_kind::kRequest, kMaxHeadBytes,
-              {[this](const message_head& head) { OnHead(head); },
+      reader_(message_kind::kRequest, CurrentLimits().max_head_bytes,
+              {[this](message_head&& head) { OnHead(std::move(head)); },
                [this](std::string_view bytes) { OnBody(bytes); }}),
       limits_(CurrentLimits()),
       idle_since_(environment.clock()),
+      held_(*environment.memory),
+      moved_at_(environment.clock()),
       socket_(environment.loop, fd,
               {[this](std::string_view bytes) { return OnBytes(bytes); }, [] {},
-               [this](bool /*clean*/) { OnClosed(); }}) {}
+               [this](bool /*clean*/) { OnClosed(); }}) {
+  if (environment.memory->is_bounded()) {
+    socket_.SetReceiveBuffer(kReceiveBufferBytes);
+  }
+  UpdateHeld();
+}
 
 client_connection::~client_connection() = default;
 
@@ -48,6 +67,11 @@
   return LimitsInForce(environment_);
 }
 
+void client_connection::RestartLimits() {
+  limits_.Restart(CurrentLimits());
+  reader_.SetMaxHeadBytes(limits_.limits().max_head_bytes);
+}
+
 size_t client_connection::OnBytes(std::string_view bytes) {
   if (closing_) {
     return bytes.size();
@@ -60,10 +84,15 @@
     incoming_ = client_request{};
     incoming_.arrived_at = environment_.clock();
     sweeps_past_limit_ = 0;
-    limits_.Restart(CurrentLimits());
+    RestartLimits();
     head_received_ = false;
   }
+  if (HoldsBackReading()) {
+    return closing_ ? bytes.size() : 0;
+  }
+  moved_at_ = environment_.clock();
   const read_progress progress = reader_.Feed(bytes);
+  UpdateHeld();
   if (closing_) {
     return bytes.size();
   }
@@ -83,23 +112,26 @@
   return bytes.size();
 }
 
-void client_connection::OnHead(const message_head& head) {
+void client_connection::OnHead(message_head&& received) {
   head_received_ = true;
-  incoming_.head = head;
+  incoming_.head = std::move(received);
+  const message_head& head = incoming_.head;
   ends_with_connection_ = head.is_http_1_0;
   keep_alive_ = head.keep_alive && !ends_with_connection_;
-  size_t head_bytes = head.target.size();
-  for (const http_header& field : head.headers.fields()) {
-    head_bytes += field.name.size() + field.value.size();
-  }
-  if (head_bytes > limits_.limits().max_head_bytes) {
-    Reject(kHeaderFieldsTooLarge, "head_too_large");
+  const size_t body_bytes = head.content_length.value_or(0);
+  if (body_bytes > limits_.limits().max_body_bytes) {
+    Reject(kContentTooLarge, "body_too_large");
     return;
   }
-  if (head.content_length.value_or(0) > limits_.limits().max_body_bytes) {
-    Reject(kContentTooLarge, "body_too_large");
+  const memory_account& memory = *environment_.memory;
+  const memory_pressure pressure = memory.pressure();
+  if (pressure >= memory_pressure::kRefuse ||
+      (pressure == memory_pressure::kPause &&
+       body_bytes > memory.bounds().small_bytes)) {
+    RefuseForMemory();
     return;
   }
+  incoming_.body.reserve(body_bytes);
   if (EqualsIgnoringCase(head.headers.Get("Expect"), "100-continue")) {
     socket_.Write("HTTP/1.1 100 Continue\r\n\r\n");
   }
@@ -109,10 +141,15 @@
   if (closing_) {
     return;
   }
-  if (incoming_.body.size() + bytes.size() > limits_.limits().max_body_bytes) {
+  const size_t limit = limits_.limits().max_body_bytes;
+  const size_t size = incoming_.body.size() + bytes.size();
+  if (size > limit) {
     Reject(kContentTooLarge, "body_too_large");
     return;
   }
+  if (size > incoming_.body.capacity() && size > kGrownBodyBytes) {
+    incoming_.body.reserve(limit);
+  }
   incoming_.body.append(bytes);
 }
 
@@ -193,6 +230,96 @@
   BeginClosing();
 }
 
+void client_connection::RefuseForMemory() {
+  request_record record;
+  record.request_id = incoming_.head.headers.Get(environment_.names.request_id);
+  record.status = kUnavailable;
+  record.reason = "memory_short";
+  environment_.on_request_ended(record);
+  http_headers headers = {
+      {"Content-Type", "application/json"},
+      {"Retry-After", FormatSeconds(environment_.parameters.other_node_retry)}};
+  if (!record.request_id.empty()) {
+    headers.Add(environment_.names.request_id, record.request_id);
+  }
+  incoming_ = {};
+  keep_alive_ = false;
+  Send(kUnavailable, headers, R"({"reason":"memory_short"})", std::nullopt);
+  BeginClosing();
+  ResumeReading();
+}
+
+bool client_connection::HoldsBackReading() {
+  const memory_account& memory = *environment_.memory;
+  switch (memory.pressure()) {
+    case memory_pressure::kNone:
+      return false;
+    case memory_pressure::kPause:
+    case memory_pressure::kRefuse:
+      if (held_.bytes() < memory.bounds().small_bytes) {
+        return false;
+      }
+      reading_paused_ = true;
+      socket_.SetReading(false);
+      return true;
+    case memory_pressure::kClose:
+      reader_.Reset();
+      RefuseForMemory();
+      return true;
+  }
+  return false;
+}
+
+void client_connection::ResumeReading() {
+  if (std::exchange(reading_paused_, false)) {
+    socket_.SetReading(true);
+    socket_.DeliverUnread();
+  }
+}
+
+void client_connection::UpdateHeld() {
+  held_.Set(kConnectionBytes + reader_.held_bytes() +
+            incoming_.head.headers.storage_bytes() + incoming_.body.size() +
+            socket_.unconsumed() + socket_.unsent() +
+            (reading_paused_ ? kReceiveBufferBytes : 0));
+}
+
+void client_connection::ObserveDelivery(time_point now) {
+  const size_t unsent = socket_.unsent();
+  if (unsent < last_unsent_) {
+    moved_at_ = now;
+  }
+  last_unsent_ = unsent;
+}
+
+memory_holder client_connection::DescribeHolder(uint64_t number) const {
+  memory_holder holder;
+  holder.number = number;
+  holder.held =
+      held_.bytes() + (request_ == nullptr ? 0 : request_->held_bytes());
+  holder.moved_at = moved_at_;
+  holder.is_at_work =
+      request_ != nullptr && request_->is_at_work() && socket_.unsent() == 0;
+  return holder;
+}
+
+void client_connection::GiveUpForMemory() {
+  if (destruction_requested_) {
+    return;
+  }
+  if (IsPartlyRead()) {
+    reader_.Reset();
+    RefuseForMemory();
+  } else if (request_ != nullptr && !response_finished_) {
+    RecordEnd(client_end_reason::kMemory);
+    keep_alive_ = false;
+    request_->AbortRequest("memory_short");
+  } else {
+    End(client_end_reason::kMemory);
+  }
+  UpdateHeld();
+}
+
 void client_connection::WriteHead(int status, const http_headers& headers,
                                   const std::string& framing) {
   if (environment_.time_since_shutdown().count() >= 0) {
@@ -200,7 +327,7 @@
   }
   std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
   head.append(ReasonPhrase(status)).append("\r\n");
-  for (const http_header& field : headers.fields()) {
+  for (const header_view field : headers.fields()) {
     head.append(field.name).append(": ").append(field.value).append("\r\n");
   }
   head.append(framing);
@@ -209,12 +336,17 @@
 }
 
 void client_connection::Send(int status, const http_headers& headers,
-                             std::string_view body,
+                             std::string body,
                              std::optional<uint64_t> stated_length) {
   const uint64_t length = stated_length.value_or(body.size());
   WriteHead(status, headers,
             "Content-Length: " + std::to_string(length) + "\r\n");
-  socket_.Write(body);
+  if (body.size() > kMaxCopiedBytes) {
+    socket_.WriteShared(std::make_shared<const std::string>(std::move(body)));
+  } else {
+    socket_.Write(body);
+  }
+  UpdateHeld();
   OnResponseFinished();
 }
 
@@ -230,6 +362,7 @@
   }
   if (ends_with_connection_) {
     socket_.Write(bytes);
+    UpdateHeld();
     return;
   }
   constexpr size_t kMaxSizeLineBytes = 24;
@@ -238,6 +371,7 @@
   std::string chunk = size.data();
   chunk.append(bytes).append("\r\n");
   socket_.Write(chunk);
+  UpdateHeld();
 }
 
 void client_connection::Finish() {
@@ -276,9 +410,10 @@
     return;
   }
   reader_.Reset();
-  limits_.Restart(CurrentLimits());
+  RestartLimits();
   idle_since_ = environment_.clock();
   delivery_.Restart(idle_since_);
+  UpdateHeld();
   socket_.DeliverUnread();
 }
 
@@ -313,6 +448,8 @@
   if (destruction_requested_) {
     return;
   }
+  ObserveDelivery(now);
+  UpdateHeld();
   if (closing_) {
     TickClosing(now);
     return;
@@ -321,6 +458,12 @@
     request_->Tick(now);
     return;
   }
+  if (environment_.memory->pressure() == memory_pressure::kNone) {
+    ResumeReading();
+  }
+  if (closing_ || request_ != nullptr) {
+    return;
+  }
   if (CheckDelivery(socket_.unsent(), now)) {
     idle_since_ = now;
     return;
--- a/src/skylarkcroft/relay/skylarkcroft_client_connection.h
+++ b/src/skylarkcroft/relay/skylarkcroft_client_connection.h
@@ -35,10 +35,15 @@
   /// Takes in that other limits for clients are in force.
   void OnLimitsChanged(const client_limits& in_force) {
     limits_.OnChange(in_force);
+    reader_.SetMaxHeadBytes(limits_.limits().max_head_bytes);
   }
   /// Closes the connection unless it is reading or serving a request, or one
   /// lies unread.
   void CloseIfIdle(client_end_reason reason);
+  /// Frees what the connection holds because the node's memory is short: a
+  /// request that is read in part is refused, another is ended.
+  void GiveUpForMemory();
+  [[nodiscard]] memory_holder DescribeHolder(uint64_t number) const;
   /// Ends the request in flight because the process is about to exit.
   void AbortRequest();
   /// Records once that this node ends the connection.
@@ -54,7 +59,7 @@
   /// it does.
   [[nodiscard]] std::optional<time_point> idle_since() const;
 
-  void Send(int status, const http_headers& headers, std::string_view body,
+  void Send(int status, const http_headers& headers, std::string body,
             std::optional<uint64_t> stated_length) override;
   void StartChunked(int status, const http_headers& headers) override;
   void WriteChunk(std::string_view bytes) override;
@@ -67,11 +72,21 @@
 
  private:
   size_t OnBytes(std::string_view bytes);
-  void OnHead(const message_head& head);
+  void OnHead(message_head&& head);
   void OnBody(std::string_view bytes);
   void OnRequest();
   void OnClosed();
   void Reject(int status, std::string_view reason);
+  /// Refuses a request that is not read to its end, so that it never runs.
+  void RefuseForMemory();
+  /// Whether no more of the request may be read for now. Refuses it where the
+  /// node's memory is used up.
+  bool HoldsBackReading();
+  /// Reads on once the node's memory allows it.
+  void ResumeReading();
+  void UpdateHeld();
+  /// Takes in that the client has taken bytes of its answer.
+  void ObserveDelivery(time_point now);
   void WriteHead(int status, const http_headers& headers,
                  const std::string& framing);
   void OnResponseFinished();
@@ -88,6 +103,8 @@
   [[nodiscard]] bool IsPartlyRead() const {
     return request_ == nullptr && !closing_ && reader_.started();
   }
+  /// Begins a period of the limits for clients.
+  void RestartLimits();
   [[nodiscard]] client_limits CurrentLimits() const;
   void End(client_end_reason reason);
   void RequestDestruction();
@@ -115,6 +132,12 @@
   /// Since when a closing connection has had nothing left to deliver.
   time_point lingering_since_{};
   delivery_progress delivery_;
+  memory_share held_;
+  /// Nothing is read because the node's memory is short.
+  bool reading_paused_ = false;
+  /// When the client last sent or took a byte.
+  time_point moved_at_{};
+  size_t last_unsent_ = 0;
   std::unique_ptr<relay_request> request_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   stream_socket socket_;
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -26,21 +26,15 @@
   return value;
 }
 
-std::string FormatSeconds(milliseconds duration) {
-  constexpr double kMillisPerSecond = 1000;
-  constexpr size_t kMaxTextBytes = 32;
-  std::array<char, kMaxTextBytes> text{};
-  std::snprintf(text.data(), text.size(), "%.3f",
-                static_cast<double>(duration.count()) / kMillisPerSecond);
-  return text.data();
-}
-
 }  // namespace
 
 relay_request::relay_request(relay_environment& environment,
                              client_request request, response_writer& response)
     : environment_(environment),
       request_(std::move(request)),
+      body_(std::make_shared<const std::string>(
+          std::exchange(request_.body, {}))),
+      held_(*environment.memory),
       response_(response),
       crashes_(environment.quarantine, environment.crashing_requests,
                [&environment] { environment.on_quarantine_changed(); }) {}
@@ -48,6 +42,7 @@
 relay_request::~relay_request() { CancelAttempts(); }
 
 void relay_request::Start() {
+  UpdateHeld();
   request_id_ = request_.head.headers.Get(environment_.names.request_id);
   record_.request_id = request_id_;
   tables_ = environment_.active_tables();
@@ -130,7 +125,7 @@
   }
   const request_key key =
       MakeRequestKey({service_name_, request_.head.method, request_.head.target,
-                      record_.workspace, request_.body});
+                      record_.workspace, *body_});
   record_.request_key = ToString(std::vector<part_key>{key});
   crashes_.SetRequest(std::move(prompt), key);
 }
@@ -231,8 +226,8 @@
     fields.urgency = urgency_;
   }
   fields.last_event_id = events_.last_id();
-  return FormatUpstreamRequest(request_.head, request_.body, fields,
-                               environment_.names);
+  return FormatUpstreamHead(request_.head, body_->size(), fields,
+                            environment_.names);
 }
 
 relay_request::attempt_ptr relay_request::SendTo(const placement& placed) {
@@ -245,13 +240,16 @@
   sent->is_trial = crashes_.RecordSending(now);
   environment_.balancer.RecordRequestSent(placed.upstream.id, placed.work,
                                           generation_, now);
-  const exchange_request request{
-      placed.upstream.id,    placed.upstream.address,
-      FormatRequest(placed), environment_.names.request_id,
-      request_id_,           request_.head.method == "HEAD"};
+  exchange_request request{placed.upstream.id,
+                           placed.upstream.address,
+                           FormatRequest(placed),
+                           body_,
+                           environment_.names.request_id,
+                           request_id_,
+                           request_.head.method == "HEAD"};
   attempt& from = *sent;
   sent->exchange = environment_.connections.Start(
-      request,
+      std::move(request),
       {[this, &from](const message_head& head) { OnHead(from, head); },
        [this, &from](std::string_view bytes) { OnBody(from, bytes); },
        [this, &from](exchange_result result) { OnEnd(from, result); }});
@@ -354,10 +352,11 @@
   AcceptBody(bytes, now);
 }
 
-void relay_request::KeepErrorBody(attempt& from, std::string_view bytes) const {
+void relay_request::KeepErrorBody(attempt& from, std::string_view bytes) {
   const size_t room =
       environment_.parameters.max_buffered_response - from.body.size();
   from.body.append(bytes.substr(0, room));
+  UpdateHeld();
 }
 
 void relay_request::AcceptBody(std::string_view bytes, time_point now) {
@@ -379,7 +378,14 @@
   if (!attempt_->first_output_at.has_value()) {
     attempt_->first_output_at = now;
   }
+  if (attempt_->body.empty()) {
+    // Doubling would keep up to three times the body while it is copied.
+    const uint64_t length = attempt_->head->content_length.value_or(0);
+    attempt_->body.reserve(std::min<uint64_t>(
+        length, environment_.parameters.max_buffered_response));
+  }
   attempt_->body.append(bytes);
+  ApplyBackpressure();
 }
 
 void relay_request::ForwardEvents(std::string_view bytes) {
@@ -435,11 +441,11 @@
 }
 
 void relay_request::ApplyBackpressure() {
+  UpdateHeld();
   if (attempt_ == nullptr || attempt_->exchange == nullptr) {
     return;
   }
-  const bool pause =
-      response_.unsent() > environment_.parameters.max_client_backlog;
+  const bool pause = MustPauseAnswer();
   if (pause != attempt_->paused) {
     attempt_->paused = pause;
     attempt_->reading_since = environment_.clock();
@@ -447,6 +453,27 @@
   }
 }
 
+bool relay_request::MustPauseAnswer() const {
+  const memory_account& memory = *environment_.memory;
+  const size_t unsent = response_.unsent();
+  if (memory.pressure() == memory_pressure::kNone) {
+    return unsent > environment_.parameters.max_client_backlog;
+  }
+  if (memory.pressure() == memory_pressure::kClose) {
+    return !attempt_->is_stream || unsent > 0;
+  }
+  return unsent > memory.bounds().small_bytes;
+}
+
+void relay_request::UpdateHeld() {
+  size_t held = request_.head.headers.storage_bytes() + body_->size() +
+                events_.remainder().size();
+  for (const attempt* sent : {attempt_.get(), successor_.get()}) {
+    held += sent == nullptr ? 0 : sent->body.size();
+  }
+  held_.Set(held);
+}
+
 void relay_request::OnEnd(attempt& from, exchange_result result) {
   if (&from == successor_.get()) {
     OnSuccessorEnd(result);
@@ -560,9 +587,9 @@
   const message_head& head = *attempt_->head;
   const int status = head.status;
   const bool head_only = request_.head.method == "HEAD";
-  response_.Send(status, ClientResponseHeaders(head), attempt_->body,
-                 head_only ? head.content_length : std::nullopt);
   crashes_.RecordWholeResponse(*attempt_, status, environment_.clock());
+  response_.Send(status, ClientResponseHeaders(head), std::move(attempt_->body),
+                 head_only ? head.content_length : std::nullopt);
   CloseAttempt(status < kFirstServerError ? upstream_outcome::kSuccess
                                           : upstream_outcome::kFailure);
   RecordEnd(status, "answered");
@@ -1012,6 +1039,7 @@
   record_.reason = reason;
   record_.total = std::chrono::duration_cast<milliseconds>(
       environment_.clock() - request_.arrived_at);
+  UpdateHeld();
   environment_.on_request_ended(record_);
 }
 
--- a/src/skylarkcroft/relay/skylarkcroft_request_forwarding.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_request_forwarding.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdio>
 #include <string_view>
 #include <vector>
 
@@ -41,7 +42,7 @@
 // Header names listed in the Connection headers; they are hop-by-hop, too.
 std::vector<std::string> ConnectionOptions(const http_headers& headers) {
   std::vector<std::string> options;
-  for (const http_header& field : headers.fields()) {
+  for (const header_view field : headers.fields()) {
     if (!EqualsIgnoringCase(field.name, "Connection")) {
       continue;
     }
@@ -83,17 +84,16 @@
 
 }  // namespace
 
-std::string FormatUpstreamRequest(const message_head& head,
-                                  const std::string& body,
-                                  const forwarding_fields& fields,
-                                  const header_names& names) {
+std::string FormatUpstreamHead(const message_head& head, size_t body_bytes,
+                               const forwarding_fields& fields,
+                               const header_names& names) {
   constexpr size_t kTypicalHeadBytes = 512;
   std::string out;
-  out.reserve(kTypicalHeadBytes + body.size());
+  out.reserve(kTypicalHeadBytes);
   out.append(head.method).append(" ").append(head.target);
   out.append(" HTTP/1.1\r\n");
   const std::vector<std::string> options = ConnectionOptions(head.headers);
-  for (const http_header& field : head.headers.fields()) {
+  for (const header_view field : head.headers.fields()) {
     if (IsHopByHop(field.name, options) ||
         IsReplacedByRelay(field.name, fields, names)) {
       continue;
@@ -112,17 +112,26 @@
     AddField(out, names.last_event_id, std::to_string(*fields.last_event_id));
   }
   const bool framed = head.chunked || head.content_length.has_value();
-  if (framed || !body.empty()) {
-    AddField(out, "Content-Length", std::to_string(body.size()));
+  if (framed || body_bytes > 0) {
+    AddField(out, "Content-Length", std::to_string(body_bytes));
   }
-  out.append("\r\n").append(body);
+  out.append("\r\n");
   return out;
 }
 
+std::string FormatSeconds(milliseconds duration) {
+  constexpr double kMillisPerSecond = 1000;
+  constexpr size_t kMaxTextBytes = 32;
+  std::array<char, kMaxTextBytes> text{};
+  std::snprintf(text.data(), text.size(), "%.3f",
+                static_cast<double>(duration.count()) / kMillisPerSecond);
+  return text.data();
+}
+
 http_headers ClientResponseHeaders(const message_head& head) {
   const std::vector<std::string> options = ConnectionOptions(head.headers);
   http_headers forwarded;
-  for (const http_header& field : head.headers.fields()) {
+  for (const header_view field : head.headers.fields()) {
     if (!IsHopByHop(field.name, options)) {
       forwarded.Add(field.name, field.value);
     }
--- a/src/skylarkcroft/wire/skylarkcroft_stream_socket.h
+++ b/src/skylarkcroft/wire/skylarkcroft_stream_socket.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 
 #include "skylarkcroft/internal/skylarkcroft_endpoint.h"
@@ -40,8 +41,13 @@
   stream_socket& operator=(const stream_socket&) = delete;
 
   void Write(std::string_view bytes);
+  /// Writes bytes without copying them; keeps a reference until they are sent.
+  void WriteShared(std::shared_ptr<const std::string> bytes);
   /// Passes the bytes that on_bytes did not consume to it again.
   void DeliverUnread();
+  /// Bounds the bytes that the system keeps for the connection until they are
+  /// read.
+  void SetReceiveBuffer(int bytes);
   /// Pauses or resumes reading from the connection.
   void SetReading(bool reading);
   /// Whether the peer's end of stream or its reset has arrived right behind the
@@ -58,6 +64,8 @@
   void ShutdownWrite();
   /// Written bytes that were not yet passed to the kernel.
   [[nodiscard]] size_t unsent() const;
+  /// Received bytes that on_bytes has not consumed.
+  [[nodiscard]] size_t unconsumed() const;
   /// Written bytes that the peer's system has not acknowledged.
   [[nodiscard]] size_t undelivered() const;
   /// Whether bytes have arrived that on_bytes has not consumed, even if the
