--- a/src/skylarkcroft/placement/skylarkcroft_upstream_entry.h
+++ b/src/skylarkcroft/placement/skylarkcroft_upstream_entry.h
@@ -21,6 +21,7 @@
   int64_t incarnation = 0;   ///< Differs with every start under the same id.
   /// Time from the start of draining until it exits; 0 when it is not known.
   milliseconds exits_after{0};
+  std::string version{};  ///< Of its service; empty when it states none.
 
   bool operator==(const upstream_entry&) const = default;
 };
