Rollout: nodes carry out the operators' orders

The holder of the duty lease decides and writes plan and status, nodes follow its plan and report outcomes in datagrams. Enabled by bounds.exposure_share; without it the versions of upstreams are ignored.

--- a/src/skylarkcroft/duties/skylarkcroft_duty_rows.cc
+++ b/src/skylarkcroft/duties/skylarkcroft_duty_rows.cc
@@ -91,6 +91,10 @@
   return next;
 }
 
+row_condition duty_rows::LeaseCondition() const {
+  return {kDutiesTable, KeyInEra(kLeaseRow, era_), lease_.view().version};
+}
+
 bool duty_rows::OnWritten(const duty_write& write,
                           const store_response& response,
                           int64_t newest_settled_window, time_point now) {
--- a/src/skylarkcroft/duties/skylarkcroft_duty_rows.h
+++ b/src/skylarkcroft/duties/skylarkcroft_duty_rows.h
@@ -43,6 +43,9 @@
 
   [[nodiscard]] const pool_lease& lease() const { return lease_; }
   [[nodiscard]] const usage_journal& journal() const { return journal_; }
+  /// Condition of a transaction that is to take effect only while the lease row
+  /// is as this process knows it.
+  [[nodiscard]] row_condition LeaseCondition() const;
   /// Windows before this one may have been reported with counts that were lost
   /// with a restore, and must not be reported anew.
   [[nodiscard]] int64_t first_open_window() const { return first_open_window_; }
--- a/src/skylarkcroft/duties/skylarkcroft_duty_runner.h
+++ b/src/skylarkcroft/duties/skylarkcroft_duty_runner.h
@@ -76,6 +76,11 @@
   [[nodiscard]] bool MayAct(time_point now) const {
     return rows_.lease().MayAct(now);
   }
+  [[nodiscard]] int64_t fencing_token() const { return rows_.lease().fence(); }
+  /// See duty_rows::LeaseCondition().
+  [[nodiscard]] row_condition LeaseCondition() const {
+    return rows_.LeaseCondition();
+  }
 
  private:
   void Tick();
--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer.cc
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer.cc
@@ -460,6 +460,7 @@
   for (const auto& [id, upstream] : upstreams_) {
     const bool may_serve =
         upstream.entry.service == request.service &&
+        (request.allows == nullptr || request.allows(upstream.entry)) &&
         (IsUsable(upstream) || ServesUntil(upstream).has_value()) &&
         !announcements_.PausedUntil(upstream.entry, now).has_value();
     if (!may_serve) {
--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
@@ -106,6 +106,8 @@
   /// Random number, uniform in [0, 1); spreads requests over upstreams of
   /// similar cost.
   double draw = 0;
+  /// Whether an upstream may be chosen; empty if all may.
+  std::function<bool(const upstream_entry&)> allows{};
 };
 
 /// The upstream chosen for a request, with the inputs of the decision.
--- a/src/skylarkcroft/relay/skylarkcroft_deployment_adapter.h
+++ b/src/skylarkcroft/relay/skylarkcroft_deployment_adapter.h
@@ -7,7 +7,9 @@
 
 #include "skylarkcroft/placement/skylarkcroft_upstream_entry.h"
 #include "skylarkcroft/relay/skylarkcroft_header_names.h"
+#include "skylarkcroft/rollout/skylarkcroft_rollout_plan.h"
 #include "skylarkcroft/service/skylarkcroft_service_map.h"
+#include "skylarkcroft/store/skylarkcroft_row_store.h"
 
 namespace skylarkcroft {
 
@@ -26,6 +28,14 @@
   std::function<std::optional<upstream_entry>(const std::string& id,
                                               const std::string& value)>
       parse_upstream;
+  /// Prefix of the keys of the rows of `operator_tables_table` that order a
+  /// rollout.
+  std::string rollout_key_prefix{};
+  /// Parses the value of such a row; the position is left empty.
+  std::function<std::optional<rollout_order>(const std::string& value)>
+      parse_rollout{};
+  /// The row that tells the operators the state of a rollout.
+  std::function<row_change(const rollout_plan&)> rollout_status{};
   header_names names;
   std::string readiness_path;  ///< HTTP path of the readiness check.
 };
--- a/src/skylarkcroft/relay/skylarkcroft_relay_attempt.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_attempt.h
@@ -1,6 +1,7 @@
 #ifndef SKYLARKCROFT_RELAY_SKYLARKCROFT_RELAY_ATTEMPT_H_
 #define SKYLARKCROFT_RELAY_SKYLARKCROFT_RELAY_ATTEMPT_H_
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -29,6 +30,8 @@
   time_point last_byte_at{};
   /// The one attempt that is allowed after a quarantine of the request.
   bool is_trial = false;
+  /// Id for rollout_coordinator::OnRequestEnded().
+  uint64_t rollout_id = 0;
   /// Reading is paused because the client is too slow.
   bool paused = false;
   /// When reading was last resumed.
--- a/src/skylarkcroft/relay/skylarkcroft_relay_environment.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_environment.h
@@ -22,6 +22,7 @@
 namespace skylarkcroft {
 
 class event_loop;
+class rollout_coordinator;
 
 /// Dependencies shared by all requests of a node. Everything referenced must
 /// outlive the requests.
@@ -63,6 +64,8 @@
   /// Called once per client connection that this node ends.
   std::function<void(const client_end&)> on_client_ended =
       [](const client_end&) {};
+  /// Null if the deployment has no rollouts.
+  rollout_coordinator* rollouts = nullptr;
 };
 
 /// The limits for clients of the active tables, or the default ones before the
--- a/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
@@ -50,6 +50,14 @@
       .Record(record.total);
 }
 
+void relay_metrics::RecordRolloutPlan(const std::string& stage) {
+  registry_
+      .Counter({"skylarkcroft_rollout_plans_total",
+                "Changes of the rollout plan that the node follows, by stage.",
+                {{"stage", stage}}})
+      .Increment();
+}
+
 void relay_metrics::RecordFailedAttempt(const attempt_record& record) {
   registry_
       .Counter({"skylarkcroft_failed_attempts_total",
--- a/src/skylarkcroft/relay/skylarkcroft_relay_metrics.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.h
@@ -29,6 +29,8 @@
   void RecordDatagram(bool readable);
   /// Counts a call to the store that reads or writes quarantines.
   void RecordArchiveCall(std::string_view outcome);
+  /// Counts a change of the rollout plan that this node follows.
+  void RecordRolloutPlan(const std::string& stage);
   /// Counts a log line that the rate limit suppressed.
   void RecordLogLineDropped();
   void SetClients(size_t clients);
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -1,6 +1,7 @@
 #include "skylarkcroft/relay/skylarkcroft_relay_node.h"
 
 #include <algorithm>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <utility>
@@ -33,6 +34,7 @@
 #include "skylarkcroft/relay/skylarkcroft_shutdown_plan.h"
 #include "skylarkcroft/relay/skylarkcroft_store_replica.h"
 #include "skylarkcroft/relay/skylarkcroft_upstream_connections.h"
+#include "skylarkcroft/rollout/skylarkcroft_rollout_coordinator.h"
 
 namespace skylarkcroft {
 namespace {
@@ -91,6 +93,13 @@
   return parameters;
 }
 
+rollout_parameters MakeRolloutParameters(const relay_bounds& bounds) {
+  rollout_parameters parameters;
+  parameters.exposure_share = bounds.exposure_share.value_or(0);
+  parameters.exposure_slack = bounds.exposure_slack;
+  return parameters;
+}
+
 duty_parameters MakeDutyParameters(const relay_settings& settings) {
   duty_parameters parameters;
   parameters.lease.lease_time = settings.bounds.lease;
@@ -158,8 +167,12 @@
                   [this](time_point now) {
                     metrics_.RecordStoreRestored();
                     archive_.OnStoreRestored(now);
+                    if (rollouts_ != nullptr) {
+                      rollouts_->OnStoreRestored();
+                    }
                   },
-                  [this] { server_.OnTablesChanged(); }},
+                  [this] { server_.OnTablesChanged(); },
+                  [this](const rollout_order& order) { OnRollout(order); }},
                  settings.name,
                  {settings.bounds.apply_deadline, settings.bounds.drain}),
         server_(environment_, settings.listen.clients),
@@ -177,6 +190,12 @@
     environment_.on_client_ended = [this](const client_end& end) {
       OnClientEnded(end);
     };
+    if (settings.bounds.exposure_share.has_value()) {
+      rollouts_ = std::make_unique<rollout_coordinator>(
+          MakeRolloutEnvironment(store), MakeRolloutParameters(settings.bounds),
+          settings.bounds.lease);
+      environment_.rollouts = rollouts_.get();
+    }
     median_clock_.RecordOwn(incarnation_, started_at_);
     replica_.Start(channel_.address(), started_at_);
     housekeeping_timer_ =
@@ -272,6 +291,57 @@
     return environment;
   }
 
+  rollout_environment MakeRolloutEnvironment(row_store& store) {
+    return {
+        store,
+        settings_.name,
+        incarnation_,
+        [this](time_point now) -> std::optional<held_lease> {
+          if (!duties_.MayAct(now)) {
+            return std::nullopt;
+          }
+          return held_lease{duties_.fencing_token(), duties_.LeaseCondition()};
+        },
+        [this](time_point now) { return group_.LivePeers(now); },
+        [this] { return balancer_.Entries(); },
+        [this](time_point now) { return median_clock_.NowMs(now); },
+        [this](const endpoint& target, const std::string& datagram) {
+          channel_.Send(target, datagram);
+        },
+        [this](const std::string& datagram) { Broadcast({datagram}); },
+        adapter_.rollout_status,
+        [this](const rollout_plan& plan) { LogRollout(plan); },
+        clock_};
+  }
+
+  void OnRollout(const rollout_order& order) {
+    LogEvent(log_level::kInfo, "rollout ordered",
+             {{"service", order.service},
+              {"target", order.target},
+              {"period_ms", std::to_string(order.period.count())},
+              {"position", ToString(order.position)},
+              {"carried_out", rollouts_ != nullptr ? "true" : "false"}});
+    if (rollouts_ != nullptr) {
+      rollouts_->OnOrder(order);
+    }
+  }
+
+  void LogRollout(const rollout_plan& plan) {
+    metrics_.RecordRolloutPlan(std::string(ToString(plan.stage)));
+    LogEvent(plan.stage == rollout_stage::kRolledBack ? log_level::kWarn
+                                                      : log_level::kInfo,
+             "rollout plan",
+             {{"service", plan.order.service},
+              {"target", plan.order.target},
+              {"stage", std::string(ToString(plan.stage))},
+              {"share", std::to_string(plan.share)},
+              {"upstreams", std::to_string(plan.canary_upstreams)},
+              {"moved_routes", std::to_string(plan.moved_routes.size())},
+              {"fence", std::to_string(plan.fencing_token)},
+              {"sequence", std::to_string(plan.sequence)},
+              {"reason", plan.reason}});
+  }
+
   request_quarantine_parameters MakeRequestQuarantineParameters() {
     request_quarantine_parameters parameters = RequestQuarantineOfRelay();
     parameters.end_delay =
@@ -336,7 +406,10 @@
                       {},
                       balancer_.Running(pool.name, now)};
       for (const upstream_entry& entry : balancer_.Entries()) {
-        if (entry.service == pool.name) {
+        const bool is_capacity =
+            rollouts_ == nullptr ||
+            !rollouts_->router().IsOutsideCapacity(pool.name, entry.version);
+        if (entry.service == pool.name && is_capacity) {
           view.upstreams.push_back({entry, balancer_.RunningAt(entry.id, now)});
         }
       }
@@ -374,6 +447,9 @@
     crashing_requests_.Tick(now);
     TellQuarantineNews();
     archive_.Tick(now, ArchiveRole(now));
+    if (rollouts_ != nullptr) {
+      rollouts_->Tick(ReportPeriod(group_.NodeCount(now)), now);
+    }
     SendReportIfDue(now);
   }
 
@@ -525,7 +601,7 @@
   void OnDatagram(const endpoint& from, std::string_view bytes) {
     const std::optional<peer_report> report = DecodeReport(bytes);
     if (!report.has_value()) {
-      OnOtherDatagram(bytes);
+      OnOtherDatagram(from, bytes);
       return;
     }
     metrics_.RecordDatagram(true);
@@ -547,7 +623,11 @@
                              report->upstreams_position);
   }
 
-  void OnOtherDatagram(std::string_view bytes) {
+  void OnOtherDatagram(const endpoint& from, std::string_view bytes) {
+    if (rollouts_ != nullptr && rollouts_->OnDatagram(from, bytes)) {
+      metrics_.RecordDatagram(true);
+      return;
+    }
     const std::optional<table_changes> changes = DecodeChanges(bytes);
     if (changes.has_value()) {
       metrics_.RecordDatagram(true);
@@ -687,6 +767,7 @@
   quarantine_archive archive_;
   usage_ledger ledger_;
   fleet_planner planner_{fleet_planner_parameters{}};
+  std::unique_ptr<rollout_coordinator> rollouts_;
   peer_group group_;
   median_clock median_clock_;
   relay_environment environment_;
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -198,10 +198,33 @@
           placement_draw_};
 }
 
+std::optional<placement> relay_request::ChooseUpstream(time_point now) const {
+  placement_request request = MakePlacementRequest();
+  if (environment_.rollouts == nullptr) {
+    return environment_.balancer.Choose(request, now);
+  }
+  const std::vector<upstream_filter_fn> filters =
+      environment_.rollouts->router().Filters(
+          {service_name_, gate_.route->name, !tried_upstreams_.empty(),
+           environment_.uniform_random()},
+          now);
+  if (filters.empty()) {
+    return environment_.balancer.Choose(request, now);
+  }
+  std::optional<placement> chosen;
+  for (const upstream_filter_fn& filter : filters) {
+    request.allows = filter;
+    chosen = environment_.balancer.Choose(request, now);
+    if (chosen.has_value()) {
+      break;
+    }
+  }
+  return chosen;
+}
+
 void relay_request::StartNextAttempt() {
   const time_point now = environment_.clock();
-  const std::optional<placement> placed =
-      environment_.balancer.Choose(MakePlacementRequest(), now);
+  const std::optional<placement> placed = ChooseUpstream(now);
   if (!placed.has_value()) {
     EndWithoutUpstream(now);
     return;
@@ -257,6 +280,10 @@
   sent->is_trial = crashes_.RecordSending(now);
   environment_.balancer.RecordRequestSent(placed.upstream.id, placed.work,
                                           generation_, now);
+  if (environment_.rollouts != nullptr) {
+    sent->rollout_id = environment_.rollouts->OnRequestSent(
+        gate_.route->name, placed.upstream, now);
+  }
   const exchange_request request{
       placed.upstream.id,    placed.upstream.address,
       FormatRequest(placed), environment_.names.request_id,
@@ -669,10 +696,18 @@
       break;
     case attempt_failure::kSilent:
       // Recorded when its successor was sent.
-      Close(std::move(failed), upstream_outcome::kInconclusive);
+      Close(std::move(failed), upstream_outcome::kInconclusive,
+            rollout_request_end::kLost);
       break;
     case attempt_failure::kMisdirected:
+      // Answered by another process.
+      Close(std::move(failed), upstream_outcome::kFailure,
+            rollout_request_end::kNoEvidence);
+      break;
     case attempt_failure::kBroken:
+      Close(std::move(failed), upstream_outcome::kFailure,
+            rollout_request_end::kLost);
+      break;
     case attempt_failure::kMalformed:
     case attempt_failure::kErrorResponse:
       Close(std::move(failed), upstream_outcome::kFailure);
@@ -684,7 +719,33 @@
   Close(std::move(attempt_), outcome);
 }
 
+void relay_request::CloseAttempt(upstream_outcome outcome,
+                                 rollout_request_end end) {
+  Close(std::move(attempt_), outcome, end);
+}
+
 void relay_request::Close(attempt_ptr closed, upstream_outcome outcome) {
+  rollout_request_end end = rollout_request_end::kNoEvidence;
+  if (outcome == upstream_outcome::kSuccess) {
+    end = rollout_request_end::kOk;
+  } else if (outcome == upstream_outcome::kFailure) {
+    end = rollout_request_end::kFailed;
+  }
+  Close(std::move(closed), outcome, end);
+}
+
+void relay_request::Close(attempt_ptr closed, upstream_outcome outcome,
+                          rollout_request_end end) {
+  if (environment_.rollouts != nullptr) {
+    const upstream_entry& upstream = closed->placed.upstream;
+    // An upstream that leaves cuts requests off whatever its version.
+    const bool is_evidence = end == rollout_request_end::kOk ||
+                             !environment_.balancer.IsLeaving(upstream.id);
+    environment_.rollouts->OnRequestEnded(
+        upstream.service, closed->rollout_id,
+        is_evidence ? end : rollout_request_end::kNoEvidence,
+        environment_.clock());
+  }
   environment_.balancer.RecordRequestEnded(
       closed->placed.upstream.id, closed->placed.work,
       closed->execution_started, outcome, environment_.clock());
@@ -713,8 +774,10 @@
     CancelSuccessor();
     if (attempt_ != nullptr) {
       may_have_executed_ = may_have_executed_ || attempt_->exchange->sent();
+      // For a rollout, an answer that is not complete in time is a failure.
       CloseAttempt(attempt_->execution_started ? upstream_outcome::kInconclusive
-                                               : upstream_outcome::kFailure);
+                                               : upstream_outcome::kFailure,
+                   rollout_request_end::kFailed);
     }
     EndWithError(
         ChooseFinalResponse(may_have_executed_, response_started_, true),
@@ -820,8 +883,7 @@
 }
 
 void relay_request::OpenSuccessor(time_point now) {
-  const std::optional<placement> successor =
-      environment_.balancer.Choose(MakePlacementRequest(), now);
+  const std::optional<placement> successor = ChooseUpstream(now);
   const bool is_other =
       successor.has_value() &&
       successor->upstream.id != attempt_->placed.upstream.id &&
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -16,6 +16,7 @@
 #include "skylarkcroft/relay/skylarkcroft_relay_environment.h"
 #include "skylarkcroft/relay/skylarkcroft_response_writer.h"
 #include "skylarkcroft/relay/skylarkcroft_upstream_response.h"
+#include "skylarkcroft/rollout/skylarkcroft_rollout_coordinator.h"
 #include "skylarkcroft/wire/skylarkcroft_message_reader.h"
 
 namespace skylarkcroft {
@@ -116,7 +117,13 @@
   [[nodiscard]] bool MayRetryAfter(attempt_failure failure, int upstreams_used,
                                    time_point now) const;
   void CloseAttempt(upstream_outcome outcome);
+  void CloseAttempt(upstream_outcome outcome, rollout_request_end end);
   void Close(attempt_ptr closed, upstream_outcome outcome);
+  /// `end` is what the attempt shows about the version of its upstream.
+  void Close(attempt_ptr closed, upstream_outcome outcome,
+             rollout_request_end end);
+  /// The upstream for the next attempt, among those that a rollout allows.
+  [[nodiscard]] std::optional<placement> ChooseUpstream(time_point now) const;
   void CloseFailed(attempt_ptr failed, attempt_failure failure);
   /// Cancels the attempt and its successor without a verdict on their
   /// upstreams.
--- a/src/skylarkcroft/relay/skylarkcroft_relay_settings.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_settings.cc
@@ -29,7 +29,8 @@
       {"apply_deadline_ms", "revocation_ms", "strict_revocation", "drain_ms",
        "grace_period_ms", "repeat_share", "repeat_window_ms", "repeat_reserve",
        "allotment_overage_share", "allotment_overage_tokens", "lease_ms",
-       "usage_window_ms", "usage_lateness_ms"});
+       "usage_window_ms", "usage_lateness_ms", "exposure_share",
+       "exposure_slack", "rollback_ms"});
   bounds.apply_deadline =
       ReadMs(reader, "apply_deadline_ms", bounds.apply_deadline, 1);
   bounds.revocation = ReadMs(reader, "revocation_ms", bounds.revocation, 1);
@@ -53,6 +54,12 @@
       ReadMs(reader, "usage_window_ms", bounds.usage_window, 1);
   bounds.usage_lateness =
       ReadMs(reader, "usage_lateness_ms", bounds.usage_lateness, 1);
+  if (reader.Has("exposure_share")) {
+    bounds.exposure_share = reader.NumberOr("exposure_share", {0, 1}, 0);
+  }
+  bounds.exposure_slack = reader.NumberOr(
+      "exposure_slack", {0, kMaxRetryReserve}, bounds.exposure_slack);
+  bounds.rollback = ReadMs(reader, "rollback_ms", bounds.rollback, 1);
   return bounds;
 }
 
--- a/src/skylarkcroft/relay/skylarkcroft_relay_settings.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_settings.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 
 #include "skylarkcroft/internal/skylarkcroft_endpoint.h"
@@ -38,6 +39,11 @@
   milliseconds lease{3000};
   milliseconds usage_window{5000};
   milliseconds usage_lateness{10000};
+  /// Without it, the versions of upstreams are ignored and orders to roll out a
+  /// version are not carried out.
+  std::optional<double> exposure_share{};
+  double exposure_slack = 50;
+  milliseconds rollback{5000};
 
   bool operator==(const relay_bounds&) const = default;
 };
--- a/src/skylarkcroft/relay/skylarkcroft_store_replica.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_store_replica.cc
@@ -219,7 +219,28 @@
       {}};
 }
 
+void store_replica::ApplyRolloutRow(const stored_row& row) {
+  std::optional<rollout_order> order =
+      environment_.adapter.parse_rollout(row.value);
+  const std::string& prefix = environment_.adapter.rollout_key_prefix;
+  if (!order.has_value() || row.key != prefix + order->service) {
+    environment_.log(
+        log_level::kError, "rollout order unreadable",
+        {{"row", row.key}, {"row_version", std::to_string(row.version)}});
+    return;
+  }
+  order->position = {tables_follower_.place().era, row.version};
+  environment_.on_rollout_order(*order);
+}
+
 void store_replica::ApplyTablesRow(const stored_row& row) {
+  const std::string& prefix = environment_.adapter.rollout_key_prefix;
+  const bool is_order = environment_.on_rollout_order != nullptr &&
+                        !prefix.empty() && row.key.starts_with(prefix);
+  if (is_order && !row.removed) {
+    ApplyRolloutRow(row);
+    return;
+  }
   if (row.key != environment_.adapter.operator_tables_key || row.removed) {
     return;
   }
--- a/src/skylarkcroft/relay/skylarkcroft_store_replica.h
+++ b/src/skylarkcroft/relay/skylarkcroft_store_replica.h
@@ -40,6 +40,8 @@
   std::function<void(time_point now)> on_restored{};
   /// Called when other operators' tables are in force; may be empty.
   std::function<void()> on_tables{};
+  /// Called with each order of a rollout that is read; may be empty.
+  std::function<void(const rollout_order&)> on_rollout_order{};
 };
 
 /// Times within which nodes have to act on changes in the store.
@@ -96,6 +98,7 @@
   table_follower_callbacks NodesEvents();
   void RecordStoreResponse(std::optional<time_point> at);
   void ApplyTablesRow(const stored_row& row);
+  void ApplyRolloutRow(const stored_row& row);
   std::optional<upstream_entry> ParseUpstreamRow(const stored_row& row);
   void ResetUpstreams(const std::vector<stored_row>& rows, time_point now);
   void ApplyUpstreamRow(const stored_row& row, time_point now);
--- a/src/skylarkcroft/rollout/skylarkcroft_rollout_outcomes.cc
+++ b/src/skylarkcroft/rollout/skylarkcroft_rollout_outcomes.cc
@@ -209,23 +209,28 @@
     return;
   }
   order_ = order;
-  running_.clear();
   totals_.clear();
+  for (auto& [id, request] : running_) {
+    request.counted = false;
+  }
 }
 
 version_outcomes& rollout_recorder::OutcomesOf(const running_request& request) {
   route_outcomes& outcomes = totals_[request.route];
-  return request.to_new ? outcomes.new_version : outcomes.old_version;
+  return IsTarget(request.version) ? outcomes.new_version
+                                   : outcomes.old_version;
 }
 
-uint64_t rollout_recorder::OnSent(const std::string& route, bool to_new,
-                                  time_point now) {
+uint64_t rollout_recorder::OnSent(const std::string& route,
+                                  const std::string& version, time_point now) {
   const std::string name = route.substr(0, kMaxRouteNameBytes);
   const bool is_kept =
       totals_.size() < kMaxRolloutRoutes || totals_.contains(name);
   const running_request request{is_kept ? name : std::string(kOtherRoutes),
-                                to_new, now};
-  ++OutcomesOf(request).sent;
+                                version, now, order_.has_value()};
+  if (request.counted) {
+    ++OutcomesOf(request).sent;
+  }
   running_.emplace(++last_id_, request);
   return last_id_;
 }
@@ -236,6 +241,10 @@
   if (found == running_.end()) {
     return;
   }
+  if (!found->second.counted) {
+    running_.erase(found);
+    return;
+  }
   version_outcomes& outcomes = OutcomesOf(found->second);
   switch (end) {
     case rollout_request_end::kOk:
@@ -260,9 +269,12 @@
 rollout_totals rollout_recorder::Totals(time_point now) const {
   rollout_totals totals = totals_;
   for (const auto& [id, request] : running_) {
+    if (!request.counted) {
+      continue;
+    }
     route_outcomes& outcomes = totals[request.route];
     version_outcomes& version =
-        request.to_new ? outcomes.new_version : outcomes.old_version;
+        IsTarget(request.version) ? outcomes.new_version : outcomes.old_version;
     version.running.Add(
         duration_counts::BucketOf(
             std::chrono::duration_cast<milliseconds>(now - request.sent_at)),
@@ -271,6 +283,12 @@
   return totals;
 }
 
+int64_t rollout_recorder::RunningAtOld() const {
+  return std::count_if(
+      running_.begin(), running_.end(),
+      [this](const auto& item) { return !IsTarget(item.second.version); });
+}
+
 void rollout_tally::OnReport(const rollout_report& report, time_point now) {
   if (!IsSameOrder(report.order, order_)) {
     return;
--- a/src/skylarkcroft/rollout/skylarkcroft_rollout_outcomes.h
+++ b/src/skylarkcroft/rollout/skylarkcroft_rollout_outcomes.h
@@ -115,20 +115,29 @@
  public:
   /// Starts counting for `order`; has no effect if it is the present one.
   void Start(const rollout_order& order);
-  /// Records that a request was sent; returns an id for OnEnded().
-  uint64_t OnSent(const std::string& route, bool to_new, time_point now);
-  /// Records the end of a request. Requests sent before Start() are ignored.
+  /// Records that a request was sent to an upstream of `version`; returns an id
+  /// for OnEnded(). To be called before Start() too, for RunningAtOld().
+  uint64_t OnSent(const std::string& route, const std::string& version,
+                  time_point now);
+  /// Records the end of a request. Those sent before Start() are not counted.
   void OnEnded(uint64_t id, rollout_request_end end, time_point now);
   /// Outcomes since Start().
   [[nodiscard]] rollout_totals Totals(time_point now) const;
+  /// Requests that are running at other versions than the target.
+  [[nodiscard]] int64_t RunningAtOld() const;
 
  private:
   struct running_request {
     std::string route;
-    bool to_new = false;
+    std::string version;
     time_point sent_at{};
+    bool counted = false;  ///< It was sent after the order.
   };
 
+  [[nodiscard]] bool IsTarget(const std::string& version) const {
+    return order_.has_value() && order_->target == version;
+  }
+
   version_outcomes& OutcomesOf(const running_request& request);
 
   std::optional<rollout_order> order_;
--- a/src/skylarkcroft/rollout/skylarkcroft_rollout_router.cc
+++ b/src/skylarkcroft/rollout/skylarkcroft_rollout_router.cc
@@ -166,6 +166,14 @@
          !(state->plan.has_value() && IsFinal(state->plan->stage));
 }
 
+bool rollout_router::IsOutsideCapacity(const std::string& service,
+                                       const std::string& version) const {
+  const service_state* state = Find(service);
+  return state != nullptr &&
+         (state->rejected.contains(version) ||
+          (IsRunning(service) && version == state->order->target));
+}
+
 version_counts rollout_router::Counts(const std::string& service) const {
   const service_state* state = Find(service);
   if (state == nullptr) {
--- a/src/skylarkcroft/rollout/skylarkcroft_rollout_router.h
+++ b/src/skylarkcroft/rollout/skylarkcroft_rollout_router.h
@@ -68,6 +68,10 @@
   [[nodiscard]] const rollout_plan* Plan(const std::string& service) const;
   /// Whether an order of `service` is not decided, as far as this node knows.
   [[nodiscard]] bool IsRunning(const std::string& service) const;
+  /// Whether an upstream of `version` is no capacity to plan with: that of a
+  /// rollout that is running or was rolled back.
+  [[nodiscard]] bool IsOutsideCapacity(const std::string& service,
+                                       const std::string& version) const;
   [[nodiscard]] version_counts Counts(const std::string& service) const;
   /// Services with an order.
   [[nodiscard]] std::vector<std::string> Services() const;
--- a/tests/adapter/platform_standin.h
+++ b/tests/adapter/platform_standin.h
@@ -49,6 +49,11 @@
     const auto found = rows_.find({table, key});
     return found != rows_.end() && !found->second.removed;
   }
+  /// Whether the row exists with this value.
+  [[nodiscard]] bool Holds(const std::string& table, const std::string& key,
+                           const std::string& value) const {
+    return Has(table, key) && rows_.at({table, key}).value == Base64(value);
+  }
   /// Watches from versions before now get 410.
   void ForgetHistory() { oldest_ = version_; }
   /// Keeps a copy of the rows for RestoreCopy().
--- a/tests/rollout/rollout_fleet.cc
+++ b/tests/rollout/rollout_fleet.cc
@@ -89,7 +89,6 @@
     rollout_recorder recorder;
     milliseconds report_offset{0};
     int64_t sequence = 0;
-    int64_t running_at_old = 0;
   };
   struct upstream {
     upstream_entry entry;
@@ -99,7 +98,6 @@
     time_point ends_at;
     size_t node = 0;
     uint64_t id = 0;
-    bool to_new = false;
     rollout_request_end end = rollout_request_end::kOk;
     bool bad = false;
     std::shared_ptr<int> load;
@@ -209,7 +207,6 @@
                       std::lognormal_distribution<double>(0, 0.25)(random_);
     running_request request;
     request.node = index;
-    request.to_new = to_new;
     request.load = chosen->running;
     if (Draw() < kFailuresOfTheOldVersion) {
       request.end = rollout_request_end::kFailed;
@@ -232,8 +229,7 @@
     }
     request.ends_at =
         now_ + milliseconds(static_cast<milliseconds::rep>(duration));
-    request.id = node.recorder.OnSent(route.name, to_new, now_);
-    node.running_at_old += to_new ? 0 : 1;
+    request.id = node.recorder.OnSent(route.name, chosen->entry.version, now_);
     ++*chosen->running;
     running_.push(request);
   }
@@ -241,7 +237,6 @@
   void End(const running_request& request) {
     node& node = *nodes_[request.node];
     node.recorder.OnEnded(request.id, request.end, now_);
-    node.running_at_old -= request.to_new ? 0 : 1;
     --*request.load;
     result_.bad_answers += request.bad ? 1 : 0;
     if (result_.bad_answers == kBadAnswersOfTheBound &&
@@ -275,10 +270,15 @@
       if (!due || plan == nullptr) {
         continue;
       }
-      const rollout_report report{
-          order_,           node->name,           1,
-          ++node->sequence, plan->fencing_token,  plan->sequence,
-          plan->stage,      node->running_at_old, node->recorder.Totals(now_)};
+      const rollout_report report{order_,
+                                  node->name,
+                                  1,
+                                  ++node->sequence,
+                                  plan->fencing_token,
+                                  plan->sequence,
+                                  plan->stage,
+                                  node->recorder.RunningAtOld(),
+                                  node->recorder.Totals(now_)};
       for (const std::string& bytes : EncodeRolloutReport(report)) {
         Post([this, bytes] {
           if (holder_ != nullptr) {
@@ -347,7 +347,8 @@
         result_.decided_at = SinceOrder();
         if (plan.stage == rollout_stage::kCompleted) {
           for (const auto& node : nodes_) {
-            result_.running_at_old_when_completed += node->running_at_old;
+            result_.running_at_old_when_completed +=
+                node->recorder.RunningAtOld();
           }
         }
       }
