--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer.cc
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer.cc
@@ -281,7 +281,7 @@
   std::vector<double> shares;
   size_t reclaimable = 0;
   for (const auto& [id, upstream] : upstreams_) {
-    if (upstream.entry.service != request.service || !IsUsable(upstream)) {
+    if (!request.MayUse(upstream.entry) || !IsUsable(upstream)) {
       continue;
     }
     ++summary.usable;
@@ -302,8 +302,7 @@
   }
   uint64_t best = 0;
   for (const auto& [id, upstream] : upstreams_) {
-    const bool eligible =
-        upstream.entry.service == request.service && IsUsable(upstream);
+    const bool eligible = request.MayUse(upstream.entry) && IsUsable(upstream);
     if (!eligible || (summary.avoid_on_demand && !upstream.entry.reclaimable)) {
       continue;
     }
@@ -459,8 +458,7 @@
   options.reserve(summary.usable);
   for (const auto& [id, upstream] : upstreams_) {
     const bool may_serve =
-        upstream.entry.service == request.service &&
-        (request.allows == nullptr || request.allows(upstream.entry)) &&
+        request.MayUse(upstream.entry) &&
         (IsUsable(upstream) || ServesUntil(upstream).has_value()) &&
         !announcements_.PausedUntil(upstream.entry, now).has_value();
     if (!may_serve) {
--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
@@ -108,6 +108,11 @@
   double draw = 0;
   /// Whether an upstream may be chosen; empty if all may.
   std::function<bool(const upstream_entry&)> allows{};
+
+  [[nodiscard]] bool MayUse(const upstream_entry& upstream) const {
+    return upstream.service == service &&
+           (allows == nullptr || allows(upstream));
+  }
 };
 
 /// The upstream chosen for a request, with the inputs of the decision.
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -75,6 +75,9 @@
 constexpr size_t kArchiveWriters = 2;
 // Requests to a leaving upstream have to end this long before it may exit.
 constexpr milliseconds kLeavingMargin{200};
+// A rollout plan that has not been heard for this share of the rollback bound
+// has expired; the rest covers the time to detect a bad version.
+constexpr double kMaxPlanAgeShare = 0.6;
 constexpr int kOkStatus = 200;
 constexpr int kNotFoundStatus = 404;
 constexpr int kUnavailableStatus = 503;
@@ -193,7 +196,8 @@
     if (settings.bounds.exposure_share.has_value()) {
       rollouts_ = std::make_unique<rollout_coordinator>(
           MakeRolloutEnvironment(store), MakeRolloutParameters(settings.bounds),
-          settings.bounds.lease);
+          std::min(settings.bounds.lease,
+                   Scale(settings.bounds.rollback, kMaxPlanAgeShare)));
       environment_.rollouts = rollouts_.get();
     }
     median_clock_.RecordOwn(incarnation_, started_at_);
