--- a/src/skylarkcroft/relay/skylarkcroft_relay_environment.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_environment.h
@@ -25,6 +25,7 @@
 namespace skylarkcroft {
 
 class event_loop;
+class rollout_coordinator;
 
 /// Dependencies shared by all requests of a node. Everything referenced must
 /// outlive the requests.
@@ -72,6 +73,8 @@
       [](const memory_relief&) {};
   /// The memory that the node holds for clients.
   std::shared_ptr<memory_account> memory = std::make_shared<memory_account>();
+  /// Null if the deployment has no rollouts.
+  rollout_coordinator* rollouts = nullptr;
 };
 
 /// The limits for clients of the active tables, or the default ones before the
--- a/src/skylarkcroft/relay/skylarkcroft_store_replica.h
+++ b/src/skylarkcroft/relay/skylarkcroft_store_replica.h
@@ -44,6 +44,8 @@
   /// empty.
   std::function<void(const std::string& table, store_call_reason reason)>
       on_call{};
+  /// Called with each order of a rollout that is read; may be empty.
+  std::function<void(const rollout_order&)> on_rollout_order{};
 };
 
 /// Times within which nodes have to act on changes in the store.
@@ -103,6 +105,7 @@
       const std::string& table) const;
   void RecordStoreResponse(std::optional<time_point> at);
   void ApplyTablesRow(const stored_row& row);
+  void ApplyRolloutRow(const stored_row& row);
   std::optional<upstream_entry> ParseUpstreamRow(const stored_row& row);
   void ResetUpstreams(const std::vector<stored_row>& rows, time_point now);
   void ApplyUpstreamRow(const stored_row& row, time_point now);
