--- a/src/skylarkcroft/limits/skylarkcroft_quota_priority.cc
+++ b/src/skylarkcroft/limits/skylarkcroft_quota_priority.cc
@@ -63,6 +63,7 @@
   } else if (level > parameters_.stop_share * limit.burst) {
     demand.ordered = false;
   }
+  decision.ordered = demand.ordered;
   decision.required_level = RequiredLevel(demand, limit, request, rank, now);
   decision.granted = level >= decision.required_level;
   if (decision.granted) {
--- a/src/skylarkcroft/limits/skylarkcroft_quota_priority.h
+++ b/src/skylarkcroft/limits/skylarkcroft_quota_priority.h
@@ -54,6 +54,9 @@
   /// The bucket would have sufficed; tokens are kept for more urgent or smaller
   /// requests.
   bool reserved = false;
+  /// Requests of the workspace are granted in order at present, so that the
+  /// decision stands for itself.
+  bool ordered = false;
   double required_level = 0;  ///< Tokens that had to be in the bucket.
   milliseconds wait{0};       ///< `Retry-After`; 0 when granted.
 };
--- a/src/skylarkcroft/relay/skylarkcroft_quota_admission.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_quota_admission.cc
@@ -33,8 +33,15 @@
     return {0, decision.reserved ? "allotment_reserved" : "over_allotment",
             decision.wait};
   }
+  if (decision.ordered) {
+    environment.quotas.Charge(workspace->name, limit, amount, nodes, now);
+    record.allotment_source = "order";
+    return {amount, {}, milliseconds(0)};
+  }
   const quota_decision taken =
       environment.quotas.Take(workspace->name, limit, amount, nodes, now);
+  record.allotment_source = std::string(ToString(taken.source));
+  record.allotment_demand = taken.demand_rate;
   if (!taken.granted) {
     return {0, "over_allotment", taken.wait};
   }
--- a/src/skylarkcroft/relay/skylarkcroft_relay_metrics.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.h
@@ -32,6 +32,8 @@
   void RecordSpeedChange();
   /// Counts a peer report; `readable` is false if it could not be decoded.
   void RecordDatagram(bool readable);
+  /// Counts a report of quotas sent before the end of the report period.
+  void RecordEarlyQuotaReport();
   /// Counts a call to the store that reads or writes quarantines.
   void RecordArchiveCall(std::string_view outcome);
   /// Counts a change of the rollout plan that this node follows.
--- a/src/skylarkcroft/relay/skylarkcroft_request_record.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_request_record.cc
@@ -47,6 +47,8 @@
       {"allotment_level", WholeTokens(record.allotment_level)},
       {"allotment_required", WholeTokens(record.allotment_required)},
       {"retry_after_ms", Ms(record.retry_after)},
+      {"allotment_source", record.allotment_source},
+      {"allotment_demand", WholeTokens(record.allotment_demand)},
       {"first_byte_ms", Ms(record.first_byte)},
       {"longest_pause_ms", Ms(record.longest_pause)},
       {"total_ms", Ms(record.total)},
--- a/src/skylarkcroft/relay/skylarkcroft_request_record.h
+++ b/src/skylarkcroft/relay/skylarkcroft_request_record.h
@@ -47,6 +47,10 @@
   /// kept for more urgent or smaller requests.
   double allotment_required = 0;
   milliseconds retry_after{0};  ///< As told to the client; 0 if not.
+  /// What the decision on the tokens was based on (quota_source), and the
+  /// estimated demand over all nodes in tokens a second.
+  std::string allotment_source;
+  double allotment_demand = 0;
   /// Time from arrival to the start of execution, as seen by this node.
   milliseconds first_byte{0};
   /// Longest pause between two reads from the upstream's response.
