Admission: a service without room takes urgent requests and small workspaces first

Cause: when all engines of a service were full, every request was still sent; engines declined it or preempted running streams, whatever its rank and workspace.

Change: service_admission decides before the first attempt, from the fill of the service by this node's and its peers' loads, the urgency, and the recent use of the workspace. What is not sent is refused at once with 503 service_full and a Retry-After behind the requests told to return. Applies to services with engines and workspaces with a quota, never below half of the batch slots.

--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer.cc
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer.cc
@@ -645,4 +645,29 @@
                                    : TotalLoad(found->second, now).load.running;
 }
 
+service_room load_balancer::Room(const std::string& service,
+                                 int64_t cache_tokens, time_point now) const {
+  service_room room;
+  for (const auto& [id, upstream] : upstreams_) {
+    const bool takes_requests =
+        upstream.entry.service == service && IsUsable(upstream) &&
+        !upstream.health.IsAvoided(now) &&
+        !announcements_.PausedUntil(upstream.entry, now).has_value();
+    if (!takes_requests) {
+      continue;
+    }
+    const upstream_load load = TotalLoad(upstream, now).load;
+    room.running += load.running;
+    room.slots += std::max(upstream.entry.slots, 1);
+    room.cache_tokens += static_cast<double>(load.kv_cache_tokens);
+    room.planned_tokens +=
+        parameters_.max_kv_cache_share * static_cast<double>(cache_tokens);
+  }
+  const auto times = service_times_.find(service);
+  room.mean_service_time =
+      (times == service_times_.end() ? service_time_stats{} : times->second)
+          .MeanServiceTime(now);
+  return room;
+}
+
 }  // namespace skylarkcroft
--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
@@ -12,6 +12,7 @@
 #include "skylarkcroft/internal/skylarkcroft_time.h"
 #include "skylarkcroft/placement/skylarkcroft_peer_loads.h"
 #include "skylarkcroft/placement/skylarkcroft_prompt_parts.h"
+#include "skylarkcroft/placement/skylarkcroft_service_room.h"
 #include "skylarkcroft/placement/skylarkcroft_service_time_stats.h"
 #include "skylarkcroft/placement/skylarkcroft_upstream_announcements.h"
 #include "skylarkcroft/placement/skylarkcroft_upstream_entry.h"
@@ -230,6 +231,10 @@
   /// `service`, or at one upstream.
   [[nodiscard]] int Running(const std::string& service, time_point now) const;
   [[nodiscard]] int RunningAt(const std::string& id, time_point now) const;
+  /// Load and capacity of the upstreams of `service` that take requests;
+  /// `cache_tokens` as in placement_request.
+  [[nodiscard]] service_room Room(const std::string& service,
+                                  int64_t cache_tokens, time_point now) const;
 
  private:
   struct upstream_state {
--- a/src/skylarkcroft/relay/skylarkcroft_relay_environment.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_environment.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "skylarkcroft/admission/skylarkcroft_service_admission.h"
 #include "skylarkcroft/internal/skylarkcroft_time.h"
 #include "skylarkcroft/limits/skylarkcroft_quota_priority.h"
 #include "skylarkcroft/limits/skylarkcroft_service_retry_budget.h"
@@ -32,6 +33,7 @@
   upstream_connections& connections;
   token_quotas& quotas;
   quota_priority& quota_order;
+  service_admission& service_order;
   service_retry_budget& retries;
   part_quarantine& quarantine;
   request_quarantine& crashing_requests;
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -217,6 +217,7 @@
                                   connections_,
                                   quotas_,
                                   quota_order_,
+                                  service_order_,
                                   retries_,
                                   quarantine_,
                                   crashing_requests_,
@@ -683,6 +684,7 @@
   upstream_connections connections_;
   token_quotas quotas_;
   quota_priority quota_order_{quota_priority_parameters{}};
+  service_admission service_order_{service_admission_parameters{}};
   service_retry_budget retries_;
   part_quarantine quarantine_;
   request_quarantine crashing_requests_;
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -194,6 +194,9 @@
     EndWithoutUpstream(now);
     return;
   }
+  if (tried_upstreams_.empty() && !AdmitToService(placed->full, now)) {
+    return;
+  }
   if (record_.upstreams_used > 0 &&
       !environment_.retries.TryRetry(service_name_, environment_.node_count(),
                                      now)) {
@@ -205,6 +208,34 @@
   Adopt(SendTo(*placed));
 }
 
+bool relay_request::AdmitToService(bool placed_full, time_point now) {
+  const bool is_ordered = cache_tokens_ > 0 && gate_.workspace != nullptr &&
+                          gate_.workspace->tokens_per_second > 0;
+  if (!is_ordered) {
+    return true;
+  }
+  const service_request request{service_name_,
+                                record_.workspace,
+                                urgency_,
+                                static_cast<double>(generation_.TotalTokens()),
+                                RemainingTime(now),
+                                placed_full,
+                                environment_.uniform_random(),
+                                environment_.uniform_random()};
+  const service_admission_decision decision = environment_.service_order.Decide(
+      request,
+      [this, now] {
+        return environment_.balancer.Room(service_name_, cache_tokens_, now);
+      },
+      now);
+  record_.service_fill = decision.fill;
+  record_.service_max_fill = decision.max_fill;
+  if (!decision.admitted) {
+    EndWithError(final_response::kNotExecuted, "service_full", decision.wait);
+  }
+  return decision.admitted;
+}
+
 void relay_request::EndWithoutUpstream(time_point now) {
   const relay_parameters& parameters = environment_.parameters;
   const std::optional<time_point> pause_end =
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -61,6 +61,9 @@
   [[nodiscard]] milliseconds RemainingTime(time_point now) const;
   [[nodiscard]] placement_request MakePlacementRequest() const;
   void StartNextAttempt();
+  /// Ends the request if its service has no room for a request of its rank and
+  /// workspace. Requests of workspaces without a quota are always admitted.
+  bool AdmitToService(bool placed_full, time_point now);
   /// Ends the request where no upstream of its service takes it.
   void EndWithoutUpstream(time_point now);
   [[nodiscard]] attempt_ptr SendTo(const placement& placed);
--- a/src/skylarkcroft/relay/skylarkcroft_request_record.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_request_record.cc
@@ -15,6 +15,11 @@
   return std::to_string(static_cast<int64_t>(amount));
 }
 
+std::string Percent(double share) {
+  constexpr double kPercent = 100;
+  return std::to_string(static_cast<int64_t>(kPercent * share));
+}
+
 }  // namespace
 
 log_entry ToLogEntry(const request_record& record) {
@@ -46,6 +51,8 @@
       {"allotment_amount", WholeTokens(record.allotment_amount)},
       {"allotment_level", WholeTokens(record.allotment_level)},
       {"allotment_required", WholeTokens(record.allotment_required)},
+      {"service_fill_percent", Percent(record.service_fill)},
+      {"service_max_fill_percent", Percent(record.service_max_fill)},
       {"retry_after_ms", Ms(record.retry_after)},
       {"first_byte_ms", Ms(record.first_byte)},
       {"longest_pause_ms", Ms(record.longest_pause)},
--- a/src/skylarkcroft/relay/skylarkcroft_request_record.h
+++ b/src/skylarkcroft/relay/skylarkcroft_request_record.h
@@ -46,6 +46,10 @@
   /// Tokens that had to be left: more than the request needs where some are
   /// kept for more urgent or smaller requests.
   double allotment_required = 0;
+  /// Part of the service's capacity that was taken, and up to which the request
+  /// would have been sent; 0 where the service had room.
+  double service_fill = 0;
+  double service_max_fill = 0;
   milliseconds retry_after{0};  ///< As told to the client; 0 if not.
   /// Time from arrival to the start of execution, as seen by this node.
   milliseconds first_byte{0};
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -259,6 +259,7 @@
   upstream_connections connections;
   token_quotas quotas{true};
   quota_priority quota_order{quota_priority_parameters{}};
+  service_admission service_order{service_admission_parameters{}};
   service_retry_budget retries{service_retry_budget_parameters{}};
   part_quarantine quarantine{PartQuarantineOfRelay(),
                              [](const quarantine_event&) {}};
@@ -307,6 +308,7 @@
         connections,
         quotas,
         quota_order,
+        service_order,
         retries,
         quarantine,
         crashing_requests,
