--- a/tests/placement/load_balancer_test.cc
+++ b/tests/placement/load_balancer_test.cc
@@ -467,4 +467,28 @@
   CHECK(ChosenId(balancer, request) == "far");
 }
 
+// Guards against refusals by the load of engines that leave, and against a room
+// that leaves out what peers sent.
+TEST_CASE("The room of a service counts what all nodes run where it may go",
+          "[placement][room]") {
+  load_balancer balancer = Balancer(3);
+  upstream_entry leaving = Entry("u2");
+  leaving.is_draining = true;
+  balancer.Put(leaving, kStart);
+  Send(balancer, Request("session"));
+  upstream_report report;
+  report.key = UpstreamKey("u0");
+  report.load.running = 4;
+  report.load.kv_cache_tokens = 20000;
+  upstream_report at_leaving = report;
+  at_leaving.key = UpstreamKey("u2");
+  balancer.SetPeerReport({"peer"}, {report, at_leaving}, kStart);
+  const service_room room = balancer.Room("pool", kCacheTokens, kStart);
+  CHECK(room.running == 5);
+  CHECK(room.slots == 2 * 64);
+  CHECK(room.cache_tokens == 25600);
+  CHECK(room.planned_tokens == Approx(2 * 0.92 * kCacheTokens));
+  CHECK(balancer.Room("other", kCacheTokens, kStart).Fill() == 0);
+}
+
 }  // namespace skylarkcroft
