--- a/tests/limits/quota_priority_test.cc
+++ b/tests/limits/quota_priority_test.cc
@@ -49,10 +49,12 @@
 /// `Retry-After` where that is within a third of the time that they have left.
 class ordered_nodes {
  public:
-  ordered_nodes(size_t count, double per_second, bool ordered = true)
+  ordered_nodes(size_t count, double per_second, bool ordered = true,
+                const std::array<request_kind, kKinds>& mix = kMix)
       : per_second_(per_second),
         period_(ReportPeriod(count)),
-        ordered_(ordered) {
+        ordered_(ordered),
+        mix_(mix) {
     for (size_t i = 0; i < count; ++i) {
       quotas_.push_back(std::make_unique<token_quotas>(true));
       quotas_.back()->SetPeerTimeout(std::max(milliseconds(700), 3 * period_));
@@ -64,7 +66,7 @@
   void Run(milliseconds span, double demand) {
     double tokens = 0;
     double weights = 0;
-    for (const request_kind& kind : kMix) {
+    for (const request_kind& kind : mix_) {
       tokens += kind.weight * kind.tokens;
       weights += kind.weight;
     }
@@ -72,8 +74,8 @@
                             std::chrono::duration<double>(kStep).count();
     std::poisson_distribution<int> arrivals(per_step);
     std::discrete_distribution<size_t> kinds(
-        {kMix[kHint].weight, kMix[kRecap].weight, kMix[kBlurb].weight,
-         kMix[kShortRecap].weight});
+        {mix_[kHint].weight, mix_[kRecap].weight, mix_[kBlurb].weight,
+         mix_[kShortRecap].weight});
     for (milliseconds passed{0}; passed < span; passed += kStep) {
       now_ += kStep;
       while (!returns_.empty() && returns_.begin()->first <= now_) {
@@ -84,7 +86,7 @@
       for (int i = arrivals(random_); i > 0; --i) {
         const size_t kind = kinds(random_);
         outcomes.at(kind).requests += 1;
-        Ask({kind, now_ + kMix.at(kind).deadline});
+        Ask({kind, now_ + mix_.at(kind).deadline});
       }
       Report();
     }
@@ -107,7 +109,7 @@
   [[nodiscard]] double RankShare(int rank) const {
     kind_outcomes sum;
     for (size_t i = 0; i < kKinds; ++i) {
-      if (kMix.at(i).rank == rank) {
+      if (mix_.at(i).rank == rank) {
         sum.requests += outcomes.at(i).requests;
         sum.granted += outcomes.at(i).granted;
       }
@@ -125,7 +127,7 @@
   };
 
   void Ask(const pending& request) {
-    const request_kind& kind = kMix.at(request.kind);
+    const request_kind& kind = mix_.at(request.kind);
     kind_outcomes& outcome = outcomes.at(request.kind);
     const size_t node = random_() % quotas_.size();
     const quota_limit limit =
@@ -185,6 +187,7 @@
   double per_second_;
   milliseconds period_;
   bool ordered_;  ///< Otherwise the bucket alone decides.
+  std::array<request_kind, kKinds> mix_;
   std::vector<std::unique_ptr<token_quotas>> quotas_;
   std::vector<quota_priority> priorities_;
   std::multimap<time_point, pending> returns_;
@@ -236,6 +239,49 @@
   }
 }
 
+// Guards against an order that only large workspaces have: at many nodes a
+// small one has few requests at each, whose views of its bucket differ.
+TEST_CASE("A small workspace over its limit is served by rank",
+          "[limits][priority][hot_tenant]") {
+  const size_t count = GENERATE(7U, 89U);
+  const double demand = GENERATE(1.5, 3.0, 6.0);
+  constexpr double kPerSecond = 180000;
+  ordered_nodes nodes(count, kPerSecond);
+  ordered_nodes unordered(count, kPerSecond, false);
+  for (ordered_nodes* each : {&nodes, &unordered}) {
+    each->Run(milliseconds(4000), 0.6);
+    each->Run(milliseconds(8000), demand);
+    each->ResetCounts();
+    each->Run(milliseconds(16000), demand);
+  }
+  CAPTURE(count, demand, nodes.RankShare(0), unordered.RankShare(0));
+  CAPTURE(nodes.RankShare(1), nodes.RankShare(2));
+  CAPTURE(unordered.RankShare(1), unordered.RankShare(2));
+  CHECK(nodes.RankShare(0) >= nodes.RankShare(1) + 0.1);
+  CHECK(nodes.RankShare(1) >= nodes.RankShare(2) - 0.05);
+  CHECK(nodes.RankShare(2) >= 0.25 * nodes.Total().GrantedShare());
+}
+
+// Guards against tokens that stay unused since they are kept for requests that
+// do not come.
+TEST_CASE("A flood of the least urgent rank alone gets all of the limit",
+          "[limits][priority][hot_tenant]") {
+  const size_t count = GENERATE(7U, 89U);
+  constexpr double kPerSecond = 300000;
+  constexpr milliseconds kMeasured{8000};
+  std::array<request_kind, kKinds> mix = kMix;
+  for (request_kind& kind : mix) {
+    kind.rank = 2;
+  }
+  ordered_nodes nodes(count, kPerSecond, true, mix);
+  nodes.Run(milliseconds(4000), 3);
+  nodes.ResetCounts();
+  nodes.Run(kMeasured, 3);
+  CAPTURE(count, nodes.granted_tokens);
+  CHECK(nodes.granted_tokens >=
+        0.95 * kPerSecond * std::chrono::duration<double>(kMeasured).count());
+}
+
 // Guards against an order that refuses where the bucket alone would not.
 TEST_CASE("Demand within the limit is not refused because of the order",
           "[limits][priority]") {
