--- a/tests/admission/service_admission_test.cc
+++ b/tests/admission/service_admission_test.cc
@@ -252,6 +252,23 @@
   CHECK(all.refusals <= (demand < 2 ? 2 : 1.6) * all.refused_finally);
 }
 
+// Guards against waits so long that clients give up although the burst ends.
+TEST_CASE("Requests refused in a short burst are sent when there is room",
+          "[admission][service_room][burst]") {
+  const size_t count = GENERATE(7U, 89U);
+  nodes_of_service nodes(count, kDecides);
+  nodes.Run(milliseconds(4000), 0.6);
+  nodes.ResetCounts();
+  nodes.Run(milliseconds(1000), 2);
+  nodes.Run(milliseconds(6000), 0.6);
+  const outcomes all = nodes.Total();
+  CAPTURE(count, all.requests, all.sent, all.refusals, nodes.most_running);
+  CAPTURE(nodes.by_rank[0].SentShare(), nodes.by_rank[1].SentShare(),
+          nodes.by_rank[2].SentShare());
+  CHECK(all.SentShare() >= 0.9);
+  CHECK(nodes.by_rank[1].SentShare() >= 0.95);
+}
+
 // Guards against refusals while there is room.
 TEST_CASE("A service with room refuses nothing", "[admission][service_room]") {
   const size_t count = GENERATE(7U, 89U);
