--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
@@ -14,6 +14,7 @@
 #include "skylarkcroft/placement/skylarkcroft_load_balancer_parameters.h"
 #include "skylarkcroft/placement/skylarkcroft_peer_loads.h"
 #include "skylarkcroft/placement/skylarkcroft_prompt_parts.h"
+#include "skylarkcroft/placement/skylarkcroft_service_room.h"
 #include "skylarkcroft/placement/skylarkcroft_service_time_stats.h"
 #include "skylarkcroft/placement/skylarkcroft_store_returns.h"
 #include "skylarkcroft/placement/skylarkcroft_upstream_announcements.h"
@@ -197,6 +198,10 @@
   /// `service`, or at one upstream.
   [[nodiscard]] int Running(const std::string& service, time_point now) const;
   [[nodiscard]] int RunningAt(const std::string& id, time_point now) const;
+  /// Load and capacity of the upstreams of `service` that take requests;
+  /// `cache_tokens` as in placement_request.
+  [[nodiscard]] service_room Room(const std::string& service,
+                                  int64_t cache_tokens, time_point now) const;
 
  private:
   struct upstream_state {
