Placement: limit upstreams that have just started or returned

An engine that starts, restarts, returns from a pause or after failures was placed on like any other, by nodes with old reports all at once.

It now has a limit on the requests of all nodes, which doubles with each round of answers in time and falls with late ones, refusals, failures and silence. Nodes report what their answers have added; the draw among the upstreams takes what the limit leaves as the room there. Limits do not bind where all upstreams are new or the others are full, and the upstreams of a node's first list count as established. cold_remaining_ms is read as a hint.

--- a/src/skylarkcroft/peers/skylarkcroft_peer_report.cc
+++ b/src/skylarkcroft/peers/skylarkcroft_peer_report.cc
@@ -28,21 +28,25 @@
 // Upper bounds of the encoded sizes, without names.
 constexpr size_t kMaxHeaderBytes = 100;
 constexpr size_t kMaxUpstreamBytes = 26;
-constexpr size_t kMaxSpeedBytes = 9;
+constexpr size_t kMaxSpeedBytes = 12;
 constexpr size_t kMaxQuotaBytes = 16;
 constexpr size_t kMaxUsageBytes = 7;
 
 bool HasSpeed(const upstream_report& upstream) {
-  return upstream.speed != speed_evidence{};
+  return upstream.speed != speed_evidence{} || upstream.pace_credit != 0;
 }
 
-json EncodeSpeed(const speed_evidence& speed) {
+json EncodeSpeed(const upstream_report& upstream) {
   json item = json::array();
-  for (const slowness_evidence& one : {speed.prefill, speed.tokens}) {
+  for (const slowness_evidence& one :
+       {upstream.speed.prefill, upstream.speed.tokens}) {
     item.push_back(
         static_cast<int64_t>(std::lround(kSpeedStepsPerUnit * one.Log())));
     item.push_back(static_cast<int64_t>(one.weight));
   }
+  if (upstream.pace_credit != 0) {
+    item.push_back(static_cast<int64_t>(std::lround(upstream.pace_credit)));
+  }
   return item;
 }
 
@@ -57,6 +61,15 @@
   return {log * weight, weight};
 }
 
+// Absent for upstreams that have not just started.
+double DecodePaceCredit(const json& item) {
+  constexpr size_t kPaceItem = 4;
+  constexpr double kMaxCredit = 1000;
+  return item.size() > kPaceItem ? std::clamp(item.at(kPaceItem).get<double>(),
+                                              -kMaxCredit, kMaxCredit)
+                                 : 0;
+}
+
 // A flat array; tokens not yet processed are listed only for urgencies that
 // have some. Compact, since a report covers dozens of upstreams and goes to
 // every node.
@@ -75,7 +88,7 @@
     }
   }
   if (HasSpeed(upstream)) {
-    item.push_back(EncodeSpeed(upstream.speed));
+    item.push_back(EncodeSpeed(upstream));
   }
   return item;
 }
@@ -98,6 +111,7 @@
   if ((item.size() - kFixedItems) % 2 == 1) {
     upstream.speed = {DecodeSlowness(item.back(), 0),
                       DecodeSlowness(item.back(), 2)};
+    upstream.pace_credit = DecodePaceCredit(item.back());
   }
   return upstream;
 }
--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer.cc
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer.cc
@@ -18,6 +18,13 @@
 constexpr double kAvoidedPenalty = 1e6;
 constexpr double kAlreadyTriedPenalty = 1e7;
 constexpr double kFullPenalty = 1e5;
+// For an upstream whose limit after its start is reached: more than any cost of
+// those that are not, less than that of a full one, so that a service whose
+// other upstreams are full or just as new is not left idle.
+constexpr double kPacedPenalty = 5e4;
+// An upstream that fails this share of the requests of all nodes is limited
+// when it returns.
+constexpr double kFailingShare = 0.3;
 // Cost of an upstream of a plain service with as many requests in flight as
 // slots, in the scale of milliseconds.
 constexpr double kPlainRequestMs = 100;
@@ -31,6 +38,7 @@
 
 load_balancer::load_balancer(const load_balancer_parameters& parameters)
     : parameters_(parameters),
+      paces_(parameters.pace),
       peers_(parameters.peer_report_max_age),
       store_returns_(parameters.removal_grace) {}
 
@@ -51,6 +59,7 @@
   for (const upstream_entry& entry : entries) {
     Put(entry, now);
   }
+  listed_ = listed_ || !entries.empty();
 }
 
 void load_balancer::Put(const upstream_entry& entry, time_point now) {
@@ -68,6 +77,9 @@
       fresh.own = found->second.own;
     }
     upstreams_.insert_or_assign(entry.id, std::move(fresh));
+    if (listed_) {
+      StartPace(entry, now, false);
+    }
   }
   upstream_state& upstream = upstreams_.at(entry.id);
   upstream.entry = entry;
@@ -182,6 +194,7 @@
 void load_balancer::RecordPause(const upstream_entry& upstream,
                                 time_point until, time_point now) {
   announcements_.RecordPause(upstream, until, now);
+  StartPace(upstream, until, true);
 }
 
 std::optional<time_point> load_balancer::FirstPauseEnd(
@@ -369,6 +382,16 @@
       parameters_.less_urgent_prefill_weight * costs.PrefillMs(less_urgent) +
       costs.Running(upstream.entry.slots) * estimate.running + stall +
       (estimate.full ? kFullPenalty : 0);
+  const std::optional<double> limit = paces_.Limit(upstream.key);
+  if (limit.has_value()) {
+    // Caches are cold, and nodes that follow savings do not draw.
+    const double left = *limit - estimate.running;
+    option.cost += left < 1 ? kPacedPenalty : 0;
+    option.room =
+        std::max(left, 0.0) * (costs.Running(upstream.entry.slots) +
+                               costs.PrefillMs(request.shape.prompt_tokens));
+    return option;
+  }
   if (estimate.parts_cached) {
     option.saving = parameters_.repeated_prefill_weight *
                         costs.PrefillMs(request.shape.SharedTokens()) +
@@ -504,6 +527,7 @@
   if (upstream == nullptr || placed.expected_first_at_median.count() == 0) {
     return;
   }
+  paces_.RecordAnswer(upstream->key, waited, placed.expected_first, now);
   speeds_.RecordFirstEvent({placed.upstream.id, placed.upstream.service,
                             upstream->key, placed.upstream.slots},
                            waited, placed.expected_first_at_median,
@@ -539,6 +563,28 @@
       engines, [this](uint32_t key) { return peers_.SumFor(key).speed; }, now);
 }
 
+void load_balancer::StartPaceIfFailing(const upstream_state& upstream,
+                                       time_point now) {
+  const bool limited = paces_.Limit(upstream.key).has_value();
+  if (!limited && upstream.health.IsAvoided(now) &&
+      FailureShare(TotalLoad(upstream, now).outcomes) >= kFailingShare) {
+    StartPace(upstream.entry, now, false);
+  }
+}
+
+std::vector<pace_change> load_balancer::UpdatePaces(time_point now) {
+  if (!paces_.IsUpdateDue(now)) {
+    return {};
+  }
+  peers_.DropExpired(now);
+  return paces_.Update(
+      [this](uint32_t key) {
+        const upstream_report sum = peers_.SumFor(key);
+        return pace_of_peers{sum.pace_credit, sum.load.running};
+      },
+      now);
+}
+
 engine_slowness load_balancer::SlownessOf(const std::string& id) const {
   const auto found = upstreams_.find(id);
   return found == upstreams_.end() ? engine_slowness{}
@@ -564,12 +610,19 @@
   upstream.own.kv_cache_tokens =
       std::max<int64_t>(0, upstream.own.kv_cache_tokens - work.kv_cache_tokens);
   upstream.health.Record(outcome, now);
+  if (outcome != upstream_outcome::kSuccess &&
+      outcome != upstream_outcome::kInconclusive) {
+    paces_.RecordRejection(upstream.key, now);
+    StartPaceIfFailing(upstream, now);
+  }
 }
 
 void load_balancer::RecordSilence(const std::string& id, time_point now) {
   const auto found = upstreams_.find(id);
   if (found != upstreams_.end()) {
     found->second.health.Record(upstream_outcome::kSilent, now);
+    paces_.RecordRejection(found->second.key, now);
+    StartPaceIfFailing(found->second, now);
   }
 }
 
@@ -641,7 +694,8 @@
     if (worth_reporting) {
       reports.push_back({upstream.key, upstream.own, outcomes,
                          TimeSinceByte(upstream, now),
-                         speeds_.Own(upstream.entry.service, upstream.key)});
+                         speeds_.Own(upstream.entry.service, upstream.key),
+                         paces_.OwnCredit(upstream.key)});
     }
   }
   return reports;
--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
@@ -20,6 +20,7 @@
 #include "skylarkcroft/placement/skylarkcroft_upstream_entry.h"
 #include "skylarkcroft/placement/skylarkcroft_upstream_health.h"
 #include "skylarkcroft/placement/skylarkcroft_upstream_load.h"
+#include "skylarkcroft/placement/skylarkcroft_upstream_paces.h"
 #include "skylarkcroft/placement/skylarkcroft_upstream_speeds.h"
 #include "skylarkcroft/placement/skylarkcroft_water_filling.h"
 
@@ -154,6 +155,14 @@
   /// Estimates the engines' speeds anew if that is due; returns the estimates
   /// that have changed noticeably.
   std::vector<speed_change> UpdateSpeeds(time_point now);
+  /// Computes the limits of upstreams that have just started or returned, if
+  /// that is due; returns those that have begun or ended.
+  std::vector<pace_change> UpdatePaces(time_point now);
+  /// The limit on the requests of all nodes at an upstream that has just
+  /// started or returned; empty when there is none.
+  [[nodiscard]] std::optional<double> PaceLimit(const std::string& id) const {
+    return paces_.Limit(UpstreamKey(id));
+  }
   /// Estimated slowness of the upstream relative to the median of its service.
   [[nodiscard]] engine_slowness SlownessOf(const std::string& id) const;
   /// Records that a request has ended; `begun` says whether its response had
@@ -254,6 +263,14 @@
                                         time_point now) const;
   [[nodiscard]] service_summary SummarizeService(
       const placement_request& request, time_point now) const;
+  /// Starts the limit of an upstream that takes requests again from `at` on.
+  void StartPace(const upstream_entry& entry, time_point at,
+                 bool for_this_node) {
+    paces_.Start({entry.id, UpstreamKey(entry.id), entry.slots, entry.cold_for,
+                  at, for_this_node, peers_.size() + 1});
+  }
+  /// Starts the limit of an upstream that fails for all nodes.
+  void StartPaceIfFailing(const upstream_state& upstream, time_point now);
   [[nodiscard]] engine_slowness SlownessOf(
       const upstream_state& upstream) const {
     return speeds_.Slowness(upstream.entry.service, upstream.key);
@@ -272,6 +289,9 @@
   upstream_announcements announcements_;
   std::map<std::string, service_time_stats> service_times_;
   upstream_speeds speeds_;
+  upstream_paces paces_;
+  /// Upstreams that were listed first are not taken to have just started.
+  bool listed_ = false;
   /// Mutable, since reading the sums drops expired reports.
   mutable peer_loads peers_;
   store_returns store_returns_;
--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer_parameters.h
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer_parameters.h
@@ -2,6 +2,7 @@
 #define SKYLARKCROFT_PLACEMENT_SKYLARKCROFT_LOAD_BALANCER_PARAMETERS_H_
 
 #include "skylarkcroft/internal/skylarkcroft_time.h"
+#include "skylarkcroft/placement/skylarkcroft_pace_parameters.h"
 
 namespace skylarkcroft {
 
@@ -63,6 +64,8 @@
   milliseconds max_plain_request_time{300};
   /// Share of an engine's KV cache that requests are planned to fill.
   double max_kv_cache_share = 0.92;
+  /// Limit on upstreams that have just started or returned.
+  pace_parameters pace;
 
   bool operator==(const load_balancer_parameters&) const = default;
 };
--- a/src/skylarkcroft/placement/skylarkcroft_peer_loads.cc
+++ b/src/skylarkcroft/placement/skylarkcroft_peer_loads.cc
@@ -12,6 +12,7 @@
     found->second.outcomes.successes -= report.outcomes.successes;
     found->second.outcomes.failures -= report.outcomes.failures;
     found->second.speed -= report.speed;
+    found->second.pace_credit -= report.pace_credit;
   }
 }
 
@@ -34,6 +35,7 @@
     sum.outcomes.successes += report.outcomes.successes;
     sum.outcomes.failures += report.outcomes.failures;
     sum.speed += report.speed;
+    sum.pace_credit += report.pace_credit;
     if (report.time_since_byte < kMaxTimeSinceByte) {
       time_point& last = last_byte_times_[report.key];
       last = std::max(last, now - report.time_since_byte);
@@ -73,7 +75,7 @@
 upstream_report peer_loads::SumFor(uint32_t upstream) const {
   const auto found = sums_.find(upstream);
   if (found == sums_.end()) {
-    return {upstream, {}, {}, kMaxTimeSinceByte, {}};
+    return {upstream, {}, {}, kMaxTimeSinceByte, {}, 0};
   }
   upstream_report sum = found->second;
   sum.outcomes.successes = std::max(0.0, sum.outcomes.successes);
--- a/src/skylarkcroft/placement/skylarkcroft_upstream_entry.h
+++ b/src/skylarkcroft/placement/skylarkcroft_upstream_entry.h
@@ -21,6 +21,9 @@
   int64_t incarnation = 0;   ///< Differs with every start under the same id.
   /// Time from the start of draining until it exits; 0 when it is not known.
   milliseconds exits_after{0};
+  /// Time for which its caches will be cold, as it estimated when it wrote the
+  /// entry; 0 when it is not known. A hint.
+  milliseconds cold_for{0};
 
   bool operator==(const upstream_entry&) const = default;
 };
--- a/src/skylarkcroft/placement/skylarkcroft_upstream_load.h
+++ b/src/skylarkcroft/placement/skylarkcroft_upstream_load.h
@@ -50,6 +50,9 @@
   milliseconds time_since_byte = kMaxTimeSinceByte;
   /// What the node itself has measured of the engine's speed.
   speed_evidence speed = {};
+  /// What the node's answers have added to the limit of an upstream that has
+  /// just started, in requests.
+  double pace_credit = 0;
 
   bool operator==(const upstream_report&) const = default;
 };
--- a/src/skylarkcroft/placement/skylarkcroft_water_filling.cc
+++ b/src/skylarkcroft/placement/skylarkcroft_water_filling.cc
@@ -6,33 +6,47 @@
 
 namespace {
 
+// Widths below this are rounding errors of widths that cancel out.
+constexpr double kMinWidth = 1e-9;
+
 // What fits at the upstream below `level`, at the median upstream's cost.
 double Headroom(const placement_option& option, double level) {
-  return std::max(0.0, level - option.cost) / option.slowness;
+  return std::clamp(level - option.cost, 0.0, option.room) / option.slowness;
 }
 
 }  // namespace
 
 double WaterLevel(const std::vector<placement_option>& options,
                   double unreported_cost) {
-  std::vector<placement_option> sorted = options;
-  std::sort(sorted.begin(), sorted.end(),
-            [](const placement_option& one, const placement_option& other) {
-              return one.cost < other.cost;
-            });
+  // Costs from which on an option takes part, and up to which it does.
+  struct edge {
+    double cost = 0;
+    double width = 0;
+  };
+  std::vector<edge> edges;
+  edges.reserve(options.size());
+  for (const placement_option& option : options) {
+    edges.push_back({option.cost, 1 / option.slowness});
+    if (option.room < std::numeric_limits<double>::infinity()) {
+      edges.push_back({option.cost + option.room, -1 / option.slowness});
+    }
+  }
+  std::sort(edges.begin(), edges.end(), [](const edge& one, const edge& other) {
+    return one.cost < other.cost;
+  });
   double remaining = unreported_cost;
-  double level = sorted.front().cost;
-  double width = 1 / sorted.front().slowness;
-  for (size_t filled = 1; filled < sorted.size(); ++filled) {
-    const double headroom = width * (sorted[filled].cost - level);
-    if (headroom >= remaining) {
+  double level = edges.front().cost;
+  double width = 0;
+  for (const edge& next : edges) {
+    const double headroom = width * (next.cost - level);
+    if (headroom >= remaining && width > kMinWidth) {
       return level + remaining / width;
     }
     remaining -= headroom;
-    level = sorted[filled].cost;
-    width += 1 / sorted[filled].slowness;
+    level = next.cost;
+    width += next.width;
   }
-  return level + remaining / width;
+  return width > kMinWidth ? level + remaining / width : level;
 }
 
 size_t ChooseByWaterFilling(const std::vector<placement_option>& options,
--- a/src/skylarkcroft/placement/skylarkcroft_water_filling.h
+++ b/src/skylarkcroft/placement/skylarkcroft_water_filling.h
@@ -2,6 +2,7 @@
 #define SKYLARKCROFT_PLACEMENT_SKYLARKCROFT_WATER_FILLING_H_
 
 #include <cstddef>
+#include <limits>
 #include <vector>
 
 namespace skylarkcroft {
@@ -15,6 +16,8 @@
   /// Factor by which a request raises the cost of this upstream more than that
   /// of the median one.
   double slowness = 1;
+  /// By how much the cost may rise through requests that are not reported yet.
+  double room = std::numeric_limits<double>::infinity();
 
   bool operator==(const placement_option&) const = default;
 };
--- a/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.cc
@@ -115,6 +115,15 @@
 
 void relay_metrics::RecordSpeedChange() { speed_changes_.Increment(); }
 
+void relay_metrics::RecordPaceChange(bool begun) {
+  registry_
+      .Counter({"skylarkcroft_upstream_limits_total",
+                "Limits on upstreams that have just started or returned, begun "
+                "and ended.",
+                {{"state", begun ? "begun" : "ended"}}})
+      .Increment();
+}
+
 void relay_metrics::RecordLogLineDropped() { dropped_log_lines_.Increment(); }
 
 void relay_metrics::SetQuarantines(size_t count) {
--- a/src/skylarkcroft/relay/skylarkcroft_relay_metrics.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_metrics.h
@@ -27,6 +27,9 @@
   void RecordAnnouncement(std::string_view what);
   /// Counts a noticeable change of an engine's estimated speed.
   void RecordSpeedChange();
+  /// Counts the beginning or end of the limit on an upstream that has just
+  /// started or returned.
+  void RecordPaceChange(bool begun);
   /// Counts a peer report; `readable` is false if it could not be decoded.
   void RecordDatagram(bool readable);
   /// Counts a call to the store that reads or writes quarantines.
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -376,6 +376,7 @@
                {{"upstream", id}, {"state", "lapsed"}});
     }
     LogSpeedChanges(now);
+    LogPaceChanges(now);
     metrics_.SetClients(server_.clients());
     quarantine_.Tick(now);
     crashing_requests_.Tick(now);
@@ -397,6 +398,16 @@
     }
   }
 
+  void LogPaceChanges(time_point now) {
+    for (const pace_change& change : balancer_.UpdatePaces(now)) {
+      metrics_.RecordPaceChange(change.begun);
+      LogEvent(log_level::kInfo, "upstream limit changed",
+               {{"upstream", change.upstream},
+                {"state", change.begun ? "begun" : "ended"},
+                {"limit", FormatFactor(change.limit)}});
+    }
+  }
+
   void SendReportIfDue(time_point now) {
     const milliseconds period = ReportPeriod(group_.NodeCount(now));
     replica_.UpdatePolling(now);
--- a/tests/adapter/platform_documents_test.cc
+++ b/tests/adapter/platform_documents_test.cc
@@ -56,13 +56,14 @@
   const std::optional<upstream_entry> entry = ReadUpstream("i-1", R"({
     "service": "s1", "address": "10.128.0.9:8080", "zone": "z1",
     "version": "v1", "slots": 64, "state": "draining", "use_spot": true,
-    "born": 1780829201318, "cold_remaining_ms": 0, "sequence_number": 4})");
+    "born": 1780829201318, "cold_remaining_ms": 2400, "sequence_number": 4})");
   REQUIRE(entry.has_value());
   CHECK(entry->id == "i-1");
   CHECK(entry->address == endpoint{"10.128.0.9", 8080});
   CHECK(entry->is_draining);
   CHECK(entry->reclaimable);
   CHECK(entry->incarnation == 1780829201318);
+  CHECK(entry->cold_for == milliseconds(2400));
 }
 
 TEST_CASE("Entries of other writers name no upstream", "[adapter][directory]") {
--- a/tests/peers/peer_report_test.cc
+++ b/tests/peers/peer_report_test.cc
@@ -48,6 +48,7 @@
   measured.key = UpstreamKey("u1");
   measured.load.prefill_tokens[9] = 700;
   measured.speed = {{12, 8}, {-1.25 * 40, 40}};
+  measured.pace_credit = -3;
   upstream_report unknown;
   unknown.key = UpstreamKey("u2");
   unknown.load.prefill_tokens[2] = 300;
--- a/tests/placement/simulated_engines.cc
+++ b/tests/placement/simulated_engines.cc
@@ -37,6 +37,8 @@
   std::deque<stream> streams;
   double slowness = 1;
   time_point noisy_until{};
+  time_point listed_at{};
+  upstream_entry entry;
 };
 
 }  // namespace
@@ -55,12 +57,19 @@
       entry.service = "pool";
       entry.slots = options.slots;
       entry.reclaimable = true;
-      entries.push_back(entry);
-      engines_[static_cast<size_t>(i)].slowness = options.slowness(i);
+      engine& one = engines_[static_cast<size_t>(i)];
+      one.slowness = options.slowness(i);
+      one.listed_at = kStart + options.listed_at(i);
+      entry.cold_for =
+          options.listed_at(i).count() > 0 ? options.cold : milliseconds(0);
+      one.entry = entry;
+      if (one.listed_at == kStart) {
+        entries.push_back(entry);
+      }
     }
     period_ = ReportPeriod(options.nodes);
     for (size_t i = 0; i < options.nodes; ++i) {
-      nodes_.emplace_back(load_balancer_parameters{});
+      nodes_.emplace_back(options.balancer);
       nodes_.back().Reset(entries, kStart);
       nodes_.back().SetMaxPeerReportAge(
           std::max(milliseconds(1500), 3 * period_));
@@ -71,6 +80,7 @@
     const time_point end = now_ + span;
     while (now_ < end) {
       now_ += kStep;
+      ListEngines();
       for (size_t i = 0; i < engines_.size(); ++i) {
         Advance(i);
       }
@@ -91,6 +101,31 @@
     return std::uniform_real_distribution<double>(0, 1)(random_);
   }
 
+  void ListEngines() {
+    double running = 0;
+    for (const engine& one : engines_) {
+      running += static_cast<double>(one.streams.size());
+    }
+    const double mean = running / static_cast<double>(engines_.size());
+    for (size_t i = 0; i < engines_.size(); ++i) {
+      const engine& one = engines_[i];
+      const duration listed_for = now_ - one.listed_at;
+      if (one.listed_at == kStart || listed_for < duration(0)) {
+        continue;
+      }
+      if (listed_for < kStep) {
+        for (load_balancer& node : nodes_) {
+          node.Put(one.entry, now_);
+        }
+      }
+      if (!tallies_[i].time_to_use.has_value() &&
+          static_cast<double>(one.streams.size()) >= 0.8 * mean) {
+        tallies_[i].time_to_use =
+            std::chrono::duration_cast<milliseconds>(listed_for);
+      }
+    }
+  }
+
   void Place() {
     const size_t at = random_() % nodes_.size();
     load_balancer& node = nodes_[at];
@@ -153,9 +188,12 @@
     }
     for (stream& s : one.streams) {
       if (s.prefill_ms_left > 0) {
-        const double done = std::min(step_ms, s.prefill_ms_left);
+        const bool cold =
+            one.listed_at > kStart && now_ - one.listed_at < options_.cold;
+        const double factor = cold ? options_.cold_factor : 1;
+        const double done = std::min(step_ms / factor, s.prefill_ms_left);
         s.prefill_ms_left -= done;
-        step_ms -= done;
+        step_ms -= done * factor;
         continue;
       }
       s.event_ms_left -= stream_ms;
@@ -183,6 +221,7 @@
     node.RecordByte(id, now_);
     if (!s.last_event.has_value()) {
       node.RecordResponseStart(id, s.placed.work, now_);
+      tallies_[std::stoul(id)].late += now_ - s.sent > kLate ? 1 : 0;
       if (options_.measure) {
         node.RecordFirstEvent(
             s.placed, std::chrono::duration_cast<milliseconds>(now_ - s.sent),
@@ -207,6 +246,7 @@
         std::chrono::duration_cast<milliseconds>(now_ - kStart);
     for (size_t from = 0; from < nodes_.size(); ++from) {
       nodes_[from].UpdateSpeeds(now_);
+      nodes_[from].UpdatePaces(now_);
       const milliseconds phase(static_cast<milliseconds::rep>(from) *
                                period_.count() /
                                static_cast<milliseconds::rep>(nodes_.size()) /
--- a/tests/placement/simulated_engines.h
+++ b/tests/placement/simulated_engines.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -29,6 +30,15 @@
   milliseconds long_pause{400};
   /// Only answers to requests placed from then on are counted.
   milliseconds warm_up{8000};
+  /// When the engine with this index is listed, after the start.
+  std::function<milliseconds(int engine)> listed_at = [](int) {
+    return milliseconds(0);
+  };
+  /// For `cold` after an engine was listed late, prompts take `cold_factor` as
+  /// long.
+  milliseconds cold{0};
+  double cold_factor = 2;
+  load_balancer_parameters balancer;
   /// Whether the nodes learn the engines' speeds.
   bool measure = true;
   uint64_t seed = 7;
@@ -45,6 +55,10 @@
     int long_pauses = 0;
     int64_t running_ms = 0;  ///< Sum of running requests over the time.
     int declined = 0;
+    int late = 0;  ///< Answers with a first event after kLate.
+    /// From the time it was listed until it first had 0.8 of the mean number of
+    /// running requests.
+    std::optional<milliseconds> time_to_use;
   };
 
   explicit simulated_engines(const simulation_options& options);
@@ -58,6 +72,8 @@
   [[nodiscard]] static std::string Id(int engine);
 
  private:
+  static constexpr milliseconds kLate{400};
+
   class impl;
   std::unique_ptr<impl> impl_;
 };
