Rollout: a test without bounds that does not depend on chance

At idle upstreams the choice among upstreams of equal cost is random, so the test could end without a request to the new ones. The old upstreams are loaded now, which a node with rollouts would not evade without a plan.

--- a/src/skylarkcroft/rollout/skylarkcroft_rollout_coordinator.cc
+++ b/src/skylarkcroft/rollout/skylarkcroft_rollout_coordinator.cc
@@ -264,7 +264,7 @@
   view.new_upstreams = counts.new_upstreams;
   view.elapsed =
       milliseconds(environment_.true_time_ms(now) - plan.ordered_at_ms);
-  view.report_age = report_period / 2 + milliseconds(kUpstreamsInterval / 2);
+  view.report_age = report_period / 2 + kUpstreamsInterval / 2;
   view.drained = held.tally.IsDrained(plan, nodes);
   view.rolled_back_at_a_node = held.tally.IsRolledBackAtANode();
   held.controller.Step(view, now);
--- a/tests/adapter/rollout_test.cc
+++ b/tests/adapter/rollout_test.cc
@@ -306,6 +306,11 @@
   rollout_fixture on(false);
   on.Order("v2", 4);
   on.List(on.new_upstreams, "v2");
+  // Requests pile up at the old upstreams, so that the others are chosen by
+  // their load: at idle upstreams the choice is left to chance.
+  for (const auto& upstream : on.old_upstreams) {
+    upstream->SetHandler([](const scripted_upstream::received_request&) {});
+  }
   CHECK(on.Await([&] { return rollout_fixture::Sent(on.new_upstreams) > 0; }));
   CHECK_FALSE(on.standin.Has("status", "rollout/desk"));
 }
