--- a/src/skylarkcroft/http/skylarkcroft_connection_table.cc
+++ b/src/skylarkcroft/http/skylarkcroft_connection_table.cc
@@ -94,7 +94,13 @@
            !HasUnreadBytes(bufferevent_getfd(stream_));
   }
 
-  void EndSocket() { shutdown(bufferevent_getfd(stream_), SHUT_RDWR); }
+  [[nodiscard]] bool answering() const { return answering_; }
+  [[nodiscard]] bool ended() const { return ended_; }
+  [[nodiscard]] time_point last_input() const { return last_input_; }
+  void EndSocket() {
+    ended_ = true;
+    shutdown(bufferevent_getfd(stream_), SHUT_RDWR);
+  }
 
   void HoldAtMost(size_t bytes) {
     bufferevent_setwatermark(stream_, EV_READ, 0, bytes);
@@ -153,6 +159,7 @@
   clock_fn clock_;
   time_point last_input_;
   bool answering_ = false;
+  bool ended_ = false;  ///< Its socket was ended here.
   std::optional<time_point> receiving_since_;
   int late_sweeps_ = 0;
 };
@@ -163,7 +170,29 @@
 
 connection_table::~connection_table() = default;
 
+void connection_table::EndMostSilent() {
+  if (limits_.max_connections == 0 || open_.size() < limits_.max_connections) {
+    return;
+  }
+  DropFreed();
+  if (open_.size() < limits_.max_connections) {
+    return;
+  }
+  connection* most_silent = nullptr;
+  for (const auto& [stream, open] : open_) {
+    const bool may_end = !open->answering() && !open->ended();
+    if (may_end && (most_silent == nullptr ||
+                    open->last_input() < most_silent->last_input())) {
+      most_silent = open.get();
+    }
+  }
+  if (most_silent != nullptr) {
+    most_silent->EndSocket();
+  }
+}
+
 bufferevent* connection_table::Accept(event_base* base) {
+  EndMostSilent();
   // The stream owns its descriptor, so that the number is not given out again
   // while this table still holds the stream.
   bufferevent* stream = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
--- a/src/skylarkcroft/http/skylarkcroft_connection_table.h
+++ b/src/skylarkcroft/http/skylarkcroft_connection_table.h
@@ -21,6 +21,9 @@
   milliseconds request_timeout{};
   /// Bytes held of a request that is being received.
   size_t max_request_bytes = 0;
+  /// Connections at a time; 0 means no bound. One more ends the one that has
+  /// been silent longest and awaits no answer.
+  size_t max_connections = 0;
 
   bool operator==(const connection_limits&) const = default;
 };
@@ -59,6 +62,8 @@
 
  private:
   void DropFreed();
+  /// Makes room for one more connection if there are too many.
+  void EndMostSilent();
 
   class connection;
 
--- a/src/skylarkcroft/http/skylarkcroft_http_message.h
+++ b/src/skylarkcroft/http/skylarkcroft_http_message.h
@@ -22,10 +22,13 @@
   std::string name;
   std::string value;
 
-  operator header_view() const { return {name, value}; }
   bool operator==(const http_header&) const = default;
 };
 
+inline bool operator==(const header_view& left, const http_header& right) {
+  return left.name == right.name && left.value == right.value;
+}
+
 /// The fields of an http_headers, in their order.
 class header_range {
  public:
--- a/src/skylarkcroft/http/skylarkcroft_http_server.cc
+++ b/src/skylarkcroft/http/skylarkcroft_http_server.cc
@@ -279,7 +279,8 @@
   // Framing of a chunked body.
   constexpr size_t kSlackBytes = 64 * 1024;
   return {limits.io_timeout, limits.request_timeout,
-          limits.max_header_bytes + limits.max_body_bytes + kSlackBytes};
+          limits.max_header_bytes + limits.max_body_bytes + kSlackBytes,
+          limits.max_connections};
 }
 
 milliseconds SweepPeriod(const http_server_limits& limits) {
--- a/src/skylarkcroft/http/skylarkcroft_http_server.h
+++ b/src/skylarkcroft/http/skylarkcroft_http_server.h
@@ -25,6 +25,9 @@
   milliseconds io_timeout{30000};
   /// Longest time from the first byte of a request to its last.
   milliseconds request_timeout{30000};
+  /// Connections at a time; 0 means no bound. One more ends the one that has
+  /// been silent longest and awaits no answer.
+  size_t max_connections = 0;
 };
 
 /// One request being answered. Either Reply() or Start(), Write()..., End().
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -106,6 +106,20 @@
   return parameters;
 }
 
+// Readiness and metrics are asked for by a few of the platform's processes,
+// with short requests. evhttp takes about 110 bytes for each line of a head, so
+// that 32 heads of 4 KB without end take less than 4 MB.
+http_server_limits ListenerLimits() {
+  constexpr size_t kHeaderBytes = 4096;
+  constexpr size_t kBodyBytes = 4096;
+  constexpr size_t kConnections = 32;
+  http_server_limits limits;
+  limits.max_header_bytes = kHeaderBytes;
+  limits.max_body_bytes = kBodyBytes;
+  limits.max_connections = kConnections;
+  return limits;
+}
+
 }  // namespace
 
 class relay_node::impl {
@@ -163,11 +177,11 @@
                  settings.name,
                  {settings.bounds.apply_deadline, settings.bounds.drain}),
         server_(environment_, settings.listen.clients),
-        readiness_(loop, settings.listen.readiness, http_server_limits{},
+        readiness_(loop, settings.listen.readiness, ListenerLimits(),
                    [this](const http_exchange_ptr& exchange) {
                      HandleReadiness(exchange);
                    }),
-        metrics_server_(loop, settings.listen.metrics, http_server_limits{},
+        metrics_server_(loop, settings.listen.metrics, ListenerLimits(),
                         [this](const http_exchange_ptr& exchange) {
                           HandleMetrics(exchange);
                         }),
--- a/tests/client_pressure/pressure_world.cc
+++ b/tests/client_pressure/pressure_world.cc
@@ -181,14 +181,12 @@
   }
 }
 
-int64_t pressure_world::PeakKib() const {
+int64_t pressure_world::StatusKib(const std::string& member) const {
   std::ifstream status("/proc/" + std::to_string(relay_->pid()) + "/status");
   std::string word;
   int64_t kib = 0;
   while (status >> word) {
-    // The kernel's record of the greatest VmRSS, so that no peak falls between
-    // two readings.
-    if (word == "VmHWM:") {
+    if (word == member) {
       status >> kib;
       break;
     }
--- a/tests/client_pressure/pressure_world.h
+++ b/tests/client_pressure/pressure_world.h
@@ -47,11 +47,16 @@
   /// memory has not grown for some seconds.
   void Settle() const;
   /// The most memory that the process has had resident (the greatest VmRSS).
-  [[nodiscard]] int64_t PeakKib() const;
+  [[nodiscard]] int64_t PeakKib() const { return StatusKib("VmHWM:"); }
+  /// The memory that the process has resident now (VmRSS).
+  [[nodiscard]] int64_t ResidentKib() const { return StatusKib("VmRSS:"); }
   [[nodiscard]] size_t OpenDescriptors() const;
 
  private:
   void Serve();
+  /// A member of /proc/PID/status. The kernel's record of the greatest VmRSS is
+  /// among them, so that no peak falls between two readings.
+  [[nodiscard]] int64_t StatusKib(const std::string& member) const;
 
   pressure_terms terms_;
   std::string folder_;
--- a/tests/http/hostile_peer_test.cc
+++ b/tests/http/hostile_peer_test.cc
@@ -7,6 +7,7 @@
 #include <array>
 #include <catch2/catch.hpp>
 #include <functional>
+#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
@@ -430,4 +431,29 @@
 }
 
 }  // namespace
+
+// Guards against peers that take all descriptors or much memory at a listener
+// that only a few processes ask.
+TEST_CASE("One connection too many ends the one that is silent longest",
+          "[http][hostile]") {
+  constexpr size_t kMost = 4;
+  http_server_limits limits = SmallLimits();
+  limits.max_connections = kMost;
+  event_loop loop;
+  http_server server(loop, {"127.0.0.1", 0}, limits,
+                     [](const http_exchange_ptr& exchange) {
+                       exchange->Reply({200, {}, "ready"});
+                     });
+  std::vector<std::unique_ptr<raw_caller>> silent;
+  for (size_t i = 0; i < 3 * kMost; ++i) {
+    silent.push_back(std::make_unique<raw_caller>(loop, server.address()));
+    loop.RunFor(kPollPeriod);
+  }
+  CHECK(server.open_connections() <= kMost + 1);
+  raw_caller asking(loop, server.address());
+  asking.Send("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n");
+  loop.RunFor(milliseconds(200));
+  asking.ReadRest();
+  CHECK_THAT(asking.received(), Contains("ready"));
+}
 }  // namespace skylarkcroft
--- a/tests/relay/relay_test.cc
+++ b/tests/relay/relay_test.cc
@@ -300,11 +300,11 @@
   upstream_connections connections(loop, connection_parameters{}, SteadyNow,
                                    [] {});
   constexpr size_t kRequestBytes = 1000000;
-  const exchange_ptr exchange =
-      connections.Start({"one", upstream.address(),
-                         std::string(kRequestBytes, 'x'), "X-Id", "r1", false},
-                        {[](const message_head&) {}, [](std::string_view) {},
-                         [](exchange_result) {}});
+  const exchange_ptr exchange = connections.Start(
+      {"one", upstream.address(), std::string(kRequestBytes, 'x'), nullptr,
+       "X-Id", "r1", false},
+      {[](const message_head&) {}, [](std::string_view) {},
+       [](exchange_result) {}});
   loop.RunFor(milliseconds(50));
   REQUIRE(exchange->sent());
   exchange->Cancel();
