--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -248,8 +248,6 @@
                                   {},
                                   {},
                                   {}};
-    environment.parameters.clients.max_clients =
-        MaxClients(client_capacity{}.max_clients, settings_.file_descriptors);
     ApplyBounds(environment);
     environment.active_tables = [this] { return replica_.tables(); };
     environment.node_count = [this] { return group_.NodeCount(clock_()); };
@@ -281,6 +279,18 @@
       metrics_.RecordFailedAttempt(record);
       WriteLog(ToLogEntry(record));
     };
+    SetHostBounds(environment);
+    environment.on_request_ended = [this](const request_record& record) {
+      metrics_.RecordRequest(record);
+      WriteLog(ToLogEntry(record));
+    };
+    return environment;
+  }
+
+  /// Sets what the resources of the host bound.
+  void SetHostBounds(relay_environment& environment) {
+    environment.parameters.clients.max_clients =
+        MaxClients(client_capacity{}.max_clients, settings_.file_descriptors);
     environment.memory =
         std::make_shared<memory_account>(BoundsOfHost(settings_.memory_mb));
     environment.on_memory_relief = [this](const memory_relief& relief) {
@@ -291,11 +301,6 @@
                 {"limit_bytes", std::to_string(relief.limit)},
                 {"given_up", std::to_string(relief.given_up)}});
     };
-    environment.on_request_ended = [this](const request_record& record) {
-      metrics_.RecordRequest(record);
-      WriteLog(ToLogEntry(record));
-    };
-    return environment;
   }
 
   request_quarantine_parameters MakeRequestQuarantineParameters() {
