--- a/src/skylarkcroft/limits/skylarkcroft_quota_demand.cc
+++ b/src/skylarkcroft/limits/skylarkcroft_quota_demand.cc
@@ -31,7 +31,8 @@
   peer_rate_ += rate;
   if (!average.reports_early) {
     late_rate_ += rate;
-    late_rate_seconds_ += rate * Seconds(average.last_report.time_since_epoch());
+    late_rate_seconds_ +=
+        rate * Seconds(average.last_report.time_since_epoch());
   }
 }
 
--- a/src/skylarkcroft/limits/skylarkcroft_token_quotas.cc
+++ b/src/skylarkcroft/limits/skylarkcroft_token_quotas.cc
@@ -97,10 +97,10 @@
   const double node_count =
       static_cast<double>(std::max<size_t>(nodes, silent + 1));
   const double peer_demand = bucket.demand->PeerRate(now);
-  return {bucket.limit.per_second *
-              (1 - static_cast<double>(silent) / node_count),
-          peer_demand + bucket.demand->OwnRate(now), peer_demand,
-          bucket.demand->ReportAge(now)};
+  return {
+      bucket.limit.per_second * (1 - static_cast<double>(silent) / node_count),
+      peer_demand + bucket.demand->OwnRate(now), peer_demand,
+      bucket.demand->ReportAge(now)};
 }
 
 double token_quotas::SharedLevel(const workspace_bucket& bucket,
@@ -113,9 +113,8 @@
   // The level at which peers grant a part of the demand: their part of the rate
   // and of the level.
   const double peers_part = rates.peer_demand / rates.demand;
-  const double part_granted =
-      (bucket.level - age * peers_part * rates.limit) /
-      (1 + age * peers_part / SpendingSeconds(rates));
+  const double part_granted = (bucket.level - age * peers_part * rates.limit) /
+                              (1 + age * peers_part / SpendingSeconds(rates));
   return std::max(all_granted, part_granted);
 }
 
@@ -143,9 +142,9 @@
     bucket.updated = now;
     bucket.demand = &demands_[workspace];
     const double default_level =
-        start_full_ ? limit.burst
-                    : limit.burst / static_cast<double>(
-                                        std::max<size_t>(nodes, 1));
+        start_full_
+            ? limit.burst
+            : limit.burst / static_cast<double>(std::max<size_t>(nodes, 1));
     // Peers report the level that is left after what they estimate to be
     // unreported.
     bucket.level =
@@ -224,11 +223,12 @@
     decision.source = quota_source::kAlone;
   } else {
     // The level is not known more exactly than this.
-    lowest = -std::min(rates.report_age * rates.limit, kMaxUncertainty * limit.burst);
-    decision.granted_share = std::clamp(
-        (rates.limit + left / SpendingSeconds(rates)) /
-            std::max(rates.demand, 1.0),
-        0.0, 1.0);
+    lowest = -std::min(rates.report_age * rates.limit,
+                       kMaxUncertainty * limit.burst);
+    decision.granted_share =
+        std::clamp((rates.limit + left / SpendingSeconds(rates)) /
+                       std::max(rates.demand, 1.0),
+                   0.0, 1.0);
     decision.source = decision.granted_share < 1 ? quota_source::kDemand
                                                  : quota_source::kLevel;
   }
@@ -346,9 +346,9 @@
 
 double token_quotas::EarlyCredit(time_point now) const {
   const std::chrono::duration<double> elapsed = now - last_early_report_;
-  return std::min(kMaxEarlyReports,
-                  early_credit_ +
-                      elapsed / std::chrono::duration<double>(report_period_));
+  return std::min(
+      kMaxEarlyReports,
+      early_credit_ + elapsed / std::chrono::duration<double>(report_period_));
 }
 
 bool token_quotas::IsEarlyReportDue(time_point now) const {
@@ -356,12 +356,12 @@
       now < last_early_report_ + kMinEarlyReportGap || EarlyCredit(now) < 1) {
     return false;
   }
-  return std::any_of(
-      buckets_.begin(), buckets_.end(), [this, now](const auto& entry) {
-        const workspace_bucket& bucket = entry.second;
-        return bucket.unreported.Excess(report_period_, now) >
-               EarlyReportTokens(bucket);
-      });
+  return std::any_of(buckets_.begin(), buckets_.end(),
+                     [this, now](const auto& entry) {
+                       const workspace_bucket& bucket = entry.second;
+                       return bucket.unreported.Excess(report_period_, now) >
+                              EarlyReportTokens(bucket);
+                     });
 }
 
 double token_quotas::EarlyReportTokens(const workspace_bucket& bucket) {
--- a/src/skylarkcroft/peers/skylarkcroft_peer_report.cc
+++ b/src/skylarkcroft/peers/skylarkcroft_peer_report.cc
@@ -115,9 +115,8 @@
 constexpr unsigned kIsEarlyFlag = 2;
 
 json EncodeQuota(const quota_report& quota) {
-  json item =
-      json::array({quota.workspace, static_cast<int64_t>(quota.taken),
-                   static_cast<int64_t>(quota.level)});
+  json item = json::array({quota.workspace, static_cast<int64_t>(quota.taken),
+                           static_cast<int64_t>(quota.level)});
   if (quota.demand.has_value()) {
     item.push_back(static_cast<int64_t>(*quota.demand));
     item.push_back((quota.reports_early ? kReportsEarlyFlag : 0U) |
@@ -158,8 +157,7 @@
   report.upstreams_position = DecodePosition(items.at(10));
   report.part = items.at(11).get<size_t>();
   report.parts = items.at(12).get<size_t>();
-  const bool is_part =
-      report.part < report.parts && report.parts <= kMaxParts;
+  const bool is_part = report.part < report.parts && report.parts <= kMaxParts;
   const bool is_quotas_only =
       report.part == 0 && report.parts == kQuotasOnlyParts;
   if (!is_part && !is_quotas_only) {
