--- a/tests/peers/peer_report_test.cc
+++ b/tests/peers/peer_report_test.cc
@@ -37,6 +37,27 @@
   CHECK(DecodeReport(datagrams.front()) == report);
 }
 
+TEST_CASE("A report of quotas alone fits into one packet and keeps its fields",
+          "[peers][limits]") {
+  constexpr int kWorkspaces = 16;
+  constexpr size_t kPacketBytes = 1400;
+  peer_report report;
+  report.node = "frontend-zone-a-12";
+  report.incarnation = 1700000000000;
+  report.sequence = 100;
+  report.parts = kQuotasOnlyParts;
+  for (int i = 0; i < kWorkspaces; ++i) {
+    report.quotas.push_back(
+        {"workspace-" + std::to_string(i), 1e12, -1e6, 1e13, i % 2 == 0, true});
+  }
+  // Without the demand, as older versions send it.
+  report.quotas.push_back({"old", 12, 3});
+  const std::vector<std::string> datagrams = EncodeReport(report);
+  REQUIRE(datagrams.size() == 1);
+  CHECK(datagrams.front().size() <= kPacketBytes);
+  CHECK(DecodeReport(datagrams.front()) == report);
+}
+
 TEST_CASE(
     "With more nodes reports are rarer, so that a node sends no more bytes",
     "[peers][scale]") {
