--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -1,14 +1,10 @@
 #include "skylarkcroft/relay/skylarkcroft_relay_request.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
-#include <cstdio>
 #include <utility>
 
 #include "skylarkcroft/http/skylarkcroft_announcement.h"
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
-#include "skylarkcroft/relay/skylarkcroft_quota_admission.h"
 #include "skylarkcroft/relay/skylarkcroft_request_forwarding.h"
 
 namespace skylarkcroft {
@@ -16,16 +12,6 @@
 
 constexpr int kRouteRanksPerWorkspaceRank = 3;
 
-std::optional<int64_t> ParseNumber(const std::string& text) {
-  int64_t value = 0;
-  const auto parsed =
-      std::from_chars(text.data(), text.data() + text.size(), value);
-  if (parsed.ec != std::errc()) {
-    return std::nullopt;
-  }
-  return value;
-}
-
 }  // namespace
 
 relay_request::relay_request(relay_environment& environment,
@@ -75,101 +61,6 @@
   StartNextAttempt();
 }
 
-bool relay_request::CheckGate() {
-  const http_headers& headers = request_.head.headers;
-  const std::string host = headers.Get("Host");
-  const std::string key = headers.Get(environment_.names.key);
-  const std::string_view target = request_.head.target;
-  const gate_request gate_input{host, target.substr(0, target.find('?')),
-                                headers.Has(environment_.names.key)
-                                    ? std::optional<std::string_view>(key)
-                                    : std::nullopt};
-  gate_ =
-      DecideGate(gate_input, tables_, environment_.gate, environment_.clock());
-  record_.tables_age = gate_.tables_age;
-  if (tables_.tables != nullptr) {
-    record_.tables_version = tables_.tables->map().version;
-  }
-  if (gate_.route != nullptr) {
-    record_.route = gate_.route->name;
-  }
-  if (gate_.workspace != nullptr) {
-    record_.workspace = gate_.workspace->name;
-  }
-  switch (gate_.verdict) {
-    case gate_verdict::kPass:
-      return true;
-    case gate_verdict::kNoRoute:
-      RespondWithError(kNotFound, "no_route", milliseconds(0));
-      return false;
-    case gate_verdict::kUnknownKey:
-      RespondWithError(kUnauthorized, "unknown_key", milliseconds(0));
-      return false;
-    case gate_verdict::kTablesUnknown:
-    case gate_verdict::kTablesStale:
-      RespondWithError(kUnavailable, std::string(ToString(gate_.verdict)),
-                       environment_.parameters.other_node_retry);
-      return false;
-  }
-  return false;
-}
-
-void relay_request::ChooseRoutedService() {
-  service_name_ = ChooseService(*gate_.route, environment_.uniform_random());
-  record_.service = service_name_;
-  const service_pool* pool = tables_.tables->FindPool(service_name_);
-  prompt_key prompt;
-  if (pool != nullptr && pool->engine.has_value()) {
-    cache_tokens_ = pool->engine->cache_tokens;
-    prompt = MakePromptKey(service_name_, generation_);
-  }
-  const request_key key =
-      MakeRequestKey({service_name_, request_.head.method, request_.head.target,
-                      record_.workspace, *body_});
-  record_.request_key = ToString(std::vector<part_key>{key});
-  crashes_.SetRequest(std::move(prompt), key);
-}
-
-bool relay_request::CheckQuarantine() {
-  const quarantine_verdict verdict = crashes_.Decide(environment_.clock());
-  if (verdict.decision == quarantine_decision::kAllowed) {
-    return true;
-  }
-  RespondWithError(kUnavailable, std::string(ToString(verdict.decision)),
-                   verdict.remaining);
-  return false;
-}
-
-bool relay_request::AcquireQuota() {
-  quota_need need{gate_.workspace, gate_.route->rank, std::nullopt,
-                  RemainingTime(environment_.clock())};
-  if (request_.head.headers.Has(environment_.names.token_counts)) {
-    need.stated_tokens = static_cast<double>(generation_.TotalTokens());
-  }
-  const quota_admission admission = AdmitByQuota(environment_, need, record_);
-  if (!admission.reason.empty()) {
-    RespondWithError(kTooManyRequests, std::string(admission.reason),
-                     admission.retry_after);
-    return false;
-  }
-  acquired_tokens_ = admission.acquired;
-  return true;
-}
-
-void relay_request::SetDeadline() {
-  const std::optional<int64_t> requested =
-      ParseNumber(request_.head.headers.Get(environment_.names.remaining_ms));
-  milliseconds limit = environment_.parameters.default_time_limit;
-  if (requested.has_value()) {
-    limit = milliseconds(std::max<int64_t>(*requested, 0));
-  }
-  if (gate_.route->timeout.count() > 0) {
-    limit = std::min(limit, gate_.route->timeout);
-  }
-  record_.time_given = limit;
-  deadline_ = request_.arrived_at + limit;
-}
-
 milliseconds relay_request::RemainingTime(time_point now) const {
   return std::chrono::duration_cast<milliseconds>(deadline_ - now);
 }
@@ -226,34 +117,6 @@
   Adopt(SendTo(*placed));
 }
 
-bool relay_request::AdmitToService(bool placed_full, time_point now) {
-  const bool is_ordered = cache_tokens_ > 0 && gate_.workspace != nullptr &&
-                          gate_.workspace->tokens_per_second > 0;
-  if (!is_ordered) {
-    return true;
-  }
-  const service_request request{service_name_,
-                                record_.workspace,
-                                urgency_,
-                                static_cast<double>(generation_.TotalTokens()),
-                                RemainingTime(now),
-                                placed_full,
-                                environment_.uniform_random(),
-                                environment_.uniform_random()};
-  const service_admission_decision decision = environment_.service_order.Decide(
-      request,
-      [this, now] {
-        return environment_.balancer.Room(service_name_, cache_tokens_, now);
-      },
-      now);
-  record_.service_fill = decision.fill;
-  record_.service_max_fill = decision.max_fill;
-  if (!decision.admitted) {
-    EndWithError(final_response::kNotExecuted, "service_full", decision.wait);
-  }
-  return decision.admitted;
-}
-
 void relay_request::EndWithoutUpstream(time_point now) {
   const relay_parameters& parameters = environment_.parameters;
   const std::optional<time_point> pause_end =
@@ -881,192 +744,6 @@
   return false;
 }
 
-bool relay_request::IsEngineTimedOut(const attempt& sent, milliseconds silence,
-                                     time_point now) const {
-  const relay_parameters& parameters = environment_.parameters;
-  const std::string& id = sent.placed.upstream.id;
-  const engine_slowness slowness = environment_.balancer.SlownessOf(id);
-  // A slow engine needs longer for the same step; a fast one is given as long
-  // as the others.
-  const double factor = std::max({1.0, slowness.prefill, slowness.tokens});
-  const auto limit =
-      std::chrono::duration<double, std::milli>(parameters.engine_silence) *
-      factor;
-  const auto limit_to_this_node = std::chrono::duration<double, std::milli>(
-                                      parameters.engine_silence_to_this_node) *
-                                  factor;
-  const bool silent_to_this_node =
-      silence > limit &&
-      environment_.balancer.TimeSinceOwnByte(id, now) > limit;
-  const bool silent_to_all =
-      environment_.balancer.TimeSinceAnyByte(id, now) > limit;
-  return silent_to_this_node && (silent_to_all || silence > limit_to_this_node);
-}
-
-int relay_request::attempts_in_flight() const {
-  return (attempt_ != nullptr ? 1 : 0) + (successor_ != nullptr ? 1 : 0);
-}
-
-void relay_request::CheckUpstreamSilence(time_point now) {
-  if (attempt_ == nullptr || attempt_->paused || !attempt_->exchange->sent()) {
-    return;
-  }
-  const bool search_is_due =
-      !attempt_->opens_successor && now >= attempt_->next_successor_search;
-  const bool all_silent =
-      IsUpstreamSilent(*attempt_, now) &&
-      (successor_ == nullptr || IsUpstreamSilent(*successor_, now));
-  if (search_is_due && all_silent && MayAddSuccessor(now)) {
-    OpenSuccessor(now);
-  }
-}
-
-bool relay_request::IsUpstreamSilent(const attempt& sent,
-                                     time_point now) const {
-  // While the client was too slow, nothing was read.
-  const time_point silent_since =
-      std::max(sent.last_byte_at, sent.reading_since);
-  const milliseconds silence =
-      std::chrono::duration_cast<milliseconds>(now - silent_since);
-  if (cache_tokens_ > 0) {
-    return IsEngineTimedOut(sent, silence, now);
-  }
-  const milliseconds limit(static_cast<milliseconds::rep>(
-      environment_.parameters.service_silence_share *
-      static_cast<double>(record_.time_given.count())));
-  return silence > limit;
-}
-
-bool relay_request::MayAddSuccessor(time_point now) {
-  attempt_->next_successor_search =
-      now + environment_.parameters.silence_recheck;
-  if (!MayRetryAfter(attempt_failure::kSilent,
-                     record_.upstreams_used + attempts_in_flight(), now)) {
-    record_.silence = "may_not_repeat";
-    return false;
-  }
-  const quarantine_decision quarantine =
-      crashes_.DecideForAttempt(*attempt_, now);
-  if (quarantine != quarantine_decision::kAllowed) {
-    record_.silence = ToString(quarantine);
-    return false;
-  }
-  if (!environment_.retries.HasRetryLeft(service_name_,
-                                         environment_.node_count(), now)) {
-    record_.silence = "repeats_used_up";
-    return false;
-  }
-  return true;
-}
-
-void relay_request::OpenSuccessor(time_point now) {
-  const std::optional<placement> successor = ChooseUpstream(now);
-  const bool is_other =
-      successor.has_value() &&
-      successor->upstream.id != attempt_->placed.upstream.id &&
-      (successor_ == nullptr ||
-       successor->upstream.id != successor_->placed.upstream.id);
-  if (!is_other) {
-    record_.silence = "no_other_upstream";
-    return;
-  }
-  attempt_->opens_successor = true;
-  environment_.connections.OpenIdle(
-      successor->upstream.id, successor->upstream.address,
-      [this, alive = std::weak_ptr<bool>(alive_),
-       silent = std::weak_ptr<upstream_exchange>(attempt_->exchange),
-       successor = *successor](connect_outcome outcome) {
-        const bool still_waits = !alive.expired() && attempt_ != nullptr &&
-                                 attempt_->exchange == silent.lock();
-        if (still_waits) {
-          OnSuccessorOpened(successor, outcome);
-        }
-      });
-}
-
-void relay_request::OnSuccessorOpened(const placement& successor,
-                                      connect_outcome outcome) {
-  const time_point now = environment_.clock();
-  attempt_->opens_successor = false;
-  if (outcome != connect_outcome::kAccepted) {
-    record_.silence = "no_connection";
-    return;
-  }
-  const bool all_silent =
-      IsUpstreamSilent(*attempt_, now) &&
-      (successor_ == nullptr || IsUpstreamSilent(*successor_, now));
-  const bool wanted = !IsEndUnconfirmed() && !attempt_->paused && all_silent &&
-                      !environment_.balancer.IsLeaving(successor.upstream.id);
-  if (!wanted || !MayAddSuccessor(now)) {
-    return;
-  }
-  if (response_.HasClientLeft()) {
-    CancelAttempts();
-    RecordEnd(0, "client_gone");
-    return;
-  }
-  environment_.retries.TryRetry(service_name_, environment_.node_count(), now);
-  if (successor_ != nullptr) {
-    // No more than two upstreams have the request at a time.
-    DropOneOfTwoSilent(now);
-  }
-  const std::string& silent = attempt_->placed.upstream.id;
-  environment_.balancer.RecordSilence(silent, now);
-  environment_.connections.CloseIdleTo(silent);
-  record_.silence = "successor_sent";
-  successor_ = SendTo(successor);
-}
-
-void relay_request::DropOneOfTwoSilent(time_point now) {
-  if (!attempt_->head.has_value()) {
-    PromoteSuccessor();
-    return;
-  }
-  environment_.balancer.RecordSilence(successor_->placed.upstream.id, now);
-  DropSuccessor(attempt_failure::kSilent, now);
-}
-
-void relay_request::PromoteSuccessor() {
-  RecordFailure(*attempt_, attempt_failure::kSilent, environment_.clock());
-  CloseFailed(std::move(attempt_), attempt_failure::kSilent);
-  Adopt(std::move(successor_));
-  record_.silence = "replaced";
-}
-
-void relay_request::OnSuccessorEnd(exchange_result result) {
-  std::optional<attempt_failure> failure = FailureOf(result);
-  if (!failure.has_value()) {
-    failure = FailureOfHead(*successor_);
-  }
-  // A response that may be forwarded has made it the attempt with its head.
-  DropSuccessor(failure.value_or(attempt_failure::kMalformed),
-                environment_.clock());
-}
-
-void relay_request::DropSuccessor(attempt_failure failure, time_point now) {
-  RecordFailure(*successor_, failure, now);
-  CloseFailed(std::move(successor_), failure);
-  record_.silence = "successor_failed";
-}
-
-void relay_request::CancelSuccessor() {
-  if (successor_ == nullptr) {
-    return;
-  }
-  if (successor_->exchange->sent()) {
-    ++record_.upstreams_used;
-    may_have_executed_ = true;
-  }
-  Close(std::move(successor_), upstream_outcome::kInconclusive);
-}
-
-void relay_request::EndRace() {
-  if (successor_ != nullptr) {
-    CancelSuccessor();
-    record_.silence = "resumed";
-  }
-}
-
 void relay_request::OnClientDisconnected() {
   if (ended_) {
     return;
