--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -306,12 +306,7 @@
     environment.on_announcement =
         [this](std::string_view what, const std::string& upstream,
                const std::string& request_id, milliseconds duration) {
-          metrics_.RecordAnnouncement(what);
-          LogEvent(log_level::kInfo, "upstream announced",
-                   {{"what", std::string(what)},
-                    {"upstream", upstream},
-                    {"request_id", request_id},
-                    {"duration_ms", std::to_string(duration.count())}});
+          LogAnnouncement(what, upstream, request_id, duration);
         };
     environment.on_quarantine_changed = [this] { TellQuarantineNews(); };
     environment.on_attempt_failed = [this](const attempt_record& record) {
@@ -393,6 +388,16 @@
               {"reason", plan.reason}});
   }
 
+  void LogAnnouncement(std::string_view what, const std::string& upstream,
+                       const std::string& request_id, milliseconds duration) {
+    metrics_.RecordAnnouncement(what);
+    LogEvent(log_level::kInfo, "upstream announced",
+             {{"what", std::string(what)},
+              {"upstream", upstream},
+              {"request_id", request_id},
+              {"duration_ms", std::to_string(duration.count())}});
+  }
+
   request_quarantine_parameters MakeRequestQuarantineParameters() {
     request_quarantine_parameters parameters = RequestQuarantineOfRelay();
     parameters.end_delay =
