--- a/tests/client_pressure/client_crowd.cc
+++ b/tests/client_pressure/client_crowd.cc
@@ -37,7 +37,7 @@
     }
     setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes,
                sizeof kReceiveBufferBytes);
-    connect(fd, reinterpret_cast<const sockaddr*>(&peer), sizeof peer);
+    (void)connect(fd, reinterpret_cast<const sockaddr*>(&peer), sizeof peer);
     clients_.push_back({fd, shared, 0, bytes.size()});
   }
 }
--- a/tests/wire/head_bounds_test.cc
+++ b/tests/wire/head_bounds_test.cc
@@ -13,8 +13,9 @@
 /// Feeds the bytes in pieces until the reader stops; `held` is the most memory
 /// that the head took meanwhile.
 read_state FeedAll(const std::string& bytes, size_t* held = nullptr) {
-  message_reader reader(message_kind::kRequest, kMaxHeadBytes,
-                        {[](message_head&&) {}, [](std::string_view) {}});
+  message_reader reader(
+      message_kind::kRequest, kMaxHeadBytes,
+      {[](const message_head& /*head*/) {}, [](std::string_view /*bytes*/) {}});
   for (size_t at = 0; at < bytes.size(); at += kPieceBytes) {
     const read_progress progress =
         reader.Feed(std::string_view(bytes).substr(at, kPieceBytes));
