--- a/tests/wire/head_bounds_test.cc
+++ b/tests/wire/head_bounds_test.cc
@@ -13,12 +13,13 @@
 /// Feeds the bytes in pieces until the reader stops; `held` is the most memory
 /// that the head took meanwhile.
 read_state FeedAll(const std::string& bytes, size_t* held = nullptr) {
-  message_reader reader(
-      message_kind::kRequest, kMaxHeadBytes,
-      {[](const message_head& /*head*/) {}, [](std::string_view /*bytes*/) {}});
-  for (size_t at = 0; at < bytes.size(); at += kPieceBytes) {
-    const read_progress progress =
-        reader.Feed(std::string_view(bytes).substr(at, kPieceBytes));
+  message_events events;
+  events.on_head = [](const message_head& /*head*/) {};
+  events.on_body = [](std::string_view /*bytes*/) {};
+  message_reader reader(message_kind::kRequest, kMaxHeadBytes, events);
+  const std::string_view all = bytes;
+  for (size_t at = 0; at < all.size(); at += kPieceBytes) {
+    const read_progress progress = reader.Feed(all.substr(at, kPieceBytes));
     if (held != nullptr) {
       *held = std::max(*held, reader.held_bytes());
     }
