--- a/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
+++ b/src/skylarkcroft/placement/skylarkcroft_load_balancer.h
@@ -278,6 +278,9 @@
   /// Starts the limit of an upstream that takes requests again from `at` on.
   void StartPace(const upstream_entry& entry, time_point at,
                  bool for_this_node) {
+    if (!parameters_.pace.enabled) {
+      return;
+    }
     paces_.Start({entry.id, UpstreamKey(entry.id), entry.slots, entry.cold_for,
                   at, for_this_node, peers_.size() + 1});
   }
--- a/src/skylarkcroft/placement/skylarkcroft_pace_parameters.h
+++ b/src/skylarkcroft/placement/skylarkcroft_pace_parameters.h
@@ -10,6 +10,8 @@
 /// Parameters of the limit on the requests at an upstream that has just
 /// started.
 struct pace_parameters {
+  /// Whether upstreams that start or return are limited at all.
+  bool enabled = true;
   /// The limit at first, as a share of the batch slots, and at least.
   double first_share = 0.125;
   /// Above this number of nodes the share grows with the nodes, as the age of
--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -104,6 +104,13 @@
   return parameters;
 }
 
+load_balancer_parameters MakeBalancerParameters(
+    const relay_settings& settings) {
+  load_balancer_parameters parameters;
+  parameters.pace.enabled = settings.paces_upstreams;
+  return parameters;
+}
+
 rollout_parameters MakeRolloutParameters(const relay_bounds& bounds) {
   rollout_parameters parameters;
   parameters.exposure_share = bounds.exposure_share.value_or(0);
@@ -156,7 +163,7 @@
         started_at_(clock_()),
         incarnation_(wall_clock_()),
         random_(std::random_device{}()),
-        balancer_(load_balancer_parameters{}),
+        balancer_(MakeBalancerParameters(settings)),
         connections_(loop, connection_parameters{}, clock_,
                      [this] { metrics_.RecordConnectionOpened(); }),
         quotas_(settings.first_start, random_()),
--- a/src/skylarkcroft/relay/skylarkcroft_relay_settings.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_settings.cc
@@ -68,14 +68,15 @@
 }  // namespace
 
 relay_settings ParseRelaySettings(const nlohmann::json& document) {
-  const json_reader root(
-      document, "$",
-      {"node", "availability_zone", "first_start", "listen", "store", "cloud",
-       "duties", "bounds", "memory_mb", "file_descriptors", "log_level"});
+  const json_reader root(document, "$",
+                         {"node", "availability_zone", "first_start", "listen",
+                          "store", "cloud", "duties", "bounds", "memory_mb",
+                          "file_descriptors", "pace_upstreams", "log_level"});
   relay_settings parsed;
   parsed.name = root.Name("node");
   parsed.availability_zone = root.Name("availability_zone");
   parsed.first_start = root.BoolOr("first_start", false);
+  parsed.paces_upstreams = root.BoolOr("pace_upstreams", false);
   parsed.listen = ParseListenAddresses(root);
   parsed.store = ReadEndpoint(root, "store");
   parsed.cloud = ReadEndpoint(root, "cloud");
--- a/src/skylarkcroft/relay/skylarkcroft_relay_settings.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_settings.h
@@ -65,6 +65,8 @@
   int64_t memory_mb = 0;
   /// File descriptors that the process may have open; 0 means no bound.
   int64_t file_descriptors = 0;
+  /// Whether upstreams that have just started or returned are limited.
+  bool paces_upstreams = false;
   std::string log_level = "info";
 
   bool operator==(const relay_settings&) const = default;
--- a/tests/placement/upstream_pace_test.cc
+++ b/tests/placement/upstream_pace_test.cc
@@ -116,6 +116,15 @@
 }
 
 // Guards against a fleet that is idle after a restart of all nodes.
+TEST_CASE("Without the setting no upstream is limited", "[placement][pace]") {
+  load_balancer_parameters parameters;
+  parameters.pace.enabled = false;
+  load_balancer balancer{parameters};
+  balancer.Reset({Entry("u0")}, kStart);
+  balancer.Put(Entry("u1"), kStart);
+  CHECK_FALSE(balancer.PaceLimit("u1").has_value());
+}
+
 TEST_CASE("Upstreams of the first list count as established",
           "[placement][pace]") {
   load_balancer balancer{load_balancer_parameters{}};
