Show a stream cut by a crash that a frozen machine takes for whole

Cause: after the end of an unframed answer an accepted connection counts as proof of life, also of the process that came after.

--- a/review/common-2/engine.h
+++ b/review/common-2/engine.h
@@ -29,6 +29,8 @@
   /// Work on a plain request.
   int work_ms = 15;
   int keep_alive_s = 5;
+  /// 0: a free one.
+  uint16_t port = 0;
 };
 
 /// Serves until the process is killed. Writes a line to standard output for all
@@ -39,7 +41,7 @@
   explicit engine(engine_terms terms) : terms_(std::move(terms)) {}
 
   void Run() {
-    const int listening = Listen();
+    const int listening = Listen(terms_.port);
     Say("port " + std::to_string(PortOf(listening)));
     while (true) {
       const int fd = accept4(listening, nullptr, nullptr, SOCK_CLOEXEC);
