Answer ends: tell an upstream at its connection limit from one that has ended

At the native node the short answer of a service that ended midway was whole.

Cause: after such an answer the relay connects to the upstream again and took a connection that ended within 50 ms for a refused one. An upstream beyond its connection limit accepts and resets as well as a process whose listening socket is closed last; the byte that was to tell them apart comes only if the node runs another request there. The native node took each accepted connection for life.

Change: a connection that was set up and ended is an outcome of its own. It decides nothing; 100 ms after the end of the answer the node connects again, when a process that has ended no longer listens. Relay and node share DecideEnd().

--- a/src/skylarkcroft/attempt/skylarkcroft_attempt.cc
+++ b/src/skylarkcroft/attempt/skylarkcroft_attempt.cc
@@ -7,7 +7,7 @@
 
 #include "skylarkcroft/attempt/skylarkcroft_sse_parser.h"
 #include "skylarkcroft/http/skylarkcroft_http_client.h"
-#include "skylarkcroft/wire/skylarkcroft_connect_check.h"
+#include "skylarkcroft/wire/skylarkcroft_end_confirmation.h"
 
 namespace skylarkcroft {
 namespace {
@@ -19,8 +19,6 @@
 constexpr int kTooManyRequests = 429;
 constexpr int kInternalError = 500;
 constexpr int kUnavailable = 503;
-// A service is one hop away.
-constexpr milliseconds kConnectCheckLimit{400};
 constexpr const char* kNotRunHeader = "X-Not-Run";
 constexpr const char* kLeavingHeader = "Server-Leaving";
 
@@ -256,14 +254,14 @@
       EndWith(response);
       return;
     }
-    check_ = std::make_unique<connect_check>(
-        loop, address, kConnectCheckLimit,
-        [this, response](connect_outcome outcome) {
-          if (outcome == connect_outcome::kRefused) {
+    confirmation_ = std::make_unique<end_confirmation>(
+        loop, address, end_confirmation_limits{},
+        [this, response](bool is_whole) {
+          if (is_whole) {
+            EndWith(response);
+          } else {
             on_end_({attempt_outcome::kBroken, true, {}});
-            return;
           }
-          EndWith(response);
         });
   }
 
@@ -285,7 +283,7 @@
   std::function<bool()> may_end_silent_;
   bool leaving_ = false;
   http_call_ptr call_;
-  std::unique_ptr<connect_check> check_;
+  std::unique_ptr<end_confirmation> confirmation_;
 };
 
 }  // namespace
--- a/src/skylarkcroft/relay/skylarkcroft_crash_monitor.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_crash_monitor.cc
@@ -80,7 +80,9 @@
 
 void crash_monitor::RecordCrashOfParts(const relay_attempt& failed,
                                        time_point now) {
-  const time_point broken_at = failed.ended_at.value_or(now);
+  const time_point broken_at = failed.unconfirmed_end.has_value()
+                                   ? failed.unconfirmed_end->ended_at
+                                   : now;
   const bool is_late = failed.first_output_at.has_value() &&
                        broken_at - *failed.first_output_at > kFirstOutputWindow;
   if (is_late || prompt_.shared.empty()) {
--- a/src/skylarkcroft/relay/skylarkcroft_relay_attempt.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_attempt.h
@@ -8,9 +8,9 @@
 
 #include "skylarkcroft/internal/skylarkcroft_time.h"
 #include "skylarkcroft/placement/skylarkcroft_load_balancer.h"
-#include "skylarkcroft/relay/skylarkcroft_response_end.h"
 #include "skylarkcroft/relay/skylarkcroft_upstream_connections.h"
 #include "skylarkcroft/wire/skylarkcroft_message_reader.h"
+#include "skylarkcroft/wire/skylarkcroft_response_end.h"
 
 namespace skylarkcroft {
 
@@ -42,11 +42,9 @@
   time_point next_successor_search{};
   /// A connection to a possible successor is being opened.
   bool opens_successor = false;
-  /// When the response ended with its connection. From then on it is not known
-  /// whether the upstream's process has ended too.
-  std::optional<time_point> ended_at;
-  /// What the upstream has shown after that.
-  end_evidence end;
+  /// Set when the response has ended with its connection: what the upstream
+  /// has shown since of whether its process has ended too.
+  std::optional<end_evidence> unconfirmed_end;
 };
 
 using relay_attempt_ptr = std::unique_ptr<relay_attempt>;
--- a/src/skylarkcroft/relay/skylarkcroft_relay_parameters.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_parameters.h
@@ -35,6 +35,10 @@
   /// connection has this long to show by a byte that it goes on. A working one
   /// sends a token every ten milliseconds or so.
   milliseconds life_sign_wait{50};
+  /// An upstream that drops a connection after such a response is asked again
+  /// this long after the response's end: a process that has ended no longer
+  /// listens then. The end of the response is delayed by it.
+  milliseconds listener_close_limit{100};
   /// Time limit of a request whose client states none. The route's timeout can
   /// shorten it; a timeout of 0 in the table does not.
   milliseconds default_time_limit{30000};
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -442,7 +442,14 @@
 }
 
 void relay_request::ConfirmEnd() {
-  attempt_->ended_at = environment_.clock();
+  attempt_->unconfirmed_end = end_evidence{.ended_at = environment_.clock()};
+  ConnectToConfirmEnd(attempt_->unconfirmed_end->ended_at);
+}
+
+void relay_request::ConnectToConfirmEnd(time_point now) {
+  end_evidence& end = *attempt_->unconfirmed_end;
+  end.connected_at = now;
+  end.outcome.reset();
   const upstream_entry& upstream = attempt_->placed.upstream;
   environment_.connections.OpenWatched(
       upstream.id, upstream.address, environment_.parameters.min_open_time,
@@ -454,25 +461,33 @@
         if (!still_waits) {
           return;
         }
-        const time_point now = environment_.clock();
-        attempt_->end.outcome = outcome;
-        attempt_->end.outcome_at = now;
-        CheckUnconfirmedEnd(now);
+        const time_point outcome_at = environment_.clock();
+        attempt_->unconfirmed_end->outcome = outcome;
+        attempt_->unconfirmed_end->outcome_at = outcome_at;
+        CheckUnconfirmedEnd(outcome_at);
       });
 }
 
 bool relay_request::IsEndUnconfirmed() const {
-  return !ended_ && attempt_ != nullptr && attempt_->ended_at.has_value();
+  return !ended_ && attempt_ != nullptr &&
+         attempt_->unconfirmed_end.has_value();
 }
 
 void relay_request::CheckUnconfirmedEnd(time_point now) {
-  end_evidence& end = attempt_->end;
+  end_evidence& end = *attempt_->unconfirmed_end;
   end.has_byte_since = end.outcome.has_value() &&
                        environment_.balancer.HasByteSince(
                            attempt_->placed.upstream.id, end.outcome_at);
-  switch (DecideEnd(end, {environment_.parameters.life_sign_wait}, now)) {
+  const relay_parameters& parameters = environment_.parameters;
+  const end_verdict verdict = DecideEnd(
+      end, {parameters.life_sign_wait, parameters.listener_close_limit}, now);
+  record_.end_shown_by = EndShownBy(end);
+  switch (verdict) {
     case end_verdict::kWait:
       return;
+    case end_verdict::kConnectAgain:
+      ConnectToConfirmEnd(now);
+      return;
     case end_verdict::kWhole:
       DeliverWholeResponse();
       return;
@@ -532,12 +547,14 @@
   if (&failed == attempt_.get()) {
     record.partial_event_bytes = events_.remainder().size();
   }
-  record.upstream_ended = failed.end.outcome == connect_outcome::kRefused;
+  const std::optional<end_evidence>& end = failed.unconfirmed_end;
+  record.upstream_ended =
+      end.has_value() && end->outcome == connect_outcome::kRefused;
   record.elapsed =
       std::chrono::duration_cast<milliseconds>(now - failed.started_at);
   if (failed.first_output_at.has_value()) {
     record.output_age = std::chrono::duration_cast<milliseconds>(
-        failed.ended_at.value_or(now) - *failed.first_output_at);
+        (end.has_value() ? end->ended_at : now) - *failed.first_output_at);
   }
   record.part_keys = ToString(crashes_.prompt().shared);
   for (const prompt_part& part : generation_.parts) {
@@ -756,7 +773,7 @@
   if (ended_) {
     return;
   }
-  if (IsEndUnconfirmed() && !attempt_->end.outcome.has_value()) {
+  if (IsEndUnconfirmed() && !IsEndInDoubt(*attempt_->unconfirmed_end)) {
     DeliverWholeResponse();
     return;
   }
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.h
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.h
@@ -97,11 +97,12 @@
   [[nodiscard]] bool IsWholeBody() const;
   /// A process that ends closes its connections, so a response that ends with
   /// its connection is whole only if the process goes on: connects to the
-  /// upstream once more.
+  /// upstream to see whether it does.
   void ConfirmEnd();
+  void ConnectToConfirmEnd(time_point now);
   [[nodiscard]] bool IsEndUnconfirmed() const;
-  /// Decides on an unconfirmed end. An upstream with too many connections
-  /// refuses some as well, but bytes arrive from it.
+  /// Decides on an unconfirmed end, or connects to the upstream again. One with
+  /// too many connections drops some as well.
   void CheckUnconfirmedEnd(time_point now);
   /// Finishes the client's response with that of the upstream, which is whole.
   void DeliverWholeResponse();
--- a/src/skylarkcroft/relay/skylarkcroft_request_record.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_request_record.cc
@@ -60,6 +60,7 @@
       {"longest_pause_ms", Ms(record.longest_pause)},
       {"total_ms", Ms(record.total)},
       {"upstream_framing", record.upstream_framing},
+      {"end_shown_by", record.end_shown_by},
       {"events", std::to_string(record.events)},
   };
   return entry;
--- a/src/skylarkcroft/relay/skylarkcroft_request_record.h
+++ b/src/skylarkcroft/relay/skylarkcroft_request_record.h
@@ -63,6 +63,9 @@
   /// How the upstream framed the last answer: `length`, `chunked`,
   /// `connection`, or empty before its head.
   std::string upstream_framing{};
+  /// What showed whether the last answer that ended with its connection was
+  /// whole: EndShownBy(). Empty for others.
+  std::string end_shown_by{};
   /// Events of a stream that were sent to the client.
   int64_t events = 0;
 
--- a/src/skylarkcroft/relay/skylarkcroft_upstream_connections.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_upstream_connections.cc
@@ -355,10 +355,9 @@
     return;
   }
   const connection* key = opened.get();
-  opened->SetHandlers(
-      {[](std::string_view bytes) { return bytes.size(); },
-       [this, key] { OnOpened(key); },
-       [this, key](bool) { EndOpening(key, connect_outcome::kRefused); }});
+  opened->SetHandlers({[](std::string_view bytes) { return bytes.size(); },
+                       [this, key] { OnOpened(key); },
+                       [this, key](bool) { OnOpeningClosed(key); }});
   opening_.push_back(
       {std::move(opened), min_open_time, std::move(on_result), nullptr});
 }
@@ -374,6 +373,13 @@
   });
 }
 
+void upstream_connections::OnOpeningClosed(const connection* opened) {
+  const bool was_established =
+      FindOpening(opened)->opened->socket().was_established();
+  EndOpening(opened, was_established ? connect_outcome::kDropped
+                                     : connect_outcome::kRefused);
+}
+
 std::list<upstream_connections::opening_connection>::iterator
 upstream_connections::FindOpening(const connection* opened) {
   return std::find_if(opening_.begin(), opening_.end(),
--- a/src/skylarkcroft/relay/skylarkcroft_upstream_connections.h
+++ b/src/skylarkcroft/relay/skylarkcroft_upstream_connections.h
@@ -114,8 +114,8 @@
   void OpenIdle(const std::string& upstream_id, const endpoint& address,
                 std::function<void(connect_outcome)> on_result);
   /// As OpenIdle(), but a connection counts as accepted only if it stays open
-  /// for `min_open_time`; one that ends before counts as refused. A process
-  /// that ends may accept connections after it has closed its others.
+  /// for `min_open_time`; one that ends before is dropped. A process that
+  /// ends may accept connections after it has closed its others.
   void OpenWatched(const std::string& upstream_id, const endpoint& address,
                    milliseconds min_open_time,
                    std::function<void(connect_outcome)> on_result);
@@ -139,6 +139,7 @@
 
   void KeepIdle(const connection_ptr& kept);
   void OnOpened(const connection* opened);
+  void OnOpeningClosed(const connection* opened);
   [[nodiscard]] std::list<opening_connection>::iterator FindOpening(
       const connection* opened);
   void EndOpening(const connection* opened, connect_outcome outcome);
--- a/src/skylarkcroft/wire/skylarkcroft_connect_check.cc
+++ b/src/skylarkcroft/wire/skylarkcroft_connect_check.cc
@@ -6,24 +6,48 @@
 
 namespace skylarkcroft {
 
+std::string_view ToString(connect_outcome outcome) {
+  switch (outcome) {
+    case connect_outcome::kAccepted:
+      return "accepted";
+    case connect_outcome::kDropped:
+      return "dropped";
+    case connect_outcome::kRefused:
+      return "refused";
+    case connect_outcome::kUnknown:
+      return "unknown";
+  }
+  return "";
+}
+
 connect_check::connect_check(event_loop& loop, const endpoint& peer,
-                             milliseconds limit,
+                             const connect_check_limits& limits,
                              std::function<void(connect_outcome)> on_result)
-    : on_result_(std::move(on_result)) {
+    : loop_(loop), on_result_(std::move(on_result)) {
+  milliseconds answer_limit = limits.answer;
   try {
     socket_ = std::make_unique<stream_socket>(
-        loop, peer, limit,
+        loop, peer, limits.answer,
         socket_events{[](std::string_view bytes) { return bytes.size(); },
-                      [this] { End(connect_outcome::kAccepted); },
-                      [this](bool) { End(connect_outcome::kRefused); }});
+                      [this, least = limits.min_open_time] { OnOpened(least); },
+                      [this](bool) {
+                        End(socket_->was_established()
+                                ? connect_outcome::kDropped
+                                : connect_outcome::kRefused);
+                      }});
   } catch (const network_error&) {
-    limit = milliseconds(0);
+    answer_limit = milliseconds(0);
   }
-  limit_timer_ = loop.After(limit, [this] { End(connect_outcome::kUnknown); });
+  timer_ = loop.After(answer_limit, [this] { End(connect_outcome::kUnknown); });
 }
 
 connect_check::~connect_check() = default;
 
+void connect_check::OnOpened(milliseconds min_open_time) {
+  timer_ =
+      loop_.After(min_open_time, [this] { End(connect_outcome::kAccepted); });
+}
+
 void connect_check::End(connect_outcome outcome) {
   if (on_result_ == nullptr) {
     return;
--- a/src/skylarkcroft/wire/skylarkcroft_stream_socket.cc
+++ b/src/skylarkcroft/wire/skylarkcroft_stream_socket.cc
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <cstdint>
 #include <string>
 #include <utility>
@@ -99,6 +100,7 @@
   }
 
   [[nodiscard]] bufferevent* handle() const { return bufferevent_; }
+  [[nodiscard]] bool was_established() const { return established_; }
 
  private:
   static void OnRead(bufferevent* /*raw*/, void* self) {
@@ -106,19 +108,26 @@
   }
 
   static void OnEvent(bufferevent* /*raw*/, int16_t what, void* context) {
+    const int error = EVUTIL_SOCKET_ERROR();
     const std::shared_ptr<impl> self =
         static_cast<impl*>(context)->shared_from_this();
     if ((what & BEV_EVENT_CONNECTED) != 0) {
+      self->established_ = true;
       self->events_.on_connected();
       return;
     }
     if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+      // The system gives these errors for connections that were set up alone.
+      const bool ended_by_peer =
+          (what & BEV_EVENT_EOF) != 0 || error == ECONNRESET || error == EPIPE;
+      self->established_ = self->established_ || ended_by_peer;
       self->events_.on_closed((what & BEV_EVENT_ERROR) == 0);
     }
   }
 
   socket_events events_;
   bufferevent* bufferevent_;
+  bool established_ = false;
 };
 
 stream_socket::stream_socket(event_loop& loop, int fd, socket_events events) {
@@ -175,6 +184,8 @@
   return skylarkcroft::HasPeerClosed(bufferevent_getfd(impl_->handle()));
 }
 
+bool stream_socket::was_established() const { return impl_->was_established(); }
+
 void stream_socket::SetAckTimeout(milliseconds ack_timeout) {
   SetUserTimeout(bufferevent_getfd(impl_->handle()), ack_timeout);
 }
--- a/src/skylarkcroft/wire/skylarkcroft_stream_socket.h
+++ b/src/skylarkcroft/wire/skylarkcroft_stream_socket.h
@@ -53,6 +53,9 @@
   /// Whether the peer's end of stream or its reset has arrived right behind the
   /// bytes read so far, even if on_closed has not been called yet.
   [[nodiscard]] bool HasPeerClosed() const;
+  /// Whether the connection was ever set up, also if the peer ended it before
+  /// on_connected could be called.
+  [[nodiscard]] bool was_established() const;
   /// Changes how long sent data may stay unacknowledged, or written data unsent
   /// because the peer reads nothing, until the connection fails.
   void SetAckTimeout(milliseconds ack_timeout);
--- a/tests/attempt/answer_end_test.cc
+++ b/tests/attempt/answer_end_test.cc
@@ -83,6 +83,20 @@
       request.close();
     });
   }
+  /// As Write(), and each further connection is reset: for good where the
+  /// upstream goes on, or until its listening socket is closed.
+  void WriteAndReset(const received_request& request, const std::string& text,
+                     bool goes_on) {
+    request.write(text);
+    later_ = loop.After(milliseconds(30), [this, request] {
+      upstream.ResetFurtherConnections();
+      request.close();
+    });
+    if (!goes_on) {
+      listener_closes_ =
+          loop.After(milliseconds(90), [this] { upstream.StopListening(); });
+    }
+  }
   void AskEngine() {
     engine_attempt_options options;
     options.address = upstream.address();
@@ -119,6 +133,7 @@
   }
 
   event_loop::handle_ptr later_;
+  event_loop::handle_ptr listener_closes_;
   http_client client_{loop};
   attempt_ptr attempt_;
 };
@@ -190,6 +205,24 @@
   CHECK(bench.ended->may_have_run);
 }
 
+// Guards against a short body that is taken for a whole one where its service's
+// process still accepts connections while it ends, and against a whole one that
+// is called broken because its service has no room for a connection.
+TEST_CASE("A service that resets connections is asked again",
+          "[attempt][answer_end][ended_process][regression]") {
+  attempt_bench bench;
+  const bool goes_on = GENERATE(true, false);
+  bench.upstream.SetHandler([&](const received_request& request) {
+    bench.WriteAndReset(
+        request,
+        AnswerUntil({"whole body"}, framing::kConnection, stop::kAtEnd),
+        goes_on);
+  });
+  bench.AskService();
+  CHECK(bench.ended->outcome ==
+        (goes_on ? attempt_outcome::kComplete : attempt_outcome::kBroken));
+}
+
 // Guards against 'not run' for a request that a service runs, after a service
 // has written an earlier refusal once more on the same connection.
 TEST_CASE("A refusal that is repeated on a kept connection answers nothing",
--- a/tests/relay/answer_end_test.cc
+++ b/tests/relay/answer_end_test.cc
@@ -17,6 +17,8 @@
 using Catch::Matchers::StartsWith;
 
 constexpr const char* kFinalChunk = "0\r\n\r\n";
+// Longer than the system takes to close the files of a process that has ended.
+constexpr milliseconds kListenerClosesAfter{60};
 
 /// One request whose upstream writes `text` and ends its connection.
 class broken_answer {
@@ -57,10 +59,19 @@
       request.close();
     });
   }
-  /// As WriteAndEnd(), and a connection is still accepted before the process's
-  /// system resets it.
+  /// As WriteAndEnd(), but the process's listening socket is closed last: until
+  /// then connections are still accepted and reset.
   void WriteAndCrash(scripted_upstream& upstream,
                      const received_request& request, const std::string& text) {
+    WriteAtConnectionLimit(upstream, request, text);
+    listener_closes_ =
+        relay.loop.After(milliseconds(30) + kListenerClosesAfter,
+                         [&upstream] { upstream.StopListening(); });
+  }
+  /// As Write(), and the upstream goes on but resets each further connection.
+  void WriteAtConnectionLimit(scripted_upstream& upstream,
+                              const received_request& request,
+                              const std::string& text) {
     request.write(text);
     later_ = relay.loop.After(milliseconds(30), [&upstream, request] {
       upstream.ResetFurtherConnections();
@@ -73,6 +84,7 @@
 
  private:
   event_loop::handle_ptr later_;
+  event_loop::handle_ptr listener_closes_;
 };
 
 client_kind AnyClient() {
@@ -171,25 +183,34 @@
 }
 
 // Guards against whole answers that are called broken because their upstream
-// resets connections beyond its limit.
-TEST_CASE("A reset connection alone does not break an answer off",
-          "[relay][answer_end][ended_process]") {
+// resets connections beyond its limit, also where nothing else arrives from it.
+TEST_CASE("An answer is whole if its upstream resets connections and goes on",
+          "[relay][answer_end][connection_limit][regression]") {
   broken_answer run;
   const client_kind kind = AnyClient();
+  const bool has_other_answers = GENERATE(true, false);
+  const bool is_stream = GENERATE(true, false);
   event_loop::handle_ptr other_bytes;
-  run.SetHandlerOfEach([&](scripted_upstream& upstream,
-                           const received_request& request) {
-    const std::string id =
-        &upstream == &run.relay.first_upstream ? "one" : "two";
-    // The other answers of the upstream go on.
-    other_bytes = run.relay.loop.Every(milliseconds(10), [&run, id] {
-      run.relay.balancer.RecordByte(id, SteadyNow());
-    });
-    run.WriteAndCrash(upstream, request,
-                      AnswerUntil(request, framing::kConnection, stop::kAtEnd));
-  });
-  CHECK(run.Ask(kind, "/stream/") == client_view::kWhole);
+  run.SetHandlerOfEach(
+      [&](scripted_upstream& upstream, const received_request& request) {
+        const std::string id =
+            &upstream == &run.relay.first_upstream ? "one" : "two";
+        if (has_other_answers) {
+          other_bytes = run.relay.loop.Every(milliseconds(10), [&run, id] {
+            run.relay.balancer.RecordByte(id, SteadyNow());
+          });
+        }
+        run.WriteAtConnectionLimit(
+            upstream, request,
+            is_stream ? AnswerUntil(request, framing::kConnection, stop::kAtEnd)
+                      : "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Sig: s\r\n\r\nwhole");
+      });
+  CHECK(run.Ask(kind, is_stream ? "/stream/" : "/once/") ==
+        client_view::kWhole);
   CHECK(run.relay.RequestCount() == 1);
+  REQUIRE(run.relay.records.size() == 1);
+  CHECK(run.relay.records.front().end_shown_by ==
+        (has_other_answers ? "byte" : "dropped"));
 }
 
 TEST_CASE("A stream that ended with its upstream's process is resumed",
--- a/tests/relay/scripted_upstream.h
+++ b/tests/relay/scripted_upstream.h
@@ -4,6 +4,7 @@
 #include <event2/listener.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <functional>
 #include <list>
@@ -15,6 +16,7 @@
 #include "skylarkcroft/internal/skylarkcroft_endpoint.h"
 #include "skylarkcroft/internal/skylarkcroft_error.h"
 #include "skylarkcroft/internal/skylarkcroft_event_loop.h"
+#include "skylarkcroft/internal/skylarkcroft_socket_state.h"
 #include "skylarkcroft/wire/skylarkcroft_message_reader.h"
 #include "skylarkcroft/wire/skylarkcroft_stream_socket.h"
 
@@ -72,9 +74,17 @@
       evconnlistener_free(std::exchange(listener_, nullptr));
     }
   }
-  /// Accepts each further connection and resets it shortly after, like a
-  /// process that is ending: its listening socket is closed last.
+  /// Accepts each further connection and resets it shortly after, like an
+  /// upstream at its connection limit, or one that is ending: its listening
+  /// socket is closed last.
   void ResetFurtherConnections() { resets_connections_ = true; }
+  /// Accepts a connection that has been set up outside the event loop, and
+  /// resets it.
+  void ResetNextConnection() {
+    const int fd = accept(evconnlistener_get_fd(listener_), nullptr, nullptr);
+    SetResetOnClose(fd, true);
+    close(fd);
+  }
 
   std::vector<received_request> requests;
   int connections = 0;  ///< Number of connections accepted so far.
