Answers: a status outside of 100 to 599 is no answer

What callers saw: an upstream in trouble sent an answer with status 000 (MIXED, report of other operators). On the relay passed 600 and 999 on with their bodies and read 000 as an interim response, whose body reached code that expects a head; the native node passed on -1, 42, 99 and what is above 599, and took 101 and 103 for final answers.

Cause: message_reader compared the status with 200 only, evhttp with 0 only.

Change: such a response is malformed in both. Interim responses are counted where their status is read, 16 at most before the final one: before, the relay and the client of evhttp read them until the deadline.

--- a/src/skylarkcroft/cli/skylarkcroft_operators_client.cc
+++ b/src/skylarkcroft/cli/skylarkcroft_operators_client.cc
@@ -56,7 +56,7 @@
                                             }});
   loop.RunFor(kCallLimit);
   if (!ended.has_value()) {
-    return {http_outcome::kTimedOut, true, {}};
+    return {http_outcome::kTimedOut, true};
   }
   if (!ended->may_have_been_sent) {
     throw NoAnswer(node_, ended->outcome);
--- a/src/skylarkcroft/http/skylarkcroft_http_client.cc
+++ b/src/skylarkcroft/http/skylarkcroft_http_client.cc
@@ -28,6 +28,11 @@
 constexpr milliseconds kMaxIdleAge{15000};
 constexpr milliseconds kIdleSweepPeriod{5000};
 constexpr size_t kMaxResponseHeaderBytes = 64 * 1024;
+constexpr int kContinue = 100;
+constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
+// A peer sends one or two interim responses, if any.
+constexpr int kMaxInterimResponses = 16;
 // The client measures silence itself: evhttp would end a call whose response
 // arrived while the loop stood still.
 constexpr timeval kNoEvhttpTimeout{365 * 24 * 3600, 0};
@@ -131,9 +136,11 @@
 
     static void OnInput(evbuffer* /*input*/, const evbuffer_cb_info* change,
                         void* self) {
-      if (change->n_added > 0) {
-        static_cast<connection*>(self)->last_progress = SteadyNow();
+      auto* link = static_cast<connection*>(self);
+      if (change->n_added == 0) {
+        return;
       }
+      link->last_progress = SteadyNow();
     }
 
     // A call without a total limit leaves the time to the system.
@@ -182,6 +189,8 @@
     std::function<bool(const http_response&)> may_keep;
     bool cancelled = false;
     bool nagle_disabled = false;
+    int interim_responses = 0;
+    bool malformed = false;
     http_outcome failure = http_outcome::kConnectFailed;
     milliseconds progress_timeout{};
     event_loop::handle_ptr connect_timer;
@@ -324,7 +333,7 @@
       if (client == nullptr || client->live_.count(id) == 0) {
         return;
       }
-      client->Finish(id, {http_outcome::kConnectFailed, false, {}});
+      client->Finish(id, {http_outcome::kConnectFailed, false});
     });
   }
 
@@ -334,7 +343,7 @@
     if (found == live_.end() || found->second->link->sent) {
       return;
     }
-    EndAtLimit(id, {http_outcome::kConnectFailed, false, {}});
+    EndAtLimit(id, {http_outcome::kConnectFailed, false});
   }
 
   void OnTotalLimit(uint64_t id) {
@@ -343,10 +352,9 @@
       return;
     }
     const bool sent = found->second->link->sent;
-    EndAtLimit(id,
-               {sent ? http_outcome::kTimedOut : http_outcome::kConnectFailed,
-                sent,
-                {}});
+    EndAtLimit(
+        id,
+        {sent ? http_outcome::kTimedOut : http_outcome::kConnectFailed, sent});
   }
 
   void CheckProgressAfter(call_state& state, duration delay) {
@@ -380,12 +388,11 @@
     }
     EndAtLimit(
         id, {link.sent ? http_outcome::kTimedOut : http_outcome::kConnectFailed,
-             link.sent,
-             {}});
+             link.sent});
   }
 
-  // Only from a timer: no callback of evhttp is under way, so the connection
-  // goes at once and calls nothing more.
+  // Only from a timer: no callback of evhttp is under way, so the
+  // connection goes at once and calls nothing more.
   void EndAtLimit(uint64_t id, const http_result& result) {
     live_.at(id)->link.reset();
     Finish(id, result);
@@ -403,9 +410,20 @@
     if (!state->nagle_disabled) {
       DisableNagle(*state);
     }
-    if (state->events.on_headers) {
-      state->events.on_headers(evhttp_request_get_response_code(raw),
-                               ReadHeaders(raw));
+    const int status = evhttp_request_get_response_code(raw);
+    if (status == kContinue) {
+      ++state->interim_responses;
+    }
+    // evhttp takes any other number for the status of the final response.
+    const bool is_final = status >= kFirstFinalStatus && status <= kLastStatus;
+    const bool is_interim =
+        status == kContinue && state->interim_responses <= kMaxInterimResponses;
+    if (!is_final && !is_interim) {
+      state->malformed = true;
+      return -1;
+    }
+    if (is_final && state->events.on_headers) {
+      state->events.on_headers(status, ReadHeaders(raw));
     }
     return 0;
   }
@@ -437,6 +455,9 @@
       if (state->failure == http_outcome::kConnectFailed && state->link->sent) {
         result.outcome = http_outcome::kBroken;
       }
+      if (state->malformed) {
+        result.outcome = http_outcome::kMalformed;
+      }
     } else {
       result.outcome = http_outcome::kComplete;
       result.response.status = evhttp_request_get_response_code(raw);
--- a/src/skylarkcroft/http/skylarkcroft_http_client.h
+++ b/src/skylarkcroft/http/skylarkcroft_http_client.h
@@ -22,7 +22,9 @@
                    ///< sent.
   kTimedOut,       ///< No byte arrived for the progress timeout, or the call
                    ///< took longer than its total timeout.
-  kMalformed,      ///< The response is not valid HTTP or is too large.
+  kMalformed,      ///< The response is not valid HTTP, is too large, has a
+                   ///< status outside of 200 to 599, or follows too many
+                   ///< interim responses.
 };
 
 /// Lower-case name of `outcome`, for logs and counters.
@@ -34,7 +36,7 @@
   http_outcome outcome = http_outcome::kBroken;
   /// False only when no byte of the request can have reached the peer.
   bool may_have_been_sent = true;
-  http_response response;
+  http_response response{};
 
   [[nodiscard]] bool Ok() const {
     constexpr int kFirstSuccess = 200;
--- a/src/skylarkcroft/wire/skylarkcroft_message_reader.cc
+++ b/src/skylarkcroft/wire/skylarkcroft_message_reader.cc
@@ -8,7 +8,11 @@
 namespace skylarkcroft {
 namespace {
 
+constexpr int kFirstStatus = 100;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
+// A peer sends one or two interim responses, if any.
+constexpr int kMaxInterimResponses = 16;
 // "a:" and its line break.
 constexpr size_t kShortestLineBytes = 4;
 // Lines and bytes that a head may have beside those that its limit allows, so
@@ -78,6 +82,7 @@
     ended_ = false;
     malformed_ = false;
     started_ = false;
+    interim_responses_ = 0;
   }
 
   read_progress Feed(std::string_view bytes) {
@@ -200,6 +205,10 @@
     name_ = {};
     value_ = {};
     head_.status = parser_.status_code;
+    if (kind_ == message_kind::kResponse && !IsValidStatus()) {
+      malformed_ = true;
+      return -1;
+    }
     if (kind_ == message_kind::kRequest) {
       head_.method = http_method_str(static_cast<http_method>(parser_.method));
     } else if (head_.status < kFirstFinalStatus) {
@@ -219,6 +228,13 @@
     return head_only_ ? 1 : 0;
   }
 
+  // Counts interim responses: without a bound, they could go on for ever.
+  bool IsValidStatus() {
+    interim_responses_ += head_.status < kFirstFinalStatus ? 1 : 0;
+    return head_.status >= kFirstStatus && head_.status <= kLastStatus &&
+           interim_responses_ <= kMaxInterimResponses;
+  }
+
   int OnEnd() {
     if (kind_ == message_kind::kResponse && head_.status < kFirstFinalStatus) {
       // An interim response; the final one follows.
@@ -241,6 +257,7 @@
   size_t head_bytes_ = 0;      ///< Of the target, names and values.
   size_t raw_head_bytes_ = 0;  ///< All bytes read before the head's last.
   size_t lines_ = 0;
+  int interim_responses_ = 0;
   bool in_value_ = false;
   bool in_head_ = true;
   bool head_only_ = false;
--- a/src/skylarkcroft/wire/skylarkcroft_message_reader.h
+++ b/src/skylarkcroft/wire/skylarkcroft_message_reader.h
@@ -33,8 +33,9 @@
 enum class read_state {
   kMore,       ///< The message is incomplete; more bytes are needed.
   kEnded,      ///< The message is complete; later bytes were not consumed.
-  kMalformed,  ///< The bytes are not a valid message, or its framing is
-               ///< ambiguous.
+  kMalformed,  ///< The bytes are not a valid message, its framing is ambiguous,
+               ///< its status is none of 100 to 599, or too many interim
+               ///< responses come before it.
   kTooLarge,   ///< The head exceeds max_head_bytes, has more lines than fit
                ///< into them, or is preceded by too many empty lines.
 };
--- a/tests/relay/scripted_upstream.h
+++ b/tests/relay/scripted_upstream.h
@@ -37,6 +37,10 @@
     std::function<void()> reset;
     /// Becomes true when the other side has closed the connection.
     std::shared_ptr<bool> closed;
+    /// Ends the sending side of the connection.
+    std::function<void()> finish;
+    /// Reads nothing more from the connection.
+    std::function<void()> stop_reading;
   };
   using handler = std::function<void(const received_request&)>;
 
@@ -68,6 +72,9 @@
   /// Calls `on_request` for each further request, when it is complete.
   void SetHandler(handler on_request) { on_request_ = std::move(on_request); }
 
+  /// Calls `on_head` for each further request, when its head is complete.
+  void SetHeadHandler(handler on_head) { on_head_ = std::move(on_head); }
+
   /// Refuses further connections, like a process that has ended.
   void StopListening() {
     if (listener_ != nullptr) {
@@ -115,7 +122,12 @@
     client->reader = std::make_unique<message_reader>(
         message_kind::kRequest, 65536,
         message_events{
-            [client](const message_head& head) { client->head = head; },
+            [this, client](const message_head& head) {
+              client->head = head;
+              if (on_head_ != nullptr) {
+                on_head_(Describe(client));
+              }
+            },
             [client](std::string_view bytes) { client->body.append(bytes); }});
     client->socket = std::make_unique<stream_socket>(
         loop_, fd,
@@ -129,25 +141,43 @@
                       }});
   }
 
+  received_request Describe(connection* client) {
+    return {
+        client->head,
+        client->body,
+        [client](const std::string& text) {
+          if (client->socket != nullptr) {
+            client->socket->Write(text);
+          }
+        },
+        [this, client] { loop_.Defer([client] { client->socket.reset(); }); },
+        [this, client] {
+          if (client->socket != nullptr) {
+            client->socket->ResetOnClose();
+            loop_.Defer([client] { client->socket.reset(); });
+          }
+        },
+        client->closed,
+        [client] {
+          if (client->socket != nullptr) {
+            client->socket->ShutdownWrite();
+          }
+        },
+        [client] {
+          if (client->socket != nullptr) {
+            client->socket->SetReading(false);
+          }
+        }};
+  }
+
   size_t OnBytes(connection* client, std::string_view bytes) {
     const read_progress progress = client->reader->Feed(bytes);
     if (progress.state != read_state::kEnded) {
       return bytes.size();
     }
     client->reader->Reset();
-    requests.push_back(
-        {client->head, std::exchange(client->body, ""),
-         [client](const std::string& text) {
-           if (client->socket != nullptr) {
-             client->socket->Write(text);
-           }
-         },
-         [this, client] { loop_.Defer([client] { client->socket.reset(); }); },
-         [this, client] {
-           client->socket->ResetOnClose();
-           loop_.Defer([client] { client->socket.reset(); });
-         },
-         client->closed});
+    requests.push_back(Describe(client));
+    client->body.clear();
     if (on_request_) {
       on_request_(requests.back());
     }
@@ -158,6 +188,7 @@
   evconnlistener* listener_;
   uint16_t port_ = 0;
   handler on_request_;
+  handler on_head_;
   bool resets_connections_ = false;
   std::vector<event_loop::handle_ptr> resets_;
   std::list<std::unique_ptr<connection>> accepted_;
--- a/tests/wire/message_reader_test.cc
+++ b/tests/wire/message_reader_test.cc
@@ -100,6 +100,31 @@
   CHECK(read.heads.front().status == 204);
 }
 
+// Guards against interim responses that are read until a deadline.
+TEST_CASE("Interim responses without end are malformed",
+          "[wire][endless][regression]") {
+  recording_reader read(message_kind::kResponse);
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  int skipped = 0;
+  while (skipped < 100 && read.Feed(interim).state == read_state::kMore) {
+    ++skipped;
+  }
+  CHECK(skipped == 16);
+}
+
+// Guards against an impossible status that is taken for an interim or a final
+// response.
+TEST_CASE("A status outside of 100 to 599 is malformed",
+          "[wire][odd_status][regression]") {
+  recording_reader read(message_kind::kResponse);
+  const std::string status =
+      GENERATE(as<std::string>{}, "000", "1", "99", "600", "999");
+  CHECK(read.Feed("HTTP/1.1 " + status + " Odd\r\n\r\nbody").state ==
+        read_state::kMalformed);
+  CHECK(read.heads.empty());
+  CHECK(read.body.empty());
+}
+
 TEST_CASE("Bytes that are not an HTTP response are malformed", "[wire]") {
   recording_reader read(message_kind::kResponse);
   CHECK(read.Feed("\x01\x02garbage\r\n\r\n").state == read_state::kMalformed);
