Answer ends: an end before the upstream has the request is no whole answer

Here it took an orderly end that is reset later; a reset alone was told as broken.

Cause: an orderly end of a body without a length or chunks was taken for the end of the answer, whatever had become of the request.

Change: the relay counts such an end only when the upstream's system has acknowledged the whole request. The native node does so if it had when the last bytes arrived, as evhttp closes its connection before it tells of the end.

--- a/src/skylarkcroft/attempt/skylarkcroft_attempt.cc
+++ b/src/skylarkcroft/attempt/skylarkcroft_attempt.cc
@@ -230,7 +230,12 @@
       if (result.outcome != http_outcome::kComplete) {
         on_end_(FromTransportResult(result));
       } else if (EndsWithConnection(method, result.response)) {
-        ConfirmEnd(loop, address, result.response);
+        // A service that closes before it has the request has not answered it.
+        if (result.request_undelivered) {
+          on_end_({attempt_outcome::kBroken, true, {}});
+        } else {
+          ConfirmEnd(loop, address, result.response);
+        }
       } else {
         EndWith(result.response);
       }
--- a/src/skylarkcroft/http/skylarkcroft_http_client.cc
+++ b/src/skylarkcroft/http/skylarkcroft_http_client.cc
@@ -141,6 +141,15 @@
         return;
       }
       link->last_progress = SteadyNow();
+      link->request_undelivered =
+          link->request_undelivered && link->UndeliveredBytes() > 0;
+    }
+
+    // Bytes of requests that the peer's system has not acknowledged.
+    [[nodiscard]] size_t UndeliveredBytes() const {
+      bufferevent* stream = evhttp_connection_get_bufferevent(raw);
+      return evbuffer_get_length(bufferevent_get_output(stream)) +
+             UnacknowledgedBytes(fd());
     }
 
     // A call without a total limit leaves the time to the system.
@@ -176,6 +185,8 @@
     time_point idle_since{};
     // When the call on it reaches its total limit.
     time_point ends_at = time_point::max();
+    // Of the call on it, until its response has come later.
+    bool request_undelivered = false;
   };
   using connection_ptr = std::unique_ptr<connection>;
 
@@ -227,6 +238,7 @@
     }
     const time_point now = SteadyNow();
     state->link->sent = false;
+    state->link->request_undelivered = true;
     state->link->last_progress = now;
     state->link->ends_at = options.total_timeout > milliseconds(0)
                                ? now + options.total_timeout
@@ -450,6 +462,7 @@
     auto* state = static_cast<call_state*>(argument);
     http_result result;
     result.may_have_been_sent = state->link->sent;
+    result.request_undelivered = state->link->request_undelivered;
     if (raw == nullptr || evhttp_request_get_response_code(raw) == 0) {
       result.outcome = state->failure;
       if (state->failure == http_outcome::kConnectFailed && state->link->sent) {
--- a/src/skylarkcroft/http/skylarkcroft_http_client.h
+++ b/src/skylarkcroft/http/skylarkcroft_http_client.h
@@ -36,6 +36,9 @@
   http_outcome outcome = http_outcome::kBroken;
   /// False only when no byte of the request can have reached the peer.
   bool may_have_been_sent = true;
+  /// The peer's system had not received the whole request when the last bytes
+  /// of the response arrived.
+  bool request_undelivered = false;
   http_response response{};
 
   [[nodiscard]] bool Ok() const {
--- a/src/skylarkcroft/relay/skylarkcroft_upstream_connections.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_upstream_connections.cc
@@ -253,8 +253,9 @@
       return;
     }
     // A response without a length is complete when its connection is closed,
-    // but not when it is reset.
+    // but not when it is reset, nor before the upstream has the whole request.
     const bool complete = clean && reader_.started() && !for_other_request_ &&
+                          connection_->socket().undelivered() == 0 &&
                           reader_.FeedEof() == read_state::kEnded;
     if (!ended_) {
       End(complete ? exchange_result::kComplete : exchange_result::kBroken);
--- a/tests/attempt/answer_end_test.cc
+++ b/tests/attempt/answer_end_test.cc
@@ -108,12 +108,16 @@
          [this](const attempt_result& result) { ended = result; }});
     Await();
   }
-  void AskService(bool reuse = true) {
+  void AskService(bool reuse = true, const std::string& body = "") {
     service_attempt_options options;
     options.address = upstream.address();
     options.reuse_connection = reuse;
-    attempt_ = StartServiceAttempt(
-        client_, options, {}, [this](const attempt_result& r) { ended = r; });
+    http_request request;
+    request.method = body.empty() ? request.method : "POST";
+    request.body = body;
+    attempt_ =
+        StartServiceAttempt(client_, options, request,
+                            [this](const attempt_result& r) { ended = r; });
     Await();
   }
 
@@ -223,6 +227,35 @@
         (goes_on ? attempt_outcome::kComplete : attempt_outcome::kBroken));
 }
 
+// Guards against a part of an answer that is taken for a whole one, because its
+// service ended it while the request was still being written.
+TEST_CASE("A service's answer that ends before it has the request is short",
+          "[attempt][answer_end][early_answer][regression]") {
+  attempt_bench bench;
+  event_loop::handle_ptr finish;
+  bench.upstream.SetHeadHandler([&](const received_request& request) {
+    request.stop_reading();
+    request.write("HTTP/1.1 200 OK\r\n\r\npart");
+    finish = bench.loop.After(milliseconds(20), request.finish);
+  });
+  bench.AskService(true, std::string(2000000, 'u'));
+  CHECK(bench.ended->outcome == attempt_outcome::kBroken);
+  CHECK(bench.ended->may_have_run);
+}
+
+// Guards against an answer with an impossible status.
+TEST_CASE("A service's answer with a status that HTTP does not know is none",
+          "[attempt][odd_status][regression]") {
+  attempt_bench bench;
+  const std::string status =
+      GENERATE(as<std::string>{}, "000", "099", "103", "600");
+  bench.upstream.SetHandler([&](const received_request& request) {
+    request.write("HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\nno");
+  });
+  bench.AskService();
+  CHECK(bench.ended->outcome == attempt_outcome::kMalformed);
+}
+
 // Guards against 'not run' for a request that a service runs, after a service
 // has written an earlier refusal once more on the same connection.
 TEST_CASE("A refusal that is repeated on a kept connection answers nothing",
