Answers: bounds on bytes without end from an upstream

What was reported: a faulty upstream sent bytes without end, and the machine that had called it ran out of memory. On the native node's client, also used for store and cloud, kept a chunk extension, a chunk size and an early answer without a bound; the relay skipped answers to other requests until the client's deadline.

Cause: evhttp bounds neither the line before a chunk nor what arrives while it writes; copies of other answers were not counted.

Change: http_client ends a call when more lies unread than a whole chunk and a head may take; the relay skips 1 MiB of other answers at most.

--- a/src/skylarkcroft/attempt/skylarkcroft_attempt.cc
+++ b/src/skylarkcroft/attempt/skylarkcroft_attempt.cc
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr size_t kMaxEventBytes = 1024 * 1024;
+// An engine's chunk holds an event or a few.
+constexpr size_t kMaxUnreadBytes = 2 * kMaxEventBytes;
 constexpr size_t kMaxStreamBytes = 256 * 1024 * 1024;
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
@@ -100,6 +102,7 @@
     http_call_options options;
     options.progress_timeout = start_.progress_timeout;
     options.max_body_bytes = kMaxStreamBytes;
+    options.max_unread_bytes = kMaxUnreadBytes;
     options.reuse_connection = start_.reuse_connection;
     options.may_keep_connection = [](const http_response& response) {
       return !IsRefusal(response);
--- a/src/skylarkcroft/http/skylarkcroft_http_client.cc
+++ b/src/skylarkcroft/http/skylarkcroft_http_client.cc
@@ -134,7 +134,7 @@
       }
     }
 
-    static void OnInput(evbuffer* /*input*/, const evbuffer_cb_info* change,
+    static void OnInput(evbuffer* input, const evbuffer_cb_info* change,
                         void* self) {
       auto* link = static_cast<connection*>(self);
       if (change->n_added == 0) {
@@ -143,6 +143,10 @@
       link->last_progress = SteadyNow();
       link->request_undelivered =
           link->request_undelivered && link->UndeliveredBytes() > 0;
+      const bool overflows = evbuffer_get_length(input) > link->max_unread;
+      if (overflows && link->on_overflow != nullptr) {
+        std::exchange(link->on_overflow, nullptr)();
+      }
     }
 
     // Bytes of requests that the peer's system has not acknowledged.
@@ -187,6 +191,9 @@
     time_point ends_at = time_point::max();
     // Of the call on it, until its response has come later.
     bool request_undelivered = false;
+    size_t max_unread = SIZE_MAX;
+    // Called once, when more bytes than that lie unread.
+    std::function<void()> on_overflow;
   };
   using connection_ptr = std::unique_ptr<connection>;
 
@@ -239,6 +246,11 @@
     const time_point now = SteadyNow();
     state->link->sent = false;
     state->link->request_undelivered = true;
+    state->link->max_unread =
+        options.max_unread_bytes > 0
+            ? options.max_unread_bytes
+            : options.max_body_bytes + kMaxResponseHeaderBytes;
+    state->link->on_overflow = [this, id = state->id] { EndOverflowed(id); };
     state->link->last_progress = now;
     state->link->ends_at = options.total_timeout > milliseconds(0)
                                ? now + options.total_timeout
@@ -403,7 +415,18 @@
              link.sent});
   }
 
-  // Only from a timer: no callback of evhttp is under way, so the
+  // evhttp does not bound the line before a chunk, nor what arrives while it
+  // still writes the request.
+  void EndOverflowed(uint64_t id) {
+    loop_.Defer([weak = weak_from_this(), id] {
+      const auto client = weak.lock();
+      if (client != nullptr && client->live_.count(id) > 0) {
+        client->EndAtLimit(id, {http_outcome::kMalformed});
+      }
+    });
+  }
+
+  // Only from a timer or deferred: no callback of evhttp is under way, so the
   // connection goes at once and calls nothing more.
   void EndAtLimit(uint64_t id, const http_result& result) {
     live_.at(id)->link.reset();
--- a/src/skylarkcroft/relay/skylarkcroft_upstream_connections.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_upstream_connections.cc
@@ -13,6 +13,9 @@
 
 constexpr size_t kMaxResponseHeadBytes = 65536;
 constexpr int kMillisPerSecond = 1000;
+// Bytes of responses to earlier requests that are skipped before a response. A
+// late copy of a response or two is normal; more is an upstream that fails.
+constexpr size_t kMaxSkippedBytes = 1048576;
 // Upper limit for keeping an idle connection, whatever the upstream announces.
 constexpr milliseconds kMaxIdleTime{8000};
 
@@ -224,6 +227,11 @@
     if (ended_) {
       return bytes.size();
     }
+    skipped_bytes_ += for_other_request_ ? progress.consumed : 0;
+    if (skipped_bytes_ > kMaxSkippedBytes) {
+      End(exchange_result::kMalformed);
+      return bytes.size();
+    }
     switch (progress.state) {
       case read_state::kMore:
         return bytes.size();
@@ -289,6 +297,7 @@
   bool kept_ = false;
   bool ended_ = false;
   bool for_other_request_ = false;
+  size_t skipped_bytes_ = 0;
   bool keep_alive_ = true;
 };
 
--- a/tests/client_pressure/client_pressure_test.cc
+++ b/tests/client_pressure/client_pressure_test.cc
@@ -173,4 +173,19 @@
   CheckHolds(world, terms.memory_mb, kMaxDescriptors);
 }
 
+// Guards against answers of faulty upstreams that do not end, each within its
+// limit and together beyond the memory.
+TEST_CASE("Answers that do not end stay within the memory",
+          "[client_pressure][answers][endless]") {
+  const std::string path = GENERATE("/open-body/", "/open-event/");
+  CAPTURE(path);
+  constexpr size_t kClients = 60;
+  const pressure_terms terms;
+  pressure_world world(terms);
+  client_crowd crowd(world.clients());
+  crowd.Connect(kClients, Head(path, "Content-Length: 2\r\n\r\nhi"));
+  crowd.Send(kStall);
+  CheckHolds(world, terms.memory_mb, kMaxDescriptors);
+}
+
 }  // namespace skylarkcroft
--- a/tests/client_pressure/pressure_world.cc
+++ b/tests/client_pressure/pressure_world.cc
@@ -39,7 +39,8 @@
       {"version", 1},
       {"routes",
        {Route("/plain/", "safe"), Route("/large/", "safe"),
-        Route("/stream/", "streaming")}},
+        Route("/stream/", "streaming"), Route("/open-body/", "safe"),
+        Route("/open-event/", "streaming")}},
       {"services", {{{"name", "desk"}, {"health_path", "/health"}}}},
       {"limits",
        {{"header_bytes", 16384},
@@ -74,6 +75,14 @@
     to.write("0\r\n\r\n");
     return;
   }
+  const bool open_event = to.head.target.starts_with("/open-event/");
+  if (open_event || to.head.target.starts_with("/open-body/")) {
+    to.write(head +
+             (open_event ? "Content-Type: text/event-stream\r\n\r\ndata: "
+                         : "\r\n") +
+             std::string(pressure_world::kOpenBytes, 'x'));
+    return;
+  }
   const bool large = to.head.target.starts_with("/large/");
   const std::string body(large ? pressure_world::kLargeBytes : 2, 'x');
   to.write(head + "Content-Length: " + std::to_string(body.size()) +
--- a/tests/client_pressure/pressure_world.h
+++ b/tests/client_pressure/pressure_world.h
@@ -26,11 +26,14 @@
 /// thread of this process.
 ///
 /// Paths: /plain/ answers with a few bytes, /large/ with kLargeBytes, /stream/
-/// with kStreamBytes in events.
+/// with kStreamBytes in events, /open-body/ and /open-event/ with kOpenBytes of
+/// a body or an event that does not end.
 class pressure_world {
  public:
   static constexpr size_t kLargeBytes = 1048576;
   static constexpr size_t kStreamBytes = 4194304;
+  /// Just below what the relay keeps of one answer.
+  static constexpr size_t kOpenBytes = 4100000;
 
   explicit pressure_world(const pressure_terms& terms);
   ~pressure_world();
