Answers: early refusals are passed on, large late copies are skipped

Only a success counts as short when it ends before the upstream has the request; 8 MiB of other answers are skipped, twice the largest that is kept.

tests/relay [early_answer], [endless], [odd_status] and [answer_end] pass, with a test of the early refusal in both kinds of upload.

--- a/src/skylarkcroft/http/skylarkcroft_http_client.cc
+++ b/src/skylarkcroft/http/skylarkcroft_http_client.cc
@@ -189,10 +189,11 @@
     time_point idle_since{};
     // When the call on it reaches its total limit.
     time_point ends_at = time_point::max();
-    // Of the call on it, until its response has come later.
+    // Whether the peer's system lacks bytes of the call's request; kept up to
+    // date until it has them all.
     bool request_undelivered = false;
     size_t max_unread = SIZE_MAX;
-    // Called once, when more bytes than that lie unread.
+    // Called once, when more than max_unread bytes lie unread.
     std::function<void()> on_overflow;
   };
   using connection_ptr = std::unique_ptr<connection>;
--- a/src/skylarkcroft/relay/skylarkcroft_upstream_connections.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_upstream_connections.cc
@@ -13,9 +13,11 @@
 
 constexpr size_t kMaxResponseHeadBytes = 65536;
 constexpr int kMillisPerSecond = 1000;
-// Bytes of responses to earlier requests that are skipped before a response. A
-// late copy of a response or two is normal; more is an upstream that fails.
-constexpr size_t kMaxSkippedBytes = 1048576;
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstRedirect = 300;
+// Bytes of responses to earlier requests that are skipped before a response:
+// more than the late copy of a response or two.
+constexpr size_t kMaxSkippedBytes = 8388608;
 // Upper limit for keeping an idle connection, whatever the upstream announces.
 constexpr milliseconds kMaxIdleTime{8000};
 
@@ -200,6 +202,7 @@
     for_other_request_ =
         !id.empty() && !request_.id.empty() && id != request_.id;
     keep_alive_ = head.keep_alive;
+    is_success_ = head.status >= kFirstSuccess && head.status < kFirstRedirect;
     const std::optional<int> seconds =
         KeepAliveSeconds(head.headers.Get("Keep-Alive"));
     if (connection_ != nullptr && seconds.has_value()) {
@@ -261,15 +264,21 @@
       return;
     }
     // A response without a length is complete when its connection is closed,
-    // but not when it is reset, nor before the upstream has the whole request.
+    // but not when it is reset.
     const bool complete = clean && reader_.started() && !for_other_request_ &&
-                          connection_->socket().undelivered() == 0 &&
+                          !IsEarlySuccess() &&
                           reader_.FeedEof() == read_state::kEnded;
     if (!ended_) {
       End(complete ? exchange_result::kComplete : exchange_result::kBroken);
     }
   }
 
+  // A request may be refused before the upstream has it whole, but not be
+  // carried out.
+  [[nodiscard]] bool IsEarlySuccess() const {
+    return is_success_ && connection_->socket().undelivered() > 0;
+  }
+
   void Complete(bool all_bytes_consumed) {
     const bool reusable = all_bytes_consumed && keep_alive_ &&
                           connection_->usable() &&
@@ -299,6 +308,7 @@
   bool for_other_request_ = false;
   size_t skipped_bytes_ = 0;
   bool keep_alive_ = true;
+  bool is_success_ = false;
 };
 
 upstream_connections::upstream_connections(
--- a/tests/relay/early_answer_test.cc
+++ b/tests/relay/early_answer_test.cc
@@ -114,4 +114,18 @@
         client_view::kWhole);
 }
 
+// Guards against a refusal that the client does not get, as its upstream closes
+// without having read the request.
+TEST_CASE("A refusal without a length beside an upload is passed on",
+          "[relay][answer_end][early_answer]") {
+  const bool in_chunks = GENERATE(true, false);
+  early_upstreams run(
+      "HTTP/1.1 413 Content Too Large\r\nX-Id: r1\r\nX-Sig: s\r\n\r\nless",
+      early_end::kFinishedFirst);
+  CHECK(run.Upload(Upload("/once/", in_chunks, kLargeUpload)) ==
+        client_view::kError);
+  REQUIRE(run.relay.records.size() == 1);
+  CHECK(run.relay.records.front().status == 413);
+}
+
 }  // namespace skylarkcroft
