Relay: events without end are held back when memory is short

Cause: a node short of memory paused a stream only by what its client had not taken, so it read on in an event that does not end. The account counted the event's bytes, not the memory of the text, which grows by doubling.

Change: a large unfinished event pauses reading as other answers do, and the memory of its text counts. It is given back with the attempt.

--- a/src/skylarkcroft/relay/skylarkcroft_event_sequence.h
+++ b/src/skylarkcroft/relay/skylarkcroft_event_sequence.h
@@ -34,6 +34,8 @@
   [[nodiscard]] const std::string& remainder() const {
     return splitter_.remainder();
   }
+  /// Memory that these bytes take.
+  [[nodiscard]] size_t held_bytes() const { return splitter_.held_bytes(); }
   /// Id of the last event sent to the client.
   [[nodiscard]] std::optional<int64_t> last_id() const { return last_id_; }
   /// Number of events sent to the client.
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -380,15 +380,18 @@
   if (memory.pressure() == memory_pressure::kNone) {
     return unsent > environment_.parameters.max_client_backlog;
   }
+  // An event that does not end is not for the client to take.
+  const bool is_event_large =
+      events_.remainder().size() > memory.bounds().small_bytes;
   if (memory.pressure() == memory_pressure::kClose) {
-    return !attempt_->is_stream || unsent > 0;
+    return !attempt_->is_stream || unsent > 0 || is_event_large;
   }
-  return unsent > memory.bounds().small_bytes;
+  return unsent > memory.bounds().small_bytes || is_event_large;
 }
 
 void relay_request::UpdateHeld() {
   size_t held = request_.head.headers.storage_bytes() + body_->size() +
-                events_.remainder().size();
+                events_.held_bytes();
   for (const attempt* sent : {attempt_.get(), successor_.get()}) {
     held += sent == nullptr ? 0 : sent->body.size();
   }
--- a/src/skylarkcroft/relay/skylarkcroft_sse_splitter.h
+++ b/src/skylarkcroft/relay/skylarkcroft_sse_splitter.h
@@ -26,7 +26,10 @@
   std::vector<raw_sse_event> Feed(std::string_view bytes);
   /// Bytes after the last complete event.
   [[nodiscard]] const std::string& remainder() const { return remainder_; }
-  void Clear() { remainder_.clear(); }
+  /// Memory that the remainder takes, in bytes.
+  [[nodiscard]] size_t held_bytes() const { return remainder_.capacity(); }
+  /// Drops the remainder and its memory.
+  void Clear() { remainder_ = {}; }
 
  private:
   std::string remainder_;
