Load: options of a call are set by name

What was seen: scripts/demo on reported 3 streams of 521 requests as lost (malformed) and 37 refused, 2 and 41 when repeated. The load tool set the options of its calls by position, and max_unread_bytes had been put before the member that its third value was for: the tool gave up answers of which more than a byte lay unread. Node and relay set theirs by name.

Change: the load tool does so too, and the member stands last. scripts/demo: 521 of 521 answered; tests/http and tests/load pass.

--- a/load/skylarkcroft_load_request.cc
+++ b/load/skylarkcroft_load_request.cc
@@ -36,8 +36,9 @@
   streaming_ = false;
   body_.clear();
   node_ = context_.pick_node(node_);
-  const http_call_options options{context_.progress_timeout, kMaxBodyBytes,
-                                  true};
+  http_call_options options;
+  options.progress_timeout = context_.progress_timeout;
+  options.max_body_bytes = kMaxBodyBytes;
   call_ = context_.client.Send(
       node_, request, options,
       {[this](int status, const http_headers& headers) {
--- a/src/skylarkcroft/http/skylarkcroft_http_client.h
+++ b/src/skylarkcroft/http/skylarkcroft_http_client.h
@@ -67,9 +67,6 @@
   /// Longest silence between two reads.
   milliseconds progress_timeout{10000};
   size_t max_body_bytes = 16 * 1024 * 1024;
-  /// Most bytes that have arrived and are not yet a whole line or a whole
-  /// chunk; 0 for what max_body_bytes and the greatest head take.
-  size_t max_unread_bytes = 0;
   /// False sends on a new connection that is closed afterwards.
   bool reuse_connection = true;
   /// Whether the connection may be kept after this response; empty for always.
@@ -78,6 +75,9 @@
   milliseconds connect_timeout{2000};
   /// Longest time for the whole call; 0 sets no bound.
   milliseconds total_timeout{0};
+  /// Most bytes that have arrived and are not yet a whole line or a whole
+  /// chunk; 0 for what max_body_bytes and the greatest head take.
+  size_t max_unread_bytes = 0;
 };
 
 /// A call under way; destroying it cancels the call and resets its connection.
