Replicas: each response of the store is logged with what it reached

A log that named the tables in force only could not tell whether a node had read all changes or a part of them. Each response to a follower now tells its rows, their bytes, the version of the last one, the version to go on from, the store's clock, how long the call took and the age of the replica after it; empty ones at debug level. Failed calls are told each time, not only the first.

--- a/src/skylarkcroft/relay/skylarkcroft_store_replica.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_store_replica.cc
@@ -143,6 +143,28 @@
   };
 }
 
+std::function<void(const follower_response&)> store_replica::ResponseEvents(
+    const std::string& table) const {
+  return [log = environment_.log, table](const follower_response& response) {
+    const bool is_news =
+        response.rows > 0 || response.outcome != store_outcome::kDone;
+    const auto text_of = [](const std::optional<milliseconds>& time) {
+      return time.has_value() ? std::to_string(time->count()) : std::string();
+    };
+    log(is_news ? log_level::kInfo : log_level::kDebug, "store response",
+        {{"table", table},
+         {"outcome", std::string(ToString(response.outcome))},
+         {"rows", std::to_string(response.rows)},
+         {"value_bytes", std::to_string(response.value_bytes)},
+         {"after", std::to_string(response.after)},
+         {"newest_row", std::to_string(response.newest_row)},
+         {"version", std::to_string(response.version)},
+         {"store_ms", text_of(response.store_clock)},
+         {"took_ms", std::to_string(response.took.count())},
+         {"age_ms", text_of(response.age)}});
+  };
+}
+
 std::function<void(const store_position&, const table_changes&)>
 store_replica::GapEvents(const std::string& table) const {
   return [log = environment_.log, table](const store_position& place,
@@ -195,7 +217,8 @@
           GapEvents(environment_.adapter.operator_tables_table),
           DifferingEvents(environment_.adapter.operator_tables_table),
           MissedEvents(environment_.adapter.operator_tables_table),
-          CallEvents(environment_.adapter.operator_tables_table)};
+          CallEvents(environment_.adapter.operator_tables_table),
+          ResponseEvents(environment_.adapter.operator_tables_table)};
 }
 
 table_follower_callbacks store_replica::UpstreamsEvents() {
@@ -215,7 +238,8 @@
           GapEvents(environment_.adapter.upstreams_table),
           DifferingEvents(environment_.adapter.upstreams_table),
           MissedEvents(environment_.adapter.upstreams_table),
-          CallEvents(environment_.adapter.upstreams_table)};
+          CallEvents(environment_.adapter.upstreams_table),
+          ResponseEvents(environment_.adapter.upstreams_table)};
 }
 
 void store_replica::ResetUpstreams(const std::vector<stored_row>& rows,
@@ -269,7 +293,8 @@
       GapEvents(kNodesTable),
       DifferingEvents(kNodesTable),
       MissedEvents(kNodesTable),
-      CallEvents(kNodesTable)};
+      CallEvents(kNodesTable),
+      ResponseEvents(kNodesTable)};
 }
 
 void store_replica::ApplyRolloutRow(const stored_row& row) {
--- a/src/skylarkcroft/relay/skylarkcroft_store_replica.h
+++ b/src/skylarkcroft/relay/skylarkcroft_store_replica.h
@@ -103,6 +103,10 @@
   /// Reports the calls of the follower of `table`.
   [[nodiscard]] std::function<void(store_call_reason)> CallEvents(
       const std::string& table) const;
+  /// Logs the responses to the follower of `table`, but those without news at
+  /// debug level only.
+  [[nodiscard]] std::function<void(const follower_response&)> ResponseEvents(
+      const std::string& table) const;
   /// Log what a follower of `table` tells of changes that did not arrive.
   [[nodiscard]] std::function<void(const store_position&, const table_changes&)>
   GapEvents(const std::string& table) const;
--- a/src/skylarkcroft/store/skylarkcroft_table_follower.cc
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.cc
@@ -271,6 +271,7 @@
     store_.Read(table_, [this, sent_at, alive](const store_response& response) {
       if (!alive.expired()) {
         OnRead(sent_at, response);
+        TellResponse(0, sent_at, response);
       }
     });
     return;
@@ -284,6 +285,7 @@
                 alive](const store_response& response) {
                  if (!alive.expired()) {
                    OnWatch(from, sent_at, response);
+                   TellResponse(from.version, sent_at, response);
                  }
                });
 }
@@ -400,6 +402,29 @@
   }
 }
 
+void table_follower::TellResponse(int64_t after, time_point sent_at,
+                                  const store_response& response) const {
+  if (events_.on_response == nullptr) {
+    return;
+  }
+  const time_point now = clock_();
+  follower_response told;
+  told.outcome = response.outcome;
+  told.rows = response.rows.size();
+  for (const stored_row& row : response.rows) {
+    told.value_bytes += row.value.size();
+  }
+  told.after = after;
+  told.newest_row = NewestVersion(response.rows);
+  told.version = response.version;
+  told.store_clock = response.responded_at;
+  told.took = std::chrono::duration_cast<milliseconds>(now - sent_at);
+  if (current_as_of_.has_value()) {
+    told.age = std::chrono::duration_cast<milliseconds>(now - *current_as_of_);
+  }
+  events_.on_response(told);
+}
+
 void table_follower::OnFailure(store_outcome why) {
   const int doublings = std::min(failures_++, kMaxBackoffDoublings);
   const milliseconds backoff = std::min(
--- a/src/skylarkcroft/store/skylarkcroft_table_follower.h
+++ b/src/skylarkcroft/store/skylarkcroft_table_follower.h
@@ -63,6 +63,22 @@
 /// The reason's name in metrics.
 std::string_view ToString(store_call_reason reason);
 
+/// What the store answered to a call of a table_follower.
+struct follower_response {
+  store_outcome outcome = store_outcome::kUnknown;
+  size_t rows = 0;         ///< Rows of the response, superseded ones included.
+  size_t value_bytes = 0;  ///< Size of their values.
+  int64_t after = 0;       ///< The call asked for changes after this version.
+  int64_t newest_row = 0;  ///< Version of the last row, 0 where there is none.
+  int64_t version = 0;     ///< Version that the response states.
+  std::optional<milliseconds> store_clock{};
+  milliseconds took{0};
+  /// Age of the replica after the response; empty before the first read.
+  std::optional<milliseconds> age{};
+
+  bool operator==(const follower_response&) const = default;
+};
+
 /// Callbacks of a table_follower.
 struct table_follower_callbacks {
   /// All rows of the table: at the start, and again when the store no longer
@@ -89,6 +105,8 @@
   std::function<void(const stored_row& row, int64_t known_version)> on_missed{};
   /// Each call to the store; may be empty.
   std::function<void(store_call_reason)> on_call{};
+  /// Each response of the store, or its absence; may be empty.
+  std::function<void(const follower_response&)> on_response{};
 };
 
 /// Keeps a replica of one table of the store current. It reads the whole table
@@ -150,6 +168,9 @@
                const store_response& response);
   /// A peer knows of a change that the replica does not have.
   void OnPeerAhead(const store_position& newest_change);
+  /// Reports a response to on_response.
+  void TellResponse(int64_t after, time_point sent_at,
+                    const store_response& response) const;
   void OnFailure(store_outcome why);
   void RetryAfter(milliseconds backoff);
   /// Hands the rows of a response that are newer than `known` to the peers.
