Replicas: tests that a node has every change made before it is current

Each way in which a replica learns how current it is (own reads and watches, changes and positions of peers, restarts, cuts, freezes, restores) is asked whether a change acknowledged before is missing, with a store that answers in pages and with every version of a row, as the operators' store does.

--- a/tests/store/table_model.h
+++ b/tests/store/table_model.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -52,6 +53,15 @@
     }
     return last;
   }
+  /// Every change of the present era after `version`, also those that a later
+  /// one has superseded.
+  [[nodiscard]] std::vector<stored_row> ChangesAfter(int64_t version) const {
+    std::vector<stored_row> changes = log_;
+    std::erase_if(changes, [version](const stored_row& row) {
+      return row.version <= version;
+    });
+    return changes;
+  }
   [[nodiscard]] table_rows Rows() const {
     table_rows rows;
     for (const stored_row& row : LastChanges(at_.era)) {
@@ -95,18 +105,24 @@
                               clock,
                               table_.at().era};
       }
-      std::vector<stored_row> rows = table_.LastChanges(table_.at().era);
-      std::erase_if(rows, [version](const stored_row& row) {
-        return row.version <= version;
-      });
-      return store_response{store_outcome::kDone, rows, table_.at().version,
-                            clock, table_.at().era};
+      std::vector<stored_row> rows = table_.ChangesAfter(version);
+      int64_t reached = table_.at().version;
+      if (rows.size() > max_page_rows) {
+        rows.resize(max_page_rows);
+        reached = rows.back().version;
+      }
+      return store_response{store_outcome::kDone, rows, reached, clock,
+                            table_.at().era};
     };
     done_ = std::move(done);
   }
   void Commit(const row_transaction& /*transaction*/,
               store_done_fn /*done*/) override {}
 
+  /// Changes in one answer at most; one that has left out later changes states
+  /// the version of its last row, and the store's present clock.
+  size_t max_page_rows = std::numeric_limits<size_t>::max();
+
   /// Makes the answer to the pending call; it is on its way until Answer().
   void MakeAnswer(milliseconds clock) {
     if (make_answer_ != nullptr) {
@@ -166,6 +182,9 @@
     }
   }
 
+  /// Changes in one answer of the store at most.
+  void SetMaxPageRows(size_t rows) { store_.max_page_rows = rows; }
+
   [[nodiscard]] table_follower& follower() { return follower_; }
   [[nodiscard]] const table_rows& rows() const { return rows_; }
   /// Rows that a read of the table has shown to be missed.
