--- a/src/skylarkcroft/relay/skylarkcroft_attempt_record.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_attempt_record.cc
@@ -15,6 +15,7 @@
       {"head_received", record.head_received ? "true" : "false"},
       {"framing", record.framing},
       {"partial_event_bytes", std::to_string(record.partial_event_bytes)},
+      {"version", record.version},
       {"upstream_ended", record.upstream_ended ? "true" : "false"},
       {"elapsed_ms", std::to_string(record.elapsed.count())},
       {"output_age_ms", record.output_age.has_value()
--- a/src/skylarkcroft/relay/skylarkcroft_attempt_record.h
+++ b/src/skylarkcroft/relay/skylarkcroft_attempt_record.h
@@ -17,6 +17,7 @@
   std::string request_key{};
   std::string service{};
   std::string upstream{};
+  std::string version{};  ///< Software version of the upstream.
   std::string failure{};  ///< Name of the attempt_failure.
   bool head_received = false;
   /// How the upstream framed its answer: `length`, `chunked`, `connection`, or
--- a/src/skylarkcroft/relay/skylarkcroft_header_names.h
+++ b/src/skylarkcroft/relay/skylarkcroft_header_names.h
@@ -24,6 +24,8 @@
   /// "1" on the responses of an upstream that leaves.
   std::string leaving;
   std::string last_event_id;
+  /// Id of the request whose answer began the stream that a client takes up.
+  std::string resumes{};
   std::string token_counts;  ///< Tokens of the request, stated by clients.
   std::string prompt_parts;  ///< Parts of the prompt, stated by clients.
   std::string urgency;       ///< 0 (first) to 9, sent to upstreams.
--- a/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request.cc
@@ -31,6 +31,9 @@
   UpdateHeld();
   request_id_ = request_.head.headers.Get(environment_.names.request_id);
   record_.request_id = request_id_;
+  record_.resumes = request_.head.headers.Get(environment_.names.resumes);
+  record_.resumed_after =
+      request_.head.headers.Get(environment_.names.last_event_id);
   tables_ = environment_.active_tables();
   if (!CheckGate()) {
     return;
@@ -182,6 +185,7 @@
   events_.StartAttempt();
   const placement& placed = attempt_->placed;
   record_.upstream = placed.upstream.id;
+  record_.version = placed.upstream.version;
   record_.upstream_framing =
       attempt_->head.has_value() ? FramingOf(*attempt_->head) : "";
   record_.candidates = placed.candidates;
@@ -542,6 +546,7 @@
   record.request_key = record_.request_key;
   record.service = service_name_;
   record.upstream = failed.placed.upstream.id;
+  record.version = failed.placed.upstream.version;
   record.failure = std::string(ToString(failure));
   record.head_received = failed.head.has_value();
   if (failed.head.has_value()) {
--- a/src/skylarkcroft/relay/skylarkcroft_request_record.h
+++ b/src/skylarkcroft/relay/skylarkcroft_request_record.h
@@ -68,6 +68,12 @@
   std::string end_shown_by{};
   /// Events of a stream that were sent to the client.
   int64_t events = 0;
+  /// Software version of the last upstream chosen.
+  std::string version{};
+  /// For a stream that the client takes up again: the request that began it,
+  /// and the last event that the client has. Empty for others.
+  std::string resumes{};
+  std::string resumed_after{};
 
   bool operator==(const request_record&) const = default;
 };
--- a/tests/relay/relay_fixture.h
+++ b/tests/relay/relay_fixture.h
@@ -298,6 +298,7 @@
     names.not_executed = "X-Not-Run";
     names.leaving = "X-Leaving";
     names.last_event_id = "Last-Event-Id";
+    names.resumes = "Resumes";
     names.token_counts = "X-Tokens";
     names.prompt_parts = "X-Parts";
     names.urgency = "X-Urgency";
