Replicas: a test for each way in which a node learns how current it is

Late answers, positions and changes after a freeze or a cut, the first read after a restart, a position of the era before a restore, a read in pages with a change behind its place: none may make a node more current than it is.

--- a/tests/adapter/platform_standin.h
+++ b/tests/adapter/platform_standin.h
@@ -2,6 +2,7 @@
 #define SKYLARKCROFT_TESTS_ADAPTER_PLATFORM_STANDIN_H_
 
 #include <cstdint>
+#include <functional>
 #include <limits>
 #include <list>
 #include <map>
@@ -89,6 +90,10 @@
   int cloud_status = 200;
   std::vector<cloud_call> cloud_calls;
   int store_calls = 0;
+  /// Rows in one answer to a read at most, and what happens after each answer
+  /// that is not the last.
+  size_t max_get_rows = std::numeric_limits<size_t>::max();
+  std::function<void()> on_page;
   /// Changes in one answer of the feed at most.
   size_t max_feed_rows = std::numeric_limits<size_t>::max();
 
@@ -172,6 +177,26 @@
     }
     return rows;
   }
+  /// Answers with one page of the rows from the key that the call names.
+  void ReplyRows(const http_exchange_ptr& call, nlohmann::json rows) const {
+    const std::string from = call->request().QueryParameter("from");
+    nlohmann::json page = nlohmann::json::array();
+    bool has_more = false;
+    for (const nlohmann::json& row : rows) {
+      if (row.at("key").get<std::string>() < from) {
+        continue;
+      }
+      has_more = page.size() == max_get_rows;
+      if (has_more) {
+        break;
+      }
+      page.push_back(row);
+    }
+    Reply(call, 200, {{"rows", page}, {"has_more", has_more}});
+    if (has_more && on_page != nullptr) {
+      on_page();
+    }
+  }
   /// Answers with one page of the changes; a page that is not the last states
   /// the version of its last row.
   void ReplyChanges(const http_exchange_ptr& call, nlohmann::json rows) const {
@@ -218,7 +243,7 @@
     }
     if (path == "/api/rows-get") {
       const std::string table = call->request().QueryParameter("table_name");
-      Reply(call, 200, {{"rows", Rows(table)}, {"has_more", false}});
+      ReplyRows(call, Rows(table));
       return;
     }
     if (path == "/api/rows-feed") {
--- a/tests/adapter/store_pages_test.cc
+++ b/tests/adapter/store_pages_test.cc
@@ -107,6 +107,38 @@
   CHECK(SteadyNow() - changed_at < milliseconds(1200));
 }
 
+TEST_CASE("A read in pages is as old as its first page",
+          "[adapter][store][follower][currency]") {
+  event_loop loop;
+  platform_standin standin(loop);
+  for (const char* key : {"a", "b", "c", "d", "e"}) {
+    standin.Put("t", key, "0");
+  }
+  standin.max_get_rows = 2;
+  http_client client(loop);
+  platform::platform_row_store store(client, standin.address());
+  std::optional<milliseconds> first_page;
+  standin.on_page = [&] {
+    if (!first_page.has_value()) {
+      first_page = std::chrono::duration_cast<milliseconds>(
+          SteadyNow().time_since_epoch());
+      // Behind the place that the read has reached.
+      standin.Put("t", "a", "1");
+    }
+  };
+  std::optional<store_response> response;
+  store.Read("t", [&](const store_response& read) {
+    response = read;
+    loop.Stop();
+  });
+  loop.RunFor(milliseconds(3000));
+  REQUIRE(response.has_value());
+  CHECK(response->rows.size() == 5);
+  CHECK(response->responded_at <= first_page);
+  // A watch from there tells of the change.
+  CHECK(response->version < 7);
+}
+
 // Guards against a node whose link is too slow for the history of a large row,
 // so that it asked for the same page until the store had dropped it.
 TEST_CASE("A follower whose answer is cut short reads the table",
--- a/tests/store/replica_currency_test.cc
+++ b/tests/store/replica_currency_test.cc
@@ -153,6 +153,68 @@
   CHECK(fleet.node(1).rows() == fleet.table.Rows());
 }
 
+// The other ways in which a node learns how current it is.
+TEST_CASE("What a node learns late does not make it more current",
+          "[store][follower][currency]") {
+  paged_fleet fleet(2, 2, 100);
+  fleet.AnswerAll();
+  fleet.Elapse(milliseconds(1000));
+  SECTION("an answer that waits while the process stands still") {
+    fleet.node(0).LetStoreAnswer();
+    fleet.Elapse(milliseconds(1000));
+    fleet.Put("tables");
+    fleet.Elapse(milliseconds(2000));
+    fleet.node(0).AnswerStoreOnly();
+    CHECK(fleet.CurrentAsOf(0) < fleet.now() - milliseconds(2000));
+  }
+  SECTION("a position that was told before a cut") {
+    fleet.node(1).AnswerStore();
+    const table_position told = *fleet.node(1).follower().position();
+    fleet.Elapse(milliseconds(1000));
+    fleet.Put("tables");
+    fleet.Elapse(milliseconds(2000));
+    fleet.node(0).follower().OnPeerReport(told);
+    CHECK(fleet.CurrentAsOf(0) < fleet.now() - milliseconds(2000));
+  }
+  SECTION("changes that were passed on before a cut") {
+    fleet.Put("tables");
+    fleet.node(1).AnswerStore();
+    const std::vector<std::string> sent = fleet.TakeSent();
+    fleet.Elapse(milliseconds(1000));
+    fleet.Put("tables");
+    fleet.Elapse(milliseconds(2000));
+    REQUIRE(sent.size() == 1);
+    fleet.node(0).Receive(sent.front());
+    CHECK(fleet.CurrentAsOf(0) < fleet.now() - milliseconds(2000));
+  }
+  SECTION("the first read after a restart") {
+    fleet.Restart(0);
+    fleet.node(0).LetStoreAnswer();
+    fleet.Elapse(milliseconds(1000));
+    fleet.Put("tables");
+    fleet.Elapse(milliseconds(2000));
+    fleet.Report(1, 0);
+    fleet.node(0).AnswerStoreOnly();
+    CHECK(fleet.CurrentAsOf(0) < fleet.now() - milliseconds(2000));
+  }
+  SECTION("a position of the era before a restore") {
+    fleet.Put("tables");
+    fleet.table.MakeCopy();
+    fleet.Put("tables");
+    fleet.node(1).AnswerStore();
+    const table_position told = *fleet.node(1).follower().position();
+    fleet.table.Restore();
+    fleet.node(0).AnswerStore();
+    fleet.node(0).AnswerStore();
+    const std::optional<time_point> read_at = fleet.CurrentAsOf(0);
+    fleet.Elapse(milliseconds(1000));
+    fleet.Put("tables");
+    fleet.node(0).follower().OnPeerReport(told);
+    CHECK(fleet.CurrentAsOf(0) == read_at);
+  }
+  CHECK(fleet.MissedBy(0).empty());
+}
+
 // Guards against the same cause in any other way to the belief: own reads and
 // watches, peers' changes and positions, restarts, cuts, freezes and restores.
 TEST_CASE("No acknowledged change is missing at a node that is current",
