--- a/fuzz/peer_datagram_fuzz.cc
+++ b/fuzz/peer_datagram_fuzz.cc
@@ -3,6 +3,8 @@
 #include "skylarkcroft/quarantine/skylarkcroft_quarantine_notice.h"
 #include "skylarkcroft/quarantine/skylarkcroft_request_notice.h"
 #include "skylarkcroft/store/skylarkcroft_table_changes.h"
+#include "skylarkcroft/streams/skylarkcroft_stream_row.h"
+#include "skylarkcroft/streams/skylarkcroft_version_ledger.h"
 
 namespace skylarkcroft {
 
@@ -13,6 +15,9 @@
     static_cast<void>(DecodeChanges(text));
     static_cast<void>(DecodeNotice(text));
     static_cast<void>(DecodeRequestNotice(text));
+    static_cast<void>(DecodeStreamNotice(text));
+    static_cast<void>(DecodeStreamRow(std::string(text)));
+    static_cast<void>(DecodeLedger(std::string(text)));
   });
 }
 
