Streams: a ledger of a new era is not complete because the system was just started

A node that had seen the first start of the system took that for 'no stream has begun' when it created the ledger of the new era, which was settled at once. A restore ends the first start now, and all nodes tell their streams again.

--- a/src/skylarkcroft/streams/skylarkcroft_stream_versions.cc
+++ b/src/skylarkcroft/streams/skylarkcroft_stream_versions.cc
@@ -97,6 +97,9 @@
   ledgers_.clear();
   own_row_version_.reset();
   has_unwritten_ = true;
+  tellings_left_ = kTellings;
+  // Streams have begun that no ledger of the new era lists.
+  environment_.is_first_start = false;
   ReadAgain(now, milliseconds(0));
 }
 
@@ -265,6 +268,9 @@
 void stream_versions::ApplyRows(const store_response& response,
                                 time_point now) {
   const bool is_first_read = !read_moment_.has_value();
+  if (!is_first_read && read_moment_->era != response.era) {
+    environment_.is_first_start = false;
+  }
   read_moment_ = {response.responded_at.value_or(milliseconds(0)),
                   response.era};
   ledgers_.clear();
--- a/tests/streams/stream_versions_test.cc
+++ b/tests/streams/stream_versions_test.cc
@@ -108,6 +108,49 @@
   }
 }
 
+// Guards against a ledger of a new era that is taken for complete because its
+// node has seen the first start of the system.
+TEST_CASE("A restored store does not make the listed version the only one",
+          "[streams][model][restored][regression]") {
+  const unsigned seed = GENERATE(range(1U, 6U));
+  CAPTURE(seed);
+  stream_fleet fleet(Size(7, seed));
+  fleet.List({{"v1", 18}});
+  fleet.store.MakeCopy();
+  fleet.Run(milliseconds(5000));
+  fleet.List({{"v1", 9}, {"v2", 9}});
+  fleet.Run(milliseconds(3000));
+  fleet.List({{"v2", 18}});
+  fleet.Run(milliseconds(500));
+  fleet.Restore();
+  fleet.Run(milliseconds(500));
+  for (size_t i = 0; i < 7; ++i) {
+    fleet.Restart(i);
+  }
+  fleet.Run(milliseconds(8000));
+  CHECK(fleet.counts.other_version == 0);
+}
+
+// Guards against streams that were begun while there was one version and are in
+// no row when there are several.
+TEST_CASE("Streams begun before a second version came are written with it",
+          "[streams][model][regression]") {
+  stream_fleet::parameters size = Size(7, 1);
+  size.stream_time = milliseconds(8000);
+  stream_fleet fleet(size);
+  fleet.List({{"v1", 18}});
+  fleet.Run(milliseconds(10000));
+  fleet.has_clients = false;
+  fleet.List({{"v1", 9}, {"v2", 9}});
+  fleet.Run(milliseconds(1500));
+  fleet.counts = {};
+  fleet.LosePower(milliseconds(1000));
+  fleet.Run(milliseconds(8000));
+  CHECK(fleet.counts.other_version == 0);
+  CHECK(fleet.counts.gone_on > 50);
+  CHECK(fleet.counts.rejected == 0);
+}
+
 TEST_CASE("Streams go on at their version when single nodes end",
           "[streams][model]") {
   const size_t nodes = GENERATE(size_t{7}, size_t{89}, size_t{195});
