Streams: the ledger of a new era settles after nodes that missed the restore

A node that is cut off from the store may begin streams for 60 s at versions that only the ledger of the former era lists, and clients take these up for 65 s more; the new ledger counted as settled after 65 s. It settles after 125 s now, and a version is removed only by a node whose list of upstreams is current. Found by reading; the times are asked in tests/streams.

--- a/src/skylarkcroft/streams/skylarkcroft_stream_versions.cc
+++ b/src/skylarkcroft/streams/skylarkcroft_stream_versions.cc
@@ -26,7 +26,6 @@
 // A version stays in the ledger for longer than any node begins streams at it:
 // a node does so only while its list of upstreams is younger than
 // kMaxUpstreamsAge, and kept entries of removed upstreams last some seconds.
-constexpr milliseconds kMaxUpstreamsAge{60000};
 constexpr milliseconds kAbsentVersionTime{120000};
 constexpr milliseconds kRemovalInterval{10000};
 // While streams are recorded, a node reads the ledgers again this often to see
@@ -525,8 +524,11 @@
 }
 
 void stream_versions::RemoveOldIfDue(time_point now) {
+  const std::optional<time_point> current =
+      environment_.upstreams_current_as_of();
   const bool is_due = now >= next_removal_ && !removing_ && !reading_ &&
-                      !opening_ && read_moment_.has_value();
+                      !opening_ && read_moment_.has_value() &&
+                      current.has_value() && now - *current < kMaxUpstreamsAge;
   if (!is_due) {
     return;
   }
--- a/src/skylarkcroft/streams/skylarkcroft_version_ledger.cc
+++ b/src/skylarkcroft/streams/skylarkcroft_version_ledger.cc
@@ -17,8 +17,9 @@
 
 version_ledger::version_ledger(const store_moment& created, bool is_first_start)
     : era_(created.era),
-      settled_at_(is_first_start ? created.clock
-                                 : created.clock + kMaxStreamLife) {}
+      settled_at_(is_first_start
+                      ? created.clock
+                      : created.clock + kMaxUpstreamsAge + kMaxStreamLife) {}
 
 std::optional<std::string> version_ledger::OnlyVersion(
     const store_moment& now) const {
--- a/src/skylarkcroft/streams/skylarkcroft_version_ledger.h
+++ b/src/skylarkcroft/streams/skylarkcroft_version_ledger.h
@@ -14,6 +14,10 @@
 /// Longest time after its beginning for which a client may take a stream up.
 inline constexpr milliseconds kMaxStreamLife{65000};
 
+/// Longest time for which a node begins streams at a version without news of
+/// the upstreams, and so of the store's era.
+inline constexpr milliseconds kMaxUpstreamsAge{60000};
+
 /// Table of the versions and the begun streams.
 inline constexpr char kStreamsTable[] = "streams";
 
@@ -32,7 +36,9 @@
 class version_ledger {
  public:
   version_ledger() = default;
-  /// An empty ledger. With `is_first_start` no stream has begun before.
+  /// An empty ledger. With `is_first_start` no stream has begun before; else
+  /// nodes may go on to begin streams at versions of an earlier ledger until
+  /// they learn of this one.
   version_ledger(const store_moment& created, bool is_first_start);
 
   [[nodiscard]] const std::set<std::string>& versions() const {
--- a/tests/streams/stream_versions_test.cc
+++ b/tests/streams/stream_versions_test.cc
@@ -287,7 +287,9 @@
   CHECK_FALSE(first.OnlyVersion(at(1000, 2)).has_value());
   const version_ledger later = version_ledger(start, false).With({"v1"}, start);
   CHECK_FALSE(later.OnlyVersion(start).has_value());
-  CHECK(later.OnlyVersion(at(66000)) == "v1");
+  // A node may begin streams elsewhere for 60 s, which live for 65 s.
+  CHECK_FALSE(later.OnlyVersion(at(125999)).has_value());
+  CHECK(later.OnlyVersion(at(126000)) == "v1");
   const version_ledger both = first.With({"v2"}, at(2000));
   CHECK_FALSE(both.OnlyVersion(at(900000)).has_value());
   const version_ledger second = both.Without({"v1"}, at(200000));
