Streams: a node that starts keeps its row until it knows the services

A node that read the rows of streams before the tables took 'no service has streams to take up' for 'one version serves' and removed its own row, so that streams of its earlier life were unknown to the other nodes. It waits for the tables now. Where all nodes start at once, each also counted itself as the only writer until it heard others; for 1.5 s it now tells and writes nothing unless it hears a peer.

--- a/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_node.cc
@@ -79,6 +79,9 @@
 constexpr size_t kArchiveWriters = 2;
 // The same for the streams that have begun.
 constexpr size_t kStreamWriters = 2;
+// After a start a node waits this long for reports before it counts as the only
+// one: where all nodes start, each would write for itself.
+constexpr milliseconds kFirstReportsTime{1500};
 // Requests to a leaving upstream have to end this long before it may exit.
 constexpr milliseconds kLeavingMargin{200};
 // A rollout plan that has not been heard for this share of the rollback bound
@@ -387,6 +390,9 @@
             [this](time_point now) { return group_.NodeCount(now); },
             [this](time_point now) {
               std::vector<std::string> nodes = group_.LivePeers(now);
+              if (nodes.empty() && now - started_at_ < kFirstReportsTime) {
+                return std::vector<std::string>{};
+              }
               nodes.push_back(settings_.name);
               return FirstByRendezvous(kStreamsTable, nodes, kStreamWriters);
             },
--- a/src/skylarkcroft/streams/skylarkcroft_stream_versions.cc
+++ b/src/skylarkcroft/streams/skylarkcroft_stream_versions.cc
@@ -406,8 +406,10 @@
   const bool must_record = MustRecordStreams(now);
   const bool has_news = must_record && (has_unwritten_ || tellings_left_ > 0);
   const bool may_write = !writing_ && own_row_version_.has_value();
-  const bool has_needless_row =
-      !must_record && may_write && *own_row_version_ > 0;
+  // Before the services are known, the row may be needed.
+  const bool has_needless_row = !must_record && may_write &&
+                                *own_row_version_ > 0 &&
+                                !environment_.services().empty();
   if (!has_news && !has_needless_row) {
     return;
   }
@@ -416,6 +418,9 @@
                                                 environment_.node_count(now)),
                        kMinWritePause, kMaxWritePause);
   const std::vector<std::string> writers = environment_.writers(now);
+  if (writers.empty()) {
+    return;
+  }
   const bool is_writer = std::find(writers.begin(), writers.end(),
                                    environment_.node) != writers.end();
   if (must_record && !is_writer) {
--- a/src/skylarkcroft/streams/skylarkcroft_stream_versions.h
+++ b/src/skylarkcroft/streams/skylarkcroft_stream_versions.h
@@ -38,7 +38,8 @@
   std::function<std::set<std::string>()> services;
   std::function<size_t(time_point now)> node_count;
   /// Names of the few nodes, this one included, that write the streams of all;
-  /// the first of them also removes rows that are no longer needed.
+  /// the first of them also removes rows that are no longer needed. Empty while
+  /// they are not known.
   std::function<std::vector<std::string>(time_point now)> writers;
   /// Sends a datagram of up to kMaxFragmentedBytes to another node.
   std::function<void(const std::string& node, const std::string& datagram)>
--- a/tests/streams/stream_fleet.cc
+++ b/tests/streams/stream_fleet.cc
@@ -109,7 +109,10 @@
             [this] { return fleet_.now_; },
             [this] { return fleet_.upstreams_; },
             [this] { return std::optional<time_point>(fleet_.now_); },
-            [] { return std::set<std::string>{kService}; },
+            [this] {
+              return fleet_.knows_services ? std::set<std::string>{kService}
+                                           : std::set<std::string>{};
+            },
             [this](time_point) { return fleet_.parameters_.nodes; },
             [this, index](time_point) { return fleet_.Writers(index); },
             [this](const std::string& name, const std::string& datagram) {
--- a/tests/streams/stream_fleet.h
+++ b/tests/streams/stream_fleet.h
@@ -104,6 +104,8 @@
   fleet_counts counts;
   /// Whether clients begin streams.
   bool has_clients = true;
+  /// Whether nodes have read the tables that name the services.
+  bool knows_services = true;
   [[nodiscard]] time_point now() const { return now_; }
 
  private:
--- a/tests/streams/stream_versions_test.cc
+++ b/tests/streams/stream_versions_test.cc
@@ -242,6 +242,22 @@
   CHECK(fleet.counts.rejected == 0);
 }
 
+// Guards against streams that are lost because their row is removed before the
+// node has read which services there are.
+TEST_CASE("A node that starts keeps its row until it knows the services",
+          "[streams][regression]") {
+  stream_fleet fleet(Size(7, 1));
+  fleet.List({{"v1", 9}, {"v2", 9}});
+  fleet.Run(milliseconds(5000));
+  const size_t rows = fleet.store.rows().size();
+  REQUIRE(rows > 1);
+  fleet.has_clients = false;
+  fleet.knows_services = false;
+  fleet.LosePower(milliseconds(1000));
+  fleet.Run(milliseconds(1000));
+  CHECK(fleet.store.rows().size() == rows);
+}
+
 TEST_CASE("Rows of nodes that are gone are removed", "[streams]") {
   stream_fleet fleet(Size(7, 1));
   fleet.List({{"v1", 9}, {"v2", 9}});
