--- a/src/skylarkcroft/relay/skylarkcroft_relay_request_streams.cc
+++ b/src/skylarkcroft/relay/skylarkcroft_relay_request_streams.cc
@@ -46,11 +46,16 @@
 }
 
 void relay_request::OnOriginSearched(const origin_search& search) {
+  const relay_parameters& parameters = environment_.parameters;
+  if (!search.origin.has_value() && !search.store_responded) {
+    EndWithError(final_response::kNotExecuted, "version_not_readable",
+                 parameters.other_node_retry);
+    return;
+  }
   if (!search.origin.has_value()) {
-    EndWithError(
-        final_response::kNotExecuted,
-        search.store_responded ? "version_unknown" : "version_not_readable",
-        environment_.parameters.other_node_retry);
+    // No other node knows more.
+    EndWithError(final_response::kNotExecuted, "version_unknown",
+                 parameters.no_upstream_retry);
     return;
   }
   const std::vector<weighted_service>& services = gate_.route->services;
@@ -60,7 +65,7 @@
       });
   if (!is_routed) {
     EndWithError(final_response::kNotExecuted, "version_unavailable",
-                 environment_.parameters.no_upstream_retry);
+                 parameters.no_upstream_retry);
     return;
   }
   origin_ = search.origin;
--- a/src/skylarkcroft/streams/skylarkcroft_stream_versions.cc
+++ b/src/skylarkcroft/streams/skylarkcroft_stream_versions.cc
@@ -135,6 +135,7 @@
   told_[notice->sender] = {notice->sequence, std::move(notice->list.streams),
                            now + notice->list.life};
   has_unwritten_ = true;
+  WriteStreamsIfDue(now);
   return true;
 }
 
