--- a/tests/adapter/platform_standin.h
+++ b/tests/adapter/platform_standin.h
@@ -178,7 +178,8 @@
     return rows;
   }
   /// Answers with one page of the rows from the key that the call names.
-  void ReplyRows(const http_exchange_ptr& call, nlohmann::json rows) const {
+  void ReplyRows(const http_exchange_ptr& call,
+                 const nlohmann::json& rows) const {
     const std::string from = call->request().QueryParameter("from");
     nlohmann::json page = nlohmann::json::array();
     bool has_more = false;
