Tests: the restarted node's streams are awaited in the store, not for a time

Since a node without peers writes nothing for its first 1.5 s, the test could end it before the first write; its checks are as before.

--- a/tests/adapter/stream_versions_test.cc
+++ b/tests/adapter/stream_versions_test.cc
@@ -136,6 +136,9 @@
     }));
     node.standin.Put("servers", "i-1", Entry(node.older.address(), "v1"));
     const std::string of_newer = "r" + std::to_string(begun);
+    // A node without peers begins to write some time after its start; the
+    // streams begun since are in the next write.
+    REQUIRE(node.Await([&] { return node.standin.Has("streams", "node/n1"); }));
     const time_point next_write = SteadyNow() + milliseconds(1000);
     node.Await([&] { return SteadyNow() > next_write; });
     node.relay.reset();
