review: a relay ends with the case that started it

Cause: a case that the time limit ends left its relay behind. Change: the child asks for SIGKILL at its parent's end.

--- a/review/common-3/relay.h
+++ b/review/common-3/relay.h
@@ -4,6 +4,7 @@
 #define REVIEW_COMMON_3_RELAY_H_
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -67,6 +68,8 @@
     const std::string log = terms_.folder + "/" + terms_.name + ".log";
     pid_ = fork();
     if (pid_ == 0) {
+      // Ends with the case, however that ends.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(out, STDOUT_FILENO);
       dup2(out, STDERR_FILENO);
